--- /dev/null
+++ b/reachtally-core/src/declare.rs
@@ -0,0 +1,140 @@
+//! The objects that operators declare: models, targets, services, accounts.
+//!
+//! These are the bodies of configuration records in the platform's log and of the YAML files that
+//! operators apply. Units are in the field names.
+
+use serde::{Deserialize, Serialize};
+
+/// The kind of a declared object; with the name it is the object's identity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model with a number of layers.
+    Model,
+    /// An engine that holds a layer range of a model.
+    Engine,
+    /// A plain service.
+    Service,
+    /// A client account.
+    Account,
+}
+
+/// Half-open range of layers, `first..end`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Layers {
+    /// The first layer held.
+    pub first: u32,
+    /// One past the last layer held.
+    pub end: u32,
+}
+
+impl Layers {
+    /// The number of layers in the range.
+    pub fn count(self) -> u32 {
+        self.end.saturating_sub(self.first)
+    }
+}
+
+impl std::fmt::Display for Layers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}..{}", self.first, self.end)
+    }
+}
+
+/// A model that pipelines serve.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    /// The name callers use.
+    pub name: String,
+    /// Number of layers; a chain covers `0..layers`.
+    pub layers: u32,
+}
+
+/// An engine: a target that holds a layer range of one model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Engine {
+    /// Unique name.
+    pub name: String,
+    /// The box it runs on, as the live list names it.
+    #[serde(rename = "box")]
+    pub box_name: String,
+    /// The failure domain of that box.
+    pub domain: String,
+    /// Base address, `http://ip:port`.
+    pub url: String,
+    /// The model it serves.
+    pub model: String,
+    /// The layer range it holds.
+    pub layers: Layers,
+    /// Requests it can decode at the same time.
+    pub slots: u32,
+    /// Whether it refuses orders that carry an outdated fence.
+    #[serde(default)]
+    pub checks_fence: bool,
+}
+
+/// A plain service beside the engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// The name in `/services/<name>/...`.
+    pub name: String,
+    /// Base addresses of its instances.
+    pub urls: Vec<String>,
+    /// Whether a call may be sent again when its fate is unknown.
+    pub repeatable: bool,
+    /// Whether the service itself runs a call once for each idempotency key.
+    #[serde(default)]
+    pub deduplicates: bool,
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// Unique name.
+    pub name: String,
+    /// SHA-256 of each valid key, lower-case hex. Keys themselves are never stored.
+    pub key_hashes: Vec<String>,
+    /// Models it may use.
+    pub models: Vec<String>,
+    /// Services it may call.
+    #[serde(default)]
+    pub services: Vec<String>,
+    /// Requests it may have running at one entry box.
+    pub max_running: u32,
+}
+
+/// One declared object.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase")]
+pub enum Object {
+    /// See [`Model`].
+    Model(Model),
+    /// See [`Engine`].
+    Engine(Engine),
+    /// See [`Service`].
+    Service(Service),
+    /// See [`Account`].
+    Account(Account),
+}
+
+impl Object {
+    /// The kind of this object.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Object::Model(_) => Kind::Model,
+            Object::Engine(_) => Kind::Engine,
+            Object::Service(_) => Kind::Service,
+            Object::Account(_) => Kind::Account,
+        }
+    }
+
+    /// The name of this object, unique within its kind.
+    pub fn name(&self) -> &str {
+        match self {
+            Object::Model(o) => &o.name,
+            Object::Engine(o) => &o.name,
+            Object::Service(o) => &o.name,
+            Object::Account(o) => &o.name,
+        }
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/lib.rs
@@ -0,0 +1,34 @@
+//! Every decision of the router, without input or output.
+//!
+//! The [`World`] holds tables of entities. An [`Event`] or a tick runs systems over those tables and
+//! yields typed [`Effect`]s. The caller performs the effects and feeds their results back as events.
+//! Nothing here reads a clock, opens a socket or draws randomness of its own: `now` and the seed are
+//! passed in, so a recorded list of events replays a whole session.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod chain;
+pub mod claim;
+pub mod counters;
+pub mod declare;
+pub mod effect;
+pub mod event;
+pub mod fold;
+pub mod ids;
+pub mod latency;
+pub mod life;
+pub mod lineage;
+pub mod request;
+pub mod restore;
+pub mod retry;
+pub mod step;
+pub mod systems;
+pub mod target;
+pub mod time;
+pub mod world;
+
+pub use effect::{Change, Effect, Effects};
+pub use event::Event;
+pub use ids::{AccountKey, CallKey, Incarnation, RequestId, RequestKey, TargetKey};
+pub use time::Instant;
+pub use world::{Limits, World};
--- /dev/null
+++ b/reachtally-core/src/lineage.rs
@@ -0,0 +1,93 @@
+//! Which engine ran each layer range for each position, as accepted by the router.
+//!
+//! A request has one lineage. Each step names `(request, attempt, position)`; its result is taken
+//! only if it is the one awaited. The lineage keeps, run-length encoded, the attempt and engine
+//! whose result was accepted for each stage and position. An engine's own ledger must show exactly
+//! one forward run for each of those; runs that only rebuild lost KV are marked as restores by the
+//! step itself and are not part of the lineage.
+
+use crate::declare::Layers;
+use crate::ids::TargetKey;
+
+/// A run of positions whose results came from one engine under one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Run {
+    /// First position.
+    pub from: u32,
+    /// One past the last position.
+    pub end: u32,
+    /// Attempt of the accepted steps.
+    pub attempt: u32,
+    /// Engine that ran them.
+    pub target: TargetKey,
+    /// The layers it ran.
+    pub layers: Layers,
+}
+
+/// The accepted runs of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Lineage {
+    runs: Vec<Run>,
+}
+
+/// A fault in a lineage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LineageError {
+    /// Layer `layer` of position `position` was accepted `times` times instead of once.
+    Count {
+        /// The position.
+        position: u32,
+        /// The layer.
+        layer: u32,
+        /// How often it was accepted.
+        times: u32,
+    },
+}
+
+impl Lineage {
+    /// Record that the result for `from..end` was accepted.
+    pub fn accept(&mut self, run: Run) {
+        let same = self.runs.iter_mut().rev().find(|r| {
+            r.end == run.from
+                && r.target == run.target
+                && r.layers == run.layers
+                && r.attempt == run.attempt
+        });
+        match same {
+            Some(last) => last.end = run.end,
+            None => self.runs.push(run),
+        }
+    }
+
+    /// The accepted runs, in order of acceptance.
+    pub fn runs(&self) -> &[Run] {
+        &self.runs
+    }
+
+    /// Check that each of `layers` layers was accepted exactly once for each position below `end`.
+    ///
+    /// # Errors
+    /// The first position and layer with another count.
+    pub fn check(&self, layers: u32, end: u32) -> Result<(), LineageError> {
+        for position in 0..end {
+            for layer in 0..layers {
+                let times = self.times(position, layer);
+                if times != 1 {
+                    return Err(LineageError::Count {
+                        position,
+                        layer,
+                        times,
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn times(&self, position: u32, layer: u32) -> u32 {
+        let hit = |r: &&Run| {
+            (r.from..r.end).contains(&position) && (r.layers.first..r.layers.end).contains(&layer)
+        };
+        self.runs.iter().filter(hit).count() as u32
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/request.rs
@@ -0,0 +1,170 @@
+//! Rows of the request table.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::chain::Stage;
+use crate::ids::{AccountKey, CallKey, TargetKey};
+use crate::life::State;
+use crate::lineage::Lineage;
+use crate::restore::KeptInputs;
+use crate::step::Input;
+use crate::time::Instant;
+
+/// What a caller asks for, as the caller's adapter hands it over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The account's name.
+    pub account: String,
+    /// The work itself.
+    pub work: Work,
+    /// The key that marks a request which may not be repeated.
+    pub idempotency_key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Duration,
+}
+
+/// The work a caller asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Work {
+    /// A completion by a model.
+    Completion(Completion),
+    /// A call to a plain service.
+    Service(ServiceCall),
+}
+
+/// A completion by a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Completion {
+    /// The model's name.
+    pub model: String,
+    /// The prompt's text.
+    pub prompt: String,
+    /// The most tokens to generate.
+    pub max_tokens: u32,
+}
+
+/// A call to a plain service, passed on as it came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceCall {
+    /// The service's name.
+    pub service: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query behind the service's base address, without a leading slash.
+    pub path: String,
+    /// The body's media type.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A service's answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// The body's media type.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The step that a request waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Awaited {
+    /// Index of the stage in the chain.
+    pub stage: usize,
+    /// First position of the span.
+    pub from: u32,
+    /// First position whose output is wanted.
+    pub outputs_from: u32,
+    /// Number of positions, 0 while only the engine knows it.
+    pub positions: u32,
+    /// Input, until it is sent.
+    pub input: Option<Input>,
+    /// The call that carries it, once it is sent.
+    pub call: Option<CallKey>,
+}
+
+/// A completion under way.
+#[derive(Debug)]
+pub struct Running {
+    /// The stages.
+    pub chain: Vec<Stage>,
+    /// Number of layers of the model.
+    pub layers: u32,
+    /// The attempt of the steps now sent.
+    pub attempt: u32,
+    /// The step waited for; nothing while the request waits for its caller or a replacement.
+    pub awaited: Option<Awaited>,
+    /// Positions accepted from each stage.
+    pub accepted: Vec<u32>,
+    /// Inputs kept for each stage; the first stage's are `tokens` and the prompt.
+    pub kept: Vec<KeptInputs>,
+    /// Positions that the prompt takes, once the first stage told.
+    pub prompt_positions: u32,
+    /// Tokens generated and accepted.
+    pub tokens: Vec<u32>,
+    /// Text generated, kept only where the outcome is to be recorded.
+    pub text: String,
+    /// Tokens handed to the caller's stream and not drained yet.
+    pub undrained: u32,
+    /// What was accepted.
+    pub lineage: Lineage,
+    /// Whether it waits for an engine to take a lost stage's place.
+    pub parked: bool,
+}
+
+/// How far a request has come.
+#[derive(Debug)]
+pub enum Progress {
+    /// Waiting for its claim, or for dispatch.
+    Waiting,
+    /// A completion on its chain.
+    Running(Box<Running>),
+    /// A service call at an instance.
+    Calling {
+        /// The instance.
+        target: TargetKey,
+    },
+}
+
+/// One request.
+#[derive(Debug)]
+pub struct Request {
+    /// The account.
+    pub account: AccountKey,
+    /// The work.
+    pub work: Work,
+    /// The key of a request that may not be repeated.
+    pub key: Option<String>,
+    /// Whether it may be run again when its fate is unknown.
+    pub repeatable: bool,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// The life cycle; `None` only while a system moves it on.
+    pub state: Option<State>,
+    /// How far it has come.
+    pub progress: Progress,
+    /// Times it was sent again.
+    pub retries: u32,
+    /// Service instances that have failed it and are not used again for it.
+    pub tried: Vec<TargetKey>,
+}
+
+impl Request {
+    /// The running completion, if it is one.
+    pub fn running(&mut self) -> Option<&mut Running> {
+        match &mut self.progress {
+            Progress::Running(running) => Some(running),
+            _ => None,
+        }
+    }
+
+    /// Whether a target may have seen a byte of it.
+    pub fn is_dispatched(&self) -> bool {
+        self.state.as_ref().is_some_and(State::is_dispatched)
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/restore.rs
@@ -0,0 +1,122 @@
+//! Restoring the KV of a stage that was lost: which way, and the inputs kept for it.
+
+use std::time::Duration;
+
+use crate::latency::Latency;
+
+/// A way of restoring a stage's KV on its replacement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Send the stage's own inputs again; no other stage does anything again.
+    Replay,
+    /// Run the whole chain again over all positions so far.
+    Prefill,
+}
+
+/// What the choice between the ways depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Estimate<'a> {
+    /// Positions to restore.
+    pub positions: u32,
+    /// Bytes of one activation; 0 for the first stage, whose inputs are tokens.
+    pub unit: u32,
+    /// Bytes a second to the replacement.
+    pub link_rate: f64,
+    /// Step times of the replacement.
+    pub replacement: &'a Latency,
+    /// Step times of all stages after the shift, the replacement among them.
+    pub chain: &'a [&'a Latency],
+}
+
+impl Estimate<'_> {
+    /// Time to restore by `way`.
+    pub fn time(&self, way: Way) -> Duration {
+        match way {
+            Way::Replay => {
+                let bytes = f64::from(self.positions) * f64::from(self.unit);
+                let transfer = Duration::from_secs_f64(bytes / self.link_rate.max(1.0));
+                transfer + self.replacement.expected(self.positions)
+            }
+            Way::Prefill => self
+                .chain
+                .iter()
+                .map(|latency| latency.expected(self.positions))
+                .sum(),
+        }
+    }
+
+    /// The faster way among those possible.
+    pub fn choose(&self, replay_possible: bool) -> Way {
+        if replay_possible && self.time(Way::Replay) <= self.time(Way::Prefill) {
+            Way::Replay
+        } else {
+            Way::Prefill
+        }
+    }
+}
+
+/// The activations that a stage was sent, kept at the entry box for replay.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KeptInputs {
+    bytes: Vec<u8>,
+    positions: u32,
+    dropped: bool,
+}
+
+impl KeptInputs {
+    /// Keep the activations of the next `positions` positions. Returns the bytes that this adds.
+    pub fn push(&mut self, activations: &[u8], positions: u32) -> usize {
+        if self.dropped {
+            return 0;
+        }
+        self.bytes.extend_from_slice(activations);
+        self.positions += positions;
+        activations.len()
+    }
+
+    /// Drop what is kept and keep nothing more. Returns the bytes freed.
+    pub fn drop_all(&mut self) -> usize {
+        let freed = self.bytes.len();
+        self.bytes = Vec::new();
+        self.positions = 0;
+        self.dropped = true;
+        freed
+    }
+
+    /// Start over with nothing kept. Returns the bytes freed.
+    pub fn reset(&mut self) -> usize {
+        let freed = self.drop_all();
+        self.dropped = false;
+        freed
+    }
+
+    /// The activations of positions `0..end`, if all of them are kept.
+    pub fn up_to(&self, end: u32) -> Option<&[u8]> {
+        if self.dropped || self.positions < end {
+            return None;
+        }
+        if self.positions == 0 {
+            return Some(&[]);
+        }
+        let unit = self.bytes.len() / self.positions as usize;
+        Some(&self.bytes[..unit * end as usize])
+    }
+
+    /// Bytes of one activation, 0 while nothing is kept.
+    pub fn unit(&self) -> u32 {
+        self.bytes
+            .len()
+            .checked_div(self.positions as usize)
+            .unwrap_or(0) as u32
+    }
+
+    /// Bytes kept.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/systems/accept.rs
@@ -0,0 +1,258 @@
+//! Taking step results: only the awaited one, then on to the next stage or token.
+
+use bytes::Bytes;
+use slotmap::Key;
+
+use crate::effect::{Effect, Effects};
+use crate::ids::{CallKey, RequestKey, TargetKey};
+use crate::life::{NeverStarted, Unknown};
+use crate::lineage::Run;
+use crate::request::{Awaited, Running};
+use crate::step::{Input, Output, StepRefusal, StepResult};
+use crate::systems::{deliver, finish, shift};
+use crate::time::Instant;
+use crate::world::{Call, World};
+
+/// Times one request's steps may be refused by engines before it is given up.
+const REFUSALS_MAX: u32 = 8;
+
+/// Take the results of one call.
+pub fn steps_done(
+    world: &mut World,
+    call: CallKey,
+    results: Vec<StepResult>,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Some(done) = world.calls.remove(call) else {
+        world.counters.results_dropped += results.len() as u64;
+        return;
+    };
+    sample(world, &done, now);
+    for result in results {
+        let request = result.request.key();
+        if is_awaited(world, call, &result) {
+            accept(world, request, done.target, result, now, out);
+        } else {
+            world.counters.results_dropped += 1;
+        }
+    }
+    let unanswered: Vec<RequestKey> = done
+        .steps
+        .iter()
+        .map(|sent| sent.request)
+        .filter(|request| awaits_call(world, *request, call))
+        .collect();
+    for request in unanswered {
+        shift::lost(world, request, now, out);
+    }
+    world.mark_dirty(done.target);
+}
+
+fn sample(world: &mut World, done: &Call, now: Instant) {
+    let Some(target) = world.targets.get_mut(done.target) else {
+        return;
+    };
+    target.calls -= u32::from(done.decode);
+    if let Some(longest) = done.steps.iter().map(|sent| sent.positions).max() {
+        target.latency.sample(now.since(done.sent_at), longest);
+    }
+}
+
+/// Whether `request` still waits for `call`.
+pub fn awaits_call(world: &World, request: RequestKey, call: CallKey) -> bool {
+    let Some(req) = world.requests.get(request) else {
+        return false;
+    };
+    match &req.progress {
+        crate::request::Progress::Running(running) => running
+            .awaited
+            .as_ref()
+            .is_some_and(|awaited| awaited.call == Some(call)),
+        _ => false,
+    }
+}
+
+fn is_awaited(world: &World, call: CallKey, result: &StepResult) -> bool {
+    let request = result.request.key();
+    if result.request.incarnation != world.incarnation || !awaits_call(world, request, call) {
+        return false;
+    }
+    let crate::request::Progress::Running(running) = &world.requests[request].progress else {
+        return false;
+    };
+    let Some(awaited) = &running.awaited else {
+        return false;
+    };
+    if result.attempt != running.attempt {
+        return false;
+    }
+    if result.output.is_err() {
+        return true;
+    }
+    let end = result.from + result.positions;
+    let full = awaited.positions == 0 || end == awaited.from + awaited.positions;
+    result.from == awaited.outputs_from && full && result.positions > 0
+}
+
+fn accept(
+    world: &mut World,
+    request: RequestKey,
+    target: TargetKey,
+    result: StepResult,
+    now: Instant,
+    out: &mut Effects,
+) {
+    match result.output {
+        Err(refusal) => refused(world, request, refusal, now, out),
+        Ok(Output::Activations(activations)) => {
+            let span = (result.from, result.from + result.positions);
+            accept_activations(world, request, target, span, activations, now, out);
+        }
+        Ok(Output::Token { id, text, end }) => {
+            let last = result.from + result.positions;
+            accept_token(world, request, target, last, (id, text, end), out);
+        }
+    }
+}
+
+fn refused(
+    world: &mut World,
+    request: RequestKey,
+    refusal: StepRefusal,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let req = &mut world.requests[request];
+    req.retries += 1;
+    let exhausted = req.retries > REFUSALS_MAX;
+    match refusal {
+        _ if exhausted => shift::give_up_refused(world, request, out),
+        StepRefusal::Malformed => shift::give_up_refused(world, request, out),
+        StepRefusal::Busy => {
+            shift::never_started(world, request, NeverStarted::TargetSaidSo, now, out);
+        }
+        StepRefusal::KvMissing | StepRefusal::StaleAttempt => {
+            shift::restore(world, request, TargetKey::null(), now, out);
+        }
+    }
+}
+
+/// Record the accepted positions of the awaited stage up to `end`; returns the stage.
+fn record(running: &mut Running, target: TargetKey, end: u32) -> Option<usize> {
+    let awaited = running.awaited.take()?;
+    let stage = awaited.stage;
+    if stage == 0 && running.prompt_positions == 0 {
+        running.prompt_positions = end;
+    }
+    let accepted = running.accepted[stage];
+    if end > accepted {
+        running.lineage.accept(Run {
+            from: accepted,
+            end,
+            attempt: running.attempt,
+            target,
+            layers: running.chain[stage].layers,
+        });
+        running.accepted[stage] = end;
+    }
+    Some(stage)
+}
+
+fn accept_activations(
+    world: &mut World,
+    request: RequestKey,
+    target: TargetKey,
+    (from, end): (u32, u32),
+    activations: Bytes,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    let Some(stage) = record(running, target, end) else {
+        return;
+    };
+    let next = stage + 1;
+    if next >= running.chain.len() {
+        // The last stage owes a token; its engine holds another range than it declared.
+        return finish::end_unknown(world, request, Unknown::AnswerLost, out);
+    }
+    world.kept_bytes += running.kept[next].push(&activations, end - from);
+    running.awaited = Some(Awaited {
+        stage: next,
+        from,
+        outputs_from: from,
+        positions: end - from,
+        input: Some(Input::Activations(activations)),
+        call: None,
+    });
+    let target = running.chain[next].target;
+    queue(world, request, target, now, out);
+    shed_kept(world, request);
+}
+
+/// Queue the awaited step of `request` at `target`.
+pub fn queue(
+    world: &mut World,
+    request: RequestKey,
+    target: TargetKey,
+    now: Instant,
+    out: &mut Effects,
+) {
+    match world.targets.get_mut(target) {
+        Some(row) => {
+            row.ready.push_back(request);
+            world.mark_dirty(target);
+        }
+        None => shift::lost(world, request, now, out),
+    }
+}
+
+/// Over the bound on kept inputs, the request that grew gives its own up; it can still be restored
+/// by prefill.
+fn shed_kept(world: &mut World, request: RequestKey) {
+    if world.kept_bytes <= world.limits.replay_bytes {
+        return;
+    }
+    if let Some(running) = world.requests[request].running() {
+        let freed: usize = running.kept.iter_mut().map(|kept| kept.drop_all()).sum();
+        world.kept_bytes -= freed;
+    }
+}
+
+fn accept_token(
+    world: &mut World,
+    request: RequestKey,
+    target: TargetKey,
+    end: u32,
+    (id, text, stop): (u32, String, bool),
+    out: &mut Effects,
+) {
+    let req = &mut world.requests[request];
+    let keep_text = req.key.is_some();
+    let Some(running) = req.running() else {
+        return;
+    };
+    let Some(stage) = record(running, target, end) else {
+        return;
+    };
+    if stage + 1 != running.chain.len() {
+        return finish::end_unknown(world, request, Unknown::AnswerLost, out);
+    }
+    let index = running.tokens.len() as u32;
+    running.tokens.push(id);
+    running.undrained += 1;
+    if keep_text {
+        running.text.push_str(&text);
+    }
+    req.state = req.state.take().map(|state| state.stream());
+    world.counters.tokens_delivered += 1;
+    out.push(Effect::Deliver {
+        request,
+        index,
+        text,
+    });
+    deliver::next_token(world, request, stop, out);
+}
--- /dev/null
+++ b/reachtally-core/src/systems/admit.rs
@@ -0,0 +1,139 @@
+//! Admission: who may run what, and whether there is room.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::claim::ClaimKey;
+use crate::declare::{Kind, Object};
+use crate::effect::{Effect, Effects, Finish};
+use crate::ids::{AccountKey, RequestKey};
+use crate::life::{Life, Received, Refusal, State};
+use crate::request::{Ask, Progress, Request, Work};
+use crate::systems::{claims, start};
+use crate::time::Instant;
+use crate::world::{Timer, World};
+
+/// Judge what a caller asks for; start it, let it wait for its claim, or refuse it.
+pub fn ask(world: &mut World, ask: Ask, now: Instant, out: &mut Effects) -> RequestKey {
+    world.counters.requests_received += 1;
+    let verdict = judge(world, &ask);
+    let account = verdict.as_ref().copied().unwrap_or_default();
+    let repeatable = is_repeatable(world, &ask);
+    let life = Life::<Received>::default();
+    let deadline = now + ask.patience;
+    let key = world.requests.insert(Request {
+        account,
+        work: ask.work,
+        key: ask.idempotency_key,
+        repeatable,
+        deadline,
+        state: None,
+        progress: Progress::Waiting,
+        retries: 0,
+        tried: Vec::new(),
+    });
+    if let Err(refusal) = verdict {
+        refuse(world, key, life, refusal, out);
+        return key;
+    }
+    world.requests[key].state = Some(State::Admitted(life.admit()));
+    world.accounts[account].running += 1;
+    world.start_timer(deadline, Timer::Deadline(key));
+    match claim_key(world, key) {
+        Some(claim) => claims::enter(world, key, claim, now, out),
+        None => start::start(world, key, now, out),
+    }
+    key
+}
+
+fn refuse(
+    world: &mut World,
+    key: RequestKey,
+    life: Life<Received>,
+    refusal: Refusal,
+    out: &mut Effects,
+) {
+    world.requests.remove(key);
+    world.counters.requests_not_run += 1;
+    out.push(Effect::Finish {
+        request: key,
+        finish: Finish::NotRun(life.refuse_not_run(refusal)),
+    });
+}
+
+fn judge(world: &World, ask: &Ask) -> Result<AccountKey, Refusal> {
+    if world.stopping {
+        return Err(Refusal::Stopping);
+    }
+    let key = *world
+        .account_by_name
+        .get(&ask.account)
+        .ok_or(Refusal::UnknownAccount)?;
+    let account = &world.accounts[key];
+    match &ask.work {
+        Work::Completion(completion) => {
+            if world.config.get(Kind::Model, &completion.model).is_none() {
+                return Err(Refusal::UnknownModel);
+            }
+            if !account.declared.models.contains(&completion.model) {
+                return Err(Refusal::NotAllowed);
+            }
+        }
+        Work::Service(call) => {
+            if world.config.get(Kind::Service, &call.service).is_none() {
+                return Err(Refusal::UnknownService);
+            }
+            if !account.declared.services.contains(&call.service) {
+                return Err(Refusal::NotAllowed);
+            }
+        }
+    }
+    if account.running >= account.declared.max_running {
+        return Err(Refusal::AccountLimit);
+    }
+    Ok(key)
+}
+
+/// Whether the request may run again when its fate is unknown. A service that runs a call once for
+/// each key makes a call with a key repeatable.
+fn is_repeatable(world: &World, ask: &Ask) -> bool {
+    let Work::Service(call) = &ask.work else {
+        return ask.idempotency_key.is_none();
+    };
+    match world
+        .config
+        .get(Kind::Service, &call.service)
+        .map(|entry| &entry.object)
+    {
+        Some(Object::Service(service)) if service.deduplicates => {
+            service.repeatable || ask.idempotency_key.is_some()
+        }
+        Some(Object::Service(service)) => service.repeatable && ask.idempotency_key.is_none(),
+        _ => false,
+    }
+}
+
+/// The key to claim, for a request that carries one and may not be repeated.
+fn claim_key(world: &World, key: RequestKey) -> Option<ClaimKey> {
+    let req = &world.requests[key];
+    if req.repeatable {
+        return None;
+    }
+    Some(ClaimKey {
+        account: world.accounts[req.account].declared.name.clone(),
+        key: req.key.clone()?,
+    })
+}
+
+/// Digest of a request's work, to tell another request under the same key.
+pub fn digest(work: &Work) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    match work {
+        Work::Completion(c) => {
+            (0u8, &c.model, &c.prompt, c.max_tokens).hash(&mut hasher);
+        }
+        Work::Service(c) => {
+            (1u8, &c.service, &c.method, &c.path, &c.body).hash(&mut hasher);
+        }
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/reachtally-core/src/systems/configure.rs
@@ -0,0 +1,188 @@
+//! Folding configuration records and the live list into the tables.
+
+use std::collections::BTreeMap;
+
+use crate::declare::{Kind, Object};
+use crate::effect::{Change, Effect, Effects};
+use crate::event::{BoxSeen, Read};
+use crate::fold::{Operation, Verdict};
+use crate::ids::TargetKey;
+use crate::systems::shift;
+use crate::target::{Role, Target};
+use crate::time::Instant;
+use crate::world::{Account, World};
+
+/// Fold configuration records, then bring the tables in line once.
+pub fn read(world: &mut World, records: &[Read<Operation>], now: Instant, out: &mut Effects) {
+    let mut changed = false;
+    for read in records {
+        match world.config.fold(read.offset, &read.record) {
+            Ok(None) => {}
+            Ok(Some(verdict)) => {
+                world.counters.config_folded += 1;
+                changed |= verdict == Verdict::Applied;
+                world.counters.config_conflicts +=
+                    u64::from(matches!(verdict, Verdict::Conflict { .. }));
+                out.push(Effect::Changed(Change::Config {
+                    offset: read.offset,
+                    operation: read.record.id.clone(),
+                    actor: read.record.actor.clone(),
+                    verdict,
+                }));
+            }
+            Err(err) => {
+                out.push(Effect::Changed(Change::ConfigGap(err)));
+                break;
+            }
+        }
+    }
+    if changed {
+        align(world);
+        shift::retry_parked(world, now, out);
+    }
+}
+
+/// Take the live list's word on the boxes. A box that is missing counts as leaving: it gets no new
+/// work, and what runs there goes on until a call fails.
+pub fn list_read(world: &mut World, boxes: &[BoxSeen], now: Instant, out: &mut Effects) {
+    let boxes = boxes
+        .iter()
+        .map(|seen| (seen.name.clone(), seen.leaving))
+        .collect();
+    world.boxes = Some(boxes);
+    for (_, target) in &mut world.targets {
+        target.leaving = is_leaving(world.boxes.as_ref(), &target.box_name);
+    }
+    shift::retry_parked(world, now, out);
+}
+
+fn is_leaving(boxes: Option<&BTreeMap<String, bool>>, name: &str) -> bool {
+    if name.is_empty() {
+        return false;
+    }
+    boxes.is_some_and(|boxes| boxes.get(name).copied().unwrap_or(true))
+}
+
+fn align(world: &mut World) {
+    align_targets(world);
+    align_accounts(world);
+    index(world);
+}
+
+fn declared_targets(world: &World) -> BTreeMap<String, (Target, bool)> {
+    let mut declared = BTreeMap::new();
+    for (_, entry) in world.config.of(Kind::Engine) {
+        if let Object::Engine(engine) = &entry.object {
+            let role = Role::Engine {
+                model: engine.model.clone(),
+                layers: engine.layers,
+                slots: engine.slots,
+            };
+            let (name, url) = (engine.name.clone(), engine.url.clone());
+            let target = Target::new(name.clone(), url, engine.box_name.clone(), role);
+            declared.insert(name, (target, entry.drained));
+        }
+    }
+    for (_, entry) in world.config.of(Kind::Service) {
+        if let Object::Service(service) = &entry.object {
+            for (at, url) in service.urls.iter().enumerate() {
+                let name = format!("{}#{at}", service.name);
+                let role = Role::Service {
+                    service: service.name.clone(),
+                };
+                let target = Target::new(name.clone(), url.clone(), String::new(), role);
+                declared.insert(name, (target, entry.drained));
+            }
+        }
+    }
+    declared
+}
+
+/// Add, change and remove rows of targets. A row is replaced when the target's address or role
+/// changed; requests on the old row then move as if it had died.
+fn align_targets(world: &mut World) {
+    let declared = declared_targets(world);
+    let gone: Vec<(String, TargetKey)> = world
+        .target_by_name
+        .iter()
+        .filter(|(name, key)| !is_same(&world.targets[**key], declared.get(*name)))
+        .map(|(name, key)| (name.clone(), *key))
+        .collect();
+    for (name, key) in gone {
+        world.target_by_name.remove(&name);
+        world.targets.remove(key);
+    }
+    for (name, (mut target, drained)) in declared {
+        match world.target_by_name.get(&name) {
+            Some(key) => world.targets[*key].drained = drained,
+            None => {
+                target.drained = drained;
+                target.leaving = is_leaving(world.boxes.as_ref(), &target.box_name);
+                let key = world.targets.insert(target);
+                world.target_by_name.insert(name, key);
+            }
+        }
+    }
+}
+
+fn is_same(row: &Target, declared: Option<&(Target, bool)>) -> bool {
+    declared.is_some_and(|(target, _)| {
+        row.url == target.url && row.role == target.role && row.box_name == target.box_name
+    })
+}
+
+fn align_accounts(world: &mut World) {
+    let declared: Vec<crate::declare::Account> = world
+        .config
+        .of(Kind::Account)
+        .filter_map(|(_, entry)| match &entry.object {
+            Object::Account(account) => Some(account.clone()),
+            _ => None,
+        })
+        .collect();
+    let names: Vec<&str> = declared
+        .iter()
+        .map(|account| account.name.as_str())
+        .collect();
+    world
+        .account_by_name
+        .retain(|name, _| names.contains(&name.as_str()));
+    for account in declared {
+        match world.account_by_name.get(&account.name) {
+            Some(key) => world.accounts[*key].declared = account,
+            None => {
+                let name = account.name.clone();
+                let row = Account {
+                    declared: account,
+                    running: 0,
+                };
+                let key = world.accounts.insert(row);
+                world.account_by_name.insert(name, key);
+            }
+        }
+    }
+}
+
+/// Rebuild the lists of engines by model, sorted by first layer, and of instances by service.
+fn index(world: &mut World) {
+    world.engines.clear();
+    world.instances.clear();
+    for key in world.target_by_name.values() {
+        match &world.targets[*key].role {
+            Role::Engine { model, .. } => {
+                world.engines.entry(model.clone()).or_default().push(*key);
+            }
+            Role::Service { service } => {
+                world
+                    .instances
+                    .entry(service.clone())
+                    .or_default()
+                    .push(*key);
+            }
+        }
+    }
+    let targets = &world.targets;
+    for engines in world.engines.values_mut() {
+        engines.sort_by_key(|key| targets[*key].engine().map(|(_, layers, _)| layers));
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/systems/deliver.rs
@@ -0,0 +1,88 @@
+//! After a token: the next position, the end, or a pause while the caller's stream is full.
+
+use crate::effect::{Completed, CompletionEnd, Effects, Finish};
+use crate::ids::RequestKey;
+use crate::request::{Awaited, Progress, Work};
+use crate::step::Input;
+use crate::systems::finish;
+use crate::world::World;
+
+/// Go on after a token was delivered; `stop` if the model ended its answer.
+pub fn next_token(world: &mut World, request: RequestKey, stop: bool, out: &mut Effects) {
+    let req = &world.requests[request];
+    let Progress::Running(running) = &req.progress else {
+        return;
+    };
+    let max = match &req.work {
+        Work::Completion(completion) => completion.max_tokens,
+        Work::Service(_) => 0,
+    };
+    if stop || running.tokens.len() as u32 >= max {
+        return complete(world, request, stop, out);
+    }
+    if running.undrained < world.limits.caller_window {
+        continue_at_first_stage(world, request);
+    }
+}
+
+/// The caller's stream took tokens; a request that paused for it goes on.
+pub fn drained(world: &mut World, request: RequestKey, tokens: u32) {
+    let window = world.limits.caller_window;
+    let Some(running) = world
+        .requests
+        .get_mut(request)
+        .and_then(|req| req.running())
+    else {
+        return;
+    };
+    running.undrained = running.undrained.saturating_sub(tokens);
+    let paused = running.awaited.is_none() && !running.tokens.is_empty();
+    if paused && running.undrained < window {
+        continue_at_first_stage(world, request);
+    }
+}
+
+fn continue_at_first_stage(world: &mut World, request: RequestKey) {
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    let Some(&token) = running.tokens.last() else {
+        return;
+    };
+    let from = running.prompt_positions + running.tokens.len() as u32 - 1;
+    running.awaited = Some(Awaited {
+        stage: 0,
+        from,
+        outputs_from: from,
+        positions: 1,
+        input: Some(Input::Tokens {
+            text: String::new(),
+            tokens: vec![token],
+        }),
+        call: None,
+    });
+    let target = running.chain[0].target;
+    if let Some(row) = world.targets.get_mut(target) {
+        row.ready.push_back(request);
+    }
+    world.mark_dirty(target);
+}
+
+fn complete(world: &mut World, request: RequestKey, stopped: bool, out: &mut Effects) {
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    let end = CompletionEnd {
+        prompt_tokens: running.prompt_positions,
+        completion_tokens: running.tokens.len() as u32,
+        stopped,
+        lineage: std::mem::take(&mut running.lineage),
+        attempts: running.attempt,
+    };
+    finish::finish(
+        world,
+        request,
+        Finish::Completed(Completed::Completion(end)),
+        out,
+    );
+}
--- /dev/null
+++ b/reachtally-core/src/systems/finish.rs
@@ -0,0 +1,167 @@
+//! Ends of requests: the final answer, and the clean-up of every table.
+
+use crate::claim::{Entry, Recorded};
+use crate::effect::{Completed, Effect, Effects, Finish};
+use crate::ids::{RequestId, RequestKey};
+use crate::life::{GivenUp, Refusal, Unknown};
+use crate::request::{Answer, Progress, Request};
+use crate::step::Release;
+use crate::systems::claims;
+use crate::world::World;
+
+/// The caller hung up: its steps are cancelled on every stage.
+pub fn hung_up(world: &mut World, request: RequestKey, out: &mut Effects) {
+    if world.requests.contains_key(request) {
+        finish(world, request, Finish::Abandoned, out);
+    }
+}
+
+/// Give a request up: not run where its state proves that, else unknown.
+pub fn give_up(
+    world: &mut World,
+    request: RequestKey,
+    refusal: Refusal,
+    unknown: Unknown,
+    out: &mut Effects,
+) {
+    let Some(req) = world.requests.get_mut(request) else {
+        return;
+    };
+    let Some(state) = req.state.take() else {
+        return;
+    };
+    let finish_as = match state.give_up(refusal, unknown) {
+        GivenUp::NotRun(not_run) => Finish::NotRun(not_run),
+        GivenUp::Unknown(unknown) => Finish::Unknown(unknown),
+    };
+    finish(world, request, finish_as, out);
+}
+
+/// End a dispatched request with an unknown outcome.
+pub fn end_unknown(world: &mut World, request: RequestKey, unknown: Unknown, out: &mut Effects) {
+    finish(world, request, Finish::Unknown(unknown), out);
+}
+
+/// Take a request out of every table and give its caller the final answer.
+pub fn finish(world: &mut World, request: RequestKey, end: Finish, out: &mut Effects) {
+    let dispatched = world
+        .requests
+        .get(request)
+        .is_some_and(|req| req.is_dispatched());
+    leave_chain(world, request);
+    let Some(mut req) = world.requests.remove(request) else {
+        return;
+    };
+    if let Some(account) = world.accounts.get_mut(req.account) {
+        account.running -= 1;
+    }
+    count(world, &end);
+    if dispatched || matches!(end, Finish::NotRun(_) | Finish::Abandoned) {
+        settle_claim(world, request, &mut req, &end, out);
+    }
+    out.push(Effect::Finish {
+        request,
+        finish: end,
+    });
+}
+
+fn count(world: &mut World, end: &Finish) {
+    match end {
+        Finish::Completed(_) => {
+            world.counters.requests_completed += 1;
+            world.budget.succeeded();
+        }
+        Finish::NotRun(_) => world.counters.requests_not_run += 1,
+        Finish::Unknown(_) => world.counters.requests_unknown += 1,
+        Finish::Abandoned => world.counters.requests_abandoned += 1,
+    }
+}
+
+/// Record the outcome of a request that owns its claim, or release the claim if it never ran.
+fn settle_claim(
+    world: &mut World,
+    request: RequestKey,
+    req: &mut Request,
+    end: &Finish,
+    out: &mut Effects,
+) {
+    let Some(key) = claims::key_of(world, req) else {
+        return;
+    };
+    let was_first = world.waiting.first(&key) == Some(request);
+    world.waiting.remove(&key, request);
+    let owned = world
+        .claims
+        .get(&key)
+        .is_some_and(|claim| claim.owner == world.incarnation && claim.outcome.is_none());
+    if !was_first || !owned {
+        return;
+    }
+    match outcome(req, end) {
+        Some(outcome) => {
+            world.outbox.push(Entry::Outcome {
+                key: key.clone(),
+                outcome: outcome.clone(),
+            });
+            claims::answer_followers(world, &key, &outcome, out);
+        }
+        None => claims::hand_on(world, &key),
+    }
+}
+
+/// What to record of a dispatched request's end; nothing if it never ran.
+fn outcome(req: &Request, end: &Finish) -> Option<Recorded> {
+    match end {
+        Finish::NotRun(_) => None,
+        Finish::Completed(Completed::Service(answer)) => Some(Recorded::of(answer)),
+        Finish::Completed(Completed::Completion(_)) => match &req.progress {
+            Progress::Running(running) => Some(Recorded::of(&Answer {
+                status: 200,
+                content_type: Some("text/plain".into()),
+                body: running.text.clone().into(),
+            })),
+            _ => Some(Recorded::Unknown),
+        },
+        Finish::Completed(Completed::Recorded(_)) => None,
+        Finish::Unknown(_) => Some(Recorded::Unknown),
+        Finish::Abandoned if !req.is_dispatched() => None,
+        Finish::Abandoned => Some(Recorded::Unknown),
+    }
+}
+
+/// Take a request off its targets; engines are told to forget it.
+pub fn leave_chain(world: &mut World, request: RequestKey) {
+    let id = RequestId::new(world.incarnation, request);
+    let Some(req) = world.requests.get_mut(request) else {
+        return;
+    };
+    match &mut req.progress {
+        Progress::Waiting => {}
+        Progress::Calling { target } => {
+            let target = *target;
+            if let Some(row) = world.targets.get_mut(target) {
+                row.running -= 1;
+            }
+            req.progress = Progress::Waiting;
+        }
+        Progress::Running(running) => {
+            let release = Release {
+                request: id,
+                attempt: running.attempt,
+            };
+            world.kept_bytes -= running
+                .kept
+                .iter_mut()
+                .map(|kept| kept.reset())
+                .sum::<usize>();
+            let stages: Vec<_> = running.chain.iter().map(|stage| stage.target).collect();
+            for target in stages {
+                if let Some(row) = world.targets.get_mut(target) {
+                    row.running -= 1;
+                    row.releases.push(release);
+                    world.mark_dirty(target);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/systems/health.rs
@@ -0,0 +1,52 @@
+//! Suspecting targets that fail, and probing them until they answer.
+
+use crate::effect::{Change, Effect, Effects};
+use crate::ids::TargetKey;
+use crate::systems::shift;
+use crate::target::Health;
+use crate::time::Instant;
+use crate::world::{Timer, World};
+
+/// Suspect a target: it gets no new work until a probe succeeds.
+pub fn suspect(world: &mut World, key: TargetKey, now: Instant, out: &mut Effects) {
+    let Some(target) = world.targets.get_mut(key) else {
+        return;
+    };
+    let Some(probe_at) = target.suspect(now) else {
+        return;
+    };
+    out.push(Effect::Changed(Change::TargetSuspect(target.name.clone())));
+    world.start_timer(probe_at, Timer::Probe(key));
+    world.mark_dirty(key);
+}
+
+/// It is time to probe a suspected target.
+pub fn probe(world: &World, key: TargetKey, out: &mut Effects) {
+    let suspected = world
+        .targets
+        .get(key)
+        .is_some_and(|target| target.health != Health::Up);
+    if suspected {
+        out.push(Effect::Probe { target: key });
+    }
+}
+
+/// A probe ended.
+pub fn probed(world: &mut World, key: TargetKey, up: bool, now: Instant, out: &mut Effects) {
+    let Some(target) = world.targets.get_mut(key) else {
+        return;
+    };
+    if !up {
+        if let Some(probe_at) = target.probe_failed(now) {
+            world.start_timer(probe_at, Timer::Probe(key));
+        }
+        return;
+    }
+    if target.health == Health::Up {
+        return;
+    }
+    target.health = Health::Up;
+    out.push(Effect::Changed(Change::TargetUp(target.name.clone())));
+    world.mark_dirty(key);
+    shift::retry_parked(world, now, out);
+}
--- /dev/null
+++ b/reachtally-core/src/systems/shift.rs
@@ -0,0 +1,326 @@
+//! Moving a running request off a lost stage, and restoring that stage's KV.
+
+use bytes::Bytes;
+use slotmap::Key;
+
+use crate::chain;
+use crate::effect::{Change, Effect, Effects};
+use crate::event::CallFailure;
+use crate::ids::{CallKey, RequestId, RequestKey, TargetKey};
+use crate::latency::Latency;
+use crate::life::{NeverStarted, Refusal, Unknown};
+use crate::request::{Awaited, Progress, Running, Work};
+use crate::restore::{Estimate, Way};
+use crate::step::{Input, Release};
+use crate::systems::{accept, finish, health, start};
+use crate::time::Instant;
+use crate::world::{Timer, World};
+
+/// A call to an engine failed: suspect the engine, and move the requests that waited for the call.
+pub fn call_failed(
+    world: &mut World,
+    call: CallKey,
+    failure: CallFailure,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Some(failed) = world.calls.remove(call) else {
+        return;
+    };
+    world.counters.engine_calls_failed += 1;
+    if let Some(target) = world.targets.get_mut(failed.target) {
+        target.calls -= u32::from(failed.decode);
+    }
+    health::suspect(world, failed.target, now, out);
+    for sent in failed.steps {
+        if !accept::awaits_call(world, sent.request, call) {
+            continue;
+        }
+        match failure {
+            CallFailure::NeverStarted(proof) => {
+                never_started(world, sent.request, proof, now, out);
+            }
+            CallFailure::Lost => lost(world, sent.request, now, out),
+        }
+    }
+    world.mark_dirty(failed.target);
+}
+
+/// The awaited step never started. If nothing of the request ever ran it starts anew on another
+/// chain, or is refused as not run; else its stage moves.
+pub fn never_started(
+    world: &mut World,
+    request: RequestKey,
+    proof: NeverStarted,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Some(req) = world.requests.get_mut(request) else {
+        return;
+    };
+    let untouched = req
+        .running()
+        .is_some_and(|running| running.attempt == 1 && running.accepted.iter().all(|n| *n == 0));
+    if !untouched {
+        return lost(world, request, now, out);
+    }
+    req.state = req.state.take().map(|state| state.never_started(proof));
+    finish::leave_chain(world, request);
+    start::start(world, request, now, out);
+}
+
+/// The awaited step is lost: another engine takes the stage.
+pub fn lost(world: &mut World, request: RequestKey, now: Instant, out: &mut Effects) {
+    let Some(running) = world
+        .requests
+        .get_mut(request)
+        .and_then(|req| req.running())
+    else {
+        return;
+    };
+    let Some(stage) = running.awaited.as_ref().map(|awaited| awaited.stage) else {
+        return;
+    };
+    let not = running.chain[stage].target;
+    restore(world, request, not, now, out);
+}
+
+/// Put the awaited stage on the best engine other than `not` and restore its KV there; wait for an
+/// engine if none can take it.
+pub fn restore(
+    world: &mut World,
+    request: RequestKey,
+    not: TargetKey,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Some(req) = world.requests.get(request) else {
+        return;
+    };
+    let (Progress::Running(running), Work::Completion(completion)) = (&req.progress, &req.work)
+    else {
+        return;
+    };
+    let Some(stage) = running.awaited.as_ref().map(|awaited| awaited.stage) else {
+        return;
+    };
+    let layers = running.chain[stage].layers;
+    let engines = world
+        .engines
+        .get(&completion.model)
+        .map_or(&[][..], Vec::as_slice);
+    match chain::replacement(engines, &world.targets, layers, not, &mut world.rng) {
+        Some(target) => place(world, request, stage, target, now, out),
+        None => park(world, request, now),
+    }
+}
+
+fn park(world: &mut World, request: RequestKey, now: Instant) {
+    let deadline = now + world.limits.replacement_wait;
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    if running.parked {
+        return;
+    }
+    running.parked = true;
+    if let Some(awaited) = &mut running.awaited {
+        awaited.call = None;
+        awaited.input = None;
+    }
+    world.parked.push(request);
+    world.start_timer(deadline, Timer::Replacement(request));
+}
+
+/// Try again to place every request that waits for an engine.
+pub fn retry_parked(world: &mut World, now: Instant, out: &mut Effects) {
+    for request in std::mem::take(&mut world.parked) {
+        let Some(running) = world
+            .requests
+            .get_mut(request)
+            .and_then(|req| req.running())
+        else {
+            continue;
+        };
+        running.parked = false;
+        restore(world, request, TargetKey::null(), now, out);
+    }
+}
+
+/// A parked request has waited long enough.
+pub fn replacement_wait_over(world: &mut World, request: RequestKey, out: &mut Effects) {
+    let parked = world
+        .requests
+        .get_mut(request)
+        .and_then(|req| req.running())
+        .is_some_and(|running| running.parked);
+    if parked {
+        finish::end_unknown(world, request, Unknown::NoReplacement, out);
+    }
+}
+
+/// Engines refused the request's steps too often, or for good.
+pub fn give_up_refused(world: &mut World, request: RequestKey, out: &mut Effects) {
+    let refusal = Refusal::NeverStarted;
+    finish::give_up(world, request, refusal, Unknown::NoReplacement, out);
+}
+
+fn place(
+    world: &mut World,
+    request: RequestKey,
+    stage: usize,
+    target: TargetKey,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let way = choose_way(world, request, stage, target);
+    let id = RequestId::new(world.incarnation, request);
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    let old = std::mem::replace(&mut running.chain[stage].target, target);
+    let release = Release {
+        request: id,
+        attempt: running.attempt,
+    };
+    running.attempt += 1;
+    let (awaited, freed) = match way {
+        Way::Replay => (replay(running, stage), 0),
+        Way::Prefill => prefill(running),
+    };
+    let first = awaited.stage;
+    let position = running.accepted[stage];
+    running.awaited = Some(awaited);
+    world.kept_bytes -= freed;
+    fill_input(world, request, way);
+    count(world, way);
+    move_running(world, old, target, release);
+    let (from, to) = (name(world, old), name(world, target));
+    out.push(Effect::Changed(Change::StageShifted {
+        request,
+        from,
+        to,
+        way,
+        position,
+    }));
+    if let Some(running) = world.requests[request].running() {
+        let target = running.chain[first].target;
+        accept::queue(world, request, target, now, out);
+    }
+}
+
+fn count(world: &mut World, way: Way) {
+    world.counters.stages_shifted += 1;
+    match way {
+        Way::Replay => world.counters.restored_by_replay += 1,
+        Way::Prefill => world.counters.restored_by_prefill += 1,
+    }
+}
+
+fn name(world: &World, target: TargetKey) -> String {
+    world
+        .targets
+        .get(target)
+        .map_or_else(String::new, |target| target.name.clone())
+}
+
+fn move_running(world: &mut World, old: TargetKey, new: TargetKey, release: Release) {
+    if old == new {
+        return;
+    }
+    if let Some(target) = world.targets.get_mut(old) {
+        target.running -= 1;
+        target.releases.push(release);
+    }
+    world.mark_dirty(old);
+    world.targets[new].running += 1;
+}
+
+fn choose_way(world: &World, request: RequestKey, stage: usize, target: TargetKey) -> Way {
+    let Progress::Running(running) = &world.requests[request].progress else {
+        return Way::Prefill;
+    };
+    let Some(awaited) = &running.awaited else {
+        return Way::Prefill;
+    };
+    let end = awaited.from + awaited.positions;
+    let possible = stage == 0 || running.kept[stage].up_to(end).is_some();
+    let replacement = &world.targets[target].latency;
+    let chain: Vec<&Latency> = running
+        .chain
+        .iter()
+        .enumerate()
+        .map(|(at, s)| if at == stage { target } else { s.target })
+        .filter_map(|key| world.targets.get(key))
+        .map(|row| &row.latency)
+        .collect();
+    let estimate = Estimate {
+        positions: end,
+        unit: running.kept[stage].unit(),
+        link_rate: world.limits.link_rate,
+        replacement,
+        chain: &chain,
+    };
+    estimate.choose(possible)
+}
+
+/// Await the same span again, from position 0 so that the KV before it is rebuilt.
+fn replay(running: &Running, stage: usize) -> Awaited {
+    let awaited = running.awaited.as_ref();
+    let (from, positions) = awaited.map_or((0, 0), |awaited| (awaited.from, awaited.positions));
+    let outputs_from = awaited.map_or(0, |awaited| awaited.outputs_from);
+    Awaited {
+        stage,
+        from: 0,
+        outputs_from,
+        positions: if positions == 0 { 0 } else { from + positions },
+        input: None,
+        call: None,
+    }
+}
+
+/// Await all positions so far from the first stage on. Returns the bytes of kept inputs freed.
+fn prefill(running: &mut Running) -> (Awaited, usize) {
+    let freed = running.kept.iter_mut().map(|kept| kept.reset()).sum();
+    let tokens = running.tokens.len() as u32;
+    let awaited = Awaited {
+        stage: 0,
+        from: 0,
+        outputs_from: 0,
+        positions: match running.prompt_positions {
+            0 => 0,
+            prompt => prompt + tokens,
+        },
+        input: None,
+        call: None,
+    };
+    (awaited, freed)
+}
+
+/// Give the awaited step its input: all of the stage's inputs so far.
+fn fill_input(world: &mut World, request: RequestKey, way: Way) {
+    let req = &mut world.requests[request];
+    let prompt = match &req.work {
+        Work::Completion(completion) => completion.prompt.clone(),
+        Work::Service(_) => return,
+    };
+    let Some(running) = req.running() else {
+        return;
+    };
+    let Some(awaited) = &mut running.awaited else {
+        return;
+    };
+    let end = awaited.from + awaited.positions;
+    let input = if awaited.stage == 0 {
+        Some(Input::Tokens {
+            text: prompt,
+            tokens: running.tokens.clone(),
+        })
+    } else {
+        running.kept[awaited.stage]
+            .up_to(end)
+            .map(|bytes| Input::Activations(Bytes::copy_from_slice(bytes)))
+    };
+    debug_assert!(input.is_some() || way == Way::Prefill);
+    awaited.input = input;
+}
--- /dev/null
+++ b/reachtally-core/src/time.rs
@@ -0,0 +1,50 @@
+//! The instant that every decision works with.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A point on the daemon's monotonic clock, in microseconds since the daemon started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Instant {
+    micros: u64,
+}
+
+impl Instant {
+    /// The moment the daemon started.
+    pub const ZERO: Instant = Instant { micros: 0 };
+
+    /// The instant `elapsed` after the daemon's start.
+    pub fn from_elapsed(elapsed: Duration) -> Self {
+        Instant {
+            micros: elapsed.as_micros() as u64,
+        }
+    }
+
+    /// The time since the daemon's start.
+    pub fn elapsed(self) -> Duration {
+        Duration::from_micros(self.micros)
+    }
+
+    /// The time since `earlier`, or zero if `earlier` lies after `self`.
+    pub fn since(self, earlier: Instant) -> Duration {
+        Duration::from_micros(self.micros.saturating_sub(earlier.micros))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, rhs: Duration) -> Instant {
+        Instant {
+            micros: self.micros.saturating_add(rhs.as_micros() as u64),
+        }
+    }
+}
+
+impl Sub<Instant> for Instant {
+    type Output = Duration;
+
+    fn sub(self, rhs: Instant) -> Duration {
+        self.since(rhs)
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/world.rs
@@ -0,0 +1,264 @@
+//! The tables, and the entry points that run the systems over them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+use crate::claim::{Claims, Outbox, Waiting};
+use crate::counters::Counters;
+use crate::effect::Effects;
+use crate::event::Event;
+use crate::fold::Config;
+use crate::ids::{AccountKey, CallKey, Incarnation, RequestKey, TargetKey};
+use crate::request::{Ask, Request};
+use crate::retry::Budget;
+use crate::systems;
+use crate::target::Target;
+use crate::time::Instant;
+
+/// Bounds that the daemon's settings give.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Bytes of stage inputs kept for replay, over all requests.
+    pub replay_bytes: usize,
+    /// Tokens that a caller's stream may hold before its request pauses.
+    pub caller_window: u32,
+    /// Decode calls outstanding at one engine.
+    pub calls_per_engine: u32,
+    /// Steps in one call.
+    pub steps_per_call: usize,
+    /// Time between two appends of claims.
+    pub append_interval: Duration,
+    /// How long a claim is remembered, by the log's clock. Shorter than the log's retention.
+    pub claim_window: Duration,
+    /// How long a request waits for its claim before it is refused as not run.
+    pub claim_wait: Duration,
+    /// How long a running request waits for an engine to replace a lost stage.
+    pub replacement_wait: Duration,
+    /// Bytes a second assumed on the link to an engine.
+    pub link_rate: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            replay_bytes: 32 << 20,
+            caller_window: 64,
+            calls_per_engine: 4,
+            steps_per_call: 256,
+            append_interval: Duration::from_millis(50),
+            claim_window: Duration::from_secs(3600),
+            claim_wait: Duration::from_secs(5),
+            replacement_wait: Duration::from_secs(10),
+            link_rate: 100e6,
+        }
+    }
+}
+
+/// One step within an outstanding call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// The request.
+    pub request: RequestKey,
+    /// Number of positions, as far as known.
+    pub positions: u32,
+}
+
+/// A call to an engine that has not been answered.
+#[derive(Debug)]
+pub struct Call {
+    /// The engine.
+    pub target: TargetKey,
+    /// The steps sent.
+    pub steps: Vec<Sent>,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// Whether it carries single positions only, and so counts against the engine's calls.
+    pub decode: bool,
+}
+
+/// A client account's row.
+#[derive(Debug)]
+pub struct Account {
+    /// What was declared.
+    pub declared: crate::declare::Account,
+    /// Requests running or waiting.
+    pub running: u32,
+}
+
+/// What a timer is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// A call counts as lost.
+    Call(CallKey),
+    /// A request's deadline.
+    Deadline(RequestKey),
+    /// A request has waited long enough for its claim.
+    ClaimWait(RequestKey),
+    /// A request has waited long enough for a replacement.
+    Replacement(RequestKey),
+    /// A suspected target is to be probed.
+    Probe(TargetKey),
+    /// Claims may be appended.
+    Append,
+}
+
+/// All tables of one daemon.
+#[derive(Debug)]
+pub struct World {
+    /// Bounds.
+    pub limits: Limits,
+    /// This daemon run.
+    pub incarnation: Incarnation,
+    /// What was counted.
+    pub counters: Counters,
+    /// Engines and service instances.
+    pub targets: SlotMap<TargetKey, Target>,
+    /// Requests that have not ended.
+    pub requests: SlotMap<RequestKey, Request>,
+    /// Calls outstanding at engines.
+    pub calls: SlotMap<CallKey, Call>,
+    /// Client accounts.
+    pub accounts: SlotMap<AccountKey, Account>,
+    /// The declared configuration.
+    pub config: Config,
+    pub(crate) target_by_name: BTreeMap<String, TargetKey>,
+    pub(crate) account_by_name: BTreeMap<String, AccountKey>,
+    pub(crate) engines: BTreeMap<String, Vec<TargetKey>>,
+    pub(crate) instances: BTreeMap<String, Vec<TargetKey>>,
+    pub(crate) boxes: Option<BTreeMap<String, bool>>,
+    pub(crate) claims: Claims,
+    pub(crate) claims_ready: bool,
+    pub(crate) outbox: Outbox,
+    pub(crate) waiting: Waiting,
+    pub(crate) dirty: Vec<TargetKey>,
+    pub(crate) parked: Vec<RequestKey>,
+    pub(crate) kept_bytes: usize,
+    pub(crate) budget: Budget,
+    pub(crate) stopping: bool,
+    pub(crate) rng: ChaCha8Rng,
+    timers: BinaryHeap<Reverse<(Instant, Timer)>>,
+}
+
+impl World {
+    /// An empty world for one daemon run; `seed` drives every random choice.
+    pub fn new(incarnation: Incarnation, seed: u64, limits: Limits) -> Self {
+        World {
+            limits,
+            incarnation,
+            counters: Counters::default(),
+            targets: SlotMap::with_key(),
+            requests: SlotMap::with_key(),
+            calls: SlotMap::with_key(),
+            accounts: SlotMap::with_key(),
+            config: Config::default(),
+            target_by_name: BTreeMap::new(),
+            account_by_name: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            boxes: None,
+            claims: Claims::default(),
+            claims_ready: false,
+            outbox: Outbox::default(),
+            waiting: Waiting::default(),
+            dirty: Vec::new(),
+            parked: Vec::new(),
+            kept_bytes: 0,
+            budget: Budget::default(),
+            stopping: false,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            timers: BinaryHeap::new(),
+        }
+    }
+
+    /// A caller asks. The row returned names the request in all effects, also in a refusal that
+    /// `out` holds already.
+    pub fn ask(&mut self, ask: Ask, now: Instant, out: &mut Effects) -> RequestKey {
+        systems::admit::ask(self, ask, now, out)
+    }
+
+    /// Take one event.
+    pub fn handle(&mut self, event: Event, now: Instant, out: &mut Effects) {
+        match event {
+            Event::Drained { request, tokens } => systems::deliver::drained(self, request, tokens),
+            Event::HungUp(request) => systems::finish::hung_up(self, request, out),
+            Event::StepsDone { call, results } => {
+                systems::accept::steps_done(self, call, results, now, out);
+            }
+            Event::StepsFailed { call, failure } => {
+                systems::shift::call_failed(self, call, failure, now, out);
+            }
+            Event::Called {
+                request,
+                target,
+                result,
+            } => systems::service::called(self, request, target, result, now, out),
+            Event::Probed { target, up } => systems::health::probed(self, target, up, now, out),
+            Event::Appended { seq, confirmed } => systems::claims::appended(self, seq, confirmed),
+            Event::ClaimsRead(records) => systems::claims::read(self, &records, now, out),
+            Event::ClaimsCaughtUp => self.claims_ready = true,
+            Event::ConfigRead(records) => systems::configure::read(self, &records, now, out),
+            Event::ListRead(boxes) => systems::configure::list_read(self, &boxes, now, out),
+            Event::Stop => self.stopping = true,
+        }
+    }
+
+    /// Run what is due: timers, then appends, then dispatch.
+    pub fn tick(&mut self, now: Instant, out: &mut Effects) {
+        while let Some(timer) = self.pop_due(now) {
+            systems::timers::fire(self, timer, now, out);
+        }
+        systems::claims::append(self, now, out);
+        systems::dispatch::run(self, now, out);
+    }
+
+    /// When the next timer is due.
+    pub fn next_due(&self) -> Option<Instant> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Whether no request is left.
+    pub fn is_idle(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Bytes of stage inputs kept for replay.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Keys known from the claim stream.
+    pub fn claims_known(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// The row of the target called `name`.
+    pub fn target_named(&self, name: &str) -> Option<TargetKey> {
+        self.target_by_name.get(name).copied()
+    }
+
+    pub(crate) fn start_timer(&mut self, at: Instant, timer: Timer) {
+        self.timers.push(Reverse((at, timer)));
+    }
+
+    pub(crate) fn mark_dirty(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key)
+            && !target.dirty
+        {
+            target.dirty = true;
+            self.dirty.push(key);
+        }
+    }
+
+    fn pop_due(&mut self, now: Instant) -> Option<Timer> {
+        let Reverse((at, _)) = self.timers.peek()?;
+        if *at > now {
+            return None;
+        }
+        self.timers.pop().map(|Reverse((_, timer))| timer)
+    }
+}
--- /dev/null
+++ b/reachtally-target/src/http.rs
@@ -0,0 +1,157 @@
+//! The HTTP adapter for engines and services.
+//!
+//! What a failure proves:
+//!
+//! | what happened | proves |
+//! |---|---|
+//! | no connection came about | nothing ran |
+//! | the target answered with `reachtally-outcome: not-run` | nothing ran |
+//! | reset or time-out after the connection stood | nothing |
+//! | status 5xx without that header | nothing |
+//! | an answer that breaks off or does not decode | nothing |
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use reachtally_core::event::CallFailure;
+use reachtally_core::life::NeverStarted;
+use reachtally_core::request::{Answer, ServiceCall};
+use reachtally_core::step::{Batch, StepResult};
+use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use reqwest::{Client, Method, Response};
+
+use crate::{Engines, HEALTH_PATH, KEY_HEADER, NOT_RUN, OUTCOME_HEADER, STEPS_PATH};
+use crate::{Probe, Services, wire};
+
+/// Time for a connection to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time an unused connection is kept. Shorter than targets keep theirs, so that a call rarely meets
+/// one that the target is just closing.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest service answer taken, in bytes. It is held whole, since its outcome goes in a header.
+pub const ANSWER_BYTES_MAX: usize = 4 << 20;
+
+/// Targets reached over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpTargets {
+    client: Client,
+}
+
+impl HttpTargets {
+    /// An adapter with a connection pool of its own.
+    ///
+    /// # Errors
+    /// The client's, if it can't be set up.
+    pub fn new() -> Result<Self, reqwest::Error> {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()?;
+        Ok(HttpTargets { client })
+    }
+}
+
+/// What a failed send proves.
+fn failure(err: &reqwest::Error) -> CallFailure {
+    if err.is_connect() {
+        CallFailure::NeverStarted(NeverStarted::ConnectFailed)
+    } else {
+        CallFailure::Lost
+    }
+}
+
+/// What an answer's status and headers prove, if they are no success.
+fn refused(response: &Response) -> Option<CallFailure> {
+    let said = response.headers().get(OUTCOME_HEADER);
+    if said.is_some_and(|value| value == NOT_RUN) {
+        return Some(CallFailure::NeverStarted(NeverStarted::TargetSaidSo));
+    }
+    response
+        .status()
+        .is_server_error()
+        .then_some(CallFailure::Lost)
+}
+
+impl Engines for HttpTargets {
+    async fn steps(&self, url: &str, batch: Batch) -> Result<Vec<StepResult>, CallFailure> {
+        let response = self
+            .client
+            .post(format!("{url}/{STEPS_PATH}"))
+            .header(CONTENT_TYPE, wire::MEDIA_TYPE)
+            .body(wire::encode_batch(batch))
+            .send()
+            .await
+            .map_err(|err| failure(&err))?;
+        if let Some(failure) = refused(&response) {
+            return Err(failure);
+        }
+        if !response.status().is_success() {
+            return Err(CallFailure::Lost);
+        }
+        let body = response.bytes().await.map_err(|_| CallFailure::Lost)?;
+        wire::decode_results(body).map_err(|_| CallFailure::Lost)
+    }
+}
+
+impl Services for HttpTargets {
+    async fn call(
+        &self,
+        url: &str,
+        call: ServiceCall,
+        key: Option<String>,
+    ) -> Result<Answer, CallFailure> {
+        let unsendable = CallFailure::NeverStarted(NeverStarted::ConnectFailed);
+        let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| unsendable)?;
+        let mut req = self.client.request(method, format!("{url}/{}", call.path));
+        if let Some(content_type) = call.content_type {
+            req = req.header(CONTENT_TYPE, content_type);
+        }
+        if let Some(key) = key {
+            req = req.header(KEY_HEADER, key);
+        }
+        let response = req
+            .body(call.body)
+            .send()
+            .await
+            .map_err(|err| failure(&err))?;
+        if let Some(failure) = refused(&response) {
+            return Err(failure);
+        }
+        let status = response.status().as_u16();
+        let content_type = content_type(response.headers());
+        let body = bounded_body(response).await?;
+        Ok(Answer {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
+
+fn content_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+async fn bounded_body(mut response: Response) -> Result<Bytes, CallFailure> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(|_| CallFailure::Lost)? {
+        if body.len() + chunk.len() > ANSWER_BYTES_MAX {
+            return Err(CallFailure::Lost);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.into())
+}
+
+impl Probe for HttpTargets {
+    async fn probe(&self, url: &str) -> bool {
+        let req = self.client.get(format!("{url}/{HEALTH_PATH}"));
+        let answer = req.timeout(PROBE_TIMEOUT).send().await;
+        answer.is_ok_and(|response| response.status().is_success())
+    }
+}
--- /dev/null
+++ b/reachtally-target/tests/target/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the target adapters.
+
+mod generated;
