feat: stand-ins and checked settings

Stand-ins of the log, the live list, engines with a layer range and plain services, with faults, and a reader of YAML that reports every finding with its place. The engines compute a function that depends on every layer having run once in order, and keep a ledger.

--- /dev/null
+++ b/reachtally-config/tests/config/main.rs
@@ -0,0 +1,4 @@
+//! Tests of settings and declarations.
+
+mod declarations;
+mod settings;
--- /dev/null
+++ b/reachtally-standin/src/engine/kv.rs
@@ -0,0 +1,74 @@
+//! KV of the requests that an engine serves, and the attempts it must not run any more.
+
+use std::collections::{HashMap, VecDeque};
+
+use reachtally_core::ids::RequestId;
+
+/// Released attempts remembered.
+const RELEASED_MAX: usize = 65_536;
+
+/// KV of one request: a digest for each layer.
+#[derive(Debug, Clone)]
+pub(super) struct Kv {
+    pub attempt: u32,
+    pub positions: u32,
+    pub digests: Vec<u64>,
+}
+
+/// KV of all requests.
+#[derive(Debug, Default)]
+pub(super) struct KvStore {
+    by_request: HashMap<RequestId, Kv>,
+    released: HashMap<RequestId, u32>,
+    released_order: VecDeque<RequestId>,
+}
+
+impl KvStore {
+    pub fn len(&self) -> usize {
+        self.by_request.len()
+    }
+
+    pub fn contains(&self, request: RequestId) -> bool {
+        self.by_request.contains_key(&request)
+    }
+
+    /// Whether `attempt` was released, or a higher one was seen.
+    pub fn is_stale(&self, request: RequestId, attempt: u32) -> bool {
+        let released = self
+            .released
+            .get(&request)
+            .is_some_and(|last| attempt <= *last);
+        let seen = self
+            .by_request
+            .get(&request)
+            .is_some_and(|kv| attempt < kv.attempt);
+        released || seen
+    }
+
+    /// The KV of a request, empty if there was none.
+    pub fn entry(&mut self, request: RequestId, layers: u32) -> &mut Kv {
+        self.by_request.entry(request).or_insert_with(|| Kv {
+            attempt: 0,
+            positions: 0,
+            digests: vec![0; layers as usize],
+        })
+    }
+
+    pub fn release(&mut self, request: RequestId, attempt: u32) {
+        if self
+            .by_request
+            .get(&request)
+            .is_some_and(|kv| kv.attempt <= attempt)
+        {
+            self.by_request.remove(&request);
+        }
+        if self.released.insert(request, attempt).is_none() {
+            self.released_order.push_back(request);
+        }
+        if self.released_order.len() > RELEASED_MAX
+            && let Some(oldest) = self.released_order.pop_front()
+        {
+            self.released.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/reachtally-standin/src/engine/server.rs
@@ -0,0 +1,248 @@
+//! The engine's HTTP routes and its iteration loop.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use reachtally_core::ids::RequestId;
+use reachtally_core::step::{Batch, Input, StepResult};
+use reachtally_listen::{Error, Listener};
+use reachtally_target::{NOT_RUN, OUTCOME_HEADER, wire};
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::{ContentType, Header, Status};
+use rocket::response::{self, Responder, Response};
+use rocket::serde::json::Json;
+use rocket::{Request, Shutdown, get, post, routes};
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot};
+
+use super::faults::{Fault, Faults};
+use super::ledger::{Ledger, LedgerRun};
+use super::state::{Options, State};
+
+/// The longest body taken.
+const BODY_MAX_MIB: u64 = 64;
+
+struct Job {
+    batch: Batch,
+    done: oneshot::Sender<Vec<StepResult>>,
+}
+
+#[derive(Clone)]
+struct Shared {
+    state: Arc<Mutex<State>>,
+    jobs: mpsc::UnboundedSender<Job>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// A running engine.
+pub struct Engine {
+    listener: Listener,
+    shared: Shared,
+}
+
+impl Engine {
+    /// Its base address.
+    pub fn url(&self) -> String {
+        self.listener.url()
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address
+    }
+
+    /// Inject a fault.
+    pub fn fault(&self, fault: Fault) {
+        inject(&self.shared, &self.listener.closer(), fault);
+    }
+
+    /// A copy of its ledger.
+    pub fn ledger(&self) -> Ledger {
+        self.shared.lock().ledger.clone()
+    }
+
+    /// Steps run since it started.
+    pub fn steps_run(&self) -> u64 {
+        self.shared.lock().steps_run
+    }
+
+    /// Requests whose KV it holds.
+    pub fn requests_held(&self) -> usize {
+        self.shared.lock().requests_held()
+    }
+
+    /// Close it.
+    pub async fn stop(self) {
+        self.listener.stop().await;
+    }
+
+    /// Wait until it dies of a fault.
+    pub async fn stopped(self) {
+        self.listener.stopped().await;
+    }
+}
+
+/// Start an engine.
+///
+/// # Errors
+/// If the address can't be bound.
+pub async fn start(listen: reachtally_listen::Options, options: Options) -> Result<Engine, Error> {
+    let (jobs, rx) = mpsc::unbounded_channel();
+    let shared = Shared {
+        state: Arc::new(Mutex::new(State::new(options))),
+        jobs,
+    };
+    tokio::spawn(iterate(shared.state.clone(), rx));
+    let managed = shared.clone();
+    let listener = reachtally_listen::start(listen, |rocket| {
+        rocket
+            .manage(managed)
+            .mount("/", routes![steps, health, load, ledger, fault])
+    })
+    .await?;
+    Ok(Engine { listener, shared })
+}
+
+/// Continuous batching: each iteration takes every call that waits, and all of them end with it.
+async fn iterate(state: Arc<Mutex<State>>, mut rx: mpsc::UnboundedReceiver<Job>) {
+    while let Some(first) = rx.recv().await {
+        let mut jobs = vec![first];
+        while let Ok(job) = rx.try_recv() {
+            jobs.push(job);
+        }
+        let positions: u32 = jobs.iter().map(|job| positions(&job.batch)).sum();
+        let wait = iteration_time(&mut lock(&state), positions);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        for job in jobs {
+            let results = lock(&state).run(job.batch);
+            // The caller may have hung up; its steps ran all the same.
+            job.done.send(results).ok();
+        }
+    }
+}
+
+fn positions(batch: &Batch) -> u32 {
+    let of = |step: &reachtally_core::step::Step| match &step.input {
+        Input::Tokens { text, tokens } => {
+            (text.split_whitespace().count() + tokens.len()).max(1) as u32
+        }
+        Input::Activations(_) => step.positions,
+    };
+    batch.steps.iter().map(of).sum()
+}
+
+fn iteration_time(state: &mut State, positions: u32) -> Duration {
+    let pause = std::mem::take(&mut state.faults.pause);
+    let layers = state.options.layers.count();
+    let time = state.options.step_time.of(positions, layers);
+    pause + time.mul_f64(state.faults.slow)
+}
+
+enum StepsAnswer {
+    Results(Vec<u8>),
+    NotRun,
+    Lost,
+}
+
+impl<'r> Responder<'r, 'static> for StepsAnswer {
+    fn respond_to(self, req: &'r Request<'_>) -> response::Result<'static> {
+        match self {
+            StepsAnswer::Results(body) => {
+                (ContentType::new("application", "x-protobuf"), body).respond_to(req)
+            }
+            StepsAnswer::NotRun => Response::build()
+                .status(Status::ServiceUnavailable)
+                .header(Header::new(OUTCOME_HEADER, NOT_RUN))
+                .ok(),
+            StepsAnswer::Lost => Response::build().status(Status::BadGateway).ok(),
+        }
+    }
+}
+
+#[post("/v1/steps", data = "<data>")]
+async fn steps(data: Data<'_>, shared: &rocket::State<Shared>) -> Result<StepsAnswer, Status> {
+    let body = data.open(BODY_MAX_MIB.mebibytes()).into_bytes().await;
+    let body = body.map_err(|_| Status::BadRequest)?;
+    if !body.is_complete() {
+        return Err(Status::PayloadTooLarge);
+    }
+    let batch = wire::decode_batch(body.into_inner().into()).map_err(|_| Status::BadRequest)?;
+    if Faults::take(&mut shared.lock().faults.refuse) {
+        return Ok(StepsAnswer::NotRun);
+    }
+    let (done, results) = oneshot::channel();
+    let job = Job { batch, done };
+    shared
+        .jobs
+        .send(job)
+        .map_err(|_| Status::ServiceUnavailable)?;
+    let mut results = results.await.map_err(|_| Status::ServiceUnavailable)?;
+    let mut state = shared.lock();
+    if Faults::take(&mut state.faults.lose_answers) {
+        return Ok(StepsAnswer::Lost);
+    }
+    if Faults::take(&mut state.faults.double_answers) {
+        results.extend(results.clone());
+    }
+    drop(state);
+    Ok(StepsAnswer::Results(wire::encode_results(results)))
+}
+
+#[get("/health")]
+fn health() -> &'static str {
+    "up"
+}
+
+/// The load that an engine reports.
+#[derive(Debug, Serialize)]
+struct Load {
+    requests: usize,
+    slots: u32,
+    steps_run: u64,
+}
+
+#[get("/v1/load")]
+fn load(shared: &rocket::State<Shared>) -> Json<Load> {
+    let state = shared.lock();
+    Json(Load {
+        requests: state.requests_held(),
+        slots: state.options.slots,
+        steps_run: state.steps_run,
+    })
+}
+
+#[get("/ledger/<incarnation>/<seq>")]
+fn ledger(incarnation: u64, seq: u64, shared: &rocket::State<Shared>) -> Json<Vec<LedgerRun>> {
+    let request = RequestId {
+        incarnation: reachtally_core::Incarnation(incarnation),
+        seq,
+    };
+    Json(shared.lock().ledger.of(request).to_vec())
+}
+
+#[post("/faults", data = "<fault>")]
+fn fault(fault: Json<Fault>, shared: &rocket::State<Shared>, closer: Shutdown) {
+    inject(shared, &closer, fault.into_inner());
+}
+
+fn inject(shared: &Shared, closer: &Shutdown, fault: Fault) {
+    log::info!(fault:? = fault; "fault injected");
+    shared.lock().faults.set(fault);
+    if fault == Fault::Die {
+        closer.clone().notify();
+    }
+}
--- /dev/null
+++ b/reachtally-standin/src/engine/state.rs
@@ -0,0 +1,240 @@
+//! Running steps: KV, ledger, and the function of [`model`](super::model).
+
+use bytes::{BufMut, Bytes, BytesMut};
+use reachtally_core::declare::Layers;
+use reachtally_core::step::{Batch, Input, Output, Step, StepRefusal, StepResult};
+
+use super::faults::Faults;
+use super::kv::KvStore;
+use super::ledger::{Ledger, LedgerRun};
+use super::model;
+use super::timing::StepTime;
+
+/// What an engine is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// The layers it holds.
+    pub layers: Layers,
+    /// Layers of the whole model.
+    pub model_layers: u32,
+    /// Requests whose KV fits.
+    pub slots: u32,
+    /// Bytes of one activation, at least [`model::VALUE_BYTES`].
+    pub activation_bytes: usize,
+    /// Step-time model.
+    pub step_time: StepTime,
+    /// Whether answers may end before the caller's token limit.
+    pub ends: bool,
+    /// Whether to keep a ledger.
+    pub ledger: bool,
+}
+
+impl Options {
+    /// An engine for layers `first..end` of `of`, without step times.
+    pub fn range(first: u32, end: u32, of: u32) -> Self {
+        Options {
+            layers: Layers { first, end },
+            model_layers: of,
+            slots: 4096,
+            activation_bytes: 64,
+            step_time: StepTime::NONE,
+            ends: false,
+            ledger: true,
+        }
+    }
+}
+
+/// The state of one engine.
+#[derive(Debug)]
+pub(super) struct State {
+    pub options: Options,
+    pub faults: Faults,
+    pub ledger: Ledger,
+    pub steps_run: u64,
+    kv: KvStore,
+}
+
+impl State {
+    pub fn new(options: Options) -> Self {
+        State {
+            options,
+            faults: Faults::default(),
+            ledger: Ledger::new(options.layers),
+            steps_run: 0,
+            kv: KvStore::default(),
+        }
+    }
+
+    pub fn requests_held(&self) -> usize {
+        self.kv.len()
+    }
+
+    pub fn run(&mut self, batch: Batch) -> Vec<StepResult> {
+        for release in batch.releases {
+            self.kv.release(release.request, release.attempt);
+        }
+        batch
+            .steps
+            .into_iter()
+            .map(|step| self.run_step(step))
+            .collect()
+    }
+
+    fn run_step(&mut self, step: Step) -> StepResult {
+        let end = match self.positions_of(&step) {
+            Ok(count) => step.from + count,
+            Err(refusal) => return refuse(&step, refusal),
+        };
+        match self.advance(&step, end) {
+            Ok(output) => StepResult {
+                request: step.request,
+                attempt: step.attempt,
+                from: step.outputs_from,
+                positions: end - step.outputs_from,
+                output: Ok(output),
+            },
+            Err(refusal) => refuse(&step, refusal),
+        }
+    }
+
+    /// The positions of the step's input, if it makes sense here.
+    fn positions_of(&self, step: &Step) -> Result<u32, StepRefusal> {
+        let first = self.options.layers.first == 0;
+        let count = match &step.input {
+            Input::Tokens { text, tokens } if first => {
+                let prompt = if text.is_empty() {
+                    0
+                } else {
+                    model::tokenize(text).len()
+                };
+                (prompt + tokens.len()) as u32
+            }
+            Input::Activations(bytes) if !first => {
+                let fits = step.positions > 0
+                    && bytes.len().is_multiple_of(step.positions as usize)
+                    && bytes.len() / step.positions as usize >= model::VALUE_BYTES;
+                if !fits {
+                    return Err(StepRefusal::Malformed);
+                }
+                step.positions
+            }
+            _ => return Err(StepRefusal::Malformed),
+        };
+        let agrees = step.positions == 0 || step.positions == count;
+        let wanted = step.outputs_from < step.from + count;
+        if count > 0 && agrees && wanted && step.outputs_from >= step.from {
+            Ok(count)
+        } else {
+            Err(StepRefusal::Malformed)
+        }
+    }
+
+    fn advance(&mut self, step: &Step, end: u32) -> Result<Output, StepRefusal> {
+        let layers = self.options.layers;
+        if self.kv.is_stale(step.request, step.attempt) {
+            return Err(StepRefusal::StaleAttempt);
+        }
+        let full = self.kv.len() >= self.options.slots as usize;
+        if full && !self.kv.contains(step.request) {
+            return Err(StepRefusal::Busy);
+        }
+        let kv = self.kv.entry(step.request, layers.count());
+        kv.attempt = step.attempt;
+        if step.from == 0 {
+            kv.positions = 0;
+            kv.digests.fill(0);
+        } else if step.from != kv.positions {
+            return Err(StepRefusal::KvMissing);
+        }
+        kv.positions = end;
+        let outputs: Vec<u64> = inputs(step)
+            .into_iter()
+            .map(|input| forward(layers, input, &mut kv.digests))
+            .collect();
+        self.steps_run += 1;
+        self.record(step, end);
+        Ok(self.output(step, &outputs))
+    }
+
+    fn record(&mut self, step: &Step, end: u32) {
+        if !self.options.ledger {
+            return;
+        }
+        let restored = step.restore_to.clamp(step.from, end);
+        let run = |from, end, restore| LedgerRun {
+            attempt: step.attempt,
+            from,
+            end,
+            restore,
+        };
+        self.ledger
+            .record(step.request, run(step.from, restored, true));
+        self.ledger.record(step.request, run(restored, end, false));
+    }
+
+    fn output(&self, step: &Step, outputs: &[u64]) -> Output {
+        let wanted = &outputs[(step.outputs_from - step.from) as usize..];
+        if self.options.layers.end < self.options.model_layers {
+            return Output::Activations(activations(wanted, self.options.activation_bytes));
+        }
+        let last = wanted.last().copied().unwrap_or_default();
+        let token = model::sample(last, self.options.ends);
+        Output::Token {
+            id: token.id,
+            text: token.text,
+            end: token.end,
+        }
+    }
+}
+
+fn refuse(step: &Step, refusal: StepRefusal) -> StepResult {
+    StepResult {
+        request: step.request,
+        attempt: step.attempt,
+        from: step.from,
+        positions: 0,
+        output: Err(refusal),
+    }
+}
+
+fn inputs(step: &Step) -> Vec<u64> {
+    match &step.input {
+        Input::Tokens { text, tokens } => {
+            let prompt = if text.is_empty() {
+                Vec::new()
+            } else {
+                model::tokenize(text)
+            };
+            prompt
+                .iter()
+                .chain(tokens)
+                .map(|token| model::embed(*token))
+                .collect()
+        }
+        Input::Activations(bytes) => {
+            let unit = bytes.len() / step.positions.max(1) as usize;
+            bytes.chunks_exact(unit).map(value).collect()
+        }
+    }
+}
+
+fn value(activation: &[u8]) -> u64 {
+    let mut value = [0; model::VALUE_BYTES];
+    value.copy_from_slice(&activation[..model::VALUE_BYTES]);
+    u64::from_le_bytes(value)
+}
+
+fn activations(values: &[u64], unit: usize) -> Bytes {
+    let mut buf = BytesMut::with_capacity(values.len() * unit);
+    for value in values {
+        buf.put_u64_le(*value);
+        buf.put_bytes(0, unit - model::VALUE_BYTES);
+    }
+    buf.freeze()
+}
+
+fn forward(layers: Layers, input: u64, digests: &mut [u64]) -> u64 {
+    (layers.first..layers.end)
+        .zip(digests)
+        .fold(input, |value, (number, kv)| model::layer(number, value, kv))
+}
--- /dev/null
+++ b/reachtally-standin/src/log_server.rs
@@ -0,0 +1,107 @@
+//! The append-only log as an HTTP server over [`MemoryLog`].
+
+use std::time::Duration;
+
+use reachtally_listen::{Error, Listener};
+use reachtally_platform::http::Appended;
+use reachtally_platform::memory::{Faults, MemoryLog, Options};
+use reachtally_platform::{AppendError, Log, Page};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{get, post, routes};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A running log.
+pub struct LogServer {
+    listener: Listener,
+    log: MemoryLog,
+}
+
+impl LogServer {
+    /// Its base address.
+    pub fn url(&self) -> String {
+        self.listener.url()
+    }
+
+    /// The log behind it.
+    pub fn log(&self) -> &MemoryLog {
+        &self.log
+    }
+
+    /// Close it.
+    pub async fn stop(self) {
+        self.listener.stop().await;
+    }
+
+    /// Wait until it stops.
+    pub async fn stopped(self) {
+        self.listener.stopped().await;
+    }
+}
+
+/// Start a log.
+///
+/// # Errors
+/// If the address can't be bound.
+pub async fn start(
+    listen: reachtally_listen::Options,
+    options: Options,
+) -> Result<LogServer, Error> {
+    let log = MemoryLog::new(options);
+    let managed = log.clone();
+    let listener = reachtally_listen::start(listen, |rocket| {
+        rocket
+            .manage(managed)
+            .mount("/", routes![append, read, faults])
+    })
+    .await?;
+    Ok(LogServer { listener, log })
+}
+
+#[post("/streams/<stream>", data = "<data>")]
+async fn append(
+    stream: &str,
+    data: Json<Value>,
+    log: &rocket::State<MemoryLog>,
+) -> Result<Json<Appended>, Status> {
+    match log.append(stream, data.into_inner()).await {
+        Ok(offset) => Ok(Json(Appended { offset })),
+        Err(AppendError::Refused) => Err(Status::TooManyRequests),
+        Err(AppendError::Lost) => Err(Status::BadGateway),
+    }
+}
+
+#[get("/streams/<stream>?<from>&<wait_ms>")]
+async fn read(
+    stream: &str,
+    from: u64,
+    wait_ms: Option<u64>,
+    log: &rocket::State<MemoryLog>,
+) -> Result<Json<Page>, Status> {
+    let page = log.read(stream, from, wait_ms.unwrap_or(0)).await;
+    page.map(Json).map_err(|_| Status::ServiceUnavailable)
+}
+
+/// Faults as the control route takes them.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct FaultsBody {
+    /// Neither appends nor reads are answered.
+    #[serde(default)]
+    pub down: bool,
+    /// Answers to lose after the append took effect.
+    #[serde(default)]
+    pub lose_answers: u32,
+    /// Delay of each answer in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+}
+
+#[post("/faults", data = "<body>")]
+fn faults(body: Json<FaultsBody>, log: &rocket::State<MemoryLog>) {
+    log.set_faults(Faults {
+        down: body.down,
+        lose_answers: body.lose_answers,
+        delay: Duration::from_millis(body.delay_ms),
+    });
+}
--- /dev/null
+++ b/reachtally-standin/src/main.rs
@@ -0,0 +1,154 @@
+//! `reachtally-standin`: one stand-in as a plain process.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use reachtally_core::declare::Layers;
+use reachtally_listen::{Error, Options as Listen};
+use reachtally_platform::memory;
+use reachtally_standin::engine::{self, StepTime};
+use reachtally_standin::{list, log_server, service};
+
+/// A stand-in of what surrounds the router, for tests on loopback.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// The append-only log.
+    #[bpaf(command)]
+    Log {
+        /// Port on loopback, 0 for any free one
+        #[bpaf(argument("PORT"), fallback(0))]
+        port: u16,
+        /// Appends taken a second
+        #[bpaf(argument("N"), fallback(300))]
+        appends_per_s: u32,
+        /// Records kept in each stream
+        #[bpaf(argument("N"), fallback(100_000))]
+        keep_records: usize,
+    },
+    /// The live list.
+    #[bpaf(command)]
+    List {
+        /// Port on loopback, 0 for any free one
+        #[bpaf(argument("PORT"), fallback(0))]
+        port: u16,
+        /// Boxes shown at the start
+        #[bpaf(positional("BOX"), many)]
+        boxes: Vec<String>,
+    },
+    /// A model engine with a layer range.
+    #[bpaf(command)]
+    Engine {
+        /// Port on loopback, 0 for any free one
+        #[bpaf(argument("PORT"), fallback(0))]
+        port: u16,
+        /// First layer held
+        #[bpaf(argument("LAYER"))]
+        first: u32,
+        /// One past the last layer held
+        #[bpaf(argument("LAYER"))]
+        end: u32,
+        /// Layers of the whole model
+        #[bpaf(argument("N"))]
+        model_layers: u32,
+        /// Requests whose KV fits
+        #[bpaf(argument("N"), fallback(4096))]
+        slots: u32,
+        /// Bytes of one activation
+        #[bpaf(argument("BYTES"), fallback(64))]
+        activation_bytes: usize,
+        /// Microseconds of an iteration however small
+        #[bpaf(argument("US"), fallback(0))]
+        base_us: u64,
+        /// Microseconds for each layer of each position
+        #[bpaf(argument("US"), fallback(0))]
+        per_layer_us: u64,
+        /// Keep no ledger
+        no_ledger: bool,
+    },
+    /// A plain service.
+    #[bpaf(command)]
+    Service {
+        /// Port on loopback, 0 for any free one
+        #[bpaf(argument("PORT"), fallback(0))]
+        port: u16,
+    },
+}
+
+#[tokio::main]
+async fn main() -> std::process::ExitCode {
+    env_logger::init();
+    match run(command().run()).await {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("reachtally-standin: {err}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn listen(port: u16) -> Listen {
+    Listen {
+        ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        port,
+    }
+}
+
+/// Run the stand-in until it is told to die. Its address is the first line of standard output.
+async fn run(command: Command) -> Result<(), Error> {
+    match command {
+        Command::Log {
+            port,
+            appends_per_s,
+            keep_records,
+        } => {
+            let options = memory::Options {
+                appends_per_s,
+                keep_records,
+                ..memory::Options::default()
+            };
+            let log = log_server::start(listen(port), options).await?;
+            println!("{}", log.url());
+            log.stopped().await;
+        }
+        Command::List { port, boxes } => {
+            let list = list::start(listen(port), boxes).await?;
+            println!("{}", list.url());
+            list.stopped().await;
+        }
+        Command::Engine {
+            port,
+            first,
+            end,
+            model_layers,
+            slots,
+            activation_bytes,
+            base_us,
+            per_layer_us,
+            no_ledger,
+        } => {
+            let options = engine::Options {
+                layers: Layers { first, end },
+                model_layers,
+                slots,
+                activation_bytes: activation_bytes.max(engine::model::VALUE_BYTES),
+                step_time: StepTime {
+                    base: Duration::from_micros(base_us),
+                    per_layer: Duration::from_micros(per_layer_us),
+                },
+                ends: false,
+                ledger: !no_ledger,
+            };
+            let engine = engine::start(listen(port), options).await?;
+            println!("{}", engine.url());
+            engine.stopped().await;
+        }
+        Command::Service { port } => {
+            let service = service::start(listen(port)).await?;
+            println!("{}", service.url());
+            service.stopped().await;
+        }
+    }
+    Ok(())
+}
