--- /dev/null
+++ b/reachtally-command/src/lib.rs
@@ -0,0 +1,9 @@
+//! The operators' query and command language: parse, check, render.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod parse;
+pub mod table;
+
+pub use parse::{Command, Subject, parse};
+pub use table::Table;
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -241,6 +241,18 @@
         self.target_by_name.get(name).copied()
     }
 
+    /// The boxes of the live list and whether each is leaving; none before it was read.
+    pub fn boxes(&self) -> impl Iterator<Item = (&str, bool)> {
+        let boxes = self.boxes.iter().flatten();
+        boxes.map(|(name, leaving)| (name.as_str(), *leaving))
+    }
+
+    /// Requests that the account called `name` has running or waiting.
+    pub fn running_of(&self, name: &str) -> u32 {
+        let key = self.account_by_name.get(name);
+        key.map_or(0, |key| self.accounts[*key].running)
+    }
+
     pub(crate) fn start_timer(&mut self, at: Instant, timer: Timer) {
         self.timers.push(Reverse((at, timer)));
     }
--- /dev/null
+++ b/reachtally-daemon/src/main.rs
@@ -0,0 +1,129 @@
+//! `reachtallyd`: the entry box's daemon.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use reachtally_config::{Settings, settings};
+use reachtally_daemon::{demo, run, standalone};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The entry box's daemon of reachtally, a router for language-model pipelines.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Run the daemon until it is told to stop (SIGTERM or SIGINT)
+    #[bpaf(command)]
+    Run {
+        /// Settings file (YAML)
+        #[bpaf(argument("FILE"))]
+        settings: Option<PathBuf>,
+        /// Run with an embedded log, list, engines and services; needs no settings
+        standalone: bool,
+    },
+    /// Check a settings file and report every finding
+    #[bpaf(command)]
+    Check {
+        /// Settings file (YAML)
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Run one whole session against embedded stand-ins, with a stage that dies half way
+    #[bpaf(command)]
+    Demo,
+}
+
+/// Where a standalone daemon listens.
+const CALLERS: ([u8; 4], u16) = ([127, 0, 0, 1], 7070);
+const OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 7071);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    init_logs();
+    match execute(command().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("reachtallyd: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Lines for changes of state; `RUST_LOG` chooses others. Rocket logs several lines for each request,
+/// so it is always off.
+fn init_logs() {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .filter_module("rocket", log::LevelFilter::Off)
+        .init();
+}
+
+async fn execute(command: Command) -> Result<(), String> {
+    match command {
+        Command::Check { settings } => {
+            read_settings(&settings)?;
+            println!("{}: no findings", settings.display());
+            Ok(())
+        }
+        Command::Demo => demo::demo().await.map_err(|report| format!("{report:?}")),
+        Command::Run {
+            standalone: true, ..
+        } => run_standalone().await,
+        Command::Run {
+            settings: Some(file),
+            ..
+        } => {
+            let settings = read_settings(&file)?;
+            let daemon = run::start(settings)
+                .await
+                .map_err(|report| format!("{report:?}"))?;
+            stop_signal().await?;
+            daemon.stop().await;
+            Ok(())
+        }
+        Command::Run { settings: None, .. } => {
+            Err("give --settings FILE, or --standalone".to_owned())
+        }
+    }
+}
+
+fn read_settings(file: &std::path::Path) -> Result<Settings, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|err| format!("can't read {name}: {err}"))?;
+    settings::parse(&name, &text).map_err(|findings| format!("bad settings\n{findings}"))
+}
+
+async fn run_standalone() -> Result<(), String> {
+    let options = standalone::Options {
+        callers: SocketAddr::from(CALLERS),
+        operators: SocketAddr::from(OPERATORS),
+        ..standalone::Options::default()
+    };
+    let setup = standalone::standalone(options)
+        .await
+        .map_err(|report| format!("{report:?}"))?;
+    println!(
+        "callers:   http://{}  key {}",
+        setup.daemon.callers(),
+        standalone::CALLER_KEY
+    );
+    println!(
+        "operators: http://{}  key {}",
+        setup.daemon.operators(),
+        standalone::OPERATOR_KEY
+    );
+    stop_signal().await?;
+    setup.daemon.stop().await;
+    Ok(())
+}
+
+async fn stop_signal() -> Result<(), String> {
+    let failed = |err: std::io::Error| format!("can't wait for signals: {err}");
+    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/reachtally-daemon/src/operator/mod.rs
@@ -0,0 +1,270 @@
+//! The listener for operators.
+
+pub mod auth;
+pub mod tables;
+
+use std::time::Duration;
+
+use reachtally_command::{Command, Table, parse};
+use reachtally_config::settings::{Operator, Role};
+use reachtally_core::declare::{Kind, Object};
+use reachtally_core::fold::{Config, Edit, EditChange, Operation};
+use reachtally_platform::AppendError;
+use reachtally_platform::http::HttpPlatform;
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State, get, post, routes};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{oneshot, watch};
+
+use crate::actor::{Answer, Ended, Handle, Message, Query};
+use crate::operator::auth::Authorized;
+use crate::publish;
+use crate::view::View;
+
+/// How long a publication waits to be folded here.
+const FOLD_WAIT: Duration = Duration::from_secs(5);
+
+/// What the routes share.
+pub struct Shared {
+    /// The actor.
+    pub handle: Handle,
+    /// What the actor publishes.
+    pub view: watch::Receiver<View>,
+    /// The operators.
+    pub operators: Vec<Operator>,
+    /// The log.
+    pub platform: HttpPlatform,
+}
+
+/// Add the operators' routes.
+pub fn mount(rocket: Rocket<Build>, shared: Shared) -> Rocket<Build> {
+    rocket
+        .manage(shared)
+        .mount("/v1", routes![command, apply, counters, ended])
+}
+
+/// What went wrong, for the operator.
+#[derive(Debug, Serialize)]
+pub struct Problem {
+    /// A sentence, or several lines that point at a word.
+    pub message: String,
+}
+
+/// A failed answer.
+pub type Failed = (Status, Json<Problem>);
+
+fn failed(status: Status, message: impl Into<String>) -> Failed {
+    let message = message.into();
+    (status, Json(Problem { message }))
+}
+
+/// What a change of the configuration came to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// The operation's identity.
+    pub operation: String,
+    /// Objects changed; nothing was published where this is 0.
+    pub changes: usize,
+    /// The record's offset in the configuration stream.
+    pub offset: Option<u64>,
+    /// Whether this daemon has folded it.
+    pub folded: bool,
+}
+
+/// The answer to a command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CommandAnswer {
+    /// A table.
+    Table(Table),
+    /// A change of the configuration.
+    Published(Published),
+}
+
+#[post("/commands", data = "<text>")]
+async fn command(
+    text: &str,
+    operator: Authorized,
+    shared: &State<Shared>,
+) -> Result<Json<CommandAnswer>, Failed> {
+    let command = parse(text).map_err(|err| failed(Status::BadRequest, err.to_string()))?;
+    match command {
+        Command::Show(subject) => match query(shared, Query::Show(subject)).await? {
+            Answer::Table(table) => Ok(Json(CommandAnswer::Table(table))),
+            _ => Err(failed(Status::InternalServerError, "unexpected answer")),
+        },
+        Command::Drain(name) => drain(shared, &operator, &name, true).await,
+        Command::Undrain(name) => drain(shared, &operator, &name, false).await,
+    }
+}
+
+async fn drain(
+    shared: &Shared,
+    operator: &Authorized,
+    name: &str,
+    drained: bool,
+) -> Result<Json<CommandAnswer>, Failed> {
+    operator.needs(Role::Operate)?;
+    let config = config(shared).await?;
+    let kind = if config.get(Kind::Engine, name).is_some() {
+        Kind::Engine
+    } else if config.get(Kind::Service, name).is_some() {
+        Kind::Service
+    } else {
+        return Err(failed(
+            Status::NotFound,
+            format!("no target {name:?} is declared"),
+        ));
+    };
+    let edit = Edit {
+        kind,
+        name: name.to_owned(),
+        base: config.revision(kind, name),
+        change: EditChange::Drain(drained),
+    };
+    let published = publish(shared, operator, vec![edit]).await?;
+    Ok(Json(CommandAnswer::Published(published)))
+}
+
+#[post("/apply", data = "<objects>")]
+async fn apply(
+    objects: Json<Vec<Object>>,
+    operator: Authorized,
+    shared: &State<Shared>,
+) -> Result<Json<Published>, Failed> {
+    operator.needs(Role::Admin)?;
+    let config = config(shared).await?;
+    let edits = publish::edits(&config, objects.into_inner());
+    publish(shared, &operator, edits).await.map(Json)
+}
+
+async fn publish(
+    shared: &Shared,
+    operator: &Authorized,
+    edits: Vec<Edit>,
+) -> Result<Published, Failed> {
+    let operation = Operation {
+        id: format!("{:032x}", rand::random::<u128>()),
+        actor: operator.name.clone(),
+        edits,
+    };
+    let mut published = Published {
+        operation: operation.id.clone(),
+        changes: operation.edits.len(),
+        offset: None,
+        folded: false,
+    };
+    if operation.edits.is_empty() {
+        return Ok(published);
+    }
+    let offset = publish::publish(&shared.platform, &operation)
+        .await
+        .map_err(append_failed)?;
+    published.offset = Some(offset);
+    published.folded = folded(shared, offset).await;
+    Ok(published)
+}
+
+fn append_failed(err: AppendError) -> Failed {
+    let message = match err {
+        AppendError::Refused => "the log did not take the change; nothing was published",
+        AppendError::Lost => "the log's answer was lost; the change may have been published",
+    };
+    failed(Status::ServiceUnavailable, message)
+}
+
+async fn folded(shared: &Shared, offset: u64) -> bool {
+    let mut view = shared.view.clone();
+    let reached = view.wait_for(|view| view.config_next > offset);
+    matches!(tokio::time::timeout(FOLD_WAIT, reached).await, Ok(Ok(_)))
+}
+
+async fn config(shared: &Shared) -> Result<Config, Failed> {
+    match query(shared, Query::Config).await? {
+        Answer::Config(config) => Ok(*config),
+        _ => Err(failed(Status::InternalServerError, "unexpected answer")),
+    }
+}
+
+async fn query(shared: &Shared, query: Query) -> Result<Answer, Failed> {
+    let gone = || failed(Status::ServiceUnavailable, "the daemon is stopping");
+    let (tx, rx) = oneshot::channel();
+    let message = Message::Query { query, answer: tx };
+    shared.handle.send(message).map_err(|_| gone())?;
+    rx.await.map_err(|_| gone())
+}
+
+#[get("/counters")]
+async fn counters(
+    _operator: Authorized,
+    shared: &State<Shared>,
+) -> Result<Json<std::collections::BTreeMap<&'static str, u64>>, Failed> {
+    match query(shared, Query::Counters).await? {
+        Answer::Counters(counters) => Ok(Json(counters.each().collect())),
+        _ => Err(failed(Status::InternalServerError, "unexpected answer")),
+    }
+}
+
+/// One accepted run of an ended request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRun {
+    /// The engine.
+    pub target: String,
+    /// First layer.
+    pub first_layer: u32,
+    /// One past the last layer.
+    pub end_layer: u32,
+    /// First position.
+    pub from: u32,
+    /// One past the last position.
+    pub end: u32,
+    /// The attempt.
+    pub attempt: u32,
+}
+
+/// An ended request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRequest {
+    /// The daemon run.
+    pub incarnation: u64,
+    /// The request's number in it.
+    pub seq: u64,
+    /// How it ended.
+    pub outcome: String,
+    /// Positions accepted from every layer.
+    pub positions: u32,
+    /// What was accepted from which engine.
+    pub accepted: Vec<EndedRun>,
+}
+
+impl EndedRequest {
+    fn of(ended: Ended) -> Self {
+        let accepted = ended.accepted.iter().map(|run| EndedRun {
+            target: run.target.clone(),
+            first_layer: run.layers.first,
+            end_layer: run.layers.end,
+            from: run.from,
+            end: run.end,
+            attempt: run.attempt,
+        });
+        EndedRequest {
+            incarnation: ended.id.incarnation.0,
+            seq: ended.id.seq,
+            outcome: ended.outcome.to_owned(),
+            positions: ended.positions(),
+            accepted: accepted.collect(),
+        }
+    }
+}
+
+#[get("/ended")]
+async fn ended(
+    _operator: Authorized,
+    shared: &State<Shared>,
+) -> Result<Json<Vec<EndedRequest>>, Failed> {
+    match query(shared, Query::Ended).await? {
+        Answer::Ended(ended) => Ok(Json(ended.into_iter().map(EndedRequest::of).collect())),
+        _ => Err(failed(Status::InternalServerError, "unexpected answer")),
+    }
+}
--- /dev/null
+++ b/reachtally-daemon/src/operator/tables.rs
@@ -0,0 +1,127 @@
+//! The tables that queries show.
+
+use std::collections::VecDeque;
+
+use reachtally_command::{Subject, Table};
+use reachtally_core::World;
+use reachtally_core::declare::{Kind, Object};
+use reachtally_core::target::{Health, Role, Target};
+
+use crate::actor::Ended;
+
+/// The table of one subject.
+pub fn show(world: &World, ended: &VecDeque<Ended>, subject: Subject) -> Table {
+    match subject {
+        Subject::Targets => targets(world),
+        Subject::Boxes => boxes(world),
+        Subject::Models => models(world),
+        Subject::Accounts => accounts(world),
+        Subject::Requests => requests(ended),
+        Subject::Config => config(world),
+    }
+}
+
+fn targets(world: &World) -> Table {
+    let columns = [
+        "target", "box", "serves", "layers", "state", "running", "calls",
+    ];
+    let mut table = Table::new(&columns);
+    let mut rows: Vec<&Target> = world.targets.values().collect();
+    rows.sort_by(|a, b| a.name.cmp(&b.name));
+    for target in rows {
+        let (serves, layers) = match &target.role {
+            Role::Engine { model, layers, .. } => (model.clone(), layers.to_string()),
+            Role::Service { service } => (service.clone(), "-".to_owned()),
+        };
+        table.push(vec![
+            target.name.clone(),
+            dash(&target.box_name),
+            serves,
+            layers,
+            state(target).to_owned(),
+            target.running.to_string(),
+            target.calls.to_string(),
+        ]);
+    }
+    table
+}
+
+fn dash(text: &str) -> String {
+    if text.is_empty() {
+        "-".to_owned()
+    } else {
+        text.to_owned()
+    }
+}
+
+fn state(target: &Target) -> &'static str {
+    match target.health {
+        Health::Suspect { .. } => "suspect",
+        Health::Up if target.drained => "drained",
+        Health::Up if target.leaving => "leaving",
+        Health::Up => "up",
+    }
+}
+
+fn boxes(world: &World) -> Table {
+    let mut table = Table::new(&["box", "state"]);
+    for (name, leaving) in world.boxes() {
+        let state = if leaving { "leaving" } else { "live" };
+        table.push(vec![name.to_owned(), state.to_owned()]);
+    }
+    table
+}
+
+fn models(world: &World) -> Table {
+    let mut table = Table::new(&["model", "layers", "revision"]);
+    for (name, entry) in world.config.of(Kind::Model) {
+        if let Object::Model(model) = &entry.object {
+            let (layers, revision) = (model.layers.to_string(), entry.revision.to_string());
+            table.push(vec![name.to_owned(), layers, revision]);
+        }
+    }
+    table
+}
+
+fn accounts(world: &World) -> Table {
+    let mut table = Table::new(&["account", "running", "max_running", "models", "services"]);
+    for (name, entry) in world.config.of(Kind::Account) {
+        if let Object::Account(account) = &entry.object {
+            table.push(vec![
+                name.to_owned(),
+                world.running_of(name).to_string(),
+                account.max_running.to_string(),
+                dash(&account.models.join(",")),
+                dash(&account.services.join(",")),
+            ]);
+        }
+    }
+    table
+}
+
+fn requests(ended: &VecDeque<Ended>) -> Table {
+    let columns = ["request", "outcome", "prompt", "generated", "attempts"];
+    let mut table = Table::new(&columns);
+    for request in ended {
+        table.push(vec![
+            request.id.to_string(),
+            request.outcome.to_owned(),
+            request.prompt_tokens.to_string(),
+            request.completion_tokens.to_string(),
+            request.attempts.to_string(),
+        ]);
+    }
+    table
+}
+
+fn config(world: &World) -> Table {
+    let mut table = Table::new(&["figure", "value"]);
+    let folded = world.config.next();
+    table.push(vec!["config_records".to_owned(), folded.to_string()]);
+    let known = world.claims_known();
+    table.push(vec!["claims_known".to_owned(), known.to_string()]);
+    for (name, value) in world.counters.each() {
+        table.push(vec![name.to_owned(), value.to_string()]);
+    }
+    table
+}
--- /dev/null
+++ b/reachtally-daemon/src/publish.rs
@@ -0,0 +1,50 @@
+//! Publishing operations to the configuration stream.
+
+use reachtally_core::declare::Object;
+use reachtally_core::fold::{Config, Edit, EditChange, Operation};
+use reachtally_platform::{AppendError, CONFIG_STREAM, Log};
+use serde_json::Value;
+
+/// Times an append with a lost answer is repeated; the operation's id makes that harmless.
+const TRIES: u32 = 3;
+
+/// The edits that put `objects` in place of what `config` holds. Objects that are the same already
+/// are left out, so applying twice changes nothing.
+pub fn edits(config: &Config, objects: Vec<Object>) -> Vec<Edit> {
+    let changed = objects.into_iter().filter(|object| {
+        let entry = config.get(object.kind(), object.name());
+        entry.is_none_or(|entry| entry.object != *object)
+    });
+    changed.map(|object| put(config, object)).collect()
+}
+
+fn put(config: &Config, object: Object) -> Edit {
+    Edit {
+        kind: object.kind(),
+        name: object.name().to_owned(),
+        base: config.revision(object.kind(), object.name()),
+        change: EditChange::Put(object),
+    }
+}
+
+/// Append `operation`; yields its offset.
+///
+/// # Errors
+/// [`AppendError::Refused`] if the log took nothing, [`AppendError::Lost`] if it may have.
+pub async fn publish<L: Log>(log: &L, operation: &Operation) -> Result<u64, AppendError> {
+    let data: Value = serde_json::to_value(operation).map_err(|_| AppendError::Refused)?;
+    let mut result = Err(AppendError::Refused);
+    let mut lost = false;
+    for _ in 0..TRIES {
+        result = log.append(CONFIG_STREAM, data.clone()).await;
+        match result {
+            Ok(_) => break,
+            Err(AppendError::Lost) => lost = true,
+            Err(AppendError::Refused) => {}
+        }
+    }
+    match result {
+        Err(_) if lost => Err(AppendError::Lost),
+        other => other,
+    }
+}
--- /dev/null
+++ b/reachtally-daemon/src/run.rs
@@ -0,0 +1,203 @@
+//! Putting a daemon together, and taking it down without cutting a request.
+
+use std::net::SocketAddr;
+
+use error_stack::{Report, ResultExt};
+use log::info;
+use reachtally_config::Settings;
+use reachtally_core::counters::Counters;
+use reachtally_core::{Event, Incarnation, World};
+use reachtally_listen::{Listener, Options as Listen};
+use reachtally_platform::http::HttpPlatform;
+use reachtally_target::http::HttpTargets;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::actor::{Actor, Answer, Handle, Message, Published, Query};
+use crate::caller::{self, OpenStreams};
+use crate::perform::Performer;
+use crate::view::{Readiness, View};
+use crate::{follow, metrics, operator};
+
+/// Seconds that a stop gives the last answers to be written out.
+const WRITE_OUT_S: u32 = 5;
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An HTTP client could not be set up.
+    Client,
+    /// The metrics' socket could not be had.
+    Metrics,
+    /// A listener could not be started.
+    Listen(&'static str),
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StartError::Client => f.write_str("can't set up the HTTP client"),
+            StartError::Metrics => f.write_str("can't set up the metrics"),
+            StartError::Listen(whom) => write!(f, "can't listen for {whom}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running daemon.
+pub struct Daemon {
+    handle: Handle,
+    view: watch::Receiver<View>,
+    open: OpenStreams,
+    callers: Listener,
+    operators: Listener,
+    stop_notice: std::time::Duration,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Start a daemon.
+///
+/// # Errors
+/// [`StartError`] with its cause.
+pub async fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
+    let targets = HttpTargets::new().change_context(StartError::Client)?;
+    let platform =
+        HttpPlatform::new(&settings.log, &settings.list).change_context(StartError::Client)?;
+    let statsd = metrics::client(settings.statsd).change_context(StartError::Metrics)?;
+    let (handle, rx) = mpsc::unbounded_channel();
+    let (view_tx, view) = watch::channel(View::empty());
+    let (counters_tx, counters) = watch::channel(Counters::default());
+    let open = OpenStreams::default();
+    let callers = listen_callers(&settings, &handle, &view, &open).await?;
+    let operators = listen_operators(&settings, &handle, &view, &platform).await?;
+    let performer = Performer {
+        handle: handle.clone(),
+        targets,
+        platform: platform.clone(),
+        patience: settings.patience,
+    };
+    let published = Published {
+        view: view_tx,
+        counters: counters_tx,
+    };
+    let actor = Actor::new(new_world(&settings), rx, performer, published);
+    let tasks = vec![
+        tokio::spawn(actor.run()),
+        tokio::spawn(follow::config(platform.clone(), handle.clone())),
+        tokio::spawn(follow::claims(platform.clone(), handle.clone())),
+        tokio::spawn(follow::list(platform, handle.clone())),
+        tokio::spawn(metrics::report(statsd, counters)),
+    ];
+    info!(
+        box_name = settings.box_name.as_str(), domain = settings.domain.as_str(),
+        callers:% = callers.address, operators:% = operators.address;
+        "daemon started"
+    );
+    Ok(Daemon {
+        handle,
+        view,
+        open,
+        callers,
+        operators,
+        stop_notice: settings.stop_notice,
+        tasks,
+    })
+}
+
+/// A world with a random incarnation. Two daemon runs share one with a probability of 2^-64.
+fn new_world(settings: &Settings) -> World {
+    let incarnation = Incarnation(rand::random());
+    World::new(incarnation, rand::random(), settings.limits.clone())
+}
+
+async fn listen_callers(
+    settings: &Settings,
+    handle: &Handle,
+    view: &watch::Receiver<View>,
+    open: &OpenStreams,
+) -> Result<Listener, Report<StartError>> {
+    let shared = caller::Shared {
+        handle: handle.clone(),
+        view: view.clone(),
+        body_bytes: settings.body_bytes,
+        patience: settings.patience,
+        open: open.clone(),
+    };
+    let options = Listen {
+        grace_s: WRITE_OUT_S,
+        ..Listen::at(settings.callers)
+    };
+    reachtally_listen::start(options, |rocket| caller::mount(rocket, shared))
+        .await
+        .change_context(StartError::Listen("callers"))
+}
+
+async fn listen_operators(
+    settings: &Settings,
+    handle: &Handle,
+    view: &watch::Receiver<View>,
+    platform: &HttpPlatform,
+) -> Result<Listener, Report<StartError>> {
+    let shared = operator::Shared {
+        handle: handle.clone(),
+        view: view.clone(),
+        operators: settings.operator_keys.clone(),
+        platform: platform.clone(),
+    };
+    let options = Listen::at(settings.operators);
+    reachtally_listen::start(options, |rocket| operator::mount(rocket, shared))
+        .await
+        .change_context(StartError::Listen("operators"))
+}
+
+impl Daemon {
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// Where operators connect.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address
+    }
+
+    /// Wait until the daemon has read a configuration and serves.
+    pub async fn ready(&self) {
+        let mut view = self.view.clone();
+        // The sender lives as long as the actor; a daemon without one never gets ready.
+        view.wait_for(|view| view.readiness == Readiness::Ready && view.config_next > 0)
+            .await
+            .ok();
+    }
+
+    /// Ask something of the world; nothing if the actor is gone.
+    pub async fn query(&self, query: Query) -> Option<Answer> {
+        let (tx, rx) = oneshot::channel();
+        self.handle
+            .send(Message::Query { query, answer: tx })
+            .ok()?;
+        rx.await.ok()
+    }
+
+    /// Stop without cutting a request: show not ready, then admit nothing more, wait for every
+    /// request to end and its answer to be written, then close the listeners.
+    pub async fn stop(self) {
+        info!("daemon stops: not ready any more");
+        self.handle.send(Message::PrepareStop).ok();
+        sleep(self.stop_notice).await;
+        self.handle.send(Message::Event(Event::Stop)).ok();
+        let (tx, rx) = oneshot::channel();
+        self.handle.send(Message::WhenIdle(tx)).ok();
+        // The actor ends only below.
+        rx.await.ok();
+        self.open.drained().await;
+        info!("daemon stops: every request has ended");
+        self.callers.stop().await;
+        self.operators.stop().await;
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/reachtally-daemon/tests/daemon/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the daemon.
--- a/reachtally-listen/src/lib.rs
+++ b/reachtally-listen/src/lib.rs
@@ -24,6 +24,24 @@
     pub ip: IpAddr,
     /// The port, 0 for any free one.
     pub port: u16,
+    /// Seconds that a stop waits for answers to be written out before it closes connections.
+    pub grace_s: u32,
+}
+
+impl Options {
+    /// Listen on `address`, closing connections at once on a stop.
+    pub fn at(address: SocketAddr) -> Self {
+        Options {
+            ip: address.ip(),
+            port: address.port(),
+            grace_s: 0,
+        }
+    }
+
+    /// Listen on any free port of the loopback address.
+    pub fn loopback() -> Self {
+        Options::at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
 }
 
 /// Why a listener did not start.
@@ -94,7 +112,7 @@
         shutdown: ShutdownConfig {
             ctrlc: false,
             signals: Default::default(),
-            grace: 0,
+            grace: options.grace_s,
             mercy: 0,
             force: false,
             ..Default::default()
--- a/reachtally-standin/src/main.rs
+++ b/reachtally-standin/src/main.rs
@@ -1,6 +1,5 @@
 //! `reachtally-standin`: one stand-in as a plain process.
 
-use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use bpaf::Bpaf;
@@ -78,7 +77,9 @@
 
 #[tokio::main]
 async fn main() -> std::process::ExitCode {
-    env_logger::init();
+    env_logger::Builder::from_default_env()
+        .filter_module("rocket", log::LevelFilter::Off)
+        .init();
     match run(command().run()).await {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(err) => {
@@ -90,8 +91,8 @@
 
 fn listen(port: u16) -> Listen {
     Listen {
-        ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
         port,
+        ..Listen::loopback()
     }
 }
 
