feat(bench): overhead, against the engines called directly

Cause: the path's cost was unknown. Change: an experiment that starts daemon and stand-ins as processes.

--- /dev/null
+++ b/reachtally-bench/src/main.rs
@@ -0,0 +1,48 @@
+//! `reachtally-bench`: the load and experiment tool.
+//!
+//! Each sub-command prints a table, or with `--json` one object. It exits non-zero where a promise
+//! broke, and with `--check` also where a goal is missed.
+
+mod overhead;
+mod process;
+mod report;
+mod setup;
+mod sse;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Load and experiment tool of reachtally.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Print one JSON object instead of a table
+    json: bool,
+    /// Exit non-zero where a goal is missed
+    check: bool,
+    #[bpaf(external)]
+    experiment: Experiment,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+enum Experiment {
+    /// What the router adds to the engines' own time, and what it costs in processor and memory
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = arguments().run();
+    let result = match arguments.experiment {
+        Experiment::Overhead(options) => overhead::run(options).await,
+    };
+    match result {
+        Ok(report) => report.print(arguments.json, arguments.check),
+        Err(message) => {
+            eprintln!("reachtally-bench: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/reachtally-bench/src/overhead.rs
@@ -0,0 +1,238 @@
+//! What the router adds: time to the first token, processor time a step, memory with many streams.
+//!
+//! The baseline calls the same engines directly, stage after stage, in the same run.
+
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use hdrhistogram::Histogram;
+use reachtally_core::ids::{Incarnation, RequestId};
+use reachtally_core::step::{Batch, Input, Output, Release, Step};
+use reachtally_target::Engines;
+use reachtally_target::http::HttpTargets;
+use reqwest::Client;
+use tokio::task::JoinSet;
+
+use crate::report::{Goal, Report};
+use crate::setup::{self, OPERATOR_KEY, Setup};
+use crate::sse;
+
+/// Most milliseconds that the router may add to the first token at the median.
+const ADDED_MS_MOST: f64 = 0.5;
+/// Least stage steps a second on one core.
+const STEPS_PER_CORE_LEAST: f64 = 30_000.0;
+/// Most mebibytes resident with the streams open.
+const RESIDENT_MIB_MOST: f64 = 96.0;
+/// Stages of the chain.
+const STAGES: u32 = 3;
+/// Requests before the clock runs.
+const WARM_UP: u32 = 50;
+const PROMPT: &str = "list the parts of the screw unit in hall two";
+
+/// What to measure.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Options {
+    /// Requests for the time to the first token
+    #[bpaf(argument("N"), fallback(2000))]
+    requests: u32,
+    /// Streams open at the same time
+    #[bpaf(argument("N"), fallback(1000))]
+    streams: u32,
+    /// Tokens of each stream
+    #[bpaf(argument("N"), fallback(300))]
+    tokens: u32,
+    /// Bytes of one activation
+    #[bpaf(argument("BYTES"), fallback(64))]
+    activation_bytes: usize,
+}
+
+/// Run the experiment.
+pub async fn run(options: Options) -> Result<Report, String> {
+    let setup = setup::start(&setup::Options {
+        stages: STAGES,
+        replicas: 1,
+        activation_bytes: options.activation_bytes,
+        slots: 100_000,
+        base_us: 0,
+        per_layer_us: 0,
+    })
+    .await?;
+    let mut report = Report::default();
+    first_token(&setup, &options, &mut report).await?;
+    streams(&setup, &options, &mut report).await?;
+    Ok(report)
+}
+
+async fn first_token(setup: &Setup, options: &Options, report: &mut Report) -> Result<(), String> {
+    let client = Client::new();
+    let engines = HttpTargets::new().map_err(|err| err.to_string())?;
+    let mut routed = histogram()?;
+    let mut direct = histogram()?;
+    for number in 0..WARM_UP + options.requests {
+        let sent = Instant::now();
+        direct_first_token(&engines, &setup.engines, u64::from(number)).await?;
+        let direct_time = sent.elapsed();
+        let seen = sse::stream(&client, &setup.callers, PROMPT, 1).await?;
+        if !seen.completed {
+            report
+                .violations
+                .push("a stream ended without its outcome".to_owned());
+        }
+        if number >= WARM_UP {
+            record(&mut direct, direct_time);
+            record(&mut routed, seen.first_token);
+        }
+    }
+    let ms = |histogram: &Histogram<u64>| histogram.value_at_quantile(0.5) as f64 / 1000.0;
+    report.add(
+        "first token, engines called directly, median",
+        ms(&direct),
+        "ms",
+        Goal::None,
+    );
+    report.add("first token, routed, median", ms(&routed), "ms", Goal::None);
+    let added = ms(&routed) - ms(&direct);
+    report.add(
+        "first token, added, median",
+        added,
+        "ms",
+        Goal::AtMost(ADDED_MS_MOST),
+    );
+    Ok(())
+}
+
+fn histogram() -> Result<Histogram<u64>, String> {
+    Histogram::new(3).map_err(|err| err.to_string())
+}
+
+fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    // A histogram without an upper bound takes every value.
+    histogram.record(time.as_micros() as u64).ok();
+}
+
+/// The prompt through every stage, as a caller without a router would send it.
+async fn direct_first_token(
+    engines: &HttpTargets,
+    urls: &[String],
+    number: u64,
+) -> Result<(), String> {
+    let request = RequestId {
+        incarnation: Incarnation(1),
+        seq: number,
+    };
+    let mut input = Input::Tokens {
+        text: PROMPT.to_owned(),
+        tokens: Vec::new(),
+    };
+    let mut positions = 0;
+    for url in urls {
+        let step = Step {
+            request,
+            attempt: 1,
+            from: 0,
+            positions,
+            restore_to: 0,
+            outputs_from: 0,
+            input,
+        };
+        let batch = Batch {
+            steps: vec![step],
+            releases: vec![Release {
+                request: RequestId {
+                    seq: number.wrapping_sub(1),
+                    ..request
+                },
+                attempt: 1,
+            }],
+        };
+        let results = engines.steps(url, batch).await;
+        let result = results.ok().and_then(|mut results| results.pop());
+        let result = result.ok_or("an engine did not answer")?;
+        positions = result.positions;
+        match result.output {
+            Ok(Output::Activations(bytes)) => input = Input::Activations(bytes),
+            Ok(Output::Token { .. }) => return Ok(()),
+            Err(refusal) => return Err(format!("an engine refused: {refusal:?}")),
+        }
+    }
+    Err("the last stage gave no token".to_owned())
+}
+
+/// Many streams at once: processor time a step, and memory.
+async fn streams(setup: &Setup, options: &Options, report: &mut Report) -> Result<(), String> {
+    let steps_before = counter(setup, "engine_steps").await?;
+    let calls_before = counter(setup, "engine_calls").await?;
+    let cpu_before = setup.daemon.cpu();
+    let started = Instant::now();
+    let mut callers = JoinSet::new();
+    for _ in 0..options.streams {
+        let (url, tokens) = (setup.callers.clone(), options.tokens);
+        // A client of its own each, so that every stream is a connection.
+        callers.spawn(async move { sse::stream(&Client::new(), &url, PROMPT, tokens).await });
+    }
+    let mut resident = 0;
+    let mut tokens = 0;
+    loop {
+        let next = tokio::time::timeout(Duration::from_millis(50), callers.join_next()).await;
+        resident = resident.max(setup.daemon.resident());
+        match next {
+            Err(_) => continue,
+            Ok(None) => break,
+            Ok(Some(seen)) => {
+                let seen = seen.map_err(|err| err.to_string())??;
+                tokens += seen.tokens;
+                if !seen.completed || seen.tokens != options.tokens {
+                    report
+                        .violations
+                        .push(format!("a stream was cut: {seen:?}"));
+                }
+            }
+        }
+    }
+    let wall = started.elapsed().as_secs_f64();
+    let cpu = (setup.daemon.cpu() - cpu_before).as_secs_f64();
+    let steps = (counter(setup, "engine_steps").await? - steps_before) as f64;
+    let calls = (counter(setup, "engine_calls").await? - calls_before) as f64;
+    report.add("streams", f64::from(options.streams), "", Goal::None);
+    report.add(
+        "tokens a second",
+        f64::from(tokens) / wall,
+        "tokens/s",
+        Goal::None,
+    );
+    report.add("cores used by the daemon", cpu / wall, "cores", Goal::None);
+    report.add("steps in one call", steps / calls, "steps", Goal::None);
+    report.add(
+        "processor time a token",
+        cpu / f64::from(tokens) * 1e6,
+        "us",
+        Goal::None,
+    );
+    let per_core = steps / cpu;
+    report.add(
+        "stage steps a core-second",
+        per_core,
+        "steps",
+        Goal::AtLeast(STEPS_PER_CORE_LEAST),
+    );
+    let mib = resident as f64 / f64::from(1 << 20);
+    report.add(
+        "resident, all streams open",
+        mib,
+        "MiB",
+        Goal::AtMost(RESIDENT_MIB_MOST),
+    );
+    Ok(())
+}
+
+async fn counter(setup: &Setup, name: &str) -> Result<u64, String> {
+    let url = format!("{}/v1/counters", setup.operators);
+    let req = Client::new().get(url).bearer_auth(OPERATOR_KEY);
+    let response = req.send().await.map_err(|err| err.to_string())?;
+    let counters: std::collections::BTreeMap<String, u64> =
+        response.json().await.map_err(|err| err.to_string())?;
+    counters
+        .get(name)
+        .copied()
+        .ok_or_else(|| format!("no counter {name}"))
+}
--- /dev/null
+++ b/reachtally-bench/src/process.rs
@@ -0,0 +1,94 @@
+//! Child processes of an experiment: the daemon and the stand-ins, as they run in production.
+//!
+//! Only this tool starts processes; the daemon and the stand-ins start none.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Clock ticks a second in `/proc/<pid>/stat`, fixed by the kernel's user interface.
+const TICKS_PER_S: f64 = 100.0;
+
+/// A child that is killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+impl Process {
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Processor time used so far.
+    pub fn cpu(&self) -> Duration {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
+        let ticks = stat.ok().and_then(|stat| cpu_ticks(&stat)).unwrap_or(0);
+        Duration::from_secs_f64(ticks as f64 / TICKS_PER_S)
+    }
+
+    /// Resident memory in bytes.
+    pub fn resident(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1024
+    }
+}
+
+/// User and system time, fields 14 and 15; the name before them may hold spaces.
+fn cpu_ticks(stat: &str) -> Option<u64> {
+    let after_name = stat.rsplit_once(") ")?.1;
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let user: u64 = fields.get(11)?.parse().ok()?;
+    let system: u64 = fields.get(12)?.parse().ok()?;
+    Some(user + system)
+}
+
+/// A program built beside this one.
+fn program(name: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|err| err.to_string())?;
+    let path = own.with_file_name(name);
+    if path.exists() {
+        return Ok(path);
+    }
+    Err(format!("{name} is not built; run: cargo build --release"))
+}
+
+/// Start a stand-in; yields its base address, which it prints first.
+pub fn standin(arguments: &[String]) -> Result<(Process, String), String> {
+    let mut child = Command::new(program("reachtally-standin")?)
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .spawn()
+        .map_err(|err| err.to_string())?;
+    let stdout = child.stdout.take().ok_or("no standard output")?;
+    let process = Process { child };
+    let mut line = String::new();
+    BufReader::new(stdout)
+        .read_line(&mut line)
+        .map_err(|err| err.to_string())?;
+    Ok((process, line.trim().to_owned()))
+}
+
+/// Start a daemon with these settings.
+pub fn daemon(settings: &std::path::Path) -> Result<Process, String> {
+    let child = Command::new(program("reachtallyd")?)
+        .arg("run")
+        .arg("--settings")
+        .arg(settings)
+        .env("RUST_LOG", "warn")
+        .spawn()
+        .map_err(|err| err.to_string())?;
+    Ok(Process { child })
+}
--- /dev/null
+++ b/reachtally-bench/src/setup.rs
@@ -0,0 +1,203 @@
+//! One chain of engines, a log, a list and a daemon, each a process on loopback.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use reachtally_config::keys;
+use reachtally_core::declare::{Account, Engine, Layers, Model, Object};
+use reachtally_core::fold::{Config, Operation};
+use reachtally_daemon::publish;
+use reachtally_platform::http::HttpPlatform;
+
+use crate::process::{self, Process};
+
+/// The caller's key.
+pub const KEY: &str = "bench";
+/// The operator's key.
+pub const OPERATOR_KEY: &str = "operator";
+/// The model.
+pub const MODEL: &str = "bench";
+/// Layers of the model.
+pub const LAYERS: u32 = 24;
+/// Time for the daemon to get ready.
+const READY_TRIES: u32 = 100;
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// What to set up.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Stages of the chain.
+    pub stages: u32,
+    /// Engines of each stage.
+    pub replicas: u32,
+    /// Bytes of one activation.
+    pub activation_bytes: usize,
+    /// Requests each engine holds.
+    pub slots: u32,
+    /// Microseconds of each engine iteration.
+    pub base_us: u64,
+    /// Microseconds for each layer and position.
+    pub per_layer_us: u64,
+}
+
+/// The processes of an experiment.
+pub struct Setup {
+    /// The daemon.
+    pub daemon: Process,
+    /// Base address for callers.
+    pub callers: String,
+    /// Base address for operators.
+    pub operators: String,
+    /// Base addresses of the engines, stage by stage.
+    pub engines: Vec<String>,
+    _others: Vec<Process>,
+    settings: PathBuf,
+}
+
+impl Drop for Setup {
+    fn drop(&mut self) {
+        std::fs::remove_file(&self.settings).ok();
+    }
+}
+
+/// Start everything and wait until the daemon is ready.
+pub async fn start(options: &Options) -> Result<Setup, String> {
+    let mut others = Vec::new();
+    let (process, log) = process::standin(&["log".to_owned()])?;
+    others.push(process);
+    let (engines, declared) = start_engines(options, &mut others)?;
+    let boxes = declared.iter().map(|engine| engine.box_name.clone());
+    let list_args: Vec<String> = std::iter::once("list".to_owned()).chain(boxes).collect();
+    let (process, list) = process::standin(&list_args)?;
+    others.push(process);
+    publish_declarations(&log, &list, declared).await?;
+    let (callers, operators) = (free_address()?, free_address()?);
+    let settings = write_settings(&log, &list, callers, operators)?;
+    let daemon = process::daemon(&settings)?;
+    let setup = Setup {
+        daemon,
+        callers: format!("http://{callers}"),
+        operators: format!("http://{operators}"),
+        engines,
+        _others: others,
+        settings,
+    };
+    wait_ready(&setup).await?;
+    Ok(setup)
+}
+
+fn start_engines(
+    options: &Options,
+    others: &mut Vec<Process>,
+) -> Result<(Vec<String>, Vec<Engine>), String> {
+    let each = LAYERS / options.stages;
+    let mut urls = Vec::new();
+    let mut declared = Vec::new();
+    for stage in 0..options.stages {
+        for replica in 0..options.replicas {
+            let layers = Layers {
+                first: stage * each,
+                end: if stage + 1 == options.stages {
+                    LAYERS
+                } else {
+                    (stage + 1) * each
+                },
+            };
+            let (process, url) = process::standin(&engine_arguments(options, layers))?;
+            others.push(process);
+            urls.push(url.clone());
+            declared.push(Engine {
+                name: format!("e{stage}-{replica}"),
+                box_name: format!("t{stage}-{replica}"),
+                domain: "d1".to_owned(),
+                url,
+                model: MODEL.to_owned(),
+                layers,
+                slots: options.slots,
+                checks_fence: false,
+            });
+        }
+    }
+    Ok((urls, declared))
+}
+
+fn engine_arguments(options: &Options, layers: Layers) -> Vec<String> {
+    let text = format!(
+        "engine --first {} --end {} --model-layers {LAYERS} --slots {} --activation-bytes {} \
+         --base-us {} --per-layer-us {} --no-ledger",
+        layers.first,
+        layers.end,
+        options.slots,
+        options.activation_bytes,
+        options.base_us,
+        options.per_layer_us,
+    );
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
+async fn publish_declarations(log: &str, list: &str, engines: Vec<Engine>) -> Result<(), String> {
+    let model = Object::Model(Model {
+        name: MODEL.to_owned(),
+        layers: LAYERS,
+    });
+    let account = Object::Account(Account {
+        name: "bench".to_owned(),
+        key_hashes: vec![keys::hash(KEY)],
+        models: vec![MODEL.to_owned()],
+        services: Vec::new(),
+        max_running: 100_000,
+    });
+    let mut objects = vec![model, account];
+    objects.extend(engines.into_iter().map(Object::Engine));
+    let operation = Operation {
+        id: "bench".to_owned(),
+        actor: "bench".to_owned(),
+        edits: publish::edits(&Config::default(), objects),
+    };
+    let platform = HttpPlatform::new(log, list).map_err(|err| err.to_string())?;
+    publish::publish(&platform, &operation)
+        .await
+        .map(|_| ())
+        .map_err(|err| format!("the declarations could not be published: {err:?}"))
+}
+
+/// An address that was free a moment ago; the daemon's settings need a fixed one.
+fn free_address() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).map_err(|err| err.to_string())?;
+    listener.local_addr().map_err(|err| err.to_string())
+}
+
+fn write_settings(
+    log: &str,
+    list: &str,
+    callers: SocketAddr,
+    operators: SocketAddr,
+) -> Result<PathBuf, String> {
+    let hash = keys::hash(OPERATOR_KEY);
+    let text = format!(
+        "box: bench-entry\ndomain: d1\ncallers: {callers}\noperators: {operators}\nlog: {log}\n\
+         list: {list}\noperator_keys:\n  - {{name: bench, role: admin, hash: {hash}}}\n"
+    );
+    let name = format!(
+        "reachtally-bench-{}-{}.yaml",
+        std::process::id(),
+        callers.port()
+    );
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).map_err(|err| err.to_string())?;
+    Ok(path)
+}
+
+async fn wait_ready(setup: &Setup) -> Result<(), String> {
+    let client = reqwest::Client::new();
+    let url = format!("{}/v1/models", setup.callers);
+    for _ in 0..READY_TRIES {
+        let answer = client.get(&url).bearer_auth(KEY).send().await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Err("the daemon did not get ready".to_owned())
+}
