--- a/reachtally-bench/src/overhead.rs
+++ b/reachtally-bench/src/overhead.rs
@@ -44,6 +44,9 @@
     /// Bytes of one activation
     #[bpaf(argument("BYTES"), fallback(64))]
     activation_bytes: usize,
+    /// Mebibytes of stage inputs that the daemon keeps for replay
+    #[bpaf(argument("MIB"), fallback(16))]
+    replay_mib: usize,
 }
 
 /// Run the experiment.
@@ -55,6 +58,7 @@
         slots: 100_000,
         base_us: 0,
         per_layer_us: 0,
+        replay_mib: options.replay_mib,
     })
     .await?;
     let mut report = Report::default();
@@ -133,6 +137,8 @@
             positions,
             restore_to: 0,
             outputs_from: 0,
+            adapter: String::new(),
+            priority: 0,
             input,
         };
         let batch = Batch {
--- a/reachtally-bench/src/setup.rs
+++ b/reachtally-bench/src/setup.rs
@@ -39,6 +39,8 @@
     pub base_us: u64,
     /// Microseconds for each layer and position.
     pub per_layer_us: u64,
+    /// Mebibytes of stage inputs that the daemon keeps for replay.
+    pub replay_mib: usize,
 }
 
 /// The processes of an experiment.
@@ -73,7 +75,7 @@
     others.push(process);
     publish_declarations(&log, &list, declared).await?;
     let (callers, operators) = (free_address()?, free_address()?);
-    let settings = write_settings(&log, &list, callers, operators)?;
+    let settings = write_settings(&log, &list, callers, operators, options.replay_mib)?;
     let daemon = process::daemon(&settings)?;
     let setup = Setup {
         daemon,
@@ -145,7 +147,9 @@
         name: "bench".to_owned(),
         key_hashes: vec![keys::hash(KEY)],
         models: vec![MODEL.to_owned()],
+        adapters: Vec::new(),
         services: Vec::new(),
+        priority: 0,
         max_running: 100_000,
     });
     let mut objects = vec![model, account];
@@ -173,11 +177,13 @@
     list: &str,
     callers: SocketAddr,
     operators: SocketAddr,
+    replay_mib: usize,
 ) -> Result<PathBuf, String> {
     let hash = keys::hash(OPERATOR_KEY);
     let text = format!(
         "box: bench-entry\ndomain: d1\ncallers: {callers}\noperators: {operators}\nlog: {log}\n\
-         list: {list}\noperator_keys:\n  - {{name: bench, role: admin, hash: {hash}}}\n"
+         list: {list}\noperator_keys:\n  - {{name: bench, role: admin, hash: {hash}}}\n\
+         limits:\n  replay_mib: {replay_mib}\n"
     );
     let name = format!(
         "reachtally-bench-{}-{}.yaml",
--- a/reachtally-config/src/declarations.rs
+++ b/reachtally-config/src/declarations.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use reachtally_core::declare::{Account, Engine, Kind, Layers, Model, Object, Service};
+use reachtally_core::declare::{Account, Adapter, Engine, Kind, Layers, Model, Object, Service};
 
 use crate::finding::Findings;
 use crate::reader::{At, Reader};
@@ -13,6 +13,9 @@
 /// Most requests an engine may hold or an account may run.
 const RUNNING_MAX: u64 = 1 << 20;
 
+/// The highest priority an account may have.
+const PRIORITY_MAX: u64 = 9;
+
 /// Read the objects declared in `text`, the content of `file`. Names are checked to be unique within
 /// their kind, and layer ranges to fit their model.
 ///
@@ -24,7 +27,10 @@
         return reader.finish(None);
     };
     let top = At::top(&document);
-    if !reader.fields(&top, &["models", "engines", "services", "accounts"]) {
+    if !reader.fields(
+        &top,
+        &["models", "adapters", "engines", "services", "accounts"],
+    ) {
         return reader.finish(None);
     }
     let mut objects = Vec::new();
@@ -36,6 +42,15 @@
         objects.push(Object::Model(model));
         Some(())
     });
+    each(&mut reader, &top, "adapters", |reader, at| {
+        unique(reader, at, Kind::Adapter, &mut names);
+        let adapter = read_adapter(reader, at)?;
+        if find_model(&objects, &adapter.model).is_none() {
+            report_no_model(reader, at, &adapter.model);
+        }
+        objects.push(Object::Adapter(adapter));
+        Some(())
+    });
     each(&mut reader, &top, "engines", |reader, at| {
         unique(reader, at, Kind::Engine, &mut names);
         let engine = read_engine(reader, at)?;
@@ -121,6 +136,30 @@
     })
 }
 
+fn read_adapter(reader: &mut Reader<'_>, at: &At<'_, '_>) -> Option<Adapter> {
+    if !reader.fields(at, &["name", "model"]) {
+        return None;
+    }
+    let name = text(reader, at, "name");
+    let model = text(reader, at, "model");
+    Some(Adapter {
+        name: name?,
+        model: model?,
+    })
+}
+
+fn find_model<'a>(objects: &'a [Object], name: &str) -> Option<&'a Model> {
+    objects.iter().find_map(|object| match object {
+        Object::Model(model) if model.name == name => Some(model),
+        _ => None,
+    })
+}
+
+fn report_no_model(reader: &mut Reader<'_>, at: &At<'_, '_>, name: &str) {
+    let message = format!("no model {name:?} is declared");
+    reader.report(at, &message, "declare it under models, or name another");
+}
+
 const ENGINE_FIELDS: [&str; 8] = [
     "name",
     "box",
@@ -194,8 +233,18 @@
     })
 }
 
+const ACCOUNT_FIELDS: [&str; 7] = [
+    "name",
+    "keys",
+    "models",
+    "adapters",
+    "services",
+    "max_running",
+    "priority",
+];
+
 fn read_account(reader: &mut Reader<'_>, at: &At<'_, '_>) -> Option<Account> {
-    if !reader.fields(at, &["name", "keys", "models", "services", "max_running"]) {
+    if !reader.fields(at, &ACCOUNT_FIELDS) {
         return None;
     }
     let name = text(reader, at, "name");
@@ -207,13 +256,20 @@
         .collect();
     let models = optional_texts(reader, at, "models");
     let services = optional_texts(reader, at, "services");
+    let adapters = optional_texts(reader, at, "adapters");
+    let priority = at
+        .get("priority")
+        .and_then(|at| reader.number(&at, 0, PRIORITY_MAX))
+        .unwrap_or(0) as u32;
     let max_running = number(reader, at, "max_running", RUNNING_MAX);
     Some(Account {
         name: name?,
         key_hashes,
         models,
+        adapters,
         services,
         max_running: max_running?,
+        priority,
     })
 }
 
@@ -225,15 +281,8 @@
 
 impl Chains {
     fn add(&mut self, reader: &mut Reader<'_>, at: &At<'_, '_>, engine: &Engine, known: &[Object]) {
-        let model = known.iter().find_map(|object| match object {
-            Object::Model(model) if model.name == engine.model => Some(model),
-            _ => None,
-        });
-        match model {
-            None => {
-                let message = format!("no model {:?} is declared", engine.model);
-                reader.report(at, &message, "declare it under models, or name another");
-            }
+        match find_model(known, &engine.model) {
+            None => report_no_model(reader, at, &engine.model),
             Some(model) if engine.layers.end > model.layers => {
                 let (range, layers) = (engine.layers, model.layers);
                 let message = format!("range {range} goes beyond the model's {layers} layers");
--- a/reachtally-config/src/settings.rs
+++ b/reachtally-config/src/settings.rs
@@ -86,13 +86,14 @@
     "limits",
 ];
 
-const LIMIT_FIELDS: [&str; 10] = [
+const LIMIT_FIELDS: [&str; 11] = [
     "body_bytes",
     "patience_s",
     "stop_notice_ms",
     "replay_mib",
     "caller_window",
     "calls_per_engine",
+    "span_calls_per_engine",
     "steps_per_call",
     "append_interval_ms",
     "claim_window_s",
@@ -254,6 +255,9 @@
     if let Some(calls) = number("calls_per_engine", 1, 1024) {
         limits.calls_per_engine = calls as u32;
     }
+    if let Some(calls) = number("span_calls_per_engine", 1, 1024) {
+        limits.span_calls_per_engine = calls as u32;
+    }
     if let Some(steps) = number("steps_per_call", 1, 1 << 16) {
         limits.steps_per_call = steps as usize;
     }
--- a/reachtally-core/src/declare.rs
+++ b/reachtally-core/src/declare.rs
@@ -11,6 +11,8 @@
 pub enum Kind {
     /// A model with a number of layers.
     Model,
+    /// An adapter of a model.
+    Adapter,
     /// An engine that holds a layer range of a model.
     Engine,
     /// A plain service.
@@ -50,6 +52,15 @@
     pub layers: u32,
 }
 
+/// An adapter that changes what a model answers; callers name it in the model's place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Adapter {
+    /// The name callers use.
+    pub name: String,
+    /// The model it belongs to.
+    pub model: String,
+}
+
 /// An engine: a target that holds a layer range of one model.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Engine {
@@ -96,11 +107,17 @@
     pub key_hashes: Vec<String>,
     /// Models it may use.
     pub models: Vec<String>,
+    /// Adapters it may use.
+    #[serde(default)]
+    pub adapters: Vec<String>,
     /// Services it may call.
     #[serde(default)]
     pub services: Vec<String>,
     /// Requests it may have running at one entry box.
     pub max_running: u32,
+    /// Engines run steps of a higher priority first.
+    #[serde(default)]
+    pub priority: u32,
 }
 
 /// One declared object.
@@ -109,6 +126,8 @@
 pub enum Object {
     /// See [`Model`].
     Model(Model),
+    /// See [`Adapter`].
+    Adapter(Adapter),
     /// See [`Engine`].
     Engine(Engine),
     /// See [`Service`].
@@ -122,6 +141,7 @@
     pub fn kind(&self) -> Kind {
         match self {
             Object::Model(_) => Kind::Model,
+            Object::Adapter(_) => Kind::Adapter,
             Object::Engine(_) => Kind::Engine,
             Object::Service(_) => Kind::Service,
             Object::Account(_) => Kind::Account,
@@ -132,6 +152,7 @@
     pub fn name(&self) -> &str {
         match self {
             Object::Model(o) => &o.name,
+            Object::Adapter(o) => &o.name,
             Object::Engine(o) => &o.name,
             Object::Service(o) => &o.name,
             Object::Account(o) => &o.name,
--- a/reachtally-core/src/fold.rs
+++ b/reachtally-core/src/fold.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::declare::{Kind, Object};
+use crate::declare::{Adapter, Kind, Model, Object};
 
 /// An operation that an operator publishes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +58,15 @@
     pub drained: bool,
 }
 
+/// What a name stands for that callers give as the model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Served<'a> {
+    /// The model that runs.
+    pub model: &'a Model,
+    /// The adapter, if the name is one.
+    pub adapter: Option<&'a Adapter>,
+}
+
 /// The verdict on one operation, the same in every daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
@@ -133,6 +142,19 @@
             .map(|(name, entry)| (name.as_str(), entry))
     }
 
+    /// The model that callers reach under `name`, and the adapter if `name` is one.
+    pub fn served<'a>(&'a self, name: &'a str) -> Option<Served<'a>> {
+        let adapter = match self.get(Kind::Adapter, name).map(|entry| &entry.object) {
+            Some(Object::Adapter(adapter)) => Some(adapter),
+            _ => None,
+        };
+        let model = adapter.map_or(name, |adapter| adapter.model.as_str());
+        match self.get(Kind::Model, model).map(|entry| &entry.object) {
+            Some(Object::Model(model)) => Some(Served { model, adapter }),
+            _ => None,
+        }
+    }
+
     /// The revision of an object, 0 if it does not exist.
     pub fn revision(&self, kind: Kind, name: &str) -> u64 {
         self.get(kind, name).map_or(0, |entry| entry.revision)
--- a/reachtally-core/src/request.rs
+++ b/reachtally-core/src/request.rs
@@ -37,7 +37,7 @@
 /// A completion by a model.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Completion {
-    /// The model's name.
+    /// The name of a model or adapter.
     pub model: String,
     /// The prompt's text.
     pub prompt: String,
@@ -93,8 +93,12 @@
 pub struct Running {
     /// The stages.
     pub chain: Vec<Stage>,
-    /// Number of layers of the model.
-    pub layers: u32,
+    /// The model that runs.
+    pub model: String,
+    /// The adapter it runs with, empty for none.
+    pub adapter: String,
+    /// Priority of its steps.
+    pub priority: u32,
     /// The attempt of the steps now sent.
     pub attempt: u32,
     /// The step waited for; nothing while the request waits for its caller or a replacement.
--- a/reachtally-core/src/restore.rs
+++ b/reachtally-core/src/restore.rs
@@ -64,19 +64,25 @@
 }
 
 impl KeptInputs {
-    /// Keep the activations of the next `positions` positions. Returns the bytes that this adds.
+    /// Keep the activations of the next `positions` positions. Returns the bytes of memory added.
     pub fn push(&mut self, activations: &[u8], positions: u32) -> usize {
         if self.dropped {
             return 0;
         }
+        let before = self.bytes.capacity();
+        let needed = self.bytes.len() + activations.len();
+        if needed > before {
+            // Grow by a quarter: doubling would leave half of the memory unused.
+            self.bytes.reserve_exact(activations.len() + needed / 4);
+        }
         self.bytes.extend_from_slice(activations);
         self.positions += positions;
-        activations.len()
+        self.bytes.capacity() - before
     }
 
     /// Drop what is kept and keep nothing more. Returns the bytes freed.
     pub fn drop_all(&mut self) -> usize {
-        let freed = self.bytes.len();
+        let freed = self.bytes.capacity();
         self.bytes = Vec::new();
         self.positions = 0;
         self.dropped = true;
@@ -109,14 +115,4 @@
             .checked_div(self.positions as usize)
             .unwrap_or(0) as u32
     }
-
-    /// Bytes kept.
-    pub fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    /// Whether nothing is kept.
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
 }
--- a/reachtally-core/src/step.rs
+++ b/reachtally-core/src/step.rs
@@ -34,6 +34,10 @@
     pub restore_to: u32,
     /// The outputs wanted begin at this position.
     pub outputs_from: u32,
+    /// The adapter to run with, empty for none.
+    pub adapter: String,
+    /// Steps of a higher priority run first.
+    pub priority: u32,
     /// The input.
     pub input: Input,
 }
--- a/reachtally-core/src/systems/accept.rs
+++ b/reachtally-core/src/systems/accept.rs
@@ -53,7 +53,7 @@
     let Some(target) = world.targets.get_mut(done.target) else {
         return;
     };
-    target.calls -= u32::from(done.decode);
+    *target.outstanding(done.load) -= 1;
     if let Some(longest) = done.steps.iter().map(|sent| sent.positions).max() {
         target.latency.sample(now.since(done.sent_at), longest);
     }
--- a/reachtally-core/src/systems/admit.rs
+++ b/reachtally-core/src/systems/admit.rs
@@ -71,10 +71,13 @@
     let account = &world.accounts[key];
     match &ask.work {
         Work::Completion(completion) => {
-            if world.config.get(Kind::Model, &completion.model).is_none() {
-                return Err(Refusal::UnknownModel);
-            }
-            if !account.declared.models.contains(&completion.model) {
+            let name = &completion.model;
+            let served = world.config.served(name).ok_or(Refusal::UnknownModel)?;
+            let allowed = match served.adapter {
+                Some(_) => &account.declared.adapters,
+                None => &account.declared.models,
+            };
+            if !allowed.contains(name) {
                 return Err(Refusal::NotAllowed);
             }
         }
--- a/reachtally-core/src/systems/dispatch.rs
+++ b/reachtally-core/src/systems/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::systems::shift;
 use crate::target::Health;
 use crate::time::Instant;
-use crate::world::{Call, Sent, Timer, World};
+use crate::world::{Call, Load, Sent, Timer, World};
 
 /// Send to every engine that something became ready for.
 pub fn run(world: &mut World, now: Instant, out: &mut Effects) {
@@ -33,27 +33,40 @@
 }
 
 /// Send what is ready. A span goes in a call of its own, so that no token waits for another
-/// request's prompt; single positions share calls, of which a bounded number is outstanding, so
-/// that steps which become ready meanwhile go together.
+/// request's prompt; single positions share calls. Of each kind a bounded number of calls is
+/// outstanding; what becomes ready meanwhile waits and goes together.
 fn send_ready(world: &mut World, key: TargetKey, now: Instant, out: &mut Effects) {
     let ready = std::mem::take(&mut world.targets[key].ready);
     let mut singles = Vec::new();
+    let mut waiting = Vec::new();
     for request in ready {
         match awaited_positions(world, request, key) {
             Some(1) => singles.push(request),
-            Some(_) => send(world, key, &[request], false, now, out),
+            Some(_) if has_room(world, key, Load::Span) => {
+                send(world, key, &[request], Load::Span, now, out);
+            }
+            Some(_) => waiting.push(request),
             None => {}
         }
     }
     let mut rest = singles.as_slice();
-    while !rest.is_empty() && world.targets[key].calls < world.limits.calls_per_engine {
+    while !rest.is_empty() && has_room(world, key, Load::Singles) {
         let (now_sent, later) = rest.split_at(rest.len().min(world.limits.steps_per_call));
-        send(world, key, now_sent, true, now, out);
+        send(world, key, now_sent, Load::Singles, now, out);
         rest = later;
     }
+    world.targets[key].ready.extend(waiting);
     world.targets[key].ready.extend(rest);
-    if !world.targets[key].releases.is_empty() {
-        send(world, key, &[], true, now, out);
+    if !world.targets[key].releases.is_empty() && has_room(world, key, Load::Singles) {
+        send(world, key, &[], Load::Singles, now, out);
+    }
+}
+
+fn has_room(world: &World, key: TargetKey, load: Load) -> bool {
+    let target = &world.targets[key];
+    match load {
+        Load::Singles => target.calls < world.limits.calls_per_engine,
+        Load::Span => target.span_calls < world.limits.span_calls_per_engine,
     }
 }
 
@@ -70,7 +83,7 @@
     world: &mut World,
     key: TargetKey,
     requests: &[RequestKey],
-    decode: bool,
+    load: Load,
     now: Instant,
     out: &mut Effects,
 ) {
@@ -78,7 +91,7 @@
         target: key,
         steps: Vec::with_capacity(requests.len()),
         sent_at: now,
-        decode,
+        load,
     });
     let mut batch = Batch {
         steps: Vec::with_capacity(requests.len()),
@@ -93,7 +106,7 @@
         }
     }
     let target = &mut world.targets[key];
-    target.calls += u32::from(decode);
+    *target.outstanding(load) += 1;
     let due = now + target.latency.timeout(span);
     world.counters.engine_calls += 1;
     world.counters.engine_steps += batch.steps.len() as u64;
@@ -110,6 +123,7 @@
     let id = RequestId::new(world.incarnation, request);
     let running = world.requests.get_mut(request)?.running()?;
     let attempt = running.attempt;
+    let (adapter, priority) = (running.adapter.clone(), running.priority);
     let awaited = running.awaited.as_mut()?;
     let restore_to = running.accepted[awaited.stage];
     let input = awaited.input.take()?;
@@ -122,6 +136,8 @@
         positions: awaited.positions,
         restore_to,
         outputs_from: awaited.outputs_from,
+        adapter,
+        priority,
         input,
     };
     Some((step, expected))
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -29,7 +29,7 @@
     };
     world.counters.engine_calls_failed += 1;
     if let Some(target) = world.targets.get_mut(failed.target) {
-        target.calls -= u32::from(failed.decode);
+        *target.outstanding(failed.load) -= 1;
     }
     health::suspect(world, failed.target, now, out);
     for sent in failed.steps {
@@ -97,8 +97,7 @@
     let Some(req) = world.requests.get(request) else {
         return;
     };
-    let (Progress::Running(running), Work::Completion(completion)) = (&req.progress, &req.work)
-    else {
+    let Progress::Running(running) = &req.progress else {
         return;
     };
     let Some(stage) = running.awaited.as_ref().map(|awaited| awaited.stage) else {
@@ -107,7 +106,7 @@
     let layers = running.chain[stage].layers;
     let engines = world
         .engines
-        .get(&completion.model)
+        .get(&running.model)
         .map_or(&[][..], Vec::as_slice);
     match chain::replacement(engines, &world.targets, layers, not, &mut world.rng) {
         Some(target) => place(world, request, stage, target, now, out),
--- a/reachtally-core/src/systems/start.rs
+++ b/reachtally-core/src/systems/start.rs
@@ -1,7 +1,6 @@
 //! Sending an admitted, and where needed claimed, request to its first target.
 
 use crate::chain::{self, NoChain, Stage};
-use crate::declare::{Kind, Object};
 use crate::effect::Effects;
 use crate::ids::RequestKey;
 use crate::life::{Refusal, Unknown};
@@ -36,46 +35,50 @@
     completion: &Completion,
     out: &mut Effects,
 ) {
-    let (layers, stages) = match choose(world, &completion.model) {
-        Ok(chosen) => chosen,
+    let running = match choose(world, completion) {
+        Ok(running) => running,
         Err(refusal) => {
             return finish::give_up(world, key, refusal, Unknown::NoReplacement, out);
         }
     };
-    for stage in &stages {
+    for stage in &running.chain {
         world.targets[stage.target].running += 1;
     }
-    let running = new_running(stages, layers, &completion.prompt);
     let first = running.chain[0].target;
     let req = &mut world.requests[key];
-    req.progress = Progress::Running(Box::new(running));
+    let account = world.accounts.get(req.account);
+    req.progress = Progress::Running(Box::new(Running {
+        priority: account.map_or(0, |account| account.declared.priority),
+        ..running
+    }));
     req.state = req.state.take().map(|state| state.dispatch());
     world.targets[first].ready.push_back(key);
     world.mark_dirty(first);
 }
 
-fn choose(world: &mut World, model: &str) -> Result<(u32, Vec<Stage>), Refusal> {
-    let layers = match world
-        .config
-        .get(Kind::Model, model)
-        .map(|entry| &entry.object)
-    {
-        Some(Object::Model(model)) => model.layers,
-        _ => return Err(Refusal::UnknownModel),
-    };
-    let engines = world.engines.get(model).map_or(&[][..], Vec::as_slice);
+/// Choose a chain for what the name stands for.
+fn choose(world: &mut World, completion: &Completion) -> Result<Running, Refusal> {
+    let served = world.config.served(&completion.model);
+    let served = served.ok_or(Refusal::UnknownModel)?;
+    let (model, layers) = (served.model.name.clone(), served.model.layers);
+    let adapter = served
+        .adapter
+        .map_or(String::new(), |adapter| adapter.name.clone());
+    let engines = world.engines.get(&model).map_or(&[][..], Vec::as_slice);
     match chain::choose(engines, &world.targets, layers, &mut world.rng) {
-        Ok(stages) => Ok((layers, stages)),
+        Ok(stages) => Ok(new_running(stages, model, adapter, &completion.prompt)),
         Err(NoChain::Uncovered) => Err(Refusal::NoTarget),
         Err(NoChain::Full) => Err(Refusal::Busy),
     }
 }
 
-fn new_running(chain: Vec<Stage>, layers: u32, prompt: &str) -> Running {
+fn new_running(chain: Vec<Stage>, model: String, adapter: String, prompt: &str) -> Running {
     let stages = chain.len();
     Running {
         chain,
-        layers,
+        model,
+        adapter,
+        priority: 0,
         attempt: 1,
         awaited: Some(Awaited {
             stage: 0,
--- a/reachtally-core/src/target.rs
+++ b/reachtally-core/src/target.rs
@@ -8,6 +8,7 @@
 use crate::latency::Latency;
 use crate::step::Release;
 use crate::time::Instant;
+use crate::world::Load;
 
 /// First wait before a suspected target is probed.
 const PROBE_FIRST: Duration = Duration::from_millis(200);
@@ -66,8 +67,10 @@
     pub leaving: bool,
     /// Requests of this daemon whose chain includes it, or calls to it.
     pub running: u32,
-    /// Calls outstanding.
+    /// Calls outstanding that carry single positions.
     pub calls: u32,
+    /// Calls outstanding that carry a span.
+    pub span_calls: u32,
     /// Requests whose next step waits to be sent to it.
     pub ready: VecDeque<RequestKey>,
     /// Releases that go with the next call.
@@ -91,6 +94,7 @@
             leaving: false,
             running: 0,
             calls: 0,
+            span_calls: 0,
             ready: VecDeque::new(),
             releases: Vec::new(),
             latency: Latency::default(),
@@ -103,6 +107,14 @@
         self.health == Health::Up && !self.drained && !self.leaving
     }
 
+    /// Calls outstanding of one kind.
+    pub fn outstanding(&mut self, load: Load) -> &mut u32 {
+        match load {
+            Load::Singles => &mut self.calls,
+            Load::Span => &mut self.span_calls,
+        }
+    }
+
     /// The model and range it serves, if it is an engine.
     pub fn engine(&self) -> Option<(&str, Layers, u32)> {
         match &self.role {
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -27,8 +27,10 @@
     pub replay_bytes: usize,
     /// Tokens that a caller's stream may hold before its request pauses.
     pub caller_window: u32,
-    /// Decode calls outstanding at one engine.
+    /// Calls with single positions outstanding at one engine.
     pub calls_per_engine: u32,
+    /// Calls with a span, such as a prompt, outstanding at one engine.
+    pub span_calls_per_engine: u32,
     /// Steps in one call.
     pub steps_per_call: usize,
     /// Time between two appends of claims.
@@ -46,9 +48,10 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            replay_bytes: 32 << 20,
+            replay_bytes: 16 << 20,
             caller_window: 64,
             calls_per_engine: 4,
+            span_calls_per_engine: 16,
             steps_per_call: 256,
             append_interval: Duration::from_millis(50),
             claim_window: Duration::from_secs(3600),
@@ -68,6 +71,15 @@
     pub positions: u32,
 }
 
+/// What a call to an engine carries; each kind has a bound of its own on calls outstanding.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Load {
+    /// Single positions of any number of requests, or releases only.
+    Singles,
+    /// A span of one request.
+    Span,
+}
+
 /// A call to an engine that has not been answered.
 #[derive(Debug)]
 pub struct Call {
@@ -77,8 +89,8 @@
     pub steps: Vec<Sent>,
     /// When it was sent.
     pub sent_at: Instant,
-    /// Whether it carries single positions only, and so counts against the engine's calls.
-    pub decode: bool,
+    /// Whether it carries single positions or a span.
+    pub load: Load,
 }
 
 /// A client account's row.
--- a/reachtally-daemon/src/caller/mod.rs
+++ b/reachtally-daemon/src/caller/mod.rs
@@ -111,13 +111,14 @@
 #[get("/models")]
 fn models(caller: Result<Caller, Failure>) -> Result<Json<ModelList>, Failure> {
     let caller = caller?;
+    let names = caller.account.models.iter().chain(&caller.account.adapters);
     let entry = |id: &String| ModelEntry {
         id: id.clone(),
         object: "model",
     };
     Ok(Json(ModelList {
         object: "list",
-        data: caller.account.models.iter().map(entry).collect(),
+        data: names.map(entry).collect(),
     }))
 }
 
--- a/reachtally-daemon/src/demo.rs
+++ b/reachtally-daemon/src/demo.rs
@@ -111,7 +111,7 @@
 }
 
 fn check_answer(text: &str) -> Result<(), Report<DemoError>> {
-    let expected: String = model::reference(LAYERS, PROMPT, TOKENS, false)
+    let expected: String = model::reference(LAYERS, "", PROMPT, TOKENS)
         .into_iter()
         .map(|token| token.text)
         .collect();
--- a/reachtally-daemon/src/main.rs
+++ b/reachtally-daemon/src/main.rs
@@ -7,6 +7,7 @@
 use bpaf::Bpaf;
 use reachtally_config::{Settings, settings};
 use reachtally_daemon::{demo, run, standalone};
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The entry box's daemon of reachtally, a router for language-model pipelines.
@@ -19,6 +20,9 @@
         /// Settings file (YAML)
         #[bpaf(argument("FILE"))]
         settings: Option<PathBuf>,
+        /// Worker threads
+        #[bpaf(argument("N"), fallback(1), guard(|n| *n > 0, "give at least 1"))]
+        threads: usize,
         /// Run with an embedded log, list, engines and services; needs no settings
         standalone: bool,
     },
@@ -38,10 +42,11 @@
 const CALLERS: ([u8; 4], u16) = ([127, 0, 0, 1], 7070);
 const OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 7071);
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     init_logs();
-    match execute(command().run()).await {
+    let command = command().run();
+    let done = runtime(&command).and_then(|runtime| runtime.block_on(execute(command)));
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("reachtallyd: {message}");
@@ -50,6 +55,20 @@
     }
 }
 
+/// One worker thread unless told otherwise: a step's way through the daemon then crosses no thread,
+/// which is what the time to the first token consists of.
+fn runtime(command: &Command) -> Result<Runtime, String> {
+    let threads = match command {
+        Command::Run { threads, .. } => *threads,
+        Command::Check { .. } | Command::Demo => 1,
+    };
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+        .map_err(|err| format!("can't start the runtime: {err}"))
+}
+
 /// Lines for changes of state; `RUST_LOG` chooses others. Rocket logs several lines for each request,
 /// so it is always off.
 fn init_logs() {
--- a/reachtally-daemon/src/standalone.rs
+++ b/reachtally-daemon/src/standalone.rs
@@ -25,6 +25,8 @@
 pub const OPERATOR_KEY: &str = "operator";
 /// The embedded model.
 pub const MODEL: &str = "demo";
+/// The embedded adapter.
+pub const ADAPTER: &str = "demo-quotes";
 /// Layers of the embedded model.
 pub const LAYERS: u32 = 24;
 /// Stages of each chain.
@@ -168,10 +170,15 @@
 
 fn declarations(engines: &[(String, Engine)], orders: &Service, lookup: &Service) -> Vec<Object> {
     let each = LAYERS / STAGES;
-    let mut objects = vec![Object::Model(declare::Model {
+    let model = declare::Model {
         name: MODEL.to_owned(),
         layers: LAYERS,
-    })];
+    };
+    let adapter = declare::Adapter {
+        name: ADAPTER.to_owned(),
+        model: MODEL.to_owned(),
+    };
+    let mut objects = vec![Object::Model(model), Object::Adapter(adapter)];
     for (at, (name, engine)) in engines.iter().enumerate() {
         let stage = at as u32 / REPLICAS;
         objects.push(Object::Engine(declare::Engine {
@@ -194,6 +201,8 @@
         name: "demo".to_owned(),
         key_hashes: vec![keys::hash(CALLER_KEY)],
         models: vec![MODEL.to_owned()],
+        adapters: vec![ADAPTER.to_owned()],
+        priority: 0,
         services: vec!["orders".to_owned(), "lookup".to_owned()],
         max_running: 4096,
     }));
--- a/reachtally-standin/src/engine/model.rs
+++ b/reachtally-standin/src/engine/model.rs
@@ -42,9 +42,16 @@
     mix(u64::from(token))
 }
 
-/// One layer over one position. `kv` is the digest of the layer's KV, which the position joins.
-pub fn layer(number: u32, input: u64, kv: &mut u64) -> u64 {
-    let output = mix(input ^ kv.rotate_left(17) ^ u64::from(number));
+/// What an adapter, named or empty for none, adds to each layer's number.
+pub fn adapter_salt(adapter: &str) -> u64 {
+    adapter
+        .bytes()
+        .fold(0, |salt, byte| mix(salt ^ u64::from(byte)))
+}
+
+/// One layer over one position, with an adapter's `salt`. `kv` is the digest of the layer's KV, which the position joins.
+pub fn layer(number: u32, salt: u64, input: u64, kv: &mut u64) -> u64 {
+    let output = mix(input ^ kv.rotate_left(17) ^ salt ^ u64::from(number));
     *kv = mix(*kv ^ input);
     output
 }
@@ -70,13 +77,14 @@
     }
 }
 
-/// What a model of `layers` layers answers, computed in one place.
-pub fn reference(layers: u32, prompt: &str, max_tokens: u32, ends: bool) -> Vec<Token> {
+/// What a model of `layers` layers answers with an adapter, empty for none, computed in one place.
+pub fn reference(layers: u32, adapter: &str, prompt: &str, max_tokens: u32) -> Vec<Token> {
+    let salt = adapter_salt(adapter);
     let mut kv = vec![0; layers as usize];
     let mut run = |token: u32| {
         let mut value = embed(token);
         for number in 0..layers {
-            value = layer(number, value, &mut kv[number as usize]);
+            value = layer(number, salt, value, &mut kv[number as usize]);
         }
         value
     };
@@ -86,12 +94,9 @@
     }
     let mut answer = Vec::new();
     while (answer.len() as u32) < max_tokens {
-        let token = sample(output, ends);
-        let (id, end) = (token.id, token.end);
+        let token = sample(output, false);
+        let id = token.id;
         answer.push(token);
-        if end {
-            break;
-        }
         output = run(id);
     }
     answer
--- a/reachtally-standin/src/engine/state.rs
+++ b/reachtally-standin/src/engine/state.rs
@@ -147,9 +147,10 @@
             return Err(StepRefusal::KvMissing);
         }
         kv.positions = end;
+        let salt = model::adapter_salt(&step.adapter);
         let outputs: Vec<u64> = inputs(step)
             .into_iter()
-            .map(|input| forward(layers, input, &mut kv.digests))
+            .map(|input| forward(layers, salt, input, &mut kv.digests))
             .collect();
         self.steps_run += 1;
         self.record(step, end);
@@ -233,8 +234,10 @@
     buf.freeze()
 }
 
-fn forward(layers: Layers, input: u64, digests: &mut [u64]) -> u64 {
+fn forward(layers: Layers, salt: u64, input: u64, digests: &mut [u64]) -> u64 {
     (layers.first..layers.end)
         .zip(digests)
-        .fold(input, |value, (number, kv)| model::layer(number, value, kv))
+        .fold(input, |value, (number, kv)| {
+            model::layer(number, salt, value, kv)
+        })
 }
--- a/reachtally-target/src/wire.rs
+++ b/reachtally-target/src/wire.rs
@@ -66,6 +66,8 @@
         positions: step.positions,
         restore_to: step.restore_to,
         outputs_from: step.outputs_from,
+        adapter: step.adapter,
+        priority: step.priority,
         input: Some(input),
     }
 }
@@ -107,6 +109,8 @@
         positions: step.positions,
         restore_to: step.restore_to,
         outputs_from: step.outputs_from,
+        adapter: step.adapter,
+        priority: step.priority,
         input,
     })
 }
--- a/reachtally-target/tests/target/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Tests of the target adapters.
-
-mod generated;
