--- a/reachtally-core/src/chain.rs
+++ b/reachtally-core/src/chain.rs
@@ -69,9 +69,29 @@
 /// don't all choose the same engine.
 const JITTER: f64 = 0.1;
 
+/// Mean time that the measured ones among `engines` take for one layer, if any was measured. It
+/// stands in for engines that have not been measured, so that a new one gets its part of the work.
+fn layer_time(engines: &EngineList, targets: &SlotMap<TargetKey, Target>) -> Option<f64> {
+    let mut sum = 0.0;
+    let mut layers = 0;
+    for target in engines.iter().filter_map(|key| targets.get(*key)) {
+        if let Some((_, range, _)) = target.engine()
+            && target.latency.is_measured()
+        {
+            sum += target.latency.expected(1).as_secs_f64();
+            layers += range.count();
+        }
+    }
+    (layers > 0).then(|| sum / f64::from(layers))
+}
+
 /// Predicted time of one decode step at `target`, in seconds, with what runs there.
-fn cost(target: &Target, slots: u32, rng: &mut ChaCha8Rng) -> f64 {
-    let step = target.latency.expected(1).as_secs_f64();
+fn cost(target: &Target, slots: u32, layer_time: Option<f64>, rng: &mut ChaCha8Rng) -> f64 {
+    let layers = target.engine().map_or(0, |(_, range, _)| range.count());
+    let step = match layer_time {
+        Some(time) if !target.latency.is_measured() => time * f64::from(layers),
+        _ => target.latency.expected(1).as_secs_f64(),
+    };
     let load = f64::from(target.running + 1) / f64::from(slots.max(1));
     let jitter = 1.0 + JITTER * rng.random::<f64>();
     step * (1.0 + load) * jitter
@@ -115,6 +135,7 @@
     rng: &mut ChaCha8Rng,
     full_too: bool,
 ) -> Option<Vec<Stage>> {
+    let layer_time = layer_time(engines, targets);
     let mut best: Vec<Option<(f64, Stage)>> = vec![None; layers as usize + 1];
     for &key in engines {
         let Some(target) = targets.get(key) else {
@@ -134,7 +155,7 @@
             Some((cost, _)) => cost,
             None => continue,
         };
-        let total = reached + cost(target, slots, rng);
+        let total = reached + cost(target, slots, layer_time, rng);
         let end = &mut best[range.end as usize];
         if end.is_none_or(|(cost, _)| total < cost) {
             let stage = Stage {
@@ -168,6 +189,7 @@
     not: TargetKey,
     rng: &mut ChaCha8Rng,
 ) -> Option<TargetKey> {
+    let layer_time = layer_time(engines, targets);
     let mut best: Option<(f64, TargetKey)> = None;
     for &key in engines.iter().filter(|key| **key != not) {
         let Some(target) = targets.get(key) else {
@@ -179,7 +201,7 @@
         if range != layers || !target.takes_work() {
             continue;
         }
-        let cost = cost(target, slots, rng);
+        let cost = cost(target, slots, layer_time, rng);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
--- a/reachtally-core/src/latency.rs
+++ b/reachtally-core/src/latency.rs
@@ -1,4 +1,4 @@
-//! A decayed quantile of step times and the time-out drawn from it.
+//! Decayed estimates of step times and the time-out drawn from them.
 
 use std::time::Duration;
 
@@ -12,37 +12,40 @@
 /// Bounds of the time-out: below the floor scheduling noise decides, above the cap nobody waits.
 const TIMEOUT_FLOOR: Duration = Duration::from_millis(250);
 const TIMEOUT_CAP: Duration = Duration::from_secs(30);
-/// Time assumed for one position before the first sample.
-const FIRST_GUESS: Duration = Duration::from_millis(40);
+/// Time assumed for a step over one position before the first sample.
+const FIRST_SINGLE: f64 = 0.040;
+/// Time assumed for each position of a span before the first sample.
+const FIRST_POSITION: f64 = 0.001;
+/// The least estimate, so that a quantile can grow from it.
+const LEAST: f64 = 1e-6;
 
-/// Step time per position of one engine, followed by stochastic approximation of a quantile: the
-/// estimate moves up by `GAIN * QUANTILE` of itself on a sample above it and down by
-/// `GAIN * (1 - QUANTILE)` on one below, so old samples decay and memory stays constant.
+/// A mean and a high quantile of times in seconds, followed by stochastic approximation: the quantile
+/// moves up by `GAIN * QUANTILE` of itself on a sample above it and down by `GAIN * (1 - QUANTILE)`
+/// on one below, so old samples decay and memory stays constant.
 #[derive(Debug, Clone)]
-pub struct Latency {
+struct Estimate {
     high: f64,
     mean: f64,
-    samples: u64,
+    measured: bool,
 }
 
-impl Default for Latency {
-    fn default() -> Self {
-        Latency {
-            high: FIRST_GUESS.as_secs_f64(),
-            mean: FIRST_GUESS.as_secs_f64(),
-            samples: 0,
+impl Estimate {
+    fn guess(seconds: f64) -> Self {
+        Estimate {
+            high: seconds,
+            mean: seconds,
+            measured: false,
         }
     }
-}
 
-impl Latency {
-    /// Take one step's time, which covered `positions` positions.
-    pub fn sample(&mut self, took: Duration, positions: u32) {
-        let sample = took.as_secs_f64() / weight(positions);
-        self.samples += 1;
-        if self.samples == 1 {
-            self.high = sample.max(1e-6);
-            self.mean = self.high;
+    fn sample(&mut self, seconds: f64) {
+        let sample = seconds.max(LEAST);
+        if !self.measured {
+            *self = Estimate {
+                high: sample,
+                mean: sample,
+                measured: true,
+            };
             return;
         }
         self.mean += GAIN * (sample - self.mean);
@@ -53,23 +56,56 @@
             self.high -= GAIN * (1.0 - QUANTILE) * self.high;
         }
     }
+}
+
+/// Step times of one engine: of a step over one position, and what each further position of a span
+/// adds.
+#[derive(Debug, Clone)]
+pub struct Latency {
+    single: Estimate,
+    position: Estimate,
+}
+
+impl Default for Latency {
+    fn default() -> Self {
+        Latency {
+            single: Estimate::guess(FIRST_SINGLE),
+            position: Estimate::guess(FIRST_POSITION),
+        }
+    }
+}
+
+impl Latency {
+    /// Take one step's time, which covered `positions` positions.
+    pub fn sample(&mut self, took: Duration, positions: u32) {
+        let took = took.as_secs_f64();
+        if positions <= 1 {
+            return self.single.sample(took);
+        }
+        let base = if self.single.measured {
+            self.single.mean
+        } else {
+            0.0
+        };
+        let further = f64::from(positions - 1);
+        self.position.sample((took - base) / further);
+    }
+
+    /// Whether a step over one position was ever timed.
+    pub fn is_measured(&self) -> bool {
+        self.single.measured
+    }
 
     /// Mean time of a step over `positions` positions.
     pub fn expected(&self, positions: u32) -> Duration {
-        Duration::from_secs_f64(self.mean * weight(positions))
+        let further = f64::from(positions.saturating_sub(1));
+        Duration::from_secs_f64(self.single.mean + self.position.mean * further)
     }
 
     /// Time after which a step over `positions` positions counts as lost.
     pub fn timeout(&self, positions: u32) -> Duration {
-        Duration::from_secs_f64(self.high * weight(positions) * TIMEOUT_FACTOR)
-            .clamp(TIMEOUT_FLOOR, TIMEOUT_CAP)
+        let further = f64::from(positions.saturating_sub(1));
+        let high = self.single.high + self.position.high * further;
+        Duration::from_secs_f64(high * TIMEOUT_FACTOR).clamp(TIMEOUT_FLOOR, TIMEOUT_CAP)
     }
 }
-
-/// Positions that one decode step's time covers when they are processed together: a span is read
-/// in one pass and costs far less than as many single steps.
-const POSITIONS_PER_STEP_TIME: f64 = 64.0;
-
-fn weight(positions: u32) -> f64 {
-    1.0 + f64::from(positions.saturating_sub(1)) / POSITIONS_PER_STEP_TIME
-}
--- a/reachtally-core/src/systems/accept.rs
+++ b/reachtally-core/src/systems/accept.rs
@@ -28,7 +28,7 @@
         world.counters.results_dropped += results.len() as u64;
         return;
     };
-    sample(world, &done, now);
+    sample(world, &done, &results, now);
     for result in results {
         let request = result.request.key();
         if is_awaited(world, call, &result) {
@@ -49,12 +49,15 @@
     world.mark_dirty(done.target);
 }
 
-fn sample(world: &mut World, done: &Call, now: Instant) {
+/// Time the call by its longest step; only the result tells how many positions a prompt has.
+fn sample(world: &mut World, done: &Call, results: &[StepResult], now: Instant) {
     let Some(target) = world.targets.get_mut(done.target) else {
         return;
     };
     *target.outstanding(done.load) -= 1;
-    if let Some(longest) = done.steps.iter().map(|sent| sent.positions).max() {
+    let sent = done.steps.iter().map(|sent| sent.positions);
+    let run = results.iter().map(|result| result.positions);
+    if let Some(longest) = sent.chain(run).max() {
         target.latency.sample(now.since(done.sent_at), longest);
     }
 }
--- a/reachtally-core/src/systems/dispatch.rs
+++ b/reachtally-core/src/systems/dispatch.rs
@@ -2,8 +2,7 @@
 
 use crate::effect::{Effect, Effects};
 use crate::ids::{CallKey, RequestId, RequestKey, TargetKey};
-use crate::request::Awaited;
-use crate::step::{Batch, Step};
+use crate::step::{Batch, Input, Step};
 use crate::systems::shift;
 use crate::target::Health;
 use crate::time::Instant;
@@ -99,9 +98,10 @@
     };
     let mut span = 1;
     for &request in requests {
-        if let Some((step, positions)) = take_step(world, request, call) {
+        if let Some(step) = take_step(world, request, call) {
+            let positions = step.positions;
             world.calls[call].steps.push(Sent { request, positions });
-            span = span.max(positions);
+            span = span.max(most_positions(&step));
             batch.steps.push(step);
         }
     }
@@ -118,8 +118,8 @@
     });
 }
 
-/// The step that `request` awaits, and the positions it is expected to take.
-fn take_step(world: &mut World, request: RequestKey, call: CallKey) -> Option<(Step, u32)> {
+/// The step that `request` awaits.
+fn take_step(world: &mut World, request: RequestKey, call: CallKey) -> Option<Step> {
     let id = RequestId::new(world.incarnation, request);
     let running = world.requests.get_mut(request)?.running()?;
     let attempt = running.attempt;
@@ -128,8 +128,7 @@
     let restore_to = running.accepted[awaited.stage];
     let input = awaited.input.take()?;
     awaited.call = Some(call);
-    let expected = expected_positions(awaited, &input);
-    let step = Step {
+    Some(Step {
         request: id,
         attempt,
         from: awaited.from,
@@ -139,14 +138,13 @@
         adapter,
         priority,
         input,
-    };
-    Some((step, expected))
+    })
 }
 
-/// A prompt takes at most as many positions as it has bytes.
-fn expected_positions(awaited: &Awaited, input: &crate::step::Input) -> u32 {
-    match input {
-        crate::step::Input::Tokens { text, .. } if awaited.positions == 0 => text.len() as u32,
-        _ => awaited.positions,
+/// The most positions a step can take: a prompt's text has at most one for each byte.
+fn most_positions(step: &Step) -> u32 {
+    match &step.input {
+        Input::Tokens { text, tokens } if step.positions == 0 => (text.len() + tokens.len()) as u32,
+        _ => step.positions,
     }
 }
--- a/reachtally-core/src/systems/finish.rs
+++ b/reachtally-core/src/systems/finish.rs
@@ -2,9 +2,10 @@
 
 use crate::claim::{Entry, Recorded};
 use crate::effect::{Completed, Effect, Effects, Finish};
-use crate::ids::{RequestId, RequestKey};
+use crate::ids::{RequestId, RequestKey, TargetKey};
 use crate::life::{GivenUp, Refusal, Unknown};
-use crate::request::{Answer, Progress, Request};
+use crate::request::{Answer, Progress, Request, Running};
+use crate::restore::KeptInputs;
 use crate::step::Release;
 use crate::systems::claims;
 use crate::world::World;
@@ -44,21 +45,16 @@
 
 /// Take a request out of every table and give its caller the final answer.
 pub fn finish(world: &mut World, request: RequestKey, end: Finish, out: &mut Effects) {
-    let dispatched = world
-        .requests
-        .get(request)
-        .is_some_and(|req| req.is_dispatched());
-    leave_chain(world, request);
-    let Some(mut req) = world.requests.remove(request) else {
+    let left = leave_targets(world, request);
+    let Some(req) = world.requests.remove(request) else {
         return;
     };
     if let Some(account) = world.accounts.get_mut(req.account) {
         account.running -= 1;
     }
     count(world, &end);
-    if dispatched || matches!(end, Finish::NotRun(_) | Finish::Abandoned) {
-        settle_claim(world, request, &mut req, &end, out);
-    }
+    let text = left.map(|running| running.text);
+    settle_claim(world, request, &req, text, &end, out);
     out.push(Effect::Finish {
         request,
         finish: end,
@@ -81,7 +77,8 @@
 fn settle_claim(
     world: &mut World,
     request: RequestKey,
-    req: &mut Request,
+    req: &Request,
+    text: Option<String>,
     end: &Finish,
     out: &mut Effects,
 ) {
@@ -97,7 +94,7 @@
     if !was_first || !owned {
         return;
     }
-    match outcome(req, end) {
+    match outcome(req, text, end) {
         Some(outcome) => {
             world.outbox.push(Entry::Outcome {
                 key: key.clone(),
@@ -109,19 +106,16 @@
     }
 }
 
-/// What to record of a dispatched request's end; nothing if it never ran.
-fn outcome(req: &Request, end: &Finish) -> Option<Recorded> {
+/// What to record of a request's end, with the text of a completion; nothing if it never ran.
+fn outcome(req: &Request, text: Option<String>, end: &Finish) -> Option<Recorded> {
     match end {
         Finish::NotRun(_) => None,
         Finish::Completed(Completed::Service(answer)) => Some(Recorded::of(answer)),
-        Finish::Completed(Completed::Completion(_)) => match &req.progress {
-            Progress::Running(running) => Some(Recorded::of(&Answer {
-                status: 200,
-                content_type: Some("text/plain".into()),
-                body: running.text.clone().into(),
-            })),
-            _ => Some(Recorded::Unknown),
-        },
+        Finish::Completed(Completed::Completion(_)) => Some(Recorded::of(&Answer {
+            status: 200,
+            content_type: Some("text/plain".to_owned()),
+            body: text.unwrap_or_default().into(),
+        })),
         Finish::Completed(Completed::Recorded(_)) => None,
         Finish::Unknown(_) => Some(Recorded::Unknown),
         Finish::Abandoned if !req.is_dispatched() => None,
@@ -129,39 +123,42 @@
     }
 }
 
-/// Take a request off its targets; engines are told to forget it.
-pub fn leave_chain(world: &mut World, request: RequestKey) {
+/// Take a request off its targets, so that it waits for dispatch again or ends. Engines are told to
+/// forget it. Yields the run that was left.
+pub fn leave_targets(world: &mut World, request: RequestKey) -> Option<Box<Running>> {
     let id = RequestId::new(world.incarnation, request);
-    let Some(req) = world.requests.get_mut(request) else {
-        return;
-    };
-    match &mut req.progress {
-        Progress::Waiting => {}
+    let req = world.requests.get_mut(request)?;
+    match std::mem::replace(&mut req.progress, Progress::Waiting) {
+        Progress::Waiting => None,
         Progress::Calling { target } => {
-            let target = *target;
             if let Some(row) = world.targets.get_mut(target) {
                 row.running -= 1;
             }
-            req.progress = Progress::Waiting;
+            None
         }
-        Progress::Running(running) => {
-            let release = Release {
-                request: id,
-                attempt: running.attempt,
-            };
+        Progress::Running(mut running) => {
             world.kept_bytes -= running
                 .kept
                 .iter_mut()
-                .map(|kept| kept.reset())
+                .map(KeptInputs::reset)
                 .sum::<usize>();
-            let stages: Vec<_> = running.chain.iter().map(|stage| stage.target).collect();
-            for target in stages {
-                if let Some(row) = world.targets.get_mut(target) {
-                    row.running -= 1;
-                    row.releases.push(release);
-                    world.mark_dirty(target);
-                }
+            let release = Release {
+                request: id,
+                attempt: running.attempt,
+            };
+            for stage in &running.chain {
+                leave_stage(world, stage.target, release);
             }
+            Some(running)
         }
     }
 }
+
+/// Take a request off one stage.
+pub fn leave_stage(world: &mut World, target: TargetKey, release: Release) {
+    if let Some(row) = world.targets.get_mut(target) {
+        row.running -= 1;
+        row.releases.push(release);
+    }
+    world.mark_dirty(target);
+}
--- a/reachtally-core/src/systems/service.rs
+++ b/reachtally-core/src/systems/service.rs
@@ -95,7 +95,7 @@
     failure: CallFailure,
     out: &mut Effects,
 ) {
-    finish::leave_chain(world, request);
+    finish::leave_targets(world, request);
     let req = &mut world.requests[request];
     if let CallFailure::NeverStarted(proof) = failure {
         req.state = req.state.take().map(|state| state.never_started(proof));
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -65,7 +65,7 @@
         return lost(world, request, now, out);
     }
     req.state = req.state.take().map(|state| state.never_started(proof));
-    finish::leave_chain(world, request);
+    finish::leave_targets(world, request);
     start::start(world, request, now, out);
 }
 
@@ -227,11 +227,7 @@
     if old == new {
         return;
     }
-    if let Some(target) = world.targets.get_mut(old) {
-        target.running -= 1;
-        target.releases.push(release);
-    }
-    world.mark_dirty(old);
+    finish::leave_stage(world, old, release);
     world.targets[new].running += 1;
 }
 
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -67,7 +67,7 @@
 pub struct Sent {
     /// The request.
     pub request: RequestKey,
-    /// Number of positions, as far as known.
+    /// Number of positions, 0 while only the engine knows it.
     pub positions: u32,
 }
 
--- /dev/null
+++ b/reachtally-core/tests/core/claims.rs
@@ -0,0 +1,279 @@
+//! A request that may not be repeated runs at most once, whatever fails.
+
+use std::time::Duration;
+
+use reachtally_core::Limits;
+use reachtally_core::claim::Entry;
+use reachtally_core::life::{Refusal, Unknown};
+use reachtally_standin::fabric::{Behaviour, End, Fabric};
+
+use crate::setup::*;
+
+fn order(key: &str) -> reachtally_core::request::Ask {
+    call(ORDERS, Some(key), "ten pallets")
+}
+
+fn answered() -> End {
+    End::Answered("done new".to_owned())
+}
+
+fn recorded() -> End {
+    End::Recorded("done new".to_owned())
+}
+
+fn order_time(fabric: &mut Fabric, time: Duration) {
+    for instance in 0..2 {
+        let url = service_url(ORDERS, instance);
+        fabric.services.get_mut(&url).expect("declared").time = time;
+    }
+}
+
+#[test]
+fn a_claimed_request_runs_once_and_a_retry_gets_the_recorded_outcome() {
+    let mut fabric = fabric(2);
+    let first = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND);
+    let same_box = fabric.ask(0, order("k"));
+    let other_box = fabric.ask(1, order("k"));
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 0, first), Some(&answered()));
+    assert_eq!(end(&fabric, 0, same_box), Some(&recorded()));
+    assert_eq!(end(&fabric, 1, other_box), Some(&recorded()));
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn a_retry_while_the_first_runs_waits_for_its_outcome() {
+    let mut fabric = fabric(2);
+    order_time(&mut fabric, SECOND);
+    let first = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND / 10);
+    let same_box = fabric.ask(0, order("k"));
+    let other_box = fabric.ask(1, order("k"));
+    fabric.run_for(2 * SECOND);
+    assert_eq!(end(&fabric, 0, first), Some(&answered()));
+    assert_eq!(end(&fabric, 0, same_box), Some(&recorded()));
+    assert_eq!(end(&fabric, 1, other_box), Some(&recorded()));
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn two_boxes_that_claim_at_once_run_it_once() {
+    let mut fabric = fabric(2);
+    let a = fabric.ask(0, order("k"));
+    let b = fabric.ask(1, order("k"));
+    fabric.run_for(2 * SECOND);
+    let ends = [end(&fabric, 0, a), end(&fabric, 1, b)];
+    assert!(ends.contains(&Some(&answered())), "{ends:?}");
+    assert!(ends.contains(&Some(&recorded())), "{ends:?}");
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn a_lost_append_answer_is_settled_by_reading() {
+    let mut fabric = fabric(1);
+    fabric.log.lose_answers = 1;
+    let key = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 0, key), Some(&answered()));
+    assert_eq!(runs(&fabric, "k"), 1);
+    let claims = fabric
+        .log
+        .claims
+        .iter()
+        .flat_map(|read| &read.record.entries);
+    let claims = claims.filter(|entry| matches!(entry, Entry::Claim { .. }));
+    assert_eq!(claims.count(), 1);
+}
+
+#[test]
+fn an_append_that_had_no_effect_is_repeated() {
+    let mut fabric = fabric(1);
+    fabric.log.lose_appends = 2;
+    let key = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 0, key), Some(&answered()));
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn while_the_log_is_down_it_is_refused_as_not_run_and_never_sent_later() {
+    let mut fabric = fabric(1);
+    fabric.log.down = true;
+    let key = fabric.ask(0, order("k"));
+    let wait = Limits::default().claim_wait;
+    fabric.run_for(wait + SECOND);
+    assert_eq!(
+        end(&fabric, 0, key),
+        Some(&End::NotRun(Refusal::ClaimUnconfirmed))
+    );
+    fabric.heal_log();
+    fabric.run_for(5 * SECOND);
+    assert_eq!(runs(&fabric, "k"), 0);
+    let again = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 0, again), Some(&answered()));
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn completions_without_a_key_are_served_while_the_log_is_down() {
+    let mut fabric = fabric(1);
+    fabric.log.down = true;
+    let key = fabric.ask(0, completion(5));
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, 5);
+}
+
+#[test]
+fn a_claim_that_lands_after_its_request_was_refused_is_released() {
+    let mut fabric = fabric(2);
+    fabric.log.delay = 8 * SECOND;
+    let key = fabric.ask(0, order("k"));
+    fabric.run_for(6 * SECOND);
+    assert_eq!(
+        end(&fabric, 0, key),
+        Some(&End::NotRun(Refusal::ClaimUnconfirmed))
+    );
+    fabric.log.delay = Duration::ZERO;
+    fabric.run_for(5 * SECOND);
+    assert_eq!(runs(&fabric, "k"), 0);
+    let again = fabric.ask(1, order("k"));
+    fabric.run_for(2 * SECOND);
+    assert_eq!(end(&fabric, 1, again), Some(&answered()));
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn a_box_paused_between_claim_and_send_does_not_double_it() {
+    let mut fabric = fabric(2);
+    let first = fabric.ask(0, order("k"));
+    let wake = fabric.now + 30 * SECOND;
+    fabric.pause(0, wake);
+    fabric.run_for(SECOND);
+    let retry = fabric.ask(1, order("k"));
+    fabric.run_for(20 * SECOND);
+    assert_eq!(
+        end(&fabric, 1, retry),
+        Some(&End::Unknown(Unknown::OwnedElsewhere))
+    );
+    fabric.run_for(20 * SECOND);
+    assert!(end(&fabric, 0, first).is_some());
+    assert!(runs(&fabric, "k") <= 1);
+}
+
+#[test]
+fn an_owner_that_dies_leaves_the_outcome_unknown_and_nobody_takes_over() {
+    let mut fabric = fabric(2);
+    order_time(&mut fabric, SECOND);
+    fabric.ask(0, order("k"));
+    fabric.run_for(SECOND / 2);
+    assert_eq!(runs(&fabric, "k"), 1);
+    fabric.restart(0, 99, &Limits::default());
+    let by_new_run = fabric.ask(0, order("k"));
+    let by_other = fabric.ask(1, order("k"));
+    fabric.run_for(10 * SECOND);
+    let unknown = End::Unknown(Unknown::OwnedElsewhere);
+    assert_eq!(end(&fabric, 0, by_new_run), Some(&unknown));
+    assert_eq!(end(&fabric, 1, by_other), Some(&unknown));
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn an_outcome_that_is_unknown_is_recorded_as_such() {
+    let mut fabric = fabric(2);
+    for instance in 0..2 {
+        let url = service_url(ORDERS, instance);
+        fabric
+            .services
+            .get_mut(&url)
+            .expect("declared")
+            .behave(&[Behaviour::Lose]);
+    }
+    let first = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND);
+    assert_eq!(
+        end(&fabric, 0, first),
+        Some(&End::Unknown(Unknown::AnswerLost))
+    );
+    let asked_at = fabric.now;
+    let retry = fabric.ask(1, order("k"));
+    fabric.run_for(SECOND);
+    assert_eq!(
+        end(&fabric, 1, retry),
+        Some(&End::Unknown(Unknown::OwnedElsewhere))
+    );
+    let ended_at = fabric.nodes[1].answered[&retry].ended_at;
+    assert_eq!(ended_at, Some(asked_at), "the answer was held back");
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn the_same_key_with_another_body_is_an_error_of_its_own() {
+    let mut fabric = fabric(2);
+    fabric.ask(0, order("k"));
+    fabric.run_for(SECOND);
+    let other_body = fabric.ask(1, call(ORDERS, Some("k"), "twenty pallets"));
+    fabric.run_for(SECOND);
+    assert_eq!(
+        end(&fabric, 1, other_body),
+        Some(&End::NotRun(Refusal::KeyReused))
+    );
+    assert_eq!(runs(&fabric, "k"), 1);
+}
+
+#[test]
+fn keys_of_different_accounts_are_different() {
+    let mut fabric = fabric(1);
+    let mut other = order("k");
+    other.account = "small".to_owned();
+    let a = fabric.ask(0, order("k"));
+    let b = fabric.ask(0, other);
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 0, a), Some(&answered()));
+    assert_eq!(end(&fabric, 0, b), Some(&answered()));
+}
+
+#[test]
+fn many_claims_share_few_appends() {
+    let mut fabric = fabric(1);
+    for n in 0..50 {
+        fabric.ask(0, order(&format!("k{n}")));
+    }
+    fabric.run_for(2 * SECOND);
+    for n in 0..50 {
+        assert_eq!(runs(&fabric, &format!("k{n}")), 1);
+    }
+    assert!(world(&fabric).counters.claim_appends <= 4);
+}
+
+#[test]
+fn a_keyed_completion_runs_once_and_its_text_is_recorded() {
+    let mut fabric = fabric(2);
+    let mut ask = completion(5);
+    ask.idempotency_key = Some("quote-1".to_owned());
+    let first = fabric.ask(0, ask.clone());
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, first, 5);
+    let text = fabric.nodes[0].answered[&first].text();
+    let retry = fabric.ask(1, ask);
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 1, retry), Some(&End::Recorded(text)));
+}
+
+#[test]
+fn a_keyed_request_whose_caller_hangs_up_keeps_its_key_once_sent() {
+    let mut fabric = fabric(2);
+    order_time(&mut fabric, SECOND);
+    let first = fabric.ask(0, order("k"));
+    fabric.run_for(SECOND / 2);
+    fabric.handle(0, reachtally_core::Event::HungUp(first));
+    fabric.run_for(2 * SECOND);
+    let retry = fabric.ask(1, order("k"));
+    fabric.run_for(10 * SECOND);
+    assert_eq!(
+        end(&fabric, 1, retry),
+        Some(&End::Unknown(Unknown::OwnedElsewhere))
+    );
+    assert_eq!(runs(&fabric, "k"), 1);
+}
--- /dev/null
+++ b/reachtally-core/tests/core/stages.rs
@@ -0,0 +1,299 @@
+//! Stages that die, hang, slow down or answer oddly: every layer once a token, the whole answer.
+
+use std::time::Duration;
+
+use reachtally_core::life::Unknown;
+use reachtally_core::{Event, Limits};
+use reachtally_standin::fabric::{Behaviour, End};
+
+use crate::setup::*;
+
+const TOKENS: u32 = 30;
+/// Tokens of a request that outlives several deaths.
+const LONG: u32 = 80;
+/// Time after which about ten tokens have come.
+const HALF_WAY: Duration = Duration::from_millis(400);
+
+#[test]
+fn without_faults_the_answer_is_the_models() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(shifts(&fabric), 0);
+}
+
+#[test]
+fn a_stage_that_dies_is_replaced_by_replay_of_its_own_inputs() {
+    for stage in 0..STAGES {
+        let mut fabric = fabric(1);
+        let key = fabric.ask(0, completion(TOKENS));
+        fabric.run_for(HALF_WAY);
+        let url = serving(&fabric, stage);
+        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        fabric.run_for(5 * SECOND);
+        assert_whole(&fabric, key, TOKENS);
+        assert_eq!(world(&fabric).counters.restored_by_replay, 1);
+        assert_eq!(world(&fabric).counters.restored_by_prefill, 0);
+    }
+}
+
+#[test]
+fn a_stage_that_dies_during_the_prompt_is_replaced() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(Duration::from_millis(15));
+    for replica in 0..2 {
+        if fabric.engines[&engine_url(1, replica)]
+            .state
+            .requests_held()
+            == 0
+        {
+            continue;
+        }
+        fabric
+            .engines
+            .get_mut(&engine_url(1, replica))
+            .expect("declared")
+            .dead = true;
+    }
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+}
+
+#[test]
+fn a_stage_whose_inputs_were_not_kept_is_restored_by_prefill() {
+    let limits = Limits {
+        replay_bytes: 0,
+        ..Limits::default()
+    };
+    let mut fabric = fabric_with(1, &limits);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    let url = serving(&fabric, 1);
+    fabric.engines.get_mut(&url).expect("declared").dead = true;
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(world(&fabric).counters.restored_by_prefill, 1);
+    assert_eq!(world(&fabric).kept_bytes(), 0);
+}
+
+#[test]
+fn a_stage_that_answers_nothing_is_replaced_after_its_time_out() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    let url = serving(&fabric, 1);
+    let silent = [Behaviour::Silent; 4];
+    fabric
+        .engines
+        .get_mut(&url)
+        .expect("declared")
+        .behave(&silent);
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(shifts(&fabric), 1);
+}
+
+#[test]
+fn a_stage_at_half_its_speed_is_not_shifted() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    for engine in fabric.engines.values_mut() {
+        engine.slow = 2.0;
+    }
+    fabric.run_for(10 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(shifts(&fabric), 0);
+}
+
+#[test]
+fn a_doubled_answer_is_taken_once() {
+    let mut fabric = fabric(1);
+    let double = [Behaviour::Double; 40];
+    for engine in fabric.engines.values_mut() {
+        engine.behave(&double);
+    }
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(
+        world(&fabric).counters.results_dropped,
+        u64::from(TOKENS * STAGES)
+    );
+}
+
+#[test]
+fn an_answer_that_comes_after_the_shift_is_dropped() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    let url = serving(&fabric, 2);
+    let late = [Behaviour::Late(Duration::from_millis(700))];
+    fabric
+        .engines
+        .get_mut(&url)
+        .expect("declared")
+        .behave(&late);
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(shifts(&fabric), 1);
+    assert_eq!(world(&fabric).counters.results_dropped, 1);
+}
+
+#[test]
+fn a_lost_answer_moves_the_stage_without_running_a_layer_twice_in_the_lineage() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    let url = serving(&fabric, 0);
+    fabric
+        .engines
+        .get_mut(&url)
+        .expect("declared")
+        .behave(&[Behaviour::Lose]);
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(shifts(&fabric), 1);
+}
+
+#[test]
+fn two_stages_that_die_at_once_are_both_replaced() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    for stage in [0, 2] {
+        let url = serving(&fabric, stage);
+        fabric.engines.get_mut(&url).expect("declared").dead = true;
+    }
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, TOKENS);
+    assert_eq!(shifts(&fabric), 2);
+}
+
+#[test]
+fn a_replacement_that_dies_too_is_replaced_by_the_first_engine_come_back() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(LONG));
+    fabric.run_for(HALF_WAY);
+    let first = serving(&fabric, 1);
+    fabric.engines.get_mut(&first).expect("declared").dead = true;
+    fabric.run_for(Duration::from_millis(100));
+    fabric.engines.get_mut(&first).expect("declared").revive();
+    fabric.run_for(SECOND / 2);
+    let second = serving(&fabric, 1);
+    assert_ne!(first, second);
+    fabric.engines.get_mut(&second).expect("declared").dead = true;
+    fabric.run_for(5 * SECOND);
+    let answered = &fabric.nodes[0].answered[&key];
+    assert_eq!(answered.tokens.len(), LONG as usize, "{:?}", answered.end);
+    assert_eq!(shifts(&fabric), 2);
+}
+
+#[test]
+fn without_any_engine_left_the_outcome_is_unknown_once_the_wait_is_over() {
+    let limits = Limits::default();
+    let mut fabric = fabric_with(1, &limits);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    let died_at = fabric.now;
+    for replica in 0..2 {
+        fabric
+            .engines
+            .get_mut(&engine_url(1, replica))
+            .expect("declared")
+            .dead = true;
+    }
+    fabric.run_for(limits.replacement_wait / 2);
+    assert_eq!(end(&fabric, 0, key), None);
+    fabric.run_for(limits.replacement_wait);
+    assert_eq!(
+        end(&fabric, 0, key),
+        Some(&End::Unknown(Unknown::NoReplacement))
+    );
+    let ended_at = fabric.nodes[0].answered[&key].ended_at.expect("it ended");
+    assert!(ended_at.since(died_at) < limits.replacement_wait + SECOND);
+}
+
+#[test]
+fn an_engine_that_comes_back_in_time_takes_the_request_up_again() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    for replica in 0..2 {
+        fabric
+            .engines
+            .get_mut(&engine_url(1, replica))
+            .expect("declared")
+            .dead = true;
+    }
+    fabric.run_for(2 * SECOND);
+    fabric
+        .engines
+        .get_mut(&engine_url(1, 0))
+        .expect("declared")
+        .revive();
+    fabric.run_for(10 * SECOND);
+    let answered = &fabric.nodes[0].answered[&key];
+    assert_eq!(answered.tokens.len(), TOKENS as usize, "{:?}", answered.end);
+}
+
+#[test]
+fn a_caller_that_hangs_up_frees_every_stage() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(HALF_WAY);
+    fabric.handle(0, Event::HungUp(key));
+    fabric.run_for(SECOND);
+    assert_eq!(end(&fabric, 0, key), Some(&End::Abandoned));
+    let held = fabric
+        .engines
+        .values()
+        .map(|engine| engine.state.requests_held());
+    assert_eq!(held.sum::<usize>(), 0);
+    assert!(world(&fabric).is_idle());
+    assert_eq!(world(&fabric).kept_bytes(), 0);
+}
+
+#[test]
+fn a_slow_caller_pauses_only_its_own_request() {
+    let limits = Limits {
+        caller_window: 4,
+        ..Limits::default()
+    };
+    let mut fabric = fabric_with(1, &limits);
+    fabric.nodes[0].callers_take = false;
+    let slow = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(3 * SECOND);
+    assert_eq!(fabric.nodes[0].answered[&slow].tokens.len(), 4);
+    fabric.nodes[0].callers_take = true;
+    let quick = fabric.ask(0, completion(TOKENS));
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, quick, TOKENS);
+    assert_eq!(fabric.nodes[0].answered[&slow].tokens.len(), 4);
+    fabric.handle(
+        0,
+        Event::Drained {
+            request: slow,
+            tokens: 4,
+        },
+    );
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, slow, TOKENS);
+}
+
+#[test]
+fn many_requests_crossing_each_other_each_get_their_own_answer() {
+    let mut fabric = fabric(1);
+    let keys: Vec<_> = (0..20)
+        .map(|n| fabric.ask(0, completion(TOKENS + n)))
+        .collect();
+    fabric.run_for(HALF_WAY);
+    let url = engine_url(1, 0);
+    fabric.engines.get_mut(&url).expect("declared").dead = true;
+    fabric.run_for(20 * SECOND);
+    for (n, key) in keys.into_iter().enumerate() {
+        assert_whole(&fabric, key, TOKENS + n as u32);
+    }
+}
--- a/reachtally-standin/src/engine/kv.rs
+++ b/reachtally-standin/src/engine/kv.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use reachtally_core::ids::RequestId;
+use serde::{Deserialize, Serialize};
 
 /// Released attempts remembered.
 const RELEASED_MAX: usize = 65_536;
@@ -15,6 +16,15 @@
     pub digests: Vec<u64>,
 }
 
+/// KV of one request as it is exported and imported.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvExport {
+    /// Positions that it covers.
+    pub positions: u32,
+    /// Digest of each layer's KV.
+    pub digests: Vec<u64>,
+}
+
 /// KV of all requests.
 #[derive(Debug, Default)]
 pub(super) struct KvStore {
@@ -54,6 +64,20 @@
         })
     }
 
+    pub fn export(&self, request: RequestId) -> Option<KvExport> {
+        let kv = self.by_request.get(&request)?;
+        Some(KvExport {
+            positions: kv.positions,
+            digests: kv.digests.clone(),
+        })
+    }
+
+    pub fn import(&mut self, request: RequestId, export: KvExport) {
+        let kv = self.entry(request, export.digests.len() as u32);
+        kv.positions = export.positions;
+        kv.digests = export.digests;
+    }
+
     pub fn release(&mut self, request: RequestId, attempt: u32) {
         if self
             .by_request
--- a/reachtally-standin/src/engine/mod.rs
+++ b/reachtally-standin/src/engine/mod.rs
@@ -3,6 +3,8 @@
 mod faults;
 mod kv;
 mod ledger;
+mod orders;
+mod reports;
 mod server;
 mod state;
 mod timing;
@@ -10,7 +12,11 @@
 pub mod model;
 
 pub use faults::{Fault, Faults};
+pub use kv::KvExport;
 pub use ledger::{Ledger, LedgerRun};
+pub use orders::{Action, Order, OutdatedFence};
+pub use reports::{CacheEvent, Load};
 pub use server::{Engine, start};
-pub use state::Options;
+pub(crate) use state::positions;
+pub use state::{Options, State};
 pub use timing::StepTime;
--- a/reachtally-standin/src/engine/server.rs
+++ b/reachtally-standin/src/engine/server.rs
@@ -5,19 +5,21 @@
 use std::time::Duration;
 
 use reachtally_core::ids::RequestId;
-use reachtally_core::step::{Batch, Input, StepResult};
+use reachtally_core::step::{Batch, StepResult};
 use reachtally_listen::{Error, Listener};
 use reachtally_target::{NOT_RUN, OUTCOME_HEADER, wire};
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Header, Status};
 use rocket::response::{self, Responder, Response};
 use rocket::serde::json::Json;
-use rocket::{Request, Shutdown, get, post, routes};
-use serde::Serialize;
+use rocket::{Request, Shutdown, get, post, put, routes};
 use tokio::sync::{mpsc, oneshot};
 
 use super::faults::{Fault, Faults};
+use super::kv::KvExport;
 use super::ledger::{Ledger, LedgerRun};
+use super::orders::Order;
+use super::reports::{CacheEvent, Load};
 use super::state::{Options, State};
 
 /// The longest body taken.
@@ -70,7 +72,7 @@
 
     /// A copy of its ledger.
     pub fn ledger(&self) -> Ledger {
-        self.shared.lock().ledger.clone()
+        self.shared.lock().ledger().clone()
     }
 
     /// Steps run since it started.
@@ -83,6 +85,13 @@
         self.shared.lock().requests_held()
     }
 
+    /// Orders it took, and what it holds loaded.
+    pub fn loaded(&self) -> (u64, Vec<String>) {
+        let state = self.shared.lock();
+        let loaded = state.orders.loaded.iter().cloned().collect();
+        (state.orders.taken, loaded)
+    }
+
     /// Close it.
     pub async fn stop(self) {
         self.listener.stop().await;
@@ -107,21 +116,41 @@
     tokio::spawn(iterate(shared.state.clone(), rx));
     let managed = shared.clone();
     let listener = reachtally_listen::start(listen, |rocket| {
-        rocket
-            .manage(managed)
-            .mount("/", routes![steps, health, load, ledger, fault])
+        rocket.manage(managed).mount(
+            "/",
+            routes![
+                steps,
+                health,
+                load,
+                cache_events,
+                order,
+                export,
+                import,
+                ledger,
+                fault
+            ],
+        )
     })
     .await?;
     Ok(Engine { listener, shared })
 }
 
-/// Continuous batching: each iteration takes every call that waits, and all of them end with it.
+/// Continuous batching: each iteration takes the calls that wait, those of a higher priority first,
+/// up to a number of positions; all of them end with it.
 async fn iterate(state: Arc<Mutex<State>>, mut rx: mpsc::UnboundedReceiver<Job>) {
-    while let Some(first) = rx.recv().await {
-        let mut jobs = vec![first];
+    let mut waiting = Vec::new();
+    loop {
+        if waiting.is_empty() {
+            match rx.recv().await {
+                Some(job) => waiting.push(job),
+                None => return,
+            }
+        }
         while let Ok(job) = rx.try_recv() {
-            jobs.push(job);
+            waiting.push(job);
         }
+        let most = lock(&state).options.iteration_positions;
+        let jobs = take_iteration(&mut waiting, most);
         let positions: u32 = jobs.iter().map(|job| positions(&job.batch)).sum();
         let wait = iteration_time(&mut lock(&state), positions);
         if !wait.is_zero() {
@@ -135,14 +164,25 @@
     }
 }
 
-fn positions(batch: &Batch) -> u32 {
-    let of = |step: &reachtally_core::step::Step| match &step.input {
-        Input::Tokens { text, tokens } => {
-            (text.split_whitespace().count() + tokens.len()).max(1) as u32
-        }
-        Input::Activations(_) => step.positions,
+fn priority(job: &Job) -> u32 {
+    let priorities = job.batch.steps.iter().map(|step| step.priority);
+    priorities.max().unwrap_or(0)
+}
+
+/// Take the calls of the next iteration: at least one, by priority, then by arrival.
+fn take_iteration(waiting: &mut Vec<Job>, most: u32) -> Vec<Job> {
+    waiting.sort_by_key(|job| std::cmp::Reverse(priority(job)));
+    let mut sum = 0;
+    let fits = |job: &&Job| {
+        sum += positions(&job.batch);
+        sum <= most
     };
-    batch.steps.iter().map(of).sum()
+    let count = waiting.iter().take_while(fits).count().max(1);
+    waiting.drain(..count).collect()
+}
+
+fn positions(batch: &Batch) -> u32 {
+    batch.steps.iter().map(super::state::positions).sum()
 }
 
 fn iteration_time(state: &mut State, positions: u32) -> Duration {
@@ -207,31 +247,55 @@
     "up"
 }
 
-/// The load that an engine reports.
-#[derive(Debug, Serialize)]
-struct Load {
-    requests: usize,
-    slots: u32,
-    steps_run: u64,
-}
-
 #[get("/v1/load")]
 fn load(shared: &rocket::State<Shared>) -> Json<Load> {
-    let state = shared.lock();
-    Json(Load {
-        requests: state.requests_held(),
-        slots: state.options.slots,
-        steps_run: state.steps_run,
-    })
+    Json(shared.lock().reports.load())
 }
 
-#[get("/ledger/<incarnation>/<seq>")]
-fn ledger(incarnation: u64, seq: u64, shared: &rocket::State<Shared>) -> Json<Vec<LedgerRun>> {
-    let request = RequestId {
+#[get("/v1/cache-events?<after>")]
+fn cache_events(after: u64, shared: &rocket::State<Shared>) -> Json<Vec<CacheEvent>> {
+    Json(shared.lock().reports.events(after))
+}
+
+#[post("/v1/orders", data = "<order>")]
+fn order(order: Json<Order>, shared: &rocket::State<Shared>) -> Result<(), Status> {
+    let taken = shared.lock().order(order.into_inner());
+    taken.map_err(|_| Status::Conflict)
+}
+
+fn id(incarnation: u64, seq: u64) -> RequestId {
+    RequestId {
         incarnation: reachtally_core::Incarnation(incarnation),
         seq,
-    };
-    Json(shared.lock().ledger.of(request).to_vec())
+    }
+}
+
+#[get("/v1/kv/<incarnation>/<seq>")]
+fn export(
+    incarnation: u64,
+    seq: u64,
+    shared: &rocket::State<Shared>,
+) -> Result<Json<KvExport>, Status> {
+    let export = shared.lock().export(id(incarnation, seq));
+    export.map(Json).ok_or(Status::NotFound)
+}
+
+#[put("/v1/kv/<incarnation>/<seq>", data = "<export>")]
+fn import(
+    incarnation: u64,
+    seq: u64,
+    export: Json<KvExport>,
+    shared: &rocket::State<Shared>,
+) -> Result<(), Status> {
+    let fits = shared
+        .lock()
+        .import(id(incarnation, seq), export.into_inner());
+    fits.then_some(()).ok_or(Status::UnprocessableEntity)
+}
+
+#[get("/ledger/<incarnation>/<seq>")]
+fn ledger(incarnation: u64, seq: u64, shared: &rocket::State<Shared>) -> Json<Vec<LedgerRun>> {
+    Json(shared.lock().ledger().of(id(incarnation, seq)).to_vec())
 }
 
 #[post("/faults", data = "<fault>")]
--- a/reachtally-standin/src/engine/state.rs
+++ b/reachtally-standin/src/engine/state.rs
@@ -1,13 +1,18 @@
 //! Running steps: KV, ledger, and the function of [`model`](super::model).
 
+use std::time::Duration;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use reachtally_core::declare::Layers;
+use reachtally_core::ids::RequestId;
 use reachtally_core::step::{Batch, Input, Output, Step, StepRefusal, StepResult};
 
 use super::faults::Faults;
-use super::kv::KvStore;
+use super::kv::{KvExport, KvStore};
 use super::ledger::{Ledger, LedgerRun};
 use super::model;
+use super::orders::{Order, Orders, OutdatedFence};
+use super::reports::{Load, Reports};
 use super::timing::StepTime;
 
 /// What an engine is.
@@ -27,6 +32,12 @@
     pub ends: bool,
     /// Whether to keep a ledger.
     pub ledger: bool,
+    /// Whether orders with an outdated fence are refused.
+    pub checks_fence: bool,
+    /// Lag of the load and the cache events that it reports.
+    pub report_lag: Duration,
+    /// Positions in one iteration at most; what is left waits, lower priorities longest.
+    pub iteration_positions: u32,
 }
 
 impl Options {
@@ -40,44 +51,89 @@
             step_time: StepTime::NONE,
             ends: false,
             ledger: true,
+            checks_fence: false,
+            report_lag: Duration::ZERO,
+            iteration_positions: 1 << 16,
         }
     }
 }
 
-/// The state of one engine.
+/// The state of one engine, without sockets or clocks of its own.
 #[derive(Debug)]
-pub(super) struct State {
-    pub options: Options,
-    pub faults: Faults,
-    pub ledger: Ledger,
-    pub steps_run: u64,
+pub struct State {
+    pub(super) options: Options,
+    pub(super) faults: Faults,
+    pub(super) steps_run: u64,
+    pub(super) orders: Orders,
+    pub(super) reports: Reports,
+    ledger: Ledger,
     kv: KvStore,
 }
 
 impl State {
+    /// An engine that holds nothing yet.
     pub fn new(options: Options) -> Self {
         State {
             options,
             faults: Faults::default(),
             ledger: Ledger::new(options.layers),
             steps_run: 0,
+            orders: Orders::default(),
+            reports: Reports::new(options.report_lag),
             kv: KvStore::default(),
         }
     }
 
+    /// What it ran.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Take an order.
+    ///
+    /// # Errors
+    /// If the engine checks fences and this one is outdated.
+    pub fn order(&mut self, order: Order) -> Result<(), OutdatedFence> {
+        self.orders.take(order, self.options.checks_fence)
+    }
+
+    /// KV of a request, if it is held.
+    pub fn export(&self, request: RequestId) -> Option<KvExport> {
+        self.kv.export(request)
+    }
+
+    /// Take KV of a request; `false` if it is of another layer range.
+    pub fn import(&mut self, request: RequestId, export: KvExport) -> bool {
+        let fits = export.digests.len() == self.options.layers.count() as usize;
+        if fits {
+            self.kv.import(request, export);
+        }
+        fits
+    }
+
+    fn note(&mut self) {
+        let load = Load {
+            requests: self.kv.len(),
+            slots: self.options.slots,
+            steps_run: self.steps_run,
+        };
+        self.reports.note_load(load);
+    }
+
+    /// Requests whose KV it holds.
     pub fn requests_held(&self) -> usize {
         self.kv.len()
     }
 
+    /// Run the steps of one call, after its releases.
     pub fn run(&mut self, batch: Batch) -> Vec<StepResult> {
         for release in batch.releases {
             self.kv.release(release.request, release.attempt);
         }
-        batch
-            .steps
-            .into_iter()
-            .map(|step| self.run_step(step))
-            .collect()
+        let steps = batch.steps.into_iter();
+        let results = steps.map(|step| self.run_step(step)).collect();
+        self.note();
+        results
     }
 
     fn run_step(&mut self, step: Step) -> StepResult {
@@ -153,6 +209,11 @@
             .map(|input| forward(layers, salt, input, &mut kv.digests))
             .collect();
         self.steps_run += 1;
+        if let Input::Tokens { text, .. } = &step.input
+            && !text.is_empty()
+        {
+            self.reports.note_prompt(model::adapter_salt(text));
+        }
         self.record(step, end);
         Ok(self.output(step, &outputs))
     }
@@ -241,3 +302,13 @@
             model::layer(number, salt, value, kv)
         })
 }
+
+/// Positions of a step's input.
+pub(crate) fn positions(step: &Step) -> u32 {
+    match &step.input {
+        Input::Tokens { text, tokens } => {
+            (text.split_whitespace().count() + tokens.len()).max(1) as u32
+        }
+        Input::Activations(_) => step.positions,
+    }
+}
--- a/reachtally-standin/src/lib.rs
+++ b/reachtally-standin/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 
 pub mod engine;
+pub mod fabric;
 pub mod list;
 pub mod log_server;
 pub mod service;
--- a/reachtally-standin/src/main.rs
+++ b/reachtally-standin/src/main.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use reachtally_core::declare::Layers;
 use reachtally_listen::{Error, Options as Listen};
 use reachtally_platform::memory;
 use reachtally_standin::engine::{self, StepTime};
@@ -63,6 +62,11 @@
         /// Microseconds for each layer of each position
         #[bpaf(argument("US"), fallback(0))]
         per_layer_us: u64,
+        /// Milliseconds by which its reports lag
+        #[bpaf(argument("MS"), fallback(0))]
+        report_lag_ms: u64,
+        /// Refuse orders with an outdated fence
+        checks_fence: bool,
         /// Keep no ledger
         no_ledger: bool,
     },
@@ -127,19 +131,21 @@
             activation_bytes,
             base_us,
             per_layer_us,
+            report_lag_ms,
+            checks_fence,
             no_ledger,
         } => {
             let options = engine::Options {
-                layers: Layers { first, end },
-                model_layers,
                 slots,
+                checks_fence,
+                report_lag: Duration::from_millis(report_lag_ms),
                 activation_bytes: activation_bytes.max(engine::model::VALUE_BYTES),
                 step_time: StepTime {
                     base: Duration::from_micros(base_us),
                     per_layer: Duration::from_micros(per_layer_us),
                 },
-                ends: false,
                 ledger: !no_ledger,
+                ..engine::Options::range(first, end, model_layers)
             };
             let engine = engine::start(listen(port), options).await?;
             println!("{}", engine.url());
