--- a/reachtally-core/src/fold.rs
+++ b/reachtally-core/src/fold.rs
@@ -179,6 +179,16 @@
         Ok(Some(self.apply(offset, op)))
     }
 
+    /// Take over a configuration that a snapshot or a peer offers, if it has folded more records.
+    /// Returns whether it was taken over. The offset never goes back.
+    pub fn adopt(&mut self, offered: Config) -> bool {
+        if offered.next <= self.next {
+            return false;
+        }
+        *self = offered;
+        true
+    }
+
     fn apply(&mut self, offset: u64, op: &Operation) -> Verdict {
         if self.operations.contains_key(&op.id) {
             return Verdict::Duplicate;
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -14,10 +14,10 @@
 use crate::event::Event;
 use crate::fold::Config;
 use crate::ids::{AccountKey, CallKey, Incarnation, RequestKey, TargetKey};
-use crate::request::{Ask, Request};
+use crate::request::{Ask, Progress, Request};
 use crate::retry::Budget;
 use crate::systems;
-use crate::target::Target;
+use crate::target::{Health, Target};
 use crate::time::Instant;
 
 /// Bounds that the daemon's settings give.
@@ -119,6 +119,19 @@
     Append,
 }
 
+/// See [`World::decision_state`].
+#[derive(Debug)]
+#[allow(dead_code, reason = "read by its Debug text only")]
+pub struct DecisionState<'a> {
+    requests: Vec<(RequestKey, &'a Request)>,
+    calls: Vec<(CallKey, &'a Call)>,
+    claims: &'a Claims,
+    outbox: &'a Outbox,
+    waiting: &'a Waiting,
+    parked: &'a [RequestKey],
+    health: Vec<Health>,
+}
+
 /// All tables of one daemon.
 #[derive(Debug)]
 pub struct World {
@@ -248,6 +261,29 @@
         self.claims.len()
     }
 
+    /// The call and attempt that a running request awaits.
+    pub fn awaited_call(&self, request: RequestKey) -> Option<(CallKey, u32)> {
+        let Progress::Running(running) = &self.requests.get(request)?.progress else {
+            return None;
+        };
+        let call = running.awaited.as_ref()?.call?;
+        Some((call, running.attempt))
+    }
+
+    /// What the future decisions on requests depend on, for comparing states in a model check.
+    /// Counters, estimates of time and the generator's state are left out.
+    pub fn decision_state(&self) -> DecisionState<'_> {
+        DecisionState {
+            requests: self.requests.iter().collect(),
+            calls: self.calls.iter().collect(),
+            claims: &self.claims,
+            outbox: &self.outbox,
+            waiting: &self.waiting,
+            parked: &self.parked,
+            health: self.targets.values().map(|target| target.health).collect(),
+        }
+    }
+
     /// The row of the target called `name`.
     pub fn target_named(&self, name: &str) -> Option<TargetKey> {
         self.target_by_name.get(name).copied()
