feat(core): standbys, so that a death costs 64 positions at most

Change: another engine of the range follows a stage's KV by one span every 64 positions, on engines less than half in use. Ruled out: checkpoints held at the entry box, which would need the layers' multiple of the inputs' memory.

--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -3,9 +3,12 @@
 //! Each sub-command prints a table, or with `--json` one object. It exits non-zero where a promise
 //! broke, and with `--check` also where a goal is missed.
 
+mod claims;
 mod overhead;
 mod process;
+mod recovery;
 mod report;
+mod scene;
 mod setup;
 mod sse;
 
@@ -30,6 +33,12 @@
     /// What the router adds to the engines' own time, and what it costs in processor and memory
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+    /// Time from a stage's death to the next token, against restarting the whole chain
+    #[bpaf(command)]
+    Recovery(#[bpaf(external(recovery::options))] recovery::Options),
+    /// Requests that may run once: how many share an append, and that none runs twice
+    #[bpaf(command)]
+    Claims(#[bpaf(external(claims::options))] claims::Options),
 }
 
 #[tokio::main]
@@ -37,6 +46,8 @@
     let arguments = arguments().run();
     let result = match arguments.experiment {
         Experiment::Overhead(options) => overhead::run(options).await,
+        Experiment::Recovery(options) => recovery::run(&options),
+        Experiment::Claims(options) => claims::run(&options),
     };
     match result {
         Ok(report) => report.print(arguments.json, arguments.check),
--- a/reachtally-config/src/settings.rs
+++ b/reachtally-config/src/settings.rs
@@ -86,7 +86,7 @@
     "limits",
 ];
 
-const LIMIT_FIELDS: [&str; 11] = [
+const LIMIT_FIELDS: [&str; 12] = [
     "body_bytes",
     "patience_s",
     "stop_notice_ms",
@@ -98,6 +98,7 @@
     "append_interval_ms",
     "claim_window_s",
     "replacement_wait_ms",
+    "standby_positions",
 ];
 
 /// Default of `limits.body_bytes`.
@@ -270,4 +271,7 @@
     if let Some(ms) = number("replacement_wait_ms", 0, 600_000) {
         limits.replacement_wait = Duration::from_millis(ms);
     }
+    if let Some(positions) = number("standby_positions", 0, 1 << 16) {
+        limits.standby_positions = positions as u32;
+    }
 }
--- a/reachtally-core/src/counters.rs
+++ b/reachtally-core/src/counters.rs
@@ -44,6 +44,10 @@
     restored_by_replay,
     /// Chains restored by prefilling every stage anew.
     restored_by_prefill,
+    /// Stages restored on an engine that followed them as a standby.
+    restored_from_standby,
+    /// Spans sent to standbys.
+    standby_spans,
     /// Calls to plain services.
     service_calls,
     /// Calls to plain services sent again.
--- a/reachtally-core/src/request.rs
+++ b/reachtally-core/src/request.rs
@@ -88,6 +88,17 @@
     pub call: Option<CallKey>,
 }
 
+/// An engine that follows a stage's KV.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standby {
+    /// The engine.
+    pub target: TargetKey,
+    /// Positions that its KV covers.
+    pub covered: u32,
+    /// The call that brings it up, while one is outstanding.
+    pub call: Option<CallKey>,
+}
+
 /// A completion under way.
 #[derive(Debug)]
 pub struct Running {
@@ -119,6 +130,38 @@
     pub lineage: Lineage,
     /// Whether it waits for an engine to take a lost stage's place.
     pub parked: bool,
+    /// The standby of each stage.
+    pub standbys: Vec<Option<Standby>>,
+    /// Whether its lost stage waits for the answer of its standby.
+    pub waits_for_standby: bool,
+}
+
+impl Running {
+    /// The position from which inputs must be sent so that KV up to `covered` is continued. The
+    /// first stage's prompt can only be sent whole.
+    pub fn restorable_from(&self, stage: usize, covered: u32) -> u32 {
+        if stage == 0 && covered < self.prompt_positions {
+            0
+        } else {
+            covered
+        }
+    }
+
+    /// The inputs of a stage for positions `from..end`, if they are kept. For the first stage, `from`
+    /// is 0 or behind the prompt.
+    pub fn stage_input(&self, stage: usize, from: u32, end: u32, prompt: &str) -> Option<Input> {
+        if stage > 0 {
+            let bytes = self.kept[stage].span(from, end)?;
+            return Some(Input::Activations(Bytes::copy_from_slice(bytes)));
+        }
+        let text = if from == 0 { prompt } else { "" };
+        let first = from.saturating_sub(self.prompt_positions) as usize;
+        let last = end.saturating_sub(self.prompt_positions) as usize;
+        Some(Input::Tokens {
+            text: text.to_owned(),
+            tokens: self.tokens.get(first..last)?.to_vec(),
+        })
+    }
 }
 
 /// How far a request has come.
--- a/reachtally-core/src/restore.rs
+++ b/reachtally-core/src/restore.rs
@@ -7,6 +7,8 @@
 /// A way of restoring a stage's KV on its replacement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
+    /// Send the inputs that a standby has not seen.
+    Standby,
     /// Send the stage's own inputs again; no other stage does anything again.
     Replay,
     /// Run the whole chain again over all positions so far.
@@ -29,28 +31,28 @@
 }
 
 impl Estimate<'_> {
-    /// Time to restore by `way`.
-    pub fn time(&self, way: Way) -> Duration {
-        match way {
-            Way::Replay => {
-                let bytes = f64::from(self.positions) * f64::from(self.unit);
-                let transfer = Duration::from_secs_f64(bytes / self.link_rate.max(1.0));
-                transfer + self.replacement.expected(self.positions)
-            }
-            Way::Prefill => self
-                .chain
-                .iter()
-                .map(|latency| latency.expected(self.positions))
-                .sum(),
-        }
+    /// Time to send the stage its own inputs from position `covered` on.
+    fn replay(&self, covered: u32) -> Duration {
+        let positions = self.positions.saturating_sub(covered);
+        let bytes = f64::from(positions) * f64::from(self.unit);
+        let transfer = Duration::from_secs_f64(bytes / self.link_rate.max(1.0));
+        transfer + self.replacement.expected(positions)
     }
 
-    /// The faster way among those possible.
-    pub fn choose(&self, replay_possible: bool) -> Way {
-        if replay_possible && self.time(Way::Replay) <= self.time(Way::Prefill) {
-            Way::Replay
-        } else {
+    /// Time to run all positions through every stage.
+    fn prefill(&self) -> Duration {
+        let stages = self.chain.iter();
+        stages.map(|latency| latency.expected(self.positions)).sum()
+    }
+
+    /// The faster way among those possible; `covered` positions need no restore.
+    pub fn choose(&self, replay_possible: bool, covered: u32) -> Way {
+        if !replay_possible || self.replay(covered) > self.prefill() {
             Way::Prefill
+        } else if covered > 0 {
+            Way::Standby
+        } else {
+            Way::Replay
         }
     }
 }
@@ -108,6 +110,12 @@
         Some(&self.bytes[..unit * end as usize])
     }
 
+    /// The activations of positions `from..end`, if all of them are kept.
+    pub fn span(&self, from: u32, end: u32) -> Option<&[u8]> {
+        let up_to_end = self.up_to(end)?;
+        up_to_end.get(self.unit() as usize * from as usize..)
+    }
+
     /// Bytes of one activation, 0 while nothing is kept.
     pub fn unit(&self) -> u32 {
         self.bytes
--- a/reachtally-core/src/systems/accept.rs
+++ b/reachtally-core/src/systems/accept.rs
@@ -9,9 +9,9 @@
 use crate::lineage::Run;
 use crate::request::{Awaited, Running};
 use crate::step::{Input, Output, StepRefusal, StepResult};
-use crate::systems::{deliver, finish, shift};
+use crate::systems::{deliver, finish, shift, standby};
 use crate::time::Instant;
-use crate::world::{Call, World};
+use crate::world::{Call, Purpose, Sent, World};
 
 /// Times one request's steps may be refused by engines before it is given up.
 const REFUSALS_MAX: u32 = 8;
@@ -29,6 +29,10 @@
         return;
     };
     sample(world, &done, &results, now);
+    if let Some(sent) = standby_step(&done) {
+        standby::answered(world, call, sent, results.first(), now, out);
+        return world.mark_dirty(done.target);
+    }
     for result in results {
         let request = result.request.key();
         if is_awaited(world, call, &result) {
@@ -49,6 +53,12 @@
     world.mark_dirty(done.target);
 }
 
+/// The step of a call to a standby, which carries nothing else.
+pub fn standby_step(call: &Call) -> Option<Sent> {
+    let sent = *call.steps.first()?;
+    matches!(sent.purpose, Purpose::Standby { .. }).then_some(sent)
+}
+
 /// Time the call by its longest step; only the result tells how many positions a prompt has.
 fn sample(world: &mut World, done: &Call, results: &[StepResult], now: Instant) {
     let Some(target) = world.targets.get_mut(done.target) else {
@@ -257,5 +267,6 @@
         index,
         text,
     });
+    standby::note_token(world, request);
     deliver::next_token(world, request, stop, out);
 }
--- a/reachtally-core/src/systems/dispatch.rs
+++ b/reachtally-core/src/systems/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::systems::shift;
 use crate::target::Health;
 use crate::time::Instant;
-use crate::world::{Call, Load, Sent, Timer, World};
+use crate::world::{Call, Load, Purpose, Sent, Timer, World};
 
 /// Send to every engine that something became ready for.
 pub fn run(world: &mut World, now: Instant, out: &mut Effects) {
@@ -100,7 +100,11 @@
     for &request in requests {
         if let Some(step) = take_step(world, request, call) {
             let positions = step.positions;
-            world.calls[call].steps.push(Sent { request, positions });
+            world.calls[call].steps.push(Sent {
+                request,
+                positions,
+                purpose: Purpose::Forward,
+            });
             span = span.max(most_positions(&step));
             batch.steps.push(step);
         }
--- a/reachtally-core/src/systems/finish.rs
+++ b/reachtally-core/src/systems/finish.rs
@@ -146,8 +146,18 @@
                 request: id,
                 attempt: running.attempt,
             };
-            for stage in &running.chain {
-                leave_stage(world, stage.target, release);
+            let standbys = running
+                .standbys
+                .iter()
+                .flatten()
+                .map(|standby| standby.target);
+            for target in running
+                .chain
+                .iter()
+                .map(|stage| stage.target)
+                .chain(standbys)
+            {
+                leave_stage(world, target, release);
             }
             Some(running)
         }
--- a/reachtally-core/src/systems/mod.rs
+++ b/reachtally-core/src/systems/mod.rs
@@ -10,5 +10,6 @@
 pub mod health;
 pub mod service;
 pub mod shift;
+pub mod standby;
 pub mod start;
 pub mod timers;
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -1,6 +1,5 @@
 //! Moving a running request off a lost stage, and restoring that stage's KV.
 
-use bytes::Bytes;
 use slotmap::Key;
 
 use crate::chain;
@@ -9,10 +8,11 @@
 use crate::ids::{CallKey, RequestId, RequestKey, TargetKey};
 use crate::latency::Latency;
 use crate::life::{NeverStarted, Refusal, Unknown};
-use crate::request::{Awaited, Progress, Running, Work};
+use crate::request::{Awaited, Progress, Running, Standby, Work};
 use crate::restore::{Estimate, Way};
-use crate::step::{Input, Release};
-use crate::systems::{accept, finish, health, start};
+use crate::step::Release;
+use crate::systems::{accept, finish, health, standby, start};
+use crate::target::Target;
 use crate::time::Instant;
 use crate::world::{Timer, World};
 
@@ -32,6 +32,9 @@
         *target.outstanding(failed.load) -= 1;
     }
     health::suspect(world, failed.target, now, out);
+    if let Some(sent) = accept::standby_step(&failed) {
+        standby::answered(world, call, sent, None, now, out);
+    }
     for sent in failed.steps {
         if !accept::awaits_call(world, sent.request, call) {
             continue;
@@ -108,12 +111,65 @@
         .engines
         .get(&running.model)
         .map_or(&[][..], Vec::as_slice);
+    if let Some(standby) = usable_standby(world, running, stage, not) {
+        return take_standby(world, request, stage, &standby, now, out);
+    }
     match chain::replacement(engines, &world.targets, layers, not, &mut world.rng) {
-        Some(target) => place(world, request, stage, target, now, out),
+        Some(target) => place(world, request, stage, target, 0, now, out),
         None => park(world, request, now),
     }
 }
 
+/// The stage's standby, if it takes work and has begun to follow.
+fn usable_standby(
+    world: &World,
+    running: &Running,
+    stage: usize,
+    not: TargetKey,
+) -> Option<Standby> {
+    let standby = running.standbys[stage].clone()?;
+    let up = world
+        .targets
+        .get(standby.target)
+        .is_some_and(Target::takes_work);
+    (up && standby.target != not && (standby.covered > 0 || standby.call.is_some()))
+        .then_some(standby)
+}
+
+/// Put the stage on its standby. While a span is on its way there the standby's KV is not known, so
+/// the request waits for that answer; the call has a time-out of its own.
+fn take_standby(
+    world: &mut World,
+    request: RequestKey,
+    stage: usize,
+    standby: &Standby,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    if standby.call.is_some() {
+        running.waits_for_standby = true;
+        if let Some(awaited) = &mut running.awaited {
+            awaited.call = None;
+            awaited.input = None;
+        }
+        return;
+    }
+    running.standbys[stage] = None;
+    world.targets[standby.target].running -= 1;
+    place(
+        world,
+        request,
+        stage,
+        standby.target,
+        standby.covered,
+        now,
+        out,
+    );
+}
+
 fn park(world: &mut World, request: RequestKey, now: Instant) {
     let deadline = now + world.limits.replacement_wait;
     let Some(running) = world.requests[request].running() else {
@@ -169,10 +225,11 @@
     request: RequestKey,
     stage: usize,
     target: TargetKey,
+    covered: u32,
     now: Instant,
     out: &mut Effects,
 ) {
-    let way = choose_way(world, request, stage, target);
+    let way = choose_way(world, request, stage, target, covered);
     let id = RequestId::new(world.incarnation, request);
     let Some(running) = world.requests[request].running() else {
         return;
@@ -184,7 +241,8 @@
     };
     running.attempt += 1;
     let (awaited, freed) = match way {
-        Way::Replay => (replay(running, stage), 0),
+        Way::Standby => (replay(running, stage, covered), 0),
+        Way::Replay => (replay(running, stage, 0), 0),
         Way::Prefill => prefill(running),
     };
     let first = awaited.stage;
@@ -211,6 +269,7 @@
 fn count(world: &mut World, way: Way) {
     world.counters.stages_shifted += 1;
     match way {
+        Way::Standby => world.counters.restored_from_standby += 1,
         Way::Replay => world.counters.restored_by_replay += 1,
         Way::Prefill => world.counters.restored_by_prefill += 1,
     }
@@ -231,7 +290,13 @@
     world.targets[new].running += 1;
 }
 
-fn choose_way(world: &World, request: RequestKey, stage: usize, target: TargetKey) -> Way {
+fn choose_way(
+    world: &World,
+    request: RequestKey,
+    stage: usize,
+    target: TargetKey,
+    covered: u32,
+) -> Way {
     let Progress::Running(running) = &world.requests[request].progress else {
         return Way::Prefill;
     };
@@ -256,19 +321,24 @@
         replacement,
         chain: &chain,
     };
-    estimate.choose(possible)
+    estimate.choose(possible, covered)
 }
 
-/// Await the same span again, from position 0 so that the KV before it is rebuilt.
-fn replay(running: &Running, stage: usize) -> Awaited {
+/// Await the same span again, from a position such that the KV before it is rebuilt; `covered`
+/// positions are there already.
+fn replay(running: &Running, stage: usize, covered: u32) -> Awaited {
     let awaited = running.awaited.as_ref();
     let (from, positions) = awaited.map_or((0, 0), |awaited| (awaited.from, awaited.positions));
     let outputs_from = awaited.map_or(0, |awaited| awaited.outputs_from);
+    let restore_from = running.restorable_from(stage, covered);
     Awaited {
         stage,
-        from: 0,
+        from: restore_from,
         outputs_from,
-        positions: if positions == 0 { 0 } else { from + positions },
+        positions: match positions {
+            0 => 0,
+            positions => from + positions - restore_from,
+        },
         input: None,
         call: None,
     }
@@ -292,7 +362,7 @@
     (awaited, freed)
 }
 
-/// Give the awaited step its input: all of the stage's inputs so far.
+/// Give the awaited step its input from what is kept.
 fn fill_input(world: &mut World, request: RequestKey, way: Way) {
     let req = &mut world.requests[request];
     let prompt = match &req.work {
@@ -302,20 +372,18 @@
     let Some(running) = req.running() else {
         return;
     };
-    let Some(awaited) = &mut running.awaited else {
+    let Some((stage, from, end)) = running.awaited.as_ref().map(|awaited| {
+        (
+            awaited.stage,
+            awaited.from,
+            awaited.from + awaited.positions,
+        )
+    }) else {
         return;
     };
-    let end = awaited.from + awaited.positions;
-    let input = if awaited.stage == 0 {
-        Some(Input::Tokens {
-            text: prompt,
-            tokens: running.tokens.clone(),
-        })
-    } else {
-        running.kept[awaited.stage]
-            .up_to(end)
-            .map(|bytes| Input::Activations(Bytes::copy_from_slice(bytes)))
-    };
+    let input = running.stage_input(stage, from, end, &prompt);
     debug_assert!(input.is_some() || way == Way::Prefill);
-    awaited.input = input;
+    if let Some(awaited) = &mut running.awaited {
+        awaited.input = input;
+    }
 }
--- /dev/null
+++ b/reachtally-core/src/systems/standby.rs
@@ -0,0 +1,216 @@
+//! Standbys: engines that follow a stage's KV a few positions behind, so that a death costs the
+//! restore of those few positions only.
+//!
+//! Every `standby_positions` accepted positions the stage's inputs since the last time go to the
+//! standby as one span, which an engine runs in little more than the time of a single position. A
+//! standby holds KV, so it is only taken on an engine of which less than half is in use.
+
+use crate::chain;
+use crate::effect::{Effect, Effects};
+use crate::ids::{CallKey, RequestId, RequestKey, TargetKey};
+use crate::request::{Progress, Running, Standby, Work};
+use crate::step::{Batch, Release, Step, StepResult};
+use crate::systems::{finish, shift};
+use crate::target::Target;
+use crate::time::Instant;
+use crate::world::{Call, Load, Purpose, Sent, Timer, World};
+
+/// A token was accepted; every so many positions the standbys are brought up.
+pub fn note_token(world: &mut World, request: RequestKey) {
+    let every = world.limits.standby_positions;
+    let Some(running) = world
+        .requests
+        .get_mut(request)
+        .and_then(|req| req.running())
+    else {
+        return;
+    };
+    if every > 0 && running.tokens.len().is_multiple_of(every as usize) {
+        world.standby_due.push(request);
+    }
+}
+
+/// Bring up the standbys of the requests that are due.
+pub fn run(world: &mut World, now: Instant, out: &mut Effects) {
+    for request in std::mem::take(&mut world.standby_due) {
+        let Some(running) = world
+            .requests
+            .get_mut(request)
+            .and_then(|req| req.running())
+        else {
+            continue;
+        };
+        for stage in 0..running_stages(running) {
+            take(world, request, stage);
+            follow(world, request, stage, now, out);
+        }
+    }
+}
+
+fn running_stages(running: &Running) -> usize {
+    running.chain.len()
+}
+
+fn is_idle(target: &Target) -> bool {
+    target
+        .engine()
+        .is_some_and(|(_, _, slots)| (target.running + 1) * 2 <= slots)
+}
+
+/// Take a standby for a stage that has none, if an engine is idle enough.
+fn take(world: &mut World, request: RequestKey, stage: usize) {
+    let Some(Progress::Running(running)) = world.requests.get(request).map(|req| &req.progress)
+    else {
+        return;
+    };
+    if running.standbys[stage].is_some() {
+        return;
+    }
+    let serving = running.chain[stage];
+    let engines = world
+        .engines
+        .get(&running.model)
+        .map_or(&[][..], Vec::as_slice);
+    let (targets, rng) = (&world.targets, &mut world.rng);
+    let found = chain::replacement(engines, targets, serving.layers, serving.target, rng);
+    let Some(target) = found.filter(|key| is_idle(&world.targets[*key])) else {
+        return;
+    };
+    world.targets[target].running += 1;
+    if let Some(running) = world.requests[request].running() {
+        running.standbys[stage] = Some(Standby {
+            target,
+            covered: 0,
+            call: None,
+        });
+    }
+}
+
+/// Send a standby the inputs since the last time.
+fn follow(world: &mut World, request: RequestKey, stage: usize, now: Instant, out: &mut Effects) {
+    let Some((target, step)) = next_step(world, request, stage) else {
+        return;
+    };
+    let Some(row) = world.targets.get_mut(target).filter(|row| row.takes_work()) else {
+        return drop_standby(world, request, stage);
+    };
+    if row.span_calls >= world.limits.span_calls_per_engine {
+        return;
+    }
+    row.span_calls += 1;
+    let end = step.from + step.positions;
+    let due = now + row.latency.timeout(step.positions);
+    let call = world.calls.insert(Call {
+        target,
+        steps: vec![Sent {
+            request,
+            positions: step.positions,
+            purpose: Purpose::Standby { stage, end },
+        }],
+        sent_at: now,
+        load: Load::Span,
+    });
+    if let Some(running) = world.requests[request].running()
+        && let Some(standby) = &mut running.standbys[stage]
+    {
+        standby.call = Some(call);
+    }
+    world.counters.standby_spans += 1;
+    world.start_timer(due, Timer::Call(call));
+    out.push(Effect::Steps {
+        call,
+        target,
+        batch: Batch {
+            steps: vec![step],
+            releases: Vec::new(),
+        },
+    });
+}
+
+fn next_step(world: &World, request: RequestKey, stage: usize) -> Option<(TargetKey, Step)> {
+    let req = world.requests.get(request)?;
+    let (Progress::Running(running), Work::Completion(completion)) = (&req.progress, &req.work)
+    else {
+        return None;
+    };
+    let standby = running.standbys[stage].as_ref()?;
+    let end = running.accepted[stage];
+    if standby.call.is_some() || standby.covered >= end {
+        return None;
+    }
+    let from = running.restorable_from(stage, standby.covered);
+    let input = running.stage_input(stage, from, end, &completion.prompt)?;
+    let step = Step {
+        request: RequestId::new(world.incarnation, request),
+        attempt: running.attempt,
+        from,
+        positions: end - from,
+        restore_to: end,
+        outputs_from: end - 1,
+        adapter: running.adapter.clone(),
+        priority: 0,
+        input,
+    };
+    Some((standby.target, step))
+}
+
+/// A standby answered, or did not: it covers more, or it is dropped. A stage that waits for it is
+/// restored.
+pub fn answered(
+    world: &mut World,
+    call: CallKey,
+    sent: Sent,
+    result: Option<&StepResult>,
+    now: Instant,
+    out: &mut Effects,
+) {
+    let Purpose::Standby { stage, end } = sent.purpose else {
+        return;
+    };
+    let Some(running) = world
+        .requests
+        .get_mut(sent.request)
+        .and_then(|req| req.running())
+    else {
+        return;
+    };
+    let Some(standby) = running.standbys[stage]
+        .as_mut()
+        .filter(|s| s.call == Some(call))
+    else {
+        return;
+    };
+    standby.call = None;
+    if result.is_some_and(|result| result.output.is_ok()) {
+        standby.covered = end;
+    } else {
+        drop_standby(world, sent.request, stage);
+    }
+    let Some(running) = world.requests[sent.request].running() else {
+        return;
+    };
+    if running.waits_for_standby {
+        running.waits_for_standby = false;
+        shift::lost(world, sent.request, now, out);
+    }
+}
+
+/// Let a standby go.
+pub fn drop_standby(world: &mut World, request: RequestKey, stage: usize) {
+    let id = RequestId::new(world.incarnation, request);
+    let Some(running) = world
+        .requests
+        .get_mut(request)
+        .and_then(|req| req.running())
+    else {
+        return;
+    };
+    let attempt = running.attempt;
+    if let Some(standby) = running.standbys[stage].take() {
+        let release = Release {
+            request: id,
+            attempt,
+        };
+        finish::leave_stage(world, standby.target, release);
+    }
+}
--- a/reachtally-core/src/systems/start.rs
+++ b/reachtally-core/src/systems/start.rs
@@ -99,5 +99,7 @@
         undrained: 0,
         lineage: Lineage::default(),
         parked: false,
+        standbys: vec![None; stages],
+        waits_for_standby: false,
     }
 }
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -41,6 +41,8 @@
     pub claim_wait: Duration,
     /// How long a running request waits for an engine to replace a lost stage.
     pub replacement_wait: Duration,
+    /// Accepted positions after which a stage's standby is brought up; 0 for no standbys.
+    pub standby_positions: u32,
     /// Bytes a second assumed on the link to an engine.
     pub link_rate: f64,
 }
@@ -57,6 +59,7 @@
             claim_window: Duration::from_secs(3600),
             claim_wait: Duration::from_secs(5),
             replacement_wait: Duration::from_secs(10),
+            standby_positions: 64,
             link_rate: 100e6,
         }
     }
@@ -69,6 +72,22 @@
     pub request: RequestKey,
     /// Number of positions, 0 while only the engine knows it.
     pub positions: u32,
+    /// What the step is for.
+    pub purpose: Purpose,
+}
+
+/// What a step is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// The request goes on with its result.
+    Forward,
+    /// The standby of `stage` is to cover the positions below `end`.
+    Standby {
+        /// Index of the stage.
+        stage: usize,
+        /// One past the last position.
+        end: u32,
+    },
 }
 
 /// What a call to an engine carries; each kind has a bound of its own on calls outstanding.
@@ -162,6 +181,7 @@
     pub(crate) waiting: Waiting,
     pub(crate) dirty: Vec<TargetKey>,
     pub(crate) parked: Vec<RequestKey>,
+    pub(crate) standby_due: Vec<RequestKey>,
     pub(crate) kept_bytes: usize,
     pub(crate) budget: Budget,
     pub(crate) stopping: bool,
@@ -192,6 +212,7 @@
             waiting: Waiting::default(),
             dirty: Vec::new(),
             parked: Vec::new(),
+            standby_due: Vec::new(),
             kept_bytes: 0,
             budget: Budget::default(),
             stopping: false,
@@ -238,6 +259,7 @@
             systems::timers::fire(self, timer, now, out);
         }
         systems::claims::append(self, now, out);
+        systems::standby::run(self, now, out);
         systems::dispatch::run(self, now, out);
     }
 
@@ -261,6 +283,15 @@
         self.claims.len()
     }
 
+    /// The engine that serves a stage of a running request.
+    pub fn serving(&self, request: RequestKey, stage: usize) -> Option<&str> {
+        let Progress::Running(running) = &self.requests.get(request)?.progress else {
+            return None;
+        };
+        let target = running.chain.get(stage)?.target;
+        Some(self.targets.get(target)?.name.as_str())
+    }
+
     /// The call and attempt that a running request awaits.
     pub fn awaited_call(&self, request: RequestKey) -> Option<(CallKey, u32)> {
         let Progress::Running(running) = &self.requests.get(request)?.progress else {
--- a/reachtally-core/tests/core/stages.rs
+++ b/reachtally-core/tests/core/stages.rs
@@ -297,3 +297,89 @@
         assert_whole(&fabric, key, TOKENS + n as u32);
     }
 }
+
+fn with_standbys() -> Limits {
+    Limits {
+        standby_positions: 16,
+        ..Limits::default()
+    }
+}
+
+#[test]
+fn a_stage_with_a_standby_goes_on_there() {
+    for stage in 0..STAGES {
+        let mut fabric = fabric_with(1, &with_standbys());
+        let key = fabric.ask(0, completion(LONG));
+        fabric.run_for(Duration::from_millis(1200));
+        let serving = world(&fabric)
+            .serving(key, stage as usize)
+            .expect("it runs");
+        let url = format!("http://{serving}");
+        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        fabric.run_for(10 * SECOND);
+        assert_whole(&fabric, key, LONG);
+        assert_eq!(world(&fabric).counters.restored_from_standby, 1);
+        assert_eq!(world(&fabric).counters.restored_by_prefill, 0);
+    }
+}
+
+#[test]
+fn a_standby_that_dies_first_costs_nothing_but_its_lead() {
+    let mut fabric = fabric_with(1, &with_standbys());
+    let key = fabric.ask(0, completion(LONG));
+    fabric.run_for(Duration::from_millis(1200));
+    let serving = world(&fabric).serving(key, 1).expect("it runs").to_owned();
+    let standby = if serving == "e10" { "e11" } else { "e10" };
+    let standby = format!("http://{standby}");
+    fabric.engines.get_mut(&standby).expect("declared").dead = true;
+    fabric.run_for(SECOND);
+    fabric.engines.get_mut(&standby).expect("declared").revive();
+    fabric.run_for(SECOND / 2);
+    let serving = format!("http://{serving}");
+    fabric.engines.get_mut(&serving).expect("declared").dead = true;
+    fabric.run_for(10 * SECOND);
+    assert_whole(&fabric, key, LONG);
+}
+
+#[test]
+fn a_stage_that_dies_at_any_moment_is_replaced() {
+    // Among these moments are those at which a span is on its way to the standby.
+    for moment in 0..80 {
+        let mut fabric = fabric_with(1, &with_standbys());
+        let key = fabric.ask(0, completion(LONG));
+        fabric.run_for(Duration::from_millis(500 + 5 * moment));
+        let serving = world(&fabric).serving(key, 1).expect("it runs").to_owned();
+        let url = format!("http://{serving}");
+        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        fabric.run_for(10 * SECOND);
+        assert_whole(&fabric, key, LONG);
+        assert_eq!(shifts(&fabric), 1);
+    }
+}
+
+#[test]
+fn standbys_are_released_with_their_request() {
+    let mut fabric = fabric_with(1, &with_standbys());
+    let key = fabric.ask(0, completion(LONG));
+    fabric.run_for(10 * SECOND);
+    assert_whole(&fabric, key, LONG);
+    assert!(world(&fabric).counters.standby_spans > 0);
+    let held = fabric
+        .engines
+        .values()
+        .map(|engine| engine.state.requests_held());
+    assert_eq!(held.sum::<usize>(), 0);
+    let running = world(&fabric).targets.values().map(|target| target.running);
+    assert_eq!(running.sum::<u32>(), 0);
+}
+
+#[test]
+fn engines_in_use_by_half_take_no_standby() {
+    let mut fabric = fabric_with(1, &with_standbys());
+    // Each engine holds 64 requests, so neither of a pair holds fewer than 56 of these.
+    for _ in 0..120 {
+        fabric.ask(0, completion(LONG));
+    }
+    fabric.run_for(2 * SECOND);
+    assert_eq!(world(&fabric).counters.standby_spans, 0);
+}
