--- a/reachtally-core/tests/core/setup.rs
+++ b/reachtally-core/tests/core/setup.rs
@@ -43,7 +43,7 @@
             name: MODEL.to_owned(),
             layers: LAYERS,
         }),
-        Object::Account(account("a", 64)),
+        Object::Account(account("a", 256)),
         Object::Account(account("small", 1)),
     ];
     for stage in 0..STAGES {
