--- a/reachtally-command/src/parse.rs
+++ b/reachtally-command/src/parse.rs
@@ -18,16 +18,22 @@
     Accounts,
     /// Requests that ended lately.
     Requests,
+    /// Failure domains: lease, steward, confirmed configuration.
+    Domains,
+    /// Daemons of this failure domain.
+    Members,
     /// The configuration's offset and the counters.
     Config,
 }
 
-const SUBJECTS: [(&str, Subject); 6] = [
+const SUBJECTS: [(&str, Subject); 8] = [
     ("targets", Subject::Targets),
     ("boxes", Subject::Boxes),
     ("models", Subject::Models),
     ("accounts", Subject::Accounts),
     ("requests", Subject::Requests),
+    ("domains", Subject::Domains),
+    ("members", Subject::Members),
     ("config", Subject::Config),
 ];
 
@@ -40,6 +46,8 @@
     Drain(String),
     /// Give a drained target work again.
     Undrain(String),
+    /// Drain a target and stop it once nothing runs there.
+    Stop(String),
 }
 
 impl std::fmt::Display for Command {
@@ -51,6 +59,7 @@
             }
             Command::Drain(name) => write!(f, "drain {name}"),
             Command::Undrain(name) => write!(f, "undrain {name}"),
+            Command::Stop(name) => write!(f, "stop {name}"),
         }
     }
 }
@@ -100,7 +109,8 @@
         "show" => subject(text, operand_at, &mut rest).map(Command::Show),
         "drain" => name(text, operand_at, &mut rest).map(Command::Drain),
         "undrain" => name(text, operand_at, &mut rest).map(Command::Undrain),
-        _ => Err(error(text, verb_at, "show, drain or undrain")),
+        "stop" => name(text, operand_at, &mut rest).map(Command::Stop),
+        _ => Err(error(text, verb_at, "show, drain, undrain or stop")),
     }?;
     let end = skip_space(text, &mut rest);
     if rest.is_empty() {
--- a/reachtally-config/src/settings.rs
+++ b/reachtally-config/src/settings.rs
@@ -55,6 +55,9 @@
     pub callers: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
+    /// Where other daemons of the failure domain connect; without it the daemon takes no part in
+    /// membership and never becomes the steward.
+    pub peer: Option<SocketAddr>,
     /// Base address of the platform's log.
     pub log: String,
     /// Base address of the platform's live list.
@@ -74,11 +77,12 @@
     pub limits: Limits,
 }
 
-const FIELDS: [&str; 9] = [
+const FIELDS: [&str; 10] = [
     "box",
     "domain",
     "callers",
     "operators",
+    "peer",
     "log",
     "list",
     "statsd",
@@ -136,6 +140,9 @@
     let statsd = top
         .get("statsd")
         .and_then(|at| reader.parsed(&at, ADDRESS_MEND));
+    let peer = top
+        .get("peer")
+        .and_then(|at| reader.parsed(&at, ADDRESS_MEND));
     let operator_keys = top
         .get("operator_keys")
         .map(|at| read_operators(reader, &at))
@@ -146,6 +153,7 @@
         domain: domain?,
         callers: callers?,
         operators: operators?,
+        peer,
         log: log?,
         list: list?,
         statsd,
--- a/reachtally-core/src/counters.rs
+++ b/reachtally-core/src/counters.rs
@@ -66,4 +66,10 @@
     config_folded,
     /// Configuration operations rejected as conflicts.
     config_conflicts,
+    /// Times this daemon found that it had been paused.
+    pauses_noticed,
+    /// Orders given to targets.
+    orders_given,
+    /// Orders withheld because the lease was not held with enough margin.
+    orders_withheld,
 }
--- a/reachtally-core/src/effect.rs
+++ b/reachtally-core/src/effect.rs
@@ -1,11 +1,16 @@
 //! What the daemon is to do, as the systems decided it.
 
 use crate::claim::ClaimRecord;
+use crate::event::Read;
+use crate::fold::{Config, Operation};
 use crate::ids::{CallKey, Incarnation, RequestKey, TargetKey};
+use crate::lease::DomainRecord;
 use crate::life::{NotRun, Unknown};
 use crate::lineage::Lineage;
+use crate::member::MemberState;
 use crate::request::{Answer, ServiceCall};
 use crate::step::Batch;
+use crate::systems::steward::Order;
 
 /// How a completed request ended.
 #[derive(Debug, PartialEq, Eq)]
@@ -134,6 +139,45 @@
         /// This daemon run.
         by: Incarnation,
     },
+    /// Send a digest to another daemon.
+    Gossip {
+        /// Its address.
+        to: String,
+        /// The digest; this daemon's own state comes first.
+        members: Vec<MemberState>,
+    },
+    /// Send configuration records to another daemon.
+    PushConfig {
+        /// Its address.
+        to: String,
+        /// The records.
+        records: Vec<Read<Operation>>,
+    },
+    /// Ask another daemon for the configuration records from `next` on.
+    PullConfig {
+        /// Its address.
+        from: String,
+        /// The first offset lacking.
+        next: u64,
+    },
+    /// Append to the stream of failure domains.
+    AppendDomain(DomainRecord),
+    /// Append a snapshot of the configuration.
+    WriteSnapshot(Box<Config>),
+    /// Ask a target what it holds.
+    AskReport {
+        /// The target.
+        target: TargetKey,
+    },
+    /// Give a target an order.
+    Order {
+        /// The target.
+        target: TargetKey,
+        /// The fence.
+        fence: u64,
+        /// The order.
+        order: Order,
+    },
     /// Log a change of state.
     Changed(Change),
 }
--- a/reachtally-core/src/event.rs
+++ b/reachtally-core/src/event.rs
@@ -3,9 +3,13 @@
 use crate::claim::ClaimRecord;
 use crate::fold::Operation;
 use crate::ids::{CallKey, RequestKey, TargetKey};
+use crate::lease::DomainRecord;
 use crate::life::NeverStarted;
+use crate::member::MemberState;
 use crate::request::Answer;
 use crate::step::StepResult;
+use crate::systems::gossip::PeerConfig;
+use crate::systems::steward::Reported;
 
 /// How a call to a target failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +38,17 @@
     pub name: String,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// For an entry box, where other daemons reach it.
+    pub peer: Option<Peer>,
+}
+
+/// An entry box on the live list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its failure domain.
+    pub domain: String,
+    /// Where other daemons reach it.
+    pub address: String,
 }
 
 /// One thing that happened.
@@ -91,6 +106,21 @@
     ClaimsCaughtUp,
     /// Configuration records were read, in order.
     ConfigRead(Vec<Read<Operation>>),
+    /// Records of the failure domains were read, in order.
+    DomainsRead(Vec<Read<DomainRecord>>),
+    /// The log answered an append to the stream of failure domains, or did not.
+    DomainAppended,
+    /// Another daemon sent a digest.
+    Digest(Vec<MemberState>),
+    /// Another daemon, or a snapshot in the log, gave configuration records or a whole one.
+    PeerConfig(PeerConfig),
+    /// A target reported itself to the steward.
+    Reported {
+        /// The target.
+        target: TargetKey,
+        /// What it reported.
+        report: Reported,
+    },
     /// The live list was read.
     ListRead(Vec<BoxSeen>),
     /// Admit nothing any more.
--- a/reachtally-core/src/fold.rs
+++ b/reachtally-core/src/fold.rs
@@ -43,6 +43,8 @@
     Put(Object),
     /// Give a target no new work (`true`), or give it work again (`false`).
     Drain(bool),
+    /// Drain a target and stop it once nothing runs there (`true`), or take that back (`false`).
+    Stop(bool),
     /// Remove the object.
     Remove,
 }
@@ -56,6 +58,9 @@
     pub object: Object,
     /// Whether an operator has drained it.
     pub drained: bool,
+    /// Whether an operator wants it stopped; it is drained then, too.
+    #[serde(default)]
+    pub stopped: bool,
 }
 
 /// What a name stands for that callers give as the model.
@@ -217,11 +222,12 @@
         let entries = self.entries.entry(edit.kind).or_default();
         match &edit.change {
             EditChange::Put(object) => {
-                let drained = entries.get(&edit.name).is_some_and(|entry| entry.drained);
+                let before = entries.get(&edit.name);
                 let entry = Entry {
                     revision,
                     object: object.clone(),
-                    drained,
+                    drained: before.is_some_and(|entry| entry.drained),
+                    stopped: before.is_some_and(|entry| entry.stopped),
                 };
                 entries.insert(edit.name.clone(), entry);
             }
@@ -231,6 +237,13 @@
                     entry.revision = revision;
                 }
             }
+            EditChange::Stop(stopped) => {
+                if let Some(entry) = entries.get_mut(&edit.name) {
+                    entry.drained = *stopped;
+                    entry.stopped = *stopped;
+                    entry.revision = revision;
+                }
+            }
             EditChange::Remove => {
                 entries.remove(&edit.name);
             }
--- a/reachtally-core/src/ids.rs
+++ b/reachtally-core/src/ids.rs
@@ -15,7 +15,9 @@
 }
 
 /// The random identity of one run of a daemon; a restarted daemon has another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Incarnation(pub u64);
 
 /// The identity of a request outside the process that serves it.
--- a/reachtally-core/src/life.rs
+++ b/reachtally-core/src/life.rs
@@ -43,6 +43,8 @@
     Busy,
     /// The daemon is stopping.
     Stopping,
+    /// The daemon was paused and has not yet compared its configuration with the log or a peer.
+    Paused,
     /// The key of a request that may not be repeated is in use by another request body.
     KeyReused,
     /// The log could not confirm in time that this request is the first of its key.
@@ -65,7 +67,7 @@
         let retry_after = match refusal {
             Refusal::AccountLimit | Refusal::Busy => Some(Duration::from_secs(1)),
             Refusal::NoTarget | Refusal::NeverStarted => Some(Duration::from_secs(2)),
-            Refusal::Stopping | Refusal::Deadline => Some(Duration::from_secs(1)),
+            Refusal::Stopping | Refusal::Paused | Refusal::Deadline => Some(Duration::from_secs(1)),
             Refusal::ClaimUnconfirmed => Some(Duration::from_secs(5)),
             _ => None,
         };
--- a/reachtally-core/src/systems/admit.rs
+++ b/reachtally-core/src/systems/admit.rs
@@ -8,14 +8,14 @@
 use crate::ids::{AccountKey, RequestKey};
 use crate::life::{Life, Received, Refusal, State};
 use crate::request::{Ask, Progress, Request, Work};
-use crate::systems::{claims, start};
+use crate::systems::{claims, gossip, start};
 use crate::time::Instant;
 use crate::world::{Timer, World};
 
 /// Judge what a caller asks for; start it, let it wait for its claim, or refuse it.
 pub fn ask(world: &mut World, ask: Ask, now: Instant, out: &mut Effects) -> RequestKey {
     world.counters.requests_received += 1;
-    let verdict = judge(world, &ask);
+    let verdict = judge(world, &ask, now);
     let account = verdict.as_ref().copied().unwrap_or_default();
     let repeatable = is_repeatable(world, &ask);
     let life = Life::<Received>::default();
@@ -60,10 +60,13 @@
     });
 }
 
-fn judge(world: &World, ask: &Ask) -> Result<AccountKey, Refusal> {
+fn judge(world: &World, ask: &Ask, now: Instant) -> Result<AccountKey, Refusal> {
     if world.stopping {
         return Err(Refusal::Stopping);
     }
+    if gossip::must_revalidate(world, now) {
+        return Err(Refusal::Paused);
+    }
     let key = *world
         .account_by_name
         .get(&ask.account)
--- a/reachtally-core/src/systems/configure.rs
+++ b/reachtally-core/src/systems/configure.rs
@@ -5,9 +5,9 @@
 use crate::declare::{Kind, Object};
 use crate::effect::{Change, Effect, Effects};
 use crate::event::{BoxSeen, Read};
-use crate::fold::{Operation, Verdict};
+use crate::fold::{Config, Operation, Verdict};
 use crate::ids::TargetKey;
-use crate::systems::shift;
+use crate::systems::{gossip, shift};
 use crate::target::{Role, Target};
 use crate::time::Instant;
 use crate::world::{Account, World};
@@ -15,12 +15,14 @@
 /// Fold configuration records, then bring the tables in line once.
 pub fn read(world: &mut World, records: &[Read<Operation>], now: Instant, out: &mut Effects) {
     let mut changed = false;
+    let mut folded = Vec::new();
     for read in records {
         match world.config.fold(read.offset, &read.record) {
             Ok(None) => {}
             Ok(Some(verdict)) => {
                 world.counters.config_folded += 1;
                 changed |= verdict == Verdict::Applied;
+                folded.push(read.clone());
                 world.counters.config_conflicts +=
                     u64::from(matches!(verdict, Verdict::Conflict { .. }));
                 out.push(Effect::Changed(Change::Config {
@@ -36,20 +38,52 @@
             }
         }
     }
+    if !folded.is_empty() {
+        gossip::push(world, folded, now, out);
+        snapshot_if_due(world, now, out);
+    }
     if changed {
         align(world);
         shift::retry_parked(world, now, out);
     }
 }
 
+/// Take over a whole configuration, if it is further than the one in force.
+pub fn adopt(world: &mut World, config: Config, now: Instant, out: &mut Effects) {
+    if world.config.adopt(config) {
+        world.recent.clear();
+        world.snapshot_next = world.config.next();
+        align(world);
+        shift::retry_parked(world, now, out);
+    }
+}
+
+/// Records folded between two snapshots. Far fewer than the log keeps.
+pub const SNAPSHOT_EVERY: u64 = 200;
+
+/// The first in rank of each failure domain writes snapshots. They are a function of the records, so
+/// that several domains write the same does no harm.
+fn snapshot_if_due(world: &mut World, now: Instant, out: &mut Effects) {
+    let next = world.config.next();
+    let due = next >= world.snapshot_next + SNAPSHOT_EVERY;
+    if due && world.members.rank("snapshot", now) == 0 {
+        out.push(Effect::WriteSnapshot(Box::new(world.config.clone())));
+        world.snapshot_next = next;
+    }
+}
+
 /// Take the live list's word on the boxes. A box that is missing counts as leaving: it gets no new
 /// work, and what runs there goes on until a call fails.
 pub fn list_read(world: &mut World, boxes: &[BoxSeen], now: Instant, out: &mut Effects) {
-    let boxes = boxes
-        .iter()
-        .map(|seen| (seen.name.clone(), seen.leaving))
-        .collect();
-    world.boxes = Some(boxes);
+    let own = &world.members.me.domain;
+    let peers = boxes.iter().filter_map(|seen| seen.peer.as_ref());
+    let seeds = peers
+        .filter(|peer| peer.domain == *own)
+        .map(|peer| peer.address.clone());
+    let seeds = seeds.collect();
+    world.members.set_seeds(seeds);
+    let boxes = boxes.iter().map(|seen| (seen.name.clone(), seen.leaving));
+    world.boxes = Some(boxes.collect());
     for (_, target) in &mut world.targets {
         target.leaving = is_leaving(world.boxes.as_ref(), &target.box_name);
     }
@@ -79,7 +113,9 @@
                 slots: engine.slots,
             };
             let (name, url) = (engine.name.clone(), engine.url.clone());
-            let target = Target::new(name.clone(), url, engine.box_name.clone(), role);
+            let mut target = Target::new(name.clone(), url, engine.box_name.clone(), role);
+            target.domain = engine.domain.clone();
+            target.checks_fence = engine.checks_fence;
             declared.insert(name, (target, entry.drained));
         }
     }
--- a/reachtally-core/src/target.rs
+++ b/reachtally-core/src/target.rs
@@ -57,8 +57,14 @@
     pub url: String,
     /// The box it runs on, as the live list names it; empty for services.
     pub box_name: String,
+    /// The failure domain of that box; empty for services.
+    pub domain: String,
+    /// Whether it refuses orders that carry an outdated fence.
+    pub checks_fence: bool,
     /// Engine or service instance.
     pub role: Role,
+    /// Since when it has reported itself idle with its drain confirmed.
+    pub quiet_since: Option<Instant>,
     /// Whether it answers.
     pub health: Health,
     /// Whether an operator drained it.
@@ -88,7 +94,10 @@
             name,
             url,
             box_name,
+            domain: String::new(),
+            checks_fence: false,
             role,
+            quiet_since: None,
             health: Health::Up,
             drained: false,
             leaving: false,
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -1,7 +1,7 @@
 //! The tables, and the entry points that run the systems over them.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -11,9 +11,11 @@
 use crate::claim::{Claims, Outbox, Waiting};
 use crate::counters::Counters;
 use crate::effect::Effects;
-use crate::event::Event;
-use crate::fold::Config;
+use crate::event::{Event, Read};
+use crate::fold::{Config, Operation};
 use crate::ids::{AccountKey, CallKey, Incarnation, RequestKey, TargetKey};
+use crate::lease::{Domains, Tenure};
+use crate::member::{MemberState, Members};
 use crate::request::{Ask, Progress, Request};
 use crate::retry::Budget;
 use crate::systems;
@@ -136,6 +138,10 @@
     Probe(TargetKey),
     /// Claims may be appended.
     Append,
+    /// A digest is to be sent.
+    Gossip,
+    /// A round of the steward.
+    Steward,
 }
 
 /// See [`World::decision_state`].
@@ -179,6 +185,14 @@
     pub(crate) claims_ready: bool,
     pub(crate) outbox: Outbox,
     pub(crate) waiting: Waiting,
+    pub(crate) members: Members,
+    pub(crate) recent: VecDeque<Read<Operation>>,
+    pub(crate) snapshot_next: u64,
+    pub(crate) domains: Domains,
+    pub(crate) tenure: Tenure,
+    pub(crate) confirm_sent: u64,
+    pub(crate) last_tick: Instant,
+    pub(crate) revalidate_until: Option<Instant>,
     pub(crate) dirty: Vec<TargetKey>,
     pub(crate) parked: Vec<RequestKey>,
     pub(crate) standby_due: Vec<RequestKey>,
@@ -210,6 +224,14 @@
             claims_ready: false,
             outbox: Outbox::default(),
             waiting: Waiting::default(),
+            members: Members::default(),
+            recent: VecDeque::new(),
+            snapshot_next: 0,
+            domains: Domains::default(),
+            tenure: Tenure::default(),
+            confirm_sent: 0,
+            last_tick: Instant::ZERO,
+            revalidate_until: None,
             dirty: Vec::new(),
             parked: Vec::new(),
             standby_due: Vec::new(),
@@ -224,11 +246,13 @@
     /// A caller asks. The row returned names the request in all effects, also in a refusal that
     /// `out` holds already.
     pub fn ask(&mut self, ask: Ask, now: Instant, out: &mut Effects) -> RequestKey {
+        systems::gossip::notice_pause(self, now);
         systems::admit::ask(self, ask, now, out)
     }
 
     /// Take one event.
     pub fn handle(&mut self, event: Event, now: Instant, out: &mut Effects) {
+        systems::gossip::notice_pause(self, now);
         match event {
             Event::Drained { request, tokens } => systems::deliver::drained(self, request, tokens),
             Event::HungUp(request) => systems::finish::hung_up(self, request, out),
@@ -247,14 +271,31 @@
             Event::Appended { seq, confirmed } => systems::claims::appended(self, seq, confirmed),
             Event::ClaimsRead(records) => systems::claims::read(self, &records, now, out),
             Event::ClaimsCaughtUp => self.claims_ready = true,
-            Event::ConfigRead(records) => systems::configure::read(self, &records, now, out),
+            Event::ConfigRead(records) => {
+                systems::configure::read(self, &records, now, out);
+                systems::gossip::revalidated(self);
+            }
+            Event::DomainsRead(records) => systems::steward::read(self, &records, now),
+            Event::DomainAppended => systems::steward::appended(self),
+            Event::Digest(members) => systems::gossip::digest(self, members, now, out),
+            Event::PeerConfig(config) => systems::gossip::peer_config(self, config, now, out),
+            Event::Reported { target, report } => {
+                systems::steward::reported(self, target, &report, now, out);
+            }
             Event::ListRead(boxes) => systems::configure::list_read(self, &boxes, now, out),
             Event::Stop => self.stopping = true,
         }
     }
 
+    /// Take part in the failure domain, as this member and, at times, as its steward.
+    pub fn join(&mut self, me: MemberState, now: Instant) {
+        systems::gossip::join(self, me, now);
+        self.start_timer(now, Timer::Steward);
+    }
+
     /// Run what is due: timers, then appends, then dispatch.
     pub fn tick(&mut self, now: Instant, out: &mut Effects) {
+        systems::gossip::notice_pause(self, now);
         while let Some(timer) = self.pop_due(now) {
             systems::timers::fire(self, timer, now, out);
         }
@@ -268,6 +309,36 @@
         self.timers.peek().map(|Reverse((at, _))| *at)
     }
 
+    /// The other daemons of the failure domain that are live.
+    pub fn live_members(&self, now: Instant) -> impl Iterator<Item = &MemberState> {
+        self.members.live(now)
+    }
+
+    /// What this daemon tells of itself.
+    pub fn me(&self) -> &MemberState {
+        &self.members.me
+    }
+
+    /// Whether this daemon is to follow the log closely.
+    pub fn is_reader(&self, now: Instant) -> bool {
+        systems::gossip::is_reader(self, now)
+    }
+
+    /// What a daemon that has folded the configuration records below `next` lacks.
+    pub fn config_for(&self, next: u64) -> systems::gossip::PeerConfig {
+        systems::gossip::config_for(self, next)
+    }
+
+    /// What the log says of the failure domains.
+    pub fn domains(&self) -> &Domains {
+        &self.domains
+    }
+
+    /// Whether this daemon is the steward of its domain now.
+    pub fn is_steward(&self, now: Instant) -> bool {
+        self.tenure.is_held(now, Duration::ZERO)
+    }
+
     /// Whether no request is left.
     pub fn is_idle(&self) -> bool {
         self.requests.is_empty()
--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -9,7 +9,9 @@
 use reachtally_core::ids::{RequestId, RequestKey};
 use reachtally_core::lineage::Lineage;
 use reachtally_core::request::Ask;
+use reachtally_core::systems::gossip::PeerConfig;
 use reachtally_core::{Effect, Effects, Event, Instant, World};
+use reachtally_protocol::Message as Wire;
 use reachtally_standin::verify::Accepted;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
@@ -105,6 +107,8 @@
     Counters,
     /// The configuration.
     Config,
+    /// What a daemon that has folded the records below this offset lacks.
+    ConfigFor(u64),
 }
 
 /// The answer to a [`Query`].
@@ -118,6 +122,8 @@
     Counters(Box<Counters>),
     /// The configuration.
     Config(Box<reachtally_core::fold::Config>),
+    /// Records or a snapshot.
+    PeerConfig(PeerConfig),
 }
 
 /// Sends messages to the task.
@@ -131,6 +137,7 @@
     performer: Performer,
     view: watch::Sender<View>,
     counters: watch::Sender<Counters>,
+    reader: watch::Sender<bool>,
     callers: HashMap<RequestKey, mpsc::UnboundedSender<Piece>>,
     ended: VecDeque<Ended>,
     config_read: bool,
@@ -145,6 +152,8 @@
     pub view: watch::Sender<View>,
     /// The counters.
     pub counters: watch::Sender<Counters>,
+    /// Whether this daemon is to follow the log closely.
+    pub reader: watch::Sender<bool>,
 }
 
 impl Actor {
@@ -162,6 +171,7 @@
             performer,
             view: published.view,
             counters: published.counters,
+            reader: published.reader,
             callers: HashMap::new(),
             ended: VecDeque::new(),
             config_read: false,
@@ -192,6 +202,7 @@
             self.world.tick(now, &mut self.effects);
             self.perform();
             self.counters.send_replace(self.world.counters);
+            self.publish_reader(now);
             self.tell_idle();
         }
     }
@@ -212,7 +223,7 @@
                 self.perform();
             }
             Message::Event(event) => {
-                let configured = matches!(event, Event::ConfigRead(_));
+                let configured = matches!(event, Event::ConfigRead(_) | Event::PeerConfig(_));
                 self.world.handle(event, now, &mut self.effects);
                 self.perform();
                 if configured {
@@ -243,6 +254,12 @@
         self.view.send_replace(View::of(&self.world, readiness));
     }
 
+    fn publish_reader(&mut self, now: Instant) {
+        let reader = self.world.is_reader(now);
+        self.reader
+            .send_if_modified(|known| std::mem::replace(known, reader) != reader);
+    }
+
     fn tell_idle(&mut self) {
         if self.waiting_idle.is_empty() || !self.world.is_idle() {
             return;
@@ -292,6 +309,26 @@
                 self.performer.probe(target, url);
             }
             Effect::Append { seq, record, .. } => self.performer.append(seq, &record),
+            Effect::Gossip { to, members } => self.performer.tell(to, Wire::Digest(members)),
+            Effect::PushConfig { to, records } => self.performer.tell(to, Wire::Records(records)),
+            Effect::PullConfig { from, next } => self.performer.pull(from, next),
+            Effect::AppendDomain(record) => self.performer.append_domain(&record),
+            Effect::WriteSnapshot(config) => self.performer.write_snapshot(&config),
+            Effect::AskReport { target } => {
+                let url = self.url(target);
+                self.performer.ask_report(target, url);
+            }
+            Effect::Order {
+                target,
+                fence,
+                order,
+            } => {
+                let row = self.world.targets.get(target);
+                let name = row.map_or("", |row| row.name.as_str());
+                info!(target_name = name, fence, order:? = order; "order given");
+                let url = self.url(target);
+                self.performer.order(url, fence, order);
+            }
         }
     }
 
@@ -318,9 +355,11 @@
                 &self.world,
                 &self.ended,
                 *subject,
+                self.now(),
             )),
             Query::Ended => Answer::Ended(self.ended.iter().cloned().collect()),
             Query::Counters => Answer::Counters(Box::new(self.world.counters)),
+            Query::ConfigFor(next) => Answer::PeerConfig(self.world.config_for(*next)),
             Query::Config => Answer::Config(Box::new(self.world.config.clone())),
         }
     }
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -203,6 +203,11 @@
             "stopping",
             "this entry box is stopping; another one serves the request",
         ),
+        Refusal::Paused => (
+            Status::ServiceUnavailable,
+            "paused",
+            "this entry box was paused and compares its configuration first",
+        ),
         Refusal::KeyReused => (
             Status::UnprocessableEntity,
             "key-reused",
--- a/reachtally-daemon/src/follow.rs
+++ b/reachtally-daemon/src/follow.rs
@@ -6,10 +6,15 @@
 use reachtally_core::Event;
 use reachtally_core::claim::ClaimRecord;
 use reachtally_core::event::Read;
-use reachtally_core::fold::Operation;
-use reachtally_platform::{CLAIMS_STREAM, CONFIG_STREAM, LiveList, Log, Page, Record};
+use reachtally_core::fold::{Config, Operation};
+use reachtally_core::lease::DomainRecord;
+use reachtally_core::systems::gossip::PeerConfig;
+use reachtally_platform::{
+    CLAIMS_STREAM, CONFIG_STREAM, DOMAINS_STREAM, LiveList, Log, Page, Record, SNAPSHOTS_STREAM,
+};
 use serde::de::DeserializeOwned;
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use crate::actor::{Handle, Message};
 
@@ -17,6 +22,8 @@
 const READ_WAIT_MS: u64 = 1000;
 /// Wait after a read that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
+/// Time between two looks at the configuration stream by a daemon that is no reader.
+const IDLE_INTERVAL: Duration = Duration::from_secs(30);
 /// Time between two reads of the live list.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -43,25 +50,77 @@
     handle.send(Message::Event(event)).is_ok()
 }
 
-/// Feed the configuration stream to the actor until it is gone.
-pub async fn config<L: Log>(log: L, handle: Handle) {
-    let mut next = 0;
+/// Feed the configuration stream to the actor until it is gone. A daemon that is no reader of its
+/// failure domain looks at the log now and then only; it hears from its peers.
+pub async fn config<L: Log>(log: L, handle: Handle, mut reader: watch::Receiver<bool>) {
     let mut seen = Availability {
         what: CONFIG_STREAM,
         up: true,
     };
+    let mut next = start_from_snapshot(&log, &handle).await;
     loop {
-        let page = log.read(CONFIG_STREAM, next, READ_WAIT_MS).await;
+        let close = *reader.borrow();
+        let wait_ms = if close { READ_WAIT_MS } else { 0 };
+        let page = log.read(CONFIG_STREAM, next, wait_ms).await;
         seen.saw(page.is_ok());
         let Ok(page) = page else {
             sleep(RETRY_WAIT).await;
             continue;
         };
+        if page.first > next {
+            warn!(next, first = page.first; "configuration records are gone; reading a snapshot");
+            next = start_from_snapshot(&log, &handle).await.max(next);
+            sleep(RETRY_WAIT).await;
+            continue;
+        }
         next = page.records.last().map_or(next, |record| record.offset + 1);
+        let at_end = next >= page.end;
         let records = page.records.into_iter().map(operation).collect();
         if !tell(&handle, Event::ConfigRead(records)) {
             return;
         }
+        if at_end && !close {
+            // Whichever comes first: the time, or the part of a reader.
+            timeout(IDLE_INTERVAL, reader.changed()).await.ok();
+        }
+    }
+}
+
+/// Hand the last snapshot in the log to the actor; yields the offset to read on from.
+async fn start_from_snapshot<L: Log>(log: &L, handle: &Handle) -> u64 {
+    let Some(config) = last_snapshot(log).await else {
+        return 0;
+    };
+    let next = config.next();
+    tell(
+        handle,
+        Event::PeerConfig(PeerConfig::Snapshot(Box::new(config))),
+    );
+    next
+}
+
+async fn last_snapshot<L: Log>(log: &L) -> Option<Config> {
+    let end = log.read(SNAPSHOTS_STREAM, u64::MAX, 0).await.ok()?.end;
+    let page = log
+        .read(SNAPSHOTS_STREAM, end.checked_sub(1)?, 0)
+        .await
+        .ok()?;
+    serde_json::from_value(page.records.into_iter().next_back()?.data).ok()
+}
+
+/// Feed the stream of failure domains to the actor until it is gone.
+pub async fn domains<L: Log>(log: L, handle: Handle) {
+    let mut next = 0;
+    loop {
+        let Ok(page) = log.read(DOMAINS_STREAM, next, READ_WAIT_MS).await else {
+            sleep(RETRY_WAIT).await;
+            continue;
+        };
+        next = next_offset(&page, next);
+        let records = readable::<DomainRecord>(page.records);
+        if !tell(&handle, Event::DomainsRead(records)) {
+            return;
+        }
     }
 }
 
@@ -127,7 +186,7 @@
                 record: content,
             }),
             Err(err) => {
-                warn!(offset, error:% = err; "claim record is unreadable");
+                warn!(offset, error:% = err; "record is unreadable");
                 None
             }
         }
--- a/reachtally-daemon/src/lib.rs
+++ b/reachtally-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod follow;
 pub mod metrics;
 pub mod operator;
+pub mod peers;
 pub mod perform;
 pub mod publish;
 pub mod run;
--- a/reachtally-daemon/src/operator/mod.rs
+++ b/reachtally-daemon/src/operator/mod.rs
@@ -94,8 +94,9 @@
             Answer::Table(table) => Ok(Json(CommandAnswer::Table(table))),
             _ => Err(failed(Status::InternalServerError, "unexpected answer")),
         },
-        Command::Drain(name) => drain(shared, &operator, &name, true).await,
-        Command::Undrain(name) => drain(shared, &operator, &name, false).await,
+        Command::Drain(name) => drain(shared, &operator, &name, EditChange::Drain(true)).await,
+        Command::Undrain(name) => drain(shared, &operator, &name, EditChange::Stop(false)).await,
+        Command::Stop(name) => drain(shared, &operator, &name, EditChange::Stop(true)).await,
     }
 }
 
@@ -103,7 +104,7 @@
     shared: &Shared,
     operator: &Authorized,
     name: &str,
-    drained: bool,
+    change: EditChange,
 ) -> Result<Json<CommandAnswer>, Failed> {
     operator.needs(Role::Operate)?;
     let config = config(shared).await?;
@@ -121,7 +122,7 @@
         kind,
         name: name.to_owned(),
         base: config.revision(kind, name),
-        change: EditChange::Drain(drained),
+        change,
     };
     let published = publish(shared, operator, vec![edit]).await?;
     Ok(Json(CommandAnswer::Published(published)))
--- a/reachtally-daemon/src/operator/tables.rs
+++ b/reachtally-daemon/src/operator/tables.rs
@@ -3,14 +3,14 @@
 use std::collections::VecDeque;
 
 use reachtally_command::{Subject, Table};
-use reachtally_core::World;
 use reachtally_core::declare::{Kind, Object};
 use reachtally_core::target::{Health, Role, Target};
+use reachtally_core::{Instant, World};
 
 use crate::actor::Ended;
 
 /// The table of one subject.
-pub fn show(world: &World, ended: &VecDeque<Ended>, subject: Subject) -> Table {
+pub fn show(world: &World, ended: &VecDeque<Ended>, subject: Subject, now: Instant) -> Table {
     match subject {
         Subject::Targets => targets(world),
         Subject::Boxes => boxes(world),
@@ -18,6 +18,8 @@
         Subject::Accounts => accounts(world),
         Subject::Requests => requests(ended),
         Subject::Config => config(world),
+        Subject::Domains => domains(world, now),
+        Subject::Members => members(world, now),
     }
 }
 
@@ -72,6 +74,43 @@
     table
 }
 
+fn domains(world: &World, now: Instant) -> Table {
+    let columns = ["domain", "steward", "fence", "confirmed", "behind", "here"];
+    let mut table = Table::new(&columns);
+    for (name, state) in world.domains().iter() {
+        let (steward, fence) = match state.lease {
+            Some(lease) => (format!("{:x}", lease.holder.0), lease.fence.to_string()),
+            None => (dash(""), dash("")),
+        };
+        let behind = world.config.next().saturating_sub(state.confirmed);
+        let own = world.me().domain == name && world.is_steward(now);
+        table.push(vec![
+            name.to_owned(),
+            steward,
+            fence,
+            state.confirmed.to_string(),
+            behind.to_string(),
+            if own { "steward".to_owned() } else { dash("") },
+        ]);
+    }
+    table
+}
+
+fn members(world: &World, now: Instant) -> Table {
+    let mut table = Table::new(&["box", "address", "config", "state"]);
+    let me = world.me();
+    for member in std::iter::once(me).chain(world.live_members(now)) {
+        let state = if member.stopping { "stopping" } else { "live" };
+        table.push(vec![
+            member.box_name.clone(),
+            dash(&member.address),
+            member.config_next.to_string(),
+            state.to_owned(),
+        ]);
+    }
+    table
+}
+
 fn models(world: &World) -> Table {
     let mut table = Table::new(&["model", "layers", "revision"]);
     for (name, entry) in world.config.of(Kind::Model) {
--- a/reachtally-daemon/src/perform.rs
+++ b/reachtally-daemon/src/perform.rs
@@ -2,19 +2,25 @@
 
 use std::time::Duration;
 
+use log::warn;
 use reachtally_core::Event;
 use reachtally_core::claim::ClaimRecord;
 use reachtally_core::event::CallFailure;
+use reachtally_core::fold::Config;
 use reachtally_core::ids::{CallKey, RequestKey, TargetKey};
+use reachtally_core::lease::DomainRecord;
 use reachtally_core::request::ServiceCall;
 use reachtally_core::step::Batch;
+use reachtally_core::systems::gossip::PeerConfig;
+use reachtally_core::systems::steward::Order;
 use reachtally_platform::http::HttpPlatform;
-use reachtally_platform::{CLAIMS_STREAM, Log};
+use reachtally_platform::{CLAIMS_STREAM, DOMAINS_STREAM, Log, SNAPSHOTS_STREAM};
+use reachtally_protocol::{Message, link};
 use reachtally_target::http::HttpTargets;
-use reachtally_target::{Engines, Probe, Services};
+use reachtally_target::{Engines, Orders, Probe, Services};
 use tokio::time::timeout;
 
-use crate::actor::{Handle, Message};
+use crate::actor::{self, Handle};
 
 /// Time after which the task of an engine call ends. The core gives the call up long before, by its
 /// adaptive time-out; this only bounds the tasks that hang.
@@ -34,7 +40,7 @@
 
 fn report(handle: &Handle, event: Event) {
     // The actor is gone only when the daemon is.
-    handle.send(Message::Event(event)).ok();
+    handle.send(actor::Message::Event(event)).ok();
 }
 
 impl Performer {
@@ -83,6 +89,78 @@
         });
     }
 
+    /// Send a message to another daemon. Nothing rests on its arrival.
+    pub fn tell(&self, to: String, message: Message) {
+        tokio::spawn(async move {
+            link::tell(&to, message).await.ok();
+        });
+    }
+
+    /// Ask another daemon for configuration records.
+    pub fn pull(&self, from: String, next: u64) {
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            match link::ask(&from, Message::Pull(next)).await {
+                Ok(Message::Records(records)) => {
+                    report(&handle, Event::PeerConfig(PeerConfig::Records(records)));
+                }
+                Ok(Message::Snapshot(config)) => {
+                    report(&handle, Event::PeerConfig(PeerConfig::Snapshot(config)));
+                }
+                // The next digest leads to another try.
+                Ok(Message::Digest(_) | Message::Pull(_)) | Err(_) => {}
+            }
+        });
+    }
+
+    /// Append to the stream of failure domains.
+    pub fn append_domain(&self, record: &DomainRecord) {
+        let (handle, platform) = (self.handle.clone(), self.platform.clone());
+        let data = serde_json::to_value(record);
+        tokio::spawn(async move {
+            if let Ok(data) = data {
+                // Lost or not, what counts is what the stream shows.
+                platform.append(DOMAINS_STREAM, data).await.ok();
+            }
+            report(&handle, Event::DomainAppended);
+        });
+    }
+
+    /// Append a snapshot of the configuration.
+    pub fn write_snapshot(&self, config: &Config) {
+        let platform = self.platform.clone();
+        let data = serde_json::to_value(config);
+        tokio::spawn(async move {
+            if let Ok(data) = data
+                && platform.append(SNAPSHOTS_STREAM, data).await.is_err()
+            {
+                warn!("a snapshot of the configuration was not confirmed");
+            }
+        });
+    }
+
+    /// Ask an engine what it holds.
+    pub fn ask_report(&self, target: TargetKey, url: String) {
+        let (handle, targets) = (self.handle.clone(), self.targets.clone());
+        tokio::spawn(async move {
+            if let Some(reported) = targets.report(&url).await {
+                let event = Event::Reported {
+                    target,
+                    report: reported,
+                };
+                report(&handle, event);
+            }
+        });
+    }
+
+    /// Give an engine an order. It is given again until the engine reports that it was followed.
+    pub fn order(&self, url: String, fence: u64, order: Order) {
+        let targets = self.targets.clone();
+        tokio::spawn(async move {
+            targets.order(&url, fence, order).await;
+        });
+    }
+
     /// Append a claim record to the log.
     pub fn append(&self, seq: u64, record: &ClaimRecord) {
         let (handle, platform) = (self.handle.clone(), self.platform.clone());
--- a/reachtally-daemon/src/run.rs
+++ b/reachtally-daemon/src/run.rs
@@ -6,10 +6,12 @@
 use log::info;
 use reachtally_config::Settings;
 use reachtally_core::counters::Counters;
-use reachtally_core::{Event, Incarnation, World};
+use reachtally_core::member::MemberState;
+use reachtally_core::{Event, Incarnation, Instant, World};
 use reachtally_listen::{Listener, Options as Listen};
 use reachtally_platform::http::HttpPlatform;
 use reachtally_target::http::HttpTargets;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -18,7 +20,7 @@
 use crate::caller::{self, OpenStreams};
 use crate::perform::Performer;
 use crate::view::{Readiness, View};
-use crate::{follow, metrics, operator};
+use crate::{follow, metrics, operator, peers};
 
 /// Seconds that a stop gives the last answers to be written out.
 const WRITE_OUT_S: u32 = 5;
@@ -88,6 +90,7 @@
     let (handle, rx) = mpsc::unbounded_channel();
     let (view_tx, view) = watch::channel(View::empty());
     let (counters_tx, counters) = watch::channel(Counters::default());
+    let (reader_tx, reader) = watch::channel(true);
     let open = OpenStreams::default();
     let callers = listen_callers(&settings, &handle, &view, &open).await?;
     let operators = listen_operators(&settings, &handle, &view, &platform).await?;
@@ -100,17 +103,29 @@
     let published = Published {
         view: view_tx,
         counters: counters_tx,
+        reader: reader_tx,
     };
+    let peers = listen_peers(&settings).await?;
     let limits = settings.limits.clone();
-    let world = World::new(identity.incarnation, identity.seed, limits);
+    let mut world = World::new(identity.incarnation, identity.seed, limits);
+    if let Some(peers) = &peers {
+        let address = peers
+            .local_addr()
+            .change_context(StartError::Listen("peers"))?;
+        world.join(me(&settings, address), Instant::ZERO);
+    }
     let actor = Actor::new(world, rx, performer, published);
-    let tasks = vec![
+    let mut tasks = vec![
         tokio::spawn(actor.run()),
-        tokio::spawn(follow::config(platform.clone(), handle.clone())),
+        tokio::spawn(follow::config(platform.clone(), handle.clone(), reader)),
+        tokio::spawn(follow::domains(platform.clone(), handle.clone())),
         tokio::spawn(follow::claims(platform.clone(), handle.clone())),
         tokio::spawn(follow::list(platform, handle.clone())),
         tokio::spawn(metrics::report(statsd, counters)),
     ];
+    if let Some(peers) = peers {
+        tasks.push(tokio::spawn(peers::listen(peers, handle.clone())));
+    }
     info!(
         box_name = settings.box_name.as_str(), domain = settings.domain.as_str(),
         callers:% = callers.address, operators:% = operators.address;
@@ -127,6 +142,27 @@
     })
 }
 
+/// What the daemon tells other daemons of itself.
+fn me(settings: &Settings, address: SocketAddr) -> MemberState {
+    MemberState {
+        box_name: settings.box_name.clone(),
+        domain: settings.domain.clone(),
+        address: address.to_string(),
+        ..MemberState::default()
+    }
+}
+
+async fn listen_peers(settings: &Settings) -> Result<Option<TcpListener>, Report<StartError>> {
+    let Some(address) = settings.peer else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address).await;
+    listener
+        .map(Some)
+        .change_context(StartError::Listen("peers"))
+        .attach_with(|| format!("on {address}"))
+}
+
 async fn listen_callers(
     settings: &Settings,
     handle: &Handle,
--- a/reachtally-daemon/src/standalone.rs
+++ b/reachtally-daemon/src/standalone.rs
@@ -239,6 +239,7 @@
         domain: "hall-1".to_owned(),
         callers: options.callers,
         operators: options.operators,
+        peer: Some(SocketAddr::from(([127, 0, 0, 1], 0))),
         log: log.url(),
         list: list.url(),
         statsd: None,
--- a/reachtally-generate/src/lib.rs
+++ b/reachtally-generate/src/lib.rs
@@ -14,10 +14,16 @@
 }
 
 /// Every `.proto` file of the workspace.
-pub const SOURCES: [Source; 1] = [Source {
-    crate_name: "reachtally-target",
-    name: "engine",
-}];
+pub const SOURCES: [Source; 2] = [
+    Source {
+        crate_name: "reachtally-target",
+        name: "engine",
+    },
+    Source {
+        crate_name: "reachtally-protocol",
+        name: "peer",
+    },
+];
 
 impl Source {
     fn root(self) -> PathBuf {
--- a/reachtally-platform/src/http.rs
+++ b/reachtally-platform/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reachtally_core::event::BoxSeen;
+use reachtally_core::event::{BoxSeen, Peer};
 use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -28,6 +28,18 @@
     pub name: String,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// For an entry box, its failure domain and where other daemons reach it.
+    #[serde(default)]
+    pub peer: Option<ListedPeer>,
+}
+
+/// An entry box on the live list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ListedPeer {
+    /// Its failure domain.
+    pub domain: String,
+    /// Where other daemons reach it.
+    pub address: String,
 }
 
 /// The platform reached over HTTP.
@@ -107,5 +119,9 @@
     BoxSeen {
         name: listed.name,
         leaving: listed.leaving,
+        peer: listed.peer.map(|peer| Peer {
+            domain: peer.domain,
+            address: peer.address,
+        }),
     }
 }
--- a/reachtally-platform/src/lib.rs
+++ b/reachtally-platform/src/lib.rs
@@ -19,6 +19,11 @@
 /// The stream of claims and outcomes.
 pub const CLAIMS_STREAM: &str = "claims";
 
+/// The stream of leases and confirmations of the failure domains.
+pub const DOMAINS_STREAM: &str = "domains";
+/// The stream of configuration snapshots.
+pub const SNAPSHOTS_STREAM: &str = "snapshots";
+
 /// One record of a stream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
--- a/reachtally-standin/src/engine/mod.rs
+++ b/reachtally-standin/src/engine/mod.rs
@@ -14,7 +14,7 @@
 pub use faults::{Fault, Faults};
 pub use kv::KvExport;
 pub use ledger::{Ledger, LedgerRun};
-pub use orders::{Action, Order, OutdatedFence};
+pub use orders::OutdatedFence;
 pub use reports::{CacheEvent, Load};
 pub use server::{Engine, start};
 pub(crate) use state::positions;
--- a/reachtally-standin/src/engine/orders.rs
+++ b/reachtally-standin/src/engine/orders.rs
@@ -2,26 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use serde::{Deserialize, Serialize};
-
-/// An order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Order {
-    /// The fence of the one who gives it.
-    pub fence: u64,
-    /// What to do.
-    pub action: Action,
-}
-
-/// What an order asks for. Each is idempotent.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Action {
-    /// Load a model version or an adapter.
-    Load(String),
-    /// Unload it.
-    Unload(String),
-}
+use reachtally_target::order::{Action, OrderBody};
 
 /// Why an order was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,11 +17,12 @@
     highest: u64,
     pub loaded: BTreeSet<String>,
     pub taken: u64,
+    pub stopped: bool,
 }
 
 impl Orders {
     /// Take an order; an engine that checks fences refuses one with an outdated fence.
-    pub fn take(&mut self, order: Order, checks_fence: bool) -> Result<(), OutdatedFence> {
+    pub fn take(&mut self, order: OrderBody, checks_fence: bool) -> Result<(), OutdatedFence> {
         if checks_fence && order.fence < self.highest {
             return Err(OutdatedFence {
                 highest: self.highest,
@@ -55,6 +37,7 @@
             Action::Unload(name) => {
                 self.loaded.remove(&name);
             }
+            Action::Stop => self.stopped = true,
         }
         Ok(())
     }
--- a/reachtally-standin/src/engine/server.rs
+++ b/reachtally-standin/src/engine/server.rs
@@ -7,6 +7,7 @@
 use reachtally_core::ids::RequestId;
 use reachtally_core::step::{Batch, StepResult};
 use reachtally_listen::{Error, Listener};
+use reachtally_target::order::{OrderBody, ReportBody};
 use reachtally_target::{NOT_RUN, OUTCOME_HEADER, wire};
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Header, Status};
@@ -18,7 +19,6 @@
 use super::faults::{Fault, Faults};
 use super::kv::KvExport;
 use super::ledger::{Ledger, LedgerRun};
-use super::orders::Order;
 use super::reports::{CacheEvent, Load};
 use super::state::{Options, State};
 
@@ -123,6 +123,7 @@
                 health,
                 load,
                 cache_events,
+                report,
                 order,
                 export,
                 import,
@@ -258,9 +259,22 @@
 }
 
 #[post("/v1/orders", data = "<order>")]
-fn order(order: Json<Order>, shared: &rocket::State<Shared>) -> Result<(), Status> {
+fn order(
+    order: Json<OrderBody>,
+    shared: &rocket::State<Shared>,
+    closer: Shutdown,
+) -> Result<(), Status> {
     let taken = shared.lock().order(order.into_inner());
-    taken.map_err(|_| Status::Conflict)
+    taken.map_err(|_| Status::Conflict)?;
+    if shared.lock().is_stopped() {
+        closer.notify();
+    }
+    Ok(())
+}
+
+#[get("/v1/report")]
+fn report(shared: &rocket::State<Shared>) -> Json<ReportBody> {
+    Json(shared.lock().report())
 }
 
 fn id(incarnation: u64, seq: u64) -> RequestId {
--- a/reachtally-standin/src/engine/state.rs
+++ b/reachtally-standin/src/engine/state.rs
@@ -6,12 +6,13 @@
 use reachtally_core::declare::Layers;
 use reachtally_core::ids::RequestId;
 use reachtally_core::step::{Batch, Input, Output, Step, StepRefusal, StepResult};
+use reachtally_target::order::{OrderBody, ReportBody};
 
 use super::faults::Faults;
 use super::kv::{KvExport, KvStore};
 use super::ledger::{Ledger, LedgerRun};
 use super::model;
-use super::orders::{Order, Orders, OutdatedFence};
+use super::orders::{Orders, OutdatedFence};
 use super::reports::{Load, Reports};
 use super::timing::StepTime;
 
@@ -93,10 +94,28 @@
     ///
     /// # Errors
     /// If the engine checks fences and this one is outdated.
-    pub fn order(&mut self, order: Order) -> Result<(), OutdatedFence> {
+    pub fn order(&mut self, order: OrderBody) -> Result<(), OutdatedFence> {
         self.orders.take(order, self.options.checks_fence)
     }
 
+    /// What it reports to the one who gives orders.
+    pub fn report(&self) -> ReportBody {
+        ReportBody {
+            loaded: self.orders.loaded.clone(),
+            requests: self.kv.len() as u64,
+        }
+    }
+
+    /// Whether it was ordered to stop.
+    pub fn is_stopped(&self) -> bool {
+        self.orders.stopped
+    }
+
+    /// Orders that it took.
+    pub fn orders_taken(&self) -> u64 {
+        self.orders.taken
+    }
+
     /// KV of a request, if it is held.
     pub fn export(&self, request: RequestId) -> Option<KvExport> {
         self.kv.export(request)
--- a/reachtally-standin/src/fabric/log.rs
+++ b/reachtally-standin/src/fabric/log.rs
@@ -6,14 +6,23 @@
 use reachtally_core::claim::ClaimRecord;
 use reachtally_core::event::Read;
 use reachtally_core::fold::{Config, Operation};
+use reachtally_core::lease::DomainRecord;
 
 /// How far a daemon has read.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Offsets {
     config: usize,
     claims: usize,
+    domains: usize,
 }
 
+/// What a daemon has not read yet of each stream.
+pub(super) type Unread = (
+    Vec<Read<Operation>>,
+    Vec<Read<ClaimRecord>>,
+    Vec<Read<DomainRecord>>,
+);
+
 /// A log with a stream of operations and one of claims.
 #[derive(Debug, Default)]
 pub struct FakeLog {
@@ -29,6 +38,10 @@
     pub delay: Duration,
     /// Claim records taken.
     pub claims: Vec<Read<ClaimRecord>>,
+    /// Snapshots of the configuration.
+    pub snapshots: Vec<Config>,
+    /// Records of the failure domains.
+    pub domains: Vec<Read<DomainRecord>>,
     operations: Vec<Read<Operation>>,
     folded: Config,
 }
@@ -71,14 +84,25 @@
         !lost
     }
 
-    pub(super) fn unread(
-        &self,
-        read: &mut Offsets,
-    ) -> (Vec<Read<Operation>>, Vec<Read<ClaimRecord>>) {
+    pub(super) fn append_domain(&mut self, daemon: usize, at_ms: u64, record: DomainRecord) {
+        if self.down || self.cut.contains(&daemon) {
+            return;
+        }
+        let offset = self.domains.len() as u64;
+        self.domains.push(Read {
+            offset,
+            at_ms,
+            record,
+        });
+    }
+
+    pub(super) fn unread(&self, read: &mut Offsets) -> Unread {
         let config = self.operations[read.config..].to_vec();
         let claims = self.claims[read.claims..].to_vec();
         read.config = self.operations.len();
+        let domains = self.domains[read.domains..].to_vec();
         read.claims = self.claims.len();
-        (config, claims)
+        read.domains = self.domains.len();
+        (config, claims, domains)
     }
 }
--- a/reachtally-standin/src/fabric/mod.rs
+++ b/reachtally-standin/src/fabric/mod.rs
@@ -10,17 +10,21 @@
 mod queue;
 mod service;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use reachtally_core::declare::{Kind, Object};
-use reachtally_core::event::{BoxSeen, CallFailure};
+use reachtally_core::event::{BoxSeen, CallFailure, Peer};
 use reachtally_core::fold::{Config, Edit, EditChange, Operation};
 use reachtally_core::ids::{CallKey, RequestKey, TargetKey};
 use reachtally_core::life::NeverStarted;
+use reachtally_core::member::MemberState;
 use reachtally_core::request::{Ask, ServiceCall};
 use reachtally_core::step::Batch;
+use reachtally_core::systems::gossip::PeerConfig;
+use reachtally_core::systems::steward::Order;
 use reachtally_core::{Effect, Event, Incarnation, Instant, Limits};
+use reachtally_target::order::OrderBody;
 
 use self::queue::{Happening, Queue};
 
@@ -47,6 +51,10 @@
     pub services: BTreeMap<String, FakeService>,
     /// The log.
     pub log: FakeLog,
+    /// Daemons that no other daemon reaches.
+    pub cut_peers: BTreeSet<usize>,
+    /// Orders given: by which daemon, to which engine, with which fence.
+    pub orders: Vec<(usize, String, u64, Order)>,
     queue: Queue,
 }
 
@@ -60,6 +68,8 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             log: FakeLog::default(),
+            cut_peers: BTreeSet::new(),
+            orders: Vec::new(),
             queue: Queue::default(),
         };
         for daemon in 0..daemons {
@@ -113,6 +123,7 @@
         let seen = boxes.iter().map(|(name, leaving)| BoxSeen {
             name: (*name).to_owned(),
             leaving: *leaving,
+            peer: None,
         });
         let seen: Vec<BoxSeen> = seen.collect();
         for daemon in 0..self.nodes.len() {
@@ -274,17 +285,109 @@
                 self.tell(daemon, LINK * 2 + delay, Event::Appended { seq, confirmed });
                 self.queue.push(self.now + LINK + delay, Happening::Spread);
             }
+            Effect::Gossip { to, members } => {
+                self.tell_peer(daemon, &to, Event::Digest(members));
+            }
+            Effect::PushConfig { to, records } => {
+                let event = Event::PeerConfig(PeerConfig::Records(records));
+                self.tell_peer(daemon, &to, event);
+            }
+            Effect::PullConfig { from, next } => self.pull(daemon, &from, next),
+            Effect::AppendDomain(record) => {
+                let at_ms = self.now.elapsed().as_millis() as u64;
+                self.log.append_domain(daemon, at_ms, record);
+                let delay = self.log.delay;
+                self.tell(daemon, LINK * 2 + delay, Event::DomainAppended);
+                self.queue.push(self.now + LINK + delay, Happening::Spread);
+            }
+            Effect::WriteSnapshot(config) => self.log.snapshots.push(*config),
+            Effect::AskReport { target } => self.ask_report(daemon, target),
+            Effect::Order {
+                target,
+                fence,
+                order,
+            } => self.order(daemon, target, fence, order),
             Effect::Deliver { .. } | Effect::Finish { .. } | Effect::Changed(_) => {}
         }
     }
 
+    /// Let every daemon take part in a failure domain. Their addresses are their numbers.
+    pub fn join(&mut self, domains: &[&str]) {
+        for (daemon, domain) in domains.iter().enumerate() {
+            let me = MemberState {
+                box_name: format!("b{daemon}"),
+                domain: (*domain).to_owned(),
+                address: daemon.to_string(),
+                ..MemberState::default()
+            };
+            self.nodes[daemon].world.join(me, self.now);
+        }
+        let peers = domains.iter().enumerate().map(|(daemon, domain)| BoxSeen {
+            name: format!("b{daemon}"),
+            leaving: false,
+            peer: Some(Peer {
+                domain: (*domain).to_owned(),
+                address: daemon.to_string(),
+            }),
+        });
+        let seen: Vec<BoxSeen> = peers.collect();
+        for daemon in 0..self.nodes.len() {
+            self.handle(daemon, Event::ListRead(seen.clone()));
+        }
+    }
+
+    /// The daemon at an address, unless the two are cut off from each other.
+    fn peer(&self, from: usize, address: &str) -> Option<usize> {
+        let to: usize = address.parse().ok()?;
+        let cut = self.cut_peers.contains(&from) || self.cut_peers.contains(&to);
+        (!cut && to < self.nodes.len()).then_some(to)
+    }
+
+    fn tell_peer(&mut self, from: usize, address: &str, event: Event) {
+        if let Some(to) = self.peer(from, address) {
+            self.tell(to, LINK, event);
+        }
+    }
+
+    fn pull(&mut self, daemon: usize, from: &str, next: u64) {
+        if let Some(peer) = self.peer(daemon, from) {
+            let config = self.nodes[peer].world.config_for(next);
+            self.tell(daemon, LINK * 2, Event::PeerConfig(config));
+        }
+    }
+
+    fn ask_report(&mut self, daemon: usize, target: TargetKey) {
+        let url = self.nodes[daemon].url(target);
+        let Some(engine) = self.engines.get(&url).filter(|engine| engine.answers()) else {
+            return;
+        };
+        let report = engine.state.report().into();
+        self.tell(daemon, LINK * 2, Event::Reported { target, report });
+    }
+
+    fn order(&mut self, daemon: usize, target: TargetKey, fence: u64, order: Order) {
+        let url = self.nodes[daemon].url(target);
+        self.orders
+            .push((daemon, url.clone(), fence, order.clone()));
+        if let Some(engine) = self.engines.get_mut(&url) {
+            let action = order.into();
+            // A refused fence is the engine's answer; the steward sees it in the next report.
+            engine.state.order(OrderBody { fence, action }).ok();
+            engine.dead |= engine.state.is_stopped();
+        }
+    }
+
     /// Every daemon that reaches the log reads what it has not read yet.
     fn spread(&mut self) {
         for daemon in 0..self.nodes.len() {
             if self.log.cut.contains(&daemon) || self.log.down {
                 continue;
             }
-            let (config, claims) = self.log.unread(&mut self.nodes[daemon].read);
+            let unread = self.log.unread(&mut self.nodes[daemon].read);
+            let (config, claims, domains) = unread;
+            if !domains.is_empty() {
+                self.tell(daemon, Duration::ZERO, Event::DomainsRead(domains));
+            }
             if !config.is_empty() {
                 self.tell(daemon, Duration::ZERO, Event::ConfigRead(config));
             }
--- a/reachtally-standin/src/list.rs
+++ b/reachtally-standin/src/list.rs
@@ -8,9 +8,9 @@
 use rocket::serde::json::Json;
 use rocket::{get, put, routes};
 
-type Boxes = Arc<Mutex<BTreeMap<String, bool>>>;
+type Boxes = Arc<Mutex<BTreeMap<String, ListedBox>>>;
 
-fn lock(boxes: &Boxes) -> MutexGuard<'_, BTreeMap<String, bool>> {
+fn lock(boxes: &Boxes) -> MutexGuard<'_, BTreeMap<String, ListedBox>> {
     boxes
         .lock()
         .unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -30,7 +30,11 @@
 
     /// Show a box, as leaving or not.
     pub fn set(&self, name: &str, leaving: bool) {
-        lock(&self.boxes).insert(name.to_owned(), leaving);
+        let listed = ListedBox {
+            leaving,
+            ..plain(name)
+        };
+        lock(&self.boxes).insert(name.to_owned(), listed);
     }
 
     /// Show a box no longer.
@@ -49,6 +53,15 @@
     }
 }
 
+/// A box that is not leaving and no entry box.
+fn plain(name: &str) -> ListedBox {
+    ListedBox {
+        name: name.to_owned(),
+        leaving: false,
+        peer: None,
+    }
+}
+
 /// Start a live list that shows `boxes` as not leaving.
 ///
 /// # Errors
@@ -57,7 +70,10 @@
     listen: reachtally_listen::Options,
     names: impl IntoIterator<Item = String>,
 ) -> Result<List, Error> {
-    let boxes: BTreeMap<String, bool> = names.into_iter().map(|name| (name, false)).collect();
+    let boxes: BTreeMap<String, ListedBox> = names
+        .into_iter()
+        .map(|name| (name.clone(), plain(&name)))
+        .collect();
     let boxes: Boxes = Arc::new(Mutex::new(boxes));
     let managed = boxes.clone();
     let build = |rocket: rocket::Rocket<rocket::Build>| {
@@ -71,18 +87,13 @@
 
 #[get("/boxes")]
 fn show(boxes: &rocket::State<Boxes>) -> Json<Vec<ListedBox>> {
-    let boxes = lock(boxes);
-    let listed = boxes.iter().map(|(name, leaving)| ListedBox {
-        name: name.clone(),
-        leaving: *leaving,
-    });
-    Json(listed.collect())
+    Json(lock(boxes).values().cloned().collect())
 }
 
 #[put("/boxes", data = "<listed>")]
 fn set(listed: Json<ListedBox>, boxes: &rocket::State<Boxes>) {
     let listed = listed.into_inner();
-    lock(boxes).insert(listed.name, listed.leaving);
+    lock(boxes).insert(listed.name.clone(), listed);
 }
 
 #[rocket::delete("/boxes/<name>")]
--- a/reachtally-target/src/http.rs
+++ b/reachtally-target/src/http.rs
@@ -17,11 +17,15 @@
 use reachtally_core::life::NeverStarted;
 use reachtally_core::request::{Answer, ServiceCall};
 use reachtally_core::step::{Batch, StepResult};
+use reachtally_core::systems::steward::{Order, Reported};
 use reqwest::header::{CONTENT_TYPE, HeaderMap};
 use reqwest::{Client, Method, Response};
 
-use crate::{Engines, HEALTH_PATH, KEY_HEADER, NOT_RUN, OUTCOME_HEADER, STEPS_PATH};
-use crate::{Probe, Services, wire};
+use crate::order::{OrderBody, ReportBody};
+use crate::{
+    Engines, HEALTH_PATH, KEY_HEADER, NOT_RUN, ORDERS_PATH, OUTCOME_HEADER, Orders, Probe,
+    REPORT_PATH, STEPS_PATH, Services, wire,
+};
 
 /// Time for a connection to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -148,6 +152,25 @@
     Ok(body.into())
 }
 
+impl Orders for HttpTargets {
+    async fn report(&self, url: &str) -> Option<Reported> {
+        let req = self.client.get(format!("{url}/{REPORT_PATH}"));
+        let response = req.timeout(PROBE_TIMEOUT).send().await.ok()?;
+        let body: ReportBody = response.json().await.ok()?;
+        Some(body.into())
+    }
+
+    async fn order(&self, url: &str, fence: u64, order: Order) -> bool {
+        let body = OrderBody {
+            fence,
+            action: order.into(),
+        };
+        let req = self.client.post(format!("{url}/{ORDERS_PATH}")).json(&body);
+        let answer = req.timeout(PROBE_TIMEOUT).send().await;
+        answer.is_ok_and(|response| response.status().is_success())
+    }
+}
+
 impl Probe for HttpTargets {
     async fn probe(&self, url: &str) -> bool {
         let req = self.client.get(format!("{url}/{HEALTH_PATH}"));
--- a/reachtally-target/src/lib.rs
+++ b/reachtally-target/src/lib.rs
@@ -10,8 +10,10 @@
 use reachtally_core::event::CallFailure;
 use reachtally_core::request::{Answer, ServiceCall};
 use reachtally_core::step::{Batch, StepResult};
+use reachtally_core::systems::steward::{Order, Reported};
 
 pub mod http;
+pub mod order;
 pub mod wire;
 
 #[allow(missing_docs, clippy::all)]
@@ -22,6 +24,10 @@
 
 /// Path of an engine's step route.
 pub const STEPS_PATH: &str = "v1/steps";
+/// Path of an engine's report.
+pub const REPORT_PATH: &str = "v1/report";
+/// Path of an engine's orders.
+pub const ORDERS_PATH: &str = "v1/orders";
 /// Path that every target answers while it is up.
 pub const HEALTH_PATH: &str = "health";
 /// The header by which a target says that a call did not run.
@@ -52,6 +58,15 @@
     ) -> impl Future<Output = Result<Answer, CallFailure>> + Send;
 }
 
+/// Engines that take orders.
+pub trait Orders {
+    /// What the engine at `url` holds, if it answers.
+    fn report(&self, url: &str) -> impl Future<Output = Option<Reported>> + Send;
+
+    /// Give the engine at `url` an order; `false` if it did not take it.
+    fn order(&self, url: &str, fence: u64, order: Order) -> impl Future<Output = bool> + Send;
+}
+
 /// Any target.
 pub trait Probe {
     /// Whether the target at `url` answers.
