test(core): membership, spread, steward, orders, stop and pauses

Twenty tests, each named after its fault. Found on the way: a daemon that woke from a pause took a digest that had waited in its buffers for proof that its configuration was current; only the answer to a question asked after waking counts now.

--- a/reachtally-core/src/effect.rs
+++ b/reachtally-core/src/effect.rs
@@ -160,6 +160,15 @@
         /// The first offset lacking.
         next: u64,
     },
+    /// Ask the log, or else a peer, for configuration records; then report under `nonce`.
+    Revalidate {
+        /// Names the question.
+        nonce: u64,
+        /// The first offset lacking.
+        next: u64,
+        /// Peers to ask if the log does not answer.
+        peers: Vec<String>,
+    },
     /// Append to the stream of failure domains.
     AppendDomain(DomainRecord),
     /// Append a snapshot of the configuration.
--- a/reachtally-core/src/event.rs
+++ b/reachtally-core/src/event.rs
@@ -114,6 +114,8 @@
     Digest(Vec<MemberState>),
     /// Another daemon, or a snapshot in the log, gave configuration records or a whole one.
     PeerConfig(PeerConfig),
+    /// The log or a peer, asked after a pause under this number, answered; what it gave was taken.
+    Revalidated(u64),
     /// A target reported itself to the steward.
     Reported {
         /// The target.
--- a/reachtally-core/src/systems/gossip.rs
+++ b/reachtally-core/src/systems/gossip.rs
@@ -69,8 +69,6 @@
             from: sender.address,
             next: world.config.next(),
         });
-    } else {
-        revalidated(world);
     }
 }
 
@@ -80,7 +78,6 @@
         PeerConfig::Records(records) => configure::read(world, &records, now, out),
         PeerConfig::Snapshot(config) => configure::adopt(world, *config, now, out),
     }
-    revalidated(world);
 }
 
 /// What a peer that has folded records below `next` lacks.
@@ -112,23 +109,41 @@
     world.members.rank("reader", now) < READERS
 }
 
-/// A tick came: if it came far too late, the configuration in force may be old, and nothing is
-/// admitted until it was compared.
-pub fn notice_pause(world: &mut World, now: Instant) {
+/// Something reaches the daemon: if the last time is far too long ago, it was paused, the configuration
+/// in force may be old, and nothing is admitted until it was compared. What arrived during the pause
+/// proves nothing, so only the answer to a question asked after it counts.
+pub fn notice_pause(world: &mut World, now: Instant, out: &mut Effects) {
     let late = now.since(world.last_tick);
     world.last_tick = now;
-    if world.members.takes_part() && late > PAUSED_AFTER {
-        world.counters.pauses_noticed += 1;
-        world.revalidate_until = Some(now + REVALIDATE_WAIT);
+    if !world.members.takes_part() || late <= PAUSED_AFTER {
+        return;
     }
+    world.counters.pauses_noticed += 1;
+    let nonce = world.counters.pauses_noticed;
+    world.revalidation = Some(Revalidation {
+        nonce,
+        until: now + REVALIDATE_WAIT,
+    });
+    out.push(Effect::Revalidate {
+        nonce,
+        next: world.config.next(),
+        peers: world.members.peers(PUSH_FANOUT, now, &mut world.rng),
+    });
+}
+
+/// A comparison that is under way.
+#[derive(Debug, Clone, Copy)]
+pub struct Revalidation {
+    nonce: u64,
+    until: Instant,
 }
 
-/// The configuration in force was compared with the log or a peer.
-pub fn revalidated(world: &mut World) {
-    world.revalidate_until = None;
+/// The configuration was compared with the log or a peer, as asked under `nonce`.
+pub fn revalidated(world: &mut World, nonce: u64) {
+    world.revalidation = world.revalidation.filter(|asked| asked.nonce != nonce);
 }
 
 /// Whether the configuration in force must be compared before anything is admitted.
 pub fn must_revalidate(world: &World, now: Instant) -> bool {
-    world.revalidate_until.is_some_and(|until| now < until)
+    world.revalidation.is_some_and(|asked| now < asked.until)
 }
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -192,7 +192,7 @@
     pub(crate) tenure: Tenure,
     pub(crate) confirm_sent: u64,
     pub(crate) last_tick: Instant,
-    pub(crate) revalidate_until: Option<Instant>,
+    pub(crate) revalidation: Option<systems::gossip::Revalidation>,
     pub(crate) dirty: Vec<TargetKey>,
     pub(crate) parked: Vec<RequestKey>,
     pub(crate) standby_due: Vec<RequestKey>,
@@ -231,7 +231,7 @@
             tenure: Tenure::default(),
             confirm_sent: 0,
             last_tick: Instant::ZERO,
-            revalidate_until: None,
+            revalidation: None,
             dirty: Vec::new(),
             parked: Vec::new(),
             standby_due: Vec::new(),
@@ -246,13 +246,13 @@
     /// A caller asks. The row returned names the request in all effects, also in a refusal that
     /// `out` holds already.
     pub fn ask(&mut self, ask: Ask, now: Instant, out: &mut Effects) -> RequestKey {
-        systems::gossip::notice_pause(self, now);
+        systems::gossip::notice_pause(self, now, out);
         systems::admit::ask(self, ask, now, out)
     }
 
     /// Take one event.
     pub fn handle(&mut self, event: Event, now: Instant, out: &mut Effects) {
-        systems::gossip::notice_pause(self, now);
+        systems::gossip::notice_pause(self, now, out);
         match event {
             Event::Drained { request, tokens } => systems::deliver::drained(self, request, tokens),
             Event::HungUp(request) => systems::finish::hung_up(self, request, out),
@@ -271,10 +271,8 @@
             Event::Appended { seq, confirmed } => systems::claims::appended(self, seq, confirmed),
             Event::ClaimsRead(records) => systems::claims::read(self, &records, now, out),
             Event::ClaimsCaughtUp => self.claims_ready = true,
-            Event::ConfigRead(records) => {
-                systems::configure::read(self, &records, now, out);
-                systems::gossip::revalidated(self);
-            }
+            Event::ConfigRead(records) => systems::configure::read(self, &records, now, out),
+            Event::Revalidated(nonce) => systems::gossip::revalidated(self, nonce),
             Event::DomainsRead(records) => systems::steward::read(self, &records, now),
             Event::DomainAppended => systems::steward::appended(self),
             Event::Digest(members) => systems::gossip::digest(self, members, now, out),
@@ -295,7 +293,7 @@
 
     /// Run what is due: timers, then appends, then dispatch.
     pub fn tick(&mut self, now: Instant, out: &mut Effects) {
-        systems::gossip::notice_pause(self, now);
+        systems::gossip::notice_pause(self, now, out);
         while let Some(timer) = self.pop_due(now) {
             systems::timers::fire(self, timer, now, out);
         }
--- /dev/null
+++ b/reachtally-core/tests/core/domains.rs
@@ -0,0 +1,406 @@
+//! Failure domains: membership, the spread of the configuration, the steward's lease and orders.
+
+use std::time::Duration;
+
+use reachtally_core::declare::{Adapter, Kind, Model, Object};
+use reachtally_core::fold::{Edit, EditChange};
+use reachtally_core::lease::{DomainRecord, Domains, LEASE, LEASE_MARGIN};
+use reachtally_core::life::Refusal;
+use reachtally_core::member::MEMBER_TIMEOUT;
+use reachtally_core::systems::gossip::PAUSED_AFTER;
+use reachtally_core::systems::steward::{Order, STOP_QUIET};
+use reachtally_core::{Incarnation, Limits};
+use reachtally_standin::fabric::{End, Fabric};
+
+use crate::setup::*;
+
+/// Daemons of the domain in which the engines are, and of another one.
+const DOMAINS: [&str; 5] = ["d1", "d1", "d1", "d2", "d2"];
+
+fn joined() -> Fabric {
+    let mut fabric = fabric(DOMAINS.len());
+    fabric.join(&DOMAINS);
+    fabric.run_for(8 * SECOND);
+    fabric
+}
+
+fn stewards(fabric: &Fabric, domain: &str) -> Vec<usize> {
+    let daemons = 0..fabric.nodes.len();
+    let acts = |daemon: &usize| {
+        let paused = fabric.nodes[*daemon].paused_until > fabric.now;
+        DOMAINS[*daemon] == domain && !paused && fabric.nodes[*daemon].world.is_steward(fabric.now)
+    };
+    daemons.filter(acts).collect()
+}
+
+fn live(fabric: &Fabric, daemon: usize) -> Vec<String> {
+    let members = fabric.nodes[daemon].world.live_members(fabric.now);
+    members.map(|member| member.box_name.clone()).collect()
+}
+
+fn new_model(fabric: &mut Fabric, name: &str) {
+    fabric.declare(vec![Object::Model(Model {
+        name: name.to_owned(),
+        layers: 4,
+    })]);
+}
+
+fn offsets(fabric: &Fabric) -> Vec<u64> {
+    fabric
+        .nodes
+        .iter()
+        .map(|node| node.world.config.next())
+        .collect()
+}
+
+#[test]
+fn daemons_of_a_domain_learn_of_each_other_and_of_no_others() {
+    let fabric = joined();
+    assert_eq!(live(&fabric, 0), ["b1", "b2"]);
+    assert_eq!(live(&fabric, 4), ["b3"]);
+}
+
+#[test]
+fn a_daemon_that_dies_is_no_member_after_the_time_out() {
+    let mut fabric = joined();
+    let long = fabric.now + 1000 * SECOND;
+    fabric.pause(1, long);
+    fabric.run_for(MEMBER_TIMEOUT + 5 * SECOND);
+    assert_eq!(live(&fabric, 0), ["b2"]);
+}
+
+#[test]
+fn a_daemon_cut_off_from_the_log_gets_the_configuration_from_its_peers() {
+    let mut fabric = joined();
+    fabric.log.cut.insert(1);
+    new_model(&mut fabric, "new");
+    let published_at = fabric.now;
+    fabric.run_for(Duration::from_millis(100));
+    assert_eq!(offsets(&fabric), [2, 2, 2, 2, 2]);
+    assert!(fabric.now.since(published_at) < SECOND);
+}
+
+#[test]
+fn a_domain_cut_off_from_everything_serves_on_by_what_it_has_and_catches_up() {
+    let mut fabric = joined();
+    fabric.log.cut.extend([0, 1, 2]);
+    new_model(&mut fabric, "new");
+    fabric.run_for(30 * SECOND);
+    assert_eq!(offsets(&fabric), [1, 1, 1, 2, 2]);
+    let key = fabric.ask(0, completion(5));
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, key, 5);
+    fabric.heal_log();
+    fabric.run_for(SECOND);
+    assert_eq!(offsets(&fabric), [2, 2, 2, 2, 2]);
+}
+
+#[test]
+fn a_daemon_that_missed_many_records_takes_a_snapshot_from_a_peer() {
+    let mut fabric = joined();
+    fabric.log.cut.insert(1);
+    fabric.cut_peers.insert(1);
+    for n in 0..600 {
+        new_model(&mut fabric, &format!("m{n}"));
+    }
+    fabric.run_for(2 * SECOND);
+    assert_eq!(offsets(&fabric)[1], 1);
+    fabric.cut_peers.clear();
+    fabric.run_for(10 * SECOND);
+    assert_eq!(offsets(&fabric)[1], 601);
+    assert_eq!(fabric.nodes[1].world.config, fabric.nodes[0].world.config);
+}
+
+#[test]
+fn snapshots_are_written_and_equal_the_fold() {
+    let mut fabric = joined();
+    for n in 0..450 {
+        new_model(&mut fabric, &format!("m{n}"));
+    }
+    fabric.run_for(2 * SECOND);
+    let snapshots = &fabric.log.snapshots;
+    assert!(snapshots.len() >= 2, "{}", snapshots.len());
+    let last = snapshots
+        .iter()
+        .max_by_key(|config| config.next())
+        .expect("there is one");
+    let mut other = fabric.nodes[3].world.config.clone();
+    assert!(!other.adopt(last.clone()), "a snapshot is ahead of the log");
+    assert!(last.next() >= 400);
+}
+
+#[test]
+fn each_domain_has_one_steward_and_confirms_the_configuration() {
+    let mut fabric = joined();
+    assert_eq!(stewards(&fabric, "d1").len(), 1);
+    assert_eq!(stewards(&fabric, "d2").len(), 1);
+    new_model(&mut fabric, "new");
+    fabric.run_for(5 * SECOND);
+    let domains = fabric.nodes[0].world.domains();
+    assert_eq!(domains.get("d1").confirmed, 2);
+    assert_eq!(domains.get("d2").confirmed, 2);
+}
+
+#[test]
+fn a_domain_that_is_cut_off_is_shown_as_behind() {
+    let mut fabric = joined();
+    fabric.run_for(5 * SECOND);
+    fabric.log.cut.extend([3, 4]);
+    new_model(&mut fabric, "new");
+    fabric.run_for(10 * SECOND);
+    let domains = fabric.nodes[0].world.domains();
+    assert_eq!(domains.get("d1").confirmed, 2);
+    assert_eq!(domains.get("d2").confirmed, 1);
+}
+
+#[test]
+fn a_steward_that_is_paused_is_replaced_and_does_not_act_when_it_wakes() {
+    let mut fabric = joined();
+    let first = stewards(&fabric, "d1")[0];
+    let wake = fabric.now + 60 * SECOND;
+    fabric.pause(first, wake);
+    for _ in 0..65 {
+        fabric.run_for(SECOND);
+        assert!(stewards(&fabric, "d1").len() <= 1, "two stewards at once");
+    }
+    let second = stewards(&fabric, "d1");
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0], first);
+}
+
+#[test]
+fn during_an_outage_of_the_log_the_lease_runs_out_and_nobody_acts() {
+    let mut fabric = joined();
+    fabric.log.down = true;
+    fabric.run_for(LEASE);
+    assert!(stewards(&fabric, "d1").is_empty());
+    fabric.heal_log();
+    fabric.run_for(30 * SECOND);
+    assert_eq!(stewards(&fabric, "d1").len(), 1);
+}
+
+#[test]
+fn a_lease_is_taken_only_after_the_one_before_ended_by_the_logs_clock() {
+    let mut domains = Domains::default();
+    let lease = |holder| DomainRecord::Lease {
+        domain: "d".to_owned(),
+        holder: Incarnation(holder),
+        seq: 0,
+    };
+    let lasts = LEASE.as_millis() as u64;
+    domains.fold(0, 0, &lease(1));
+    domains.fold(1, lasts - 1, &lease(2));
+    let held = domains.get("d").lease.expect("it is held");
+    assert_eq!((held.holder, held.fence), (Incarnation(1), 0));
+    domains.fold(2, lasts - 1, &lease(1));
+    domains.fold(3, 2 * lasts - 2, &lease(2));
+    assert_eq!(
+        domains.get("d").lease.expect("it is held").holder,
+        Incarnation(1)
+    );
+    domains.fold(4, 2 * lasts - 1, &lease(2));
+    let held = domains.get("d").lease.expect("it is held");
+    assert_eq!((held.holder, held.fence), (Incarnation(2), 4));
+    // A holder whose lease ended gets a new fence like anybody else.
+    domains.fold(5, 5 * lasts, &lease(2));
+    assert_eq!(domains.get("d").lease.expect("it is held").fence, 5);
+}
+
+#[test]
+fn only_the_holders_word_confirms_and_a_confirmed_offset_never_goes_back() {
+    let mut domains = Domains::default();
+    let confirm = |holder, config_next| DomainRecord::Confirm {
+        domain: "d".to_owned(),
+        holder: Incarnation(holder),
+        config_next,
+    };
+    let lease = DomainRecord::Lease {
+        domain: "d".to_owned(),
+        holder: Incarnation(1),
+        seq: 0,
+    };
+    domains.fold(0, 0, &lease);
+    domains.fold(1, 1, &confirm(2, 9));
+    assert_eq!(domains.get("d").confirmed, 0);
+    domains.fold(2, 2, &confirm(1, 5));
+    domains.fold(3, 3, &confirm(1, 4));
+    assert_eq!(domains.get("d").confirmed, 5);
+}
+
+fn declare_adapter(fabric: &mut Fabric) {
+    fabric.declare(vec![Object::Adapter(Adapter {
+        name: "tiles".to_owned(),
+        model: MODEL.to_owned(),
+    })]);
+}
+
+fn loaded(fabric: &Fabric, url: &str) -> bool {
+    fabric.engines[url].state.report().loaded.contains("tiles")
+}
+
+#[test]
+fn a_declared_adapter_is_loaded_on_every_engine_and_unloaded_when_removed() {
+    let mut fabric = joined();
+    declare_adapter(&mut fabric);
+    fabric.run_for(5 * SECOND);
+    let urls: Vec<String> = fabric.engines.keys().cloned().collect();
+    for url in &urls {
+        assert!(loaded(&fabric, url), "{url}");
+    }
+    let base = fabric.config().revision(Kind::Adapter, "tiles");
+    fabric.publish(vec![Edit {
+        kind: Kind::Adapter,
+        name: "tiles".to_owned(),
+        base,
+        change: EditChange::Remove,
+    }]);
+    fabric.run_for(5 * SECOND);
+    for url in &urls {
+        assert!(!loaded(&fabric, url), "{url}");
+    }
+    // Only the steward of the engines' domain gave orders, each once.
+    let steward = stewards(&fabric, "d1")[0];
+    assert!(fabric.orders.iter().all(|(daemon, ..)| *daemon == steward));
+    assert_eq!(fabric.orders.len(), 2 * urls.len());
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_is_ordered_again() {
+    let mut fabric = joined();
+    declare_adapter(&mut fabric);
+    fabric.run_for(5 * SECOND);
+    let url = engine_url(0, 0);
+    fabric.engines.get_mut(&url).expect("declared").revive();
+    assert!(!loaded(&fabric, &url));
+    fabric.run_for(5 * SECOND);
+    assert!(loaded(&fabric, &url));
+}
+
+#[test]
+fn without_the_log_no_order_goes_to_targets_that_check_no_fence() {
+    let mut fabric = joined();
+    fabric.log.down = true;
+    fabric.run_for(LEASE - LEASE_MARGIN);
+    let before = fabric.orders.len();
+    let url = engine_url(0, 0);
+    fabric.engines.get_mut(&url).expect("declared").revive();
+    fabric.run_for(60 * SECOND);
+    assert_eq!(fabric.orders.len(), before);
+}
+
+fn stop(fabric: &mut Fabric, name: &str) {
+    let base = fabric.config().revision(Kind::Engine, name);
+    fabric.publish(vec![Edit {
+        kind: Kind::Engine,
+        name: name.to_owned(),
+        base,
+        change: EditChange::Stop(true),
+    }]);
+}
+
+fn stopped(fabric: &Fabric, url: &str) -> bool {
+    fabric
+        .orders
+        .iter()
+        .any(|(_, to, _, order)| to == url && *order == Order::Stop)
+}
+
+#[test]
+fn a_planned_stop_waits_for_what_runs_there() {
+    let mut fabric = joined();
+    // The request runs at a daemon that is not the steward.
+    let daemon = (0..3).find(|daemon| !stewards(&fabric, "d1").contains(daemon));
+    let daemon = daemon.expect("two are no stewards");
+    let key = fabric.ask(daemon, completion(400));
+    fabric.run_for(SECOND);
+    let serving = fabric.nodes[daemon]
+        .world
+        .serving(key, 1)
+        .expect("it runs")
+        .to_owned();
+    let url = format!("http://{serving}");
+    stop(&mut fabric, &serving);
+    fabric.run_for(8 * SECOND);
+    assert_eq!(
+        end(&fabric, daemon, key),
+        None,
+        "the request is still to run"
+    );
+    assert!(!stopped(&fabric, &url));
+    fabric.run_for(20 * SECOND);
+    assert!(matches!(
+        end(&fabric, daemon, key),
+        Some(End::Completed { .. })
+    ));
+    assert!(stopped(&fabric, &url));
+    let ended_at = fabric.nodes[daemon].answered[&key]
+        .ended_at
+        .expect("it ended");
+    assert!(fabric.now.since(ended_at) >= STOP_QUIET);
+}
+
+#[test]
+fn a_stop_waits_for_a_daemon_that_has_not_confirmed_the_drain() {
+    let mut fabric = joined();
+    let steward = stewards(&fabric, "d1")[0];
+    let other = (0..3)
+        .find(|daemon| *daemon != steward)
+        .expect("there are two");
+    fabric.log.cut.insert(other);
+    fabric.cut_peers.insert(other);
+    stop(&mut fabric, "e10");
+    fabric.run_for(15 * SECOND);
+    assert!(!stopped(&fabric, &engine_url(1, 0)));
+    // Once it counts as gone it holds the stop up no more.
+    fabric.run_for(MEMBER_TIMEOUT);
+    assert!(stopped(&fabric, &engine_url(1, 0)));
+}
+
+#[test]
+fn a_daemon_that_was_paused_admits_nothing_until_it_has_compared_its_configuration() {
+    let mut fabric = joined();
+    let wake = fabric.now + PAUSED_AFTER + 10 * SECOND;
+    fabric.pause(0, wake);
+    fabric.run_for(5 * SECOND);
+    // What was sent to it before the cut reaches it when it wakes, and proves nothing.
+    fabric.log.cut.insert(0);
+    fabric.cut_peers.insert(0);
+    fabric.run_until(wake);
+    let refused = fabric.ask(0, completion(2));
+    assert_eq!(
+        end(&fabric, 0, refused),
+        Some(&End::NotRun(Refusal::Paused))
+    );
+    // Alone and cut off, it goes on with what it has after a while.
+    fabric.run_for(3 * SECOND);
+    let served = fabric.ask(0, completion(2));
+    fabric.run_for(5 * SECOND);
+    assert_whole(&fabric, served, 2);
+    assert!(world(&fabric).counters.pauses_noticed >= 1);
+}
+
+#[test]
+fn a_new_daemon_gets_the_configuration_while_the_log_is_down() {
+    let mut fabric = joined();
+    new_model(&mut fabric, "new");
+    fabric.run_for(SECOND);
+    fabric.log.down = true;
+    fabric.restart(1, 77, &Limits::default());
+    fabric.rejoin(1);
+    assert_eq!(offsets(&fabric)[1], 0);
+    fabric.run_for(15 * SECOND);
+    assert_eq!(offsets(&fabric)[1], 2);
+}
+
+#[test]
+fn a_daemon_that_was_paused_serves_by_the_new_configuration_at_once() {
+    let mut fabric = joined();
+    let wake = fabric.now + PAUSED_AFTER + 10 * SECOND;
+    fabric.pause(0, wake);
+    fabric.run_for(SECOND);
+    fabric.drain(Kind::Engine, "e00", true);
+    fabric.run_until(wake);
+    fabric.run_for(SECOND / 10);
+    let key = fabric.ask(0, completion(2));
+    assert_eq!(world(&fabric).serving(key, 0), Some("e01"));
+}
--- a/reachtally-core/tests/core/main.rs
+++ b/reachtally-core/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod config;
+mod domains;
 mod membership;
 mod outcomes;
 mod setup;
--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -312,6 +312,9 @@
             Effect::Gossip { to, members } => self.performer.tell(to, Wire::Digest(members)),
             Effect::PushConfig { to, records } => self.performer.tell(to, Wire::Records(records)),
             Effect::PullConfig { from, next } => self.performer.pull(from, next),
+            Effect::Revalidate { nonce, next, peers } => {
+                self.performer.revalidate(nonce, next, peers);
+            }
             Effect::AppendDomain(record) => self.performer.append_domain(&record),
             Effect::WriteSnapshot(config) => self.performer.write_snapshot(&config),
             Effect::AskReport { target } => {
--- a/reachtally-daemon/src/follow.rs
+++ b/reachtally-daemon/src/follow.rs
@@ -75,8 +75,7 @@
         }
         next = page.records.last().map_or(next, |record| record.offset + 1);
         let at_end = next >= page.end;
-        let records = page.records.into_iter().map(operation).collect();
-        if !tell(&handle, Event::ConfigRead(records)) {
+        if !tell(&handle, Event::ConfigRead(operations(page.records))) {
             return;
         }
         if at_end && !close {
@@ -124,6 +123,11 @@
     }
 }
 
+/// The operations of configuration records.
+pub fn operations(records: Vec<Record>) -> Vec<Read<Operation>> {
+    records.into_iter().map(operation).collect()
+}
+
 /// A record that is no operation still takes its offset; it changes nothing.
 fn operation(record: Record) -> Read<Operation> {
     let offset = record.offset;
--- a/reachtally-daemon/src/perform.rs
+++ b/reachtally-daemon/src/perform.rs
@@ -14,13 +14,14 @@
 use reachtally_core::systems::gossip::PeerConfig;
 use reachtally_core::systems::steward::Order;
 use reachtally_platform::http::HttpPlatform;
-use reachtally_platform::{CLAIMS_STREAM, DOMAINS_STREAM, Log, SNAPSHOTS_STREAM};
+use reachtally_platform::{CLAIMS_STREAM, CONFIG_STREAM, DOMAINS_STREAM, Log, SNAPSHOTS_STREAM};
 use reachtally_protocol::{Message, link};
 use reachtally_target::http::HttpTargets;
 use reachtally_target::{Engines, Orders, Probe, Services};
 use tokio::time::timeout;
 
 use crate::actor::{self, Handle};
+use crate::follow;
 
 /// Time after which the task of an engine call ends. The core gives the call up long before, by its
 /// adaptive time-out; this only bounds the tasks that hang.
@@ -43,6 +44,24 @@
     handle.send(actor::Message::Event(event)).ok();
 }
 
+/// What the first of `peers` that answers gives from `next` on.
+async fn ask_peers(next: u64, peers: &[String]) -> Option<PeerConfig> {
+    for peer in peers {
+        if let Some(config) = pull_from(peer, next).await {
+            return Some(config);
+        }
+    }
+    None
+}
+
+async fn pull_from(peer: &str, next: u64) -> Option<PeerConfig> {
+    match link::ask(peer, Message::Pull(next)).await {
+        Ok(Message::Records(records)) => Some(PeerConfig::Records(records)),
+        Ok(Message::Snapshot(config)) => Some(PeerConfig::Snapshot(config)),
+        Ok(Message::Digest(_) | Message::Pull(_)) | Err(_) => None,
+    }
+}
+
 impl Performer {
     /// Send steps to an engine.
     pub fn steps(&self, call: CallKey, url: String, batch: Batch) {
@@ -100,15 +119,24 @@
     pub fn pull(&self, from: String, next: u64) {
         let handle = self.handle.clone();
         tokio::spawn(async move {
-            match link::ask(&from, Message::Pull(next)).await {
-                Ok(Message::Records(records)) => {
-                    report(&handle, Event::PeerConfig(PeerConfig::Records(records)));
-                }
-                Ok(Message::Snapshot(config)) => {
-                    report(&handle, Event::PeerConfig(PeerConfig::Snapshot(config)));
-                }
-                // The next digest leads to another try.
-                Ok(Message::Digest(_) | Message::Pull(_)) | Err(_) => {}
+            // Without an answer the next digest leads to another try.
+            if let Some(config) = pull_from(&from, next).await {
+                report(&handle, Event::PeerConfig(config));
+            }
+        });
+    }
+
+    /// Ask the log, or else each of `peers`, for configuration records from `next` on.
+    pub fn revalidate(&self, nonce: u64, next: u64, peers: Vec<String>) {
+        let (handle, platform) = (self.handle.clone(), self.platform.clone());
+        tokio::spawn(async move {
+            let answer = match platform.read(CONFIG_STREAM, next, 0).await {
+                Ok(page) => Some(Event::ConfigRead(follow::operations(page.records))),
+                Err(_) => ask_peers(next, &peers).await.map(Event::PeerConfig),
+            };
+            if let Some(event) = answer {
+                report(&handle, event);
+                report(&handle, Event::Revalidated(nonce));
             }
         });
     }
--- a/reachtally-standin/src/fabric/log.rs
+++ b/reachtally-standin/src/fabric/log.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use reachtally_core::claim::ClaimRecord;
+use reachtally_core::declare::{Kind, Object};
 use reachtally_core::event::Read;
 use reachtally_core::fold::{Config, Operation};
 use reachtally_core::lease::DomainRecord;
@@ -52,6 +53,15 @@
         &self.folded
     }
 
+    /// The boxes of the engines declared.
+    pub(super) fn engine_boxes(&self) -> impl Iterator<Item = String> {
+        let engines = self.folded.of(Kind::Engine);
+        engines.filter_map(|(_, entry)| match &entry.object {
+            Object::Engine(engine) => Some(engine.box_name.clone()),
+            _ => None,
+        })
+    }
+
     pub(super) fn publish(&mut self, operation: Operation) {
         let offset = self.operations.len() as u64;
         self.folded
--- a/reachtally-standin/src/fabric/mod.rs
+++ b/reachtally-standin/src/fabric/mod.rs
@@ -55,6 +55,7 @@
     pub cut_peers: BTreeSet<usize>,
     /// Orders given: by which daemon, to which engine, with which fence.
     pub orders: Vec<(usize, String, u64, Order)>,
+    domains: Vec<String>,
     queue: Queue,
 }
 
@@ -70,6 +71,7 @@
             log: FakeLog::default(),
             cut_peers: BTreeSet::new(),
             orders: Vec::new(),
+            domains: Vec::new(),
             queue: Queue::default(),
         };
         for daemon in 0..daemons {
@@ -293,6 +295,7 @@
                 self.tell_peer(daemon, &to, event);
             }
             Effect::PullConfig { from, next } => self.pull(daemon, &from, next),
+            Effect::Revalidate { nonce, peers, .. } => self.revalidate(daemon, nonce, &peers),
             Effect::AppendDomain(record) => {
                 let at_ms = self.now.elapsed().as_millis() as u64;
                 self.log.append_domain(daemon, at_ms, record);
@@ -313,27 +316,40 @@
 
     /// Let every daemon take part in a failure domain. Their addresses are their numbers.
     pub fn join(&mut self, domains: &[&str]) {
-        for (daemon, domain) in domains.iter().enumerate() {
-            let me = MemberState {
-                box_name: format!("b{daemon}"),
-                domain: (*domain).to_owned(),
-                address: daemon.to_string(),
-                ..MemberState::default()
-            };
-            self.nodes[daemon].world.join(me, self.now);
+        self.domains = domains.iter().map(|&domain| domain.to_owned()).collect();
+        for daemon in 0..domains.len() {
+            self.rejoin(daemon);
         }
-        let peers = domains.iter().enumerate().map(|(daemon, domain)| BoxSeen {
-            name: format!("b{daemon}"),
+    }
+
+    /// Let a daemon take part in its failure domain, again after a restart.
+    pub fn rejoin(&mut self, daemon: usize) {
+        let me = MemberState {
+            box_name: format!("b{daemon}"),
+            domain: self.domains[daemon].clone(),
+            address: daemon.to_string(),
+            ..MemberState::default()
+        };
+        self.nodes[daemon].world.join(me, self.now);
+        let peers = self
+            .domains
+            .iter()
+            .enumerate()
+            .map(|(daemon, domain)| BoxSeen {
+                name: format!("b{daemon}"),
+                leaving: false,
+                peer: Some(Peer {
+                    domain: domain.clone(),
+                    address: daemon.to_string(),
+                }),
+            });
+        let engines = self.log.engine_boxes().map(|name| BoxSeen {
+            name,
             leaving: false,
-            peer: Some(Peer {
-                domain: (*domain).to_owned(),
-                address: daemon.to_string(),
-            }),
+            peer: None,
         });
-        let seen: Vec<BoxSeen> = peers.collect();
-        for daemon in 0..self.nodes.len() {
-            self.handle(daemon, Event::ListRead(seen.clone()));
-        }
+        let seen: Vec<BoxSeen> = peers.chain(engines).collect();
+        self.handle(daemon, Event::ListRead(seen));
     }
 
     /// The daemon at an address, unless the two are cut off from each other.
@@ -356,6 +372,21 @@
         }
     }
 
+    fn revalidate(&mut self, daemon: usize, nonce: u64, peers: &[String]) {
+        let log = !self.log.down && !self.log.cut.contains(&daemon);
+        let peer = peers.iter().find_map(|address| self.peer(daemon, address));
+        if log {
+            self.queue.push(self.now + LINK, Happening::Spread);
+        } else if let Some(peer) = peer {
+            let next = self.nodes[daemon].world.config.next();
+            let config = self.nodes[peer].world.config_for(next);
+            self.tell(daemon, LINK * 2, Event::PeerConfig(config));
+        } else {
+            return;
+        }
+        self.tell(daemon, LINK * 3, Event::Revalidated(nonce));
+    }
+
     fn ask_report(&mut self, daemon: usize, target: TargetKey) {
         let url = self.nodes[daemon].url(target);
         let Some(engine) = self.engines.get(&url).filter(|engine| engine.answers()) else {
