--- /dev/null
+++ b/reachtally-bench/src/faults/callers.rs
@@ -0,0 +1,221 @@
+//! Callers: completions and orders, tried again through other boxes as callers do.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use reachtally_standin::engine::model;
+use reqwest::Response;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::Shared;
+use super::fleet::{LAYERS, Managed};
+use crate::setup::{KEY, MODEL};
+
+/// Times an order is tried with the same key.
+const TRIES: u32 = 3;
+/// Longest time for one try; longer than the daemons' patience.
+const TRY_TIME: Duration = Duration::from_secs(40);
+
+/// What one try of an order was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// It ran, and here is the answer.
+    Completed,
+    /// It did not run.
+    NotRun,
+    /// It may have run, or the connection broke.
+    Unknown,
+}
+
+/// Counts over all callers.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// What was told of each order, by key.
+    pub orders: BTreeMap<String, Vec<Told>>,
+    /// Broken promises.
+    pub violations: Vec<String>,
+    completions: u64,
+    completed: u64,
+    not_run: u64,
+    unknown: u64,
+    cut_by_death: u64,
+    unreached: u64,
+}
+
+impl Tally {
+    /// Add another caller's counts.
+    pub fn add(&mut self, other: Tally) {
+        self.orders.extend(other.orders);
+        self.violations.extend(other.violations);
+        self.completions += other.completions;
+        self.completed += other.completed;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.cut_by_death += other.cut_by_death;
+        self.unreached += other.unreached;
+    }
+
+    /// The counts by name.
+    pub fn counts(&self) -> [(&'static str, u64); 7] {
+        [
+            ("completions asked", self.completions),
+            ("completions completed and compared", self.completed),
+            ("completions not run", self.not_run),
+            ("completions unknown", self.unknown),
+            (
+                "completions cut by their entry box's death",
+                self.cut_by_death,
+            ),
+            ("completions whose entry box was down", self.unreached),
+            ("orders", self.orders.len() as u64),
+        ]
+    }
+}
+
+/// Call until the time is over.
+pub async fn call_until(fleet: Shared, until: Instant, caller: u64, mut rng: ChaCha8Rng) -> Tally {
+    let mut tally = Tally::default();
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        if rng.random_range(0..2) == 0 {
+            let at = rng.random_range(0..fleet.daemons.len());
+            let tokens = rng.random_range(5..60);
+            let prompt = format!("request {number} of caller {caller}");
+            completion(&fleet, &fleet.daemons[at], &prompt, tokens, &mut tally).await;
+        } else {
+            order(&fleet, format!("{caller}-{number}"), &mut rng, &mut tally).await;
+        }
+    }
+    tally
+}
+
+async fn completion(
+    fleet: &Shared,
+    daemon: &Managed,
+    prompt: &str,
+    tokens: u32,
+    tally: &mut Tally,
+) {
+    tally.completions += 1;
+    let (before, was_down) = (daemon.disturbances(), daemon.is_down());
+    let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": true});
+    let req = fleet.client.post(format!("{}/v1/completions", daemon.url));
+    let sent = req
+        .bearer_auth(KEY)
+        .json(&body)
+        .timeout(TRY_TIME)
+        .send()
+        .await;
+    let answer = match sent {
+        Ok(response) => read(response).await,
+        Err(err) if err.is_connect() => {
+            tally.unreached += 1;
+            return;
+        }
+        Err(_) => Answer::default(),
+    };
+    let disturbed = daemon.disturbances() != before || was_down || daemon.is_down();
+    match answer.outcome.as_deref() {
+        Some("completed") => {
+            tally.completed += 1;
+            let expected: String = model::reference(LAYERS, "", prompt, tokens)
+                .into_iter()
+                .map(|token| token.text)
+                .collect();
+            if answer.text != expected {
+                tally
+                    .violations
+                    .push(format!("{prompt}: the answer is not the model's"));
+            }
+        }
+        Some("not-run") => {
+            tally.not_run += 1;
+            if !answer.text.is_empty() {
+                tally
+                    .violations
+                    .push(format!("{prompt}: not run, yet tokens came"));
+            }
+        }
+        Some(_) => tally.unknown += 1,
+        None if disturbed => tally.cut_by_death += 1,
+        None => tally
+            .violations
+            .push(format!("{prompt}: cut off without an outcome")),
+    }
+}
+
+#[derive(Default)]
+struct Answer {
+    text: String,
+    outcome: Option<String>,
+}
+
+/// Read a stream to its end, or a refusal.
+async fn read(mut response: Response) -> Answer {
+    let header = response.headers().get("reachtally-outcome");
+    let mut answer = Answer {
+        text: String::new(),
+        outcome: header
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned),
+    };
+    let mut rest = String::new();
+    while let Ok(Some(chunk)) = response.chunk().await {
+        rest.push_str(&String::from_utf8_lossy(&chunk));
+        while let Some((line, after)) = rest.split_once('\n') {
+            take_line(line, &mut answer);
+            rest = after.to_owned();
+        }
+    }
+    answer
+}
+
+fn take_line(line: &str, answer: &mut Answer) {
+    let Some(data) = line.strip_prefix("data: ") else {
+        return;
+    };
+    let value: Value = serde_json::from_str(data).unwrap_or_default();
+    if let Some(outcome) = value["outcome"].as_str() {
+        answer.outcome = Some(outcome.to_owned());
+    }
+    answer
+        .text
+        .push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
+}
+
+/// Order once, and try again through any box while the answer is not final.
+async fn order(fleet: &Shared, key: String, rng: &mut ChaCha8Rng, tally: &mut Tally) {
+    let mut told = Vec::new();
+    for _ in 0..TRIES {
+        let at = rng.random_range(0..fleet.daemons.len());
+        let answer = try_order(fleet, &fleet.daemons[at], &key).await;
+        told.push(answer);
+        if answer == Told::Completed {
+            break;
+        }
+    }
+    tally.orders.insert(key, told);
+}
+
+async fn try_order(fleet: &Shared, daemon: &Managed, key: &str) -> Told {
+    let req = fleet
+        .client
+        .post(format!("{}/services/orders/new", daemon.url));
+    let req = req
+        .bearer_auth(KEY)
+        .header("Idempotency-Key", key)
+        .body("ten pallets");
+    let Ok(response) = req.timeout(TRY_TIME).send().await else {
+        return Told::Unknown;
+    };
+    let outcome = response.headers().get("reachtally-outcome");
+    match outcome.and_then(|value| value.to_str().ok()) {
+        Some("completed") => Told::Completed,
+        Some("not-run") => Told::NotRun,
+        _ => Told::Unknown,
+    }
+}
--- /dev/null
+++ b/reachtally-bench/src/faults/fleet.rs
@@ -0,0 +1,312 @@
+//! The processes of the soak, which can be killed, paused and started again on the same port.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use reachtally_config::keys;
+use reachtally_core::declare::{Account, Engine, Layers, Model, Object, Service};
+use reachtally_core::fold::{Config, Operation};
+use reachtally_daemon::publish;
+use reachtally_platform::http::HttpPlatform;
+use reqwest::Client;
+use serde_json::Value;
+
+use crate::process::{self, Process};
+use crate::setup::{KEY, MODEL, OPERATOR_KEY};
+
+/// Layers of the model.
+pub const LAYERS: u32 = 12;
+const STAGES: u32 = 3;
+const REPLICAS: u32 = 2;
+/// The failure domain of each daemon.
+const DOMAINS: [&str; 3] = ["d1", "d1", "d2"];
+/// Longest wait for a daemon to serve.
+const READY_TRIES: u32 = 200;
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// A process that can be started again.
+pub struct Managed {
+    /// Base address; for a daemon, of its callers' listener.
+    pub url: String,
+    /// For a daemon, base address of its operators' listener.
+    pub operators: String,
+    /// Raised by every death and pause.
+    pub disturbed: AtomicU64,
+    down: AtomicBool,
+    kind: Kind,
+    process: Mutex<Option<Process>>,
+}
+
+enum Kind {
+    Daemon(PathBuf),
+    StandIn(Vec<String>),
+}
+
+/// Everything that runs.
+pub struct Fleet {
+    /// Entry boxes.
+    pub daemons: Vec<Managed>,
+    /// Engines.
+    pub engines: Vec<Managed>,
+    /// The service whose calls may not be repeated.
+    pub orders: Managed,
+    /// The log.
+    pub log: Managed,
+    /// The live list.
+    pub list: Managed,
+    /// For control routes.
+    pub client: Client,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for daemon in &self.daemons {
+            if let Kind::Daemon(settings) = &daemon.kind {
+                std::fs::remove_file(settings).ok();
+            }
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl Managed {
+    fn lock(&self) -> MutexGuard<'_, Option<Process>> {
+        lock(&self.process)
+    }
+
+    fn disturb(&self) {
+        self.disturbed.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// How often it was disturbed.
+    pub fn disturbances(&self) -> u64 {
+        self.disturbed.load(Ordering::SeqCst)
+    }
+
+    /// Kill it. It counts as down from before it dies, since its connections break on the way.
+    pub fn kill(&self) {
+        self.down.store(true, Ordering::SeqCst);
+        self.disturb();
+        self.lock().take();
+    }
+
+    /// Whether it is dying or dead.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::SeqCst)
+    }
+
+    /// Start it again after a kill.
+    pub fn start(&self) -> Result<(), String> {
+        let process = match &self.kind {
+            Kind::Daemon(settings) => process::daemon(settings)?,
+            Kind::StandIn(arguments) => process::standin(arguments)?.0,
+        };
+        *self.lock() = Some(process);
+        self.down.store(false, Ordering::SeqCst);
+        Ok(())
+    }
+
+    /// Stop or continue it, as the system does to a process that is starved.
+    pub fn signal(&self, signal: Signal) {
+        self.disturb();
+        if let Some(process) = &*self.lock() {
+            // It may just have ended.
+            kill(Pid::from_raw(process.id() as i32), signal).ok();
+        }
+    }
+
+    /// Inject a fault by its control route.
+    pub async fn fault(&self, client: &Client, fault: &Value) {
+        let url = format!("{}/faults", self.url);
+        // A stand-in that is paused or dead does not take it.
+        client
+            .post(url)
+            .json(fault)
+            .timeout(READY_PAUSE * 10)
+            .send()
+            .await
+            .ok();
+    }
+}
+
+fn stand_in(arguments: &str) -> Result<Managed, String> {
+    let arguments: Vec<String> = arguments.split_whitespace().map(str::to_owned).collect();
+    let (process, url) = process::standin(&arguments)?;
+    let port = url.rsplit(':').next().unwrap_or_default().to_owned();
+    let again = [arguments, vec!["--port".to_owned(), port]].concat();
+    Ok(Managed {
+        url,
+        operators: String::new(),
+        disturbed: AtomicU64::new(0),
+        down: AtomicBool::new(false),
+        kind: Kind::StandIn(again),
+        process: Mutex::new(Some(process)),
+    })
+}
+
+/// Start everything and wait until every daemon serves.
+pub async fn start() -> Result<Fleet, String> {
+    let log = stand_in("log")?;
+    let list = stand_in("list")?;
+    let orders = stand_in("service")?;
+    let mut engines = Vec::new();
+    let mut declared = Vec::new();
+    let each = LAYERS / STAGES;
+    for stage in 0..STAGES {
+        for replica in 0..REPLICAS {
+            let (first, end) = (stage * each, (stage + 1) * each);
+            let engine = stand_in(&format!(
+                "engine --first {first} --end {end} --model-layers {LAYERS} --base-us 2000"
+            ))?;
+            declared.push(declared_engine(
+                stage,
+                replica,
+                &engine.url,
+                Layers { first, end },
+            ));
+            engines.push(engine);
+        }
+    }
+    let client = Client::new();
+    publish_all(&log.url, &list.url, declared, &orders.url).await?;
+    let mut daemons = Vec::new();
+    for (number, domain) in DOMAINS.iter().enumerate() {
+        daemons.push(daemon(number, domain, &log.url, &list.url)?);
+    }
+    let fleet = Fleet {
+        daemons,
+        engines,
+        orders,
+        log,
+        list,
+        client,
+    };
+    show_list(&fleet).await?;
+    for daemon in &fleet.daemons {
+        wait_ready(&fleet.client, &daemon.url).await?;
+    }
+    Ok(fleet)
+}
+
+fn declared_engine(stage: u32, replica: u32, url: &str, layers: Layers) -> Engine {
+    Engine {
+        name: format!("e{stage}{replica}"),
+        box_name: format!("t{stage}{replica}"),
+        domain: "d1".to_owned(),
+        url: url.to_owned(),
+        model: MODEL.to_owned(),
+        layers,
+        slots: 256,
+        checks_fence: false,
+    }
+}
+
+async fn publish_all(
+    log: &str,
+    list: &str,
+    engines: Vec<Engine>,
+    orders: &str,
+) -> Result<(), String> {
+    let mut objects = vec![
+        Object::Model(Model {
+            name: MODEL.to_owned(),
+            layers: LAYERS,
+        }),
+        Object::Service(Service {
+            name: "orders".to_owned(),
+            urls: vec![orders.to_owned()],
+            repeatable: false,
+            deduplicates: false,
+        }),
+        Object::Account(Account {
+            name: "soak".to_owned(),
+            key_hashes: vec![keys::hash(KEY)],
+            models: vec![MODEL.to_owned()],
+            adapters: Vec::new(),
+            services: vec!["orders".to_owned()],
+            max_running: 1000,
+            priority: 0,
+        }),
+    ];
+    objects.extend(engines.into_iter().map(Object::Engine));
+    let operation = Operation {
+        id: "soak".to_owned(),
+        actor: "soak".to_owned(),
+        edits: publish::edits(&Config::default(), objects),
+    };
+    let platform = HttpPlatform::new(log, list).map_err(|err| err.to_string())?;
+    let published = publish::publish(&platform, &operation).await;
+    published
+        .map(|_| ())
+        .map_err(|err| format!("not published: {err:?}"))
+}
+
+fn free_address() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).map_err(|err| err.to_string())?;
+    listener.local_addr().map_err(|err| err.to_string())
+}
+
+fn daemon(number: usize, domain: &str, log: &str, list: &str) -> Result<Managed, String> {
+    let (callers, operators, peer) = (free_address()?, free_address()?, free_address()?);
+    let hash = keys::hash(OPERATOR_KEY);
+    let text = format!(
+        "box: b{number}\ndomain: {domain}\ncallers: {callers}\noperators: {operators}\n\
+         peer: {peer}\nlog: {log}\nlist: {list}\noperator_keys:\n  - \
+         {{name: soak, role: admin, hash: {hash}}}\nlimits:\n  patience_s: 30\n"
+    );
+    let name = format!("reachtally-soak-{}-{number}.yaml", std::process::id());
+    let settings = std::env::temp_dir().join(name);
+    std::fs::write(&settings, text).map_err(|err| err.to_string())?;
+    let process = process::daemon(&settings)?;
+    Ok(Managed {
+        url: format!("http://{callers}"),
+        operators: format!("http://{operators}"),
+        disturbed: AtomicU64::new(0),
+        down: AtomicBool::new(false),
+        kind: Kind::Daemon(settings),
+        process: Mutex::new(Some(process)),
+    })
+}
+
+/// Show every engine's box.
+async fn show_list(fleet: &Fleet) -> Result<(), String> {
+    for stage in 0..STAGES {
+        for replica in 0..REPLICAS {
+            show_box(fleet, &format!("t{stage}{replica}"), false).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Show one box, as leaving or not.
+pub async fn show_box(fleet: &Fleet, name: &str, leaving: bool) -> Result<(), String> {
+    let body = serde_json::json!({"name": name, "leaving": leaving});
+    let req = fleet
+        .client
+        .put(format!("{}/boxes", fleet.list.url))
+        .json(&body);
+    req.send().await.map(|_| ()).map_err(|err| err.to_string())
+}
+
+/// Wait until a daemon serves.
+pub async fn wait_ready(client: &Client, url: &str) -> Result<(), String> {
+    for _ in 0..READY_TRIES {
+        let req = client.get(format!("{url}/v1/models")).bearer_auth(KEY);
+        let answer = req.timeout(READY_PAUSE * 10).send().await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Err(format!("the daemon at {url} does not get ready"))
+}
--- /dev/null
+++ b/reachtally-bench/src/faults/judge.rs
@@ -0,0 +1,101 @@
+//! What was told against what ran.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use super::Shared;
+use super::callers::{Tally, Told};
+use super::fleet::Managed;
+use crate::report::{Goal, Report};
+use crate::setup::OPERATOR_KEY;
+
+/// Time between two looks at a daemon's configuration offset.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Compare what callers were told of their orders with the service's own count.
+pub async fn orders(fleet: &Shared, tally: &Tally, report: &mut Report) -> Result<(), String> {
+    let url = format!("{}/runs", fleet.orders.url);
+    let response = fleet
+        .client
+        .get(url)
+        .send()
+        .await
+        .map_err(|err| err.to_string())?;
+    let runs: BTreeMap<String, u32> = response.json().await.map_err(|err| err.to_string())?;
+    let mut kinds = [0u32; 3];
+    for (key, told) in &tally.orders {
+        let times = runs.get(key).copied().unwrap_or(0);
+        if times > 1 {
+            report
+                .violations
+                .push(format!("order {key} ran {times} times"));
+        }
+        let completed = told.contains(&Told::Completed);
+        let only_not_run = told.iter().all(|told| *told == Told::NotRun);
+        if completed && times == 0 {
+            report
+                .violations
+                .push(format!("order {key} was answered and never ran"));
+        }
+        if only_not_run && times > 0 {
+            report
+                .violations
+                .push(format!("order {key} was not run, yet it ran"));
+        }
+        kinds[match (completed, only_not_run) {
+            (true, _) => 0,
+            (false, true) => 1,
+            (false, false) => 2,
+        }] += 1;
+    }
+    let names = ["orders completed", "orders not run", "orders unknown"];
+    for (name, count) in names.into_iter().zip(kinds) {
+        report.add(name, f64::from(count), "", Goal::None);
+    }
+    let most = runs.values().max().copied().unwrap_or(0);
+    report.add(
+        "most runs of an order",
+        f64::from(most),
+        "",
+        Goal::AtMost(1.0),
+    );
+    Ok(())
+}
+
+/// The configuration offset of a daemon run never goes back.
+pub async fn watch_offsets(fleet: Shared, until: Instant) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut seen: Vec<(u64, u64)> = vec![(0, 0); fleet.daemons.len()];
+    while Instant::now() < until {
+        for (daemon, seen) in fleet.daemons.iter().zip(&mut seen) {
+            let before = daemon.disturbances();
+            let Some(offset) = offset(&fleet, daemon).await else {
+                continue;
+            };
+            let same_run = seen.0 == before && before == daemon.disturbances();
+            if same_run && offset < seen.1 {
+                violations.push(format!("an offset went back from {} to {offset}", seen.1));
+            }
+            *seen = (before, offset);
+        }
+        sleep(WATCH_INTERVAL).await;
+    }
+    violations
+}
+
+async fn offset(fleet: &Shared, daemon: &Managed) -> Option<u64> {
+    let req = fleet
+        .client
+        .post(format!("{}/v1/commands", daemon.operators));
+    let req = req
+        .bearer_auth(OPERATOR_KEY)
+        .body("show config")
+        .timeout(WATCH_INTERVAL);
+    let answer: Value = req.send().await.ok()?.json().await.ok()?;
+    let rows = answer["table"]["rows"].as_array()?;
+    let row = rows.iter().find(|row| row[0] == "config_records")?;
+    row[1].as_str()?.parse().ok()
+}
--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -4,6 +4,8 @@
 //! broke, and with `--check` also where a goal is missed.
 
 mod claims;
+mod control;
+mod faults;
 mod overhead;
 mod process;
 mod recovery;
@@ -36,6 +38,12 @@
     /// Time from a stage's death to the next token, against restarting the whole chain
     #[bpaf(command)]
     Recovery(#[bpaf(external(recovery::options))] recovery::Options),
+    /// What control costs one daemon, against the sizes of the fleet
+    #[bpaf(command)]
+    Control(#[bpaf(external(control::options))] control::Options),
+    /// A soak of several daemons and stand-ins as processes, under faults, against the ledgers
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::options))] faults::Options),
     /// Requests that may run once: how many share an append, and that none runs twice
     #[bpaf(command)]
     Claims(#[bpaf(external(claims::options))] claims::Options),
@@ -46,6 +54,8 @@
     let arguments = arguments().run();
     let result = match arguments.experiment {
         Experiment::Overhead(options) => overhead::run(options).await,
+        Experiment::Faults(options) => faults::run(options).await,
+        Experiment::Control(options) => control::run(&options),
         Experiment::Recovery(options) => recovery::run(&options),
         Experiment::Claims(options) => claims::run(&options),
     };
--- a/reachtally-bench/src/process.rs
+++ b/reachtally-bench/src/process.rs
@@ -39,13 +39,22 @@
     /// Resident memory in bytes.
     pub fn resident(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok());
-        kib.unwrap_or(0) * 1024
+        status
+            .ok()
+            .and_then(|status| resident_of(&status))
+            .unwrap_or(0)
     }
 }
 
+/// Resident memory in bytes, from a process's status file.
+pub fn resident_of(status: &str) -> Option<u64> {
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kib * 1024)
+}
+
 /// User and system time, fields 14 and 15; the name before them may hold spaces.
 fn cpu_ticks(stat: &str) -> Option<u64> {
     let after_name = stat.rsplit_once(") ")?.1;
--- a/reachtally-core/src/systems/service.rs
+++ b/reachtally-core/src/systems/service.rs
@@ -1,5 +1,9 @@
 //! Calls to plain services: choice of the instance, and what may be sent again.
 
+use std::time::Duration;
+
+use rand::RngExt;
+
 use crate::effect::{Completed, Effect, Effects, Finish};
 use crate::event::CallFailure;
 use crate::ids::{RequestKey, TargetKey};
@@ -7,8 +11,10 @@
 use crate::request::{Answer, Progress, Work};
 use crate::systems::{finish, health};
 use crate::time::Instant;
-use crate::world::World;
+use crate::world::{Timer, World};
 
+/// Milliseconds that a call waits before it is sent again.
+const RETRY_WAIT_MS: std::ops::Range<u64> = 10..60;
 /// Times one call is sent again.
 const RETRIES_MAX: u32 = 2;
 
@@ -82,7 +88,7 @@
             {
                 health::suspect(world, target, now, out);
             }
-            failed(world, request, target, failure, out);
+            failed(world, request, target, failure, now, out);
         }
     }
 }
@@ -93,6 +99,7 @@
     request: RequestKey,
     target: TargetKey,
     failure: CallFailure,
+    now: Instant,
     out: &mut Effects,
 ) {
     finish::leave_targets(world, request);
@@ -105,7 +112,7 @@
     req.retries += 1;
     if may_repeat && req.retries <= RETRIES_MAX && take_retry(world) {
         world.counters.service_retries += 1;
-        return send(world, request, out);
+        return send_again(world, request, failure, now, out);
     }
     finish::give_up(
         world,
@@ -116,6 +123,34 @@
     );
 }
 
+/// A call that never started goes on at once. One whose answer was lost waits a little, a different
+/// time each, so that calls which failed together don't come back together.
+fn send_again(
+    world: &mut World,
+    request: RequestKey,
+    failure: CallFailure,
+    now: Instant,
+    out: &mut Effects,
+) {
+    if matches!(failure, CallFailure::NeverStarted(_)) {
+        return send(world, request, out);
+    }
+    let wait = world.rng.random_range(RETRY_WAIT_MS);
+    let at = now + Duration::from_millis(wait);
+    world.start_timer(at, Timer::Retry(request));
+}
+
+/// A call has waited for its retry.
+pub fn retry(world: &mut World, request: RequestKey, out: &mut Effects) {
+    let waits = world
+        .requests
+        .get(request)
+        .is_some_and(|req| matches!(req.progress, Progress::Waiting));
+    if waits {
+        send(world, request, out);
+    }
+}
+
 fn take_retry(world: &mut World) -> bool {
     let granted = world.budget.take();
     if !granted {
--- a/reachtally-core/src/systems/timers.rs
+++ b/reachtally-core/src/systems/timers.rs
@@ -3,7 +3,7 @@
 use crate::effect::Effects;
 use crate::event::CallFailure;
 use crate::life::{Refusal, Unknown};
-use crate::systems::{claims, finish, gossip, health, shift, steward};
+use crate::systems::{claims, finish, gossip, health, service, shift, steward};
 use crate::time::Instant;
 use crate::world::{Timer, World};
 
@@ -17,6 +17,7 @@
         Timer::ClaimWait(request) => claims::wait_over(world, request, out),
         Timer::Replacement(request) => shift::replacement_wait_over(world, request, out),
         Timer::Probe(target) => health::probe(world, target, out),
+        Timer::Retry(request) => service::retry(world, request, out),
         Timer::Gossip => gossip::round(world, now, out),
         Timer::Steward => steward::round(world, now, out),
         // Appends are looked after on every tick.
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
+use crate::chain;
 use crate::claim::{Claims, Outbox, Waiting};
 use crate::counters::Counters;
 use crate::effect::Effects;
@@ -136,6 +137,8 @@
     Replacement(RequestKey),
     /// A suspected target is to be probed.
     Probe(TargetKey),
+    /// A service call is to be sent again.
+    Retry(RequestKey),
     /// Claims may be appended.
     Append,
     /// A digest is to be sent.
@@ -285,6 +288,14 @@
         }
     }
 
+    /// The chain that a request for `model` would get now, as the engines' rows.
+    pub fn choose_chain(&mut self, model: &str) -> Option<Vec<TargetKey>> {
+        let layers = self.config.served(model)?.model.layers;
+        let engines = self.engines.get(model)?;
+        let chosen = chain::choose(engines, &self.targets, layers, &mut self.rng).ok()?;
+        Some(chosen.into_iter().map(|stage| stage.target).collect())
+    }
+
     /// Take part in the failure domain, as this member and, at times, as its steward.
     pub fn join(&mut self, me: MemberState, now: Instant) {
         systems::gossip::join(self, me, now);
--- a/reachtally-core/tests/core/outcomes.rs
+++ b/reachtally-core/tests/core/outcomes.rs
@@ -192,3 +192,55 @@
     );
     assert_eq!(runs(&fabric, "k"), 1);
 }
+
+#[test]
+fn a_storm_of_lost_answers_is_bounded_by_the_retry_budget() {
+    let mut fabric = fabric(1);
+    for instance in 0..2 {
+        let url = service_url(LOOKUP, instance);
+        let service = fabric.services.get_mut(&url).expect("declared");
+        service.behave(&[Behaviour::Lose; 200]);
+    }
+    let asked = 50;
+    for _ in 0..asked {
+        fabric.ask(0, call(LOOKUP, None, "a"));
+    }
+    fabric.run_for(5 * SECOND);
+    let counters = world(&fabric).counters;
+    // The first ten retries are saved up; nothing succeeds, so no more are earned.
+    assert_eq!(counters.service_retries, 10);
+    assert!(counters.retries_denied > 0);
+    assert_eq!(counters.service_calls, asked + 10);
+}
+
+#[test]
+fn a_retry_waits_a_little_and_goes_to_another_instance() {
+    let mut fabric = fabric(1);
+    let first = service_url(LOOKUP, 0);
+    fabric
+        .services
+        .get_mut(&first)
+        .expect("declared")
+        .behave(&[Behaviour::Lose]);
+    let second = service_url(LOOKUP, 1);
+    fabric
+        .services
+        .get_mut(&second)
+        .expect("declared")
+        .behave(&[Behaviour::Lose]);
+    fabric.services.get_mut(&second).expect("declared").up = false;
+    let key = fabric.ask(0, call(LOOKUP, None, "a"));
+    fabric.run_for(SECOND / 200);
+    assert_eq!(end(&fabric, 0, key), None);
+    fabric.services.get_mut(&second).expect("declared").up = true;
+    fabric
+        .services
+        .get_mut(&second)
+        .expect("declared")
+        .behave(&[]);
+    fabric.run_for(SECOND);
+    assert_eq!(
+        end(&fabric, 0, key),
+        Some(&End::Answered("done new".to_owned()))
+    );
+}
--- /dev/null
+++ b/reachtally-target/tests/target/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the target adapters.
+
+mod failures;
+mod wire;
