--- a/reachtally-core/src/chain.rs
+++ b/reachtally-core/src/chain.rs
@@ -1,5 +1,7 @@
 //! Chains: the engines that together cover a model's layers, and the choice among them.
 
+use std::collections::BTreeMap;
+
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
@@ -68,33 +70,90 @@
 /// Random share by which an engine's cost is varied, so that daemons which see the same figures
 /// don't all choose the same engine.
 const JITTER: f64 = 0.1;
+/// Engines of one range that are looked at, drawn at random. A few suffice to avoid the bad ones; to
+/// look at all would cost in proportion to the fleet and send every daemon to the same best one.
+const SAMPLE: usize = 4;
+
+/// The engines of a model that hold the same layers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Group {
+    /// The layers.
+    pub layers: Layers,
+    /// The engines.
+    pub members: Vec<TargetKey>,
+}
 
-/// Mean time that the measured ones among `engines` take for one layer, if any was measured. It
-/// stands in for engines that have not been measured, so that a new one gets its part of the work.
-fn layer_time(engines: &EngineList, targets: &SlotMap<TargetKey, Target>) -> Option<f64> {
-    let mut sum = 0.0;
-    let mut layers = 0;
-    for target in engines.iter().filter_map(|key| targets.get(*key)) {
-        if let Some((_, range, _)) = target.engine()
-            && target.latency.is_measured()
-        {
-            sum += target.latency.expected(1).as_secs_f64();
-            layers += range.count();
+/// Sort engines into groups, by first layer.
+pub fn group(engines: &[TargetKey], targets: &SlotMap<TargetKey, Target>) -> Vec<Group> {
+    let mut by_layers: BTreeMap<Layers, Vec<TargetKey>> = BTreeMap::new();
+    for &key in engines {
+        if let Some((_, layers, _)) = targets.get(key).and_then(Target::engine) {
+            by_layers.entry(layers).or_default().push(key);
         }
     }
-    (layers > 0).then(|| sum / f64::from(layers))
+    let groups = by_layers.into_iter();
+    groups
+        .map(|(layers, members)| Group { layers, members })
+        .collect()
 }
 
-/// Predicted time of one decode step at `target`, in seconds, with what runs there.
-fn cost(target: &Target, slots: u32, layer_time: Option<f64>, rng: &mut ChaCha8Rng) -> f64 {
-    let layers = target.engine().map_or(0, |(_, range, _)| range.count());
-    let step = match layer_time {
-        Some(time) if !target.latency.is_measured() => time * f64::from(layers),
-        _ => target.latency.expected(1).as_secs_f64(),
+type Candidate<'a> = (TargetKey, &'a Target);
+
+/// Up to [`SAMPLE`] engines that `usable` lets pass, at random; from all of the group if the draw has
+/// none.
+fn draw<'a>(
+    group: &Group,
+    targets: &'a SlotMap<TargetKey, Target>,
+    usable: impl Fn(TargetKey, &Target) -> bool,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Candidate<'a>> {
+    let look = |key: TargetKey| {
+        let target = targets.get(key)?;
+        usable(key, target).then_some((key, target))
     };
-    let load = f64::from(target.running + 1) / f64::from(slots.max(1));
-    let jitter = 1.0 + JITTER * rng.random::<f64>();
-    step * (1.0 + load) * jitter
+    let members = &group.members;
+    if members.len() > SAMPLE {
+        let drawn = (0..SAMPLE).map(|_| members[rng.random_range(0..members.len())]);
+        let drawn: Vec<Candidate<'a>> = drawn.filter_map(look).collect();
+        if !drawn.is_empty() {
+            return drawn;
+        }
+    }
+    members.iter().copied().filter_map(look).collect()
+}
+
+/// The cheapest of the candidates with its cost: the predicted time of one decode step, in seconds,
+/// with what runs there. The mean of the measured ones stands in for engines that have not been
+/// measured, so that a new one gets its part of the work.
+fn cheapest(candidates: &[Candidate<'_>], rng: &mut ChaCha8Rng) -> Option<(f64, TargetKey)> {
+    let measured = candidates
+        .iter()
+        .filter(|(_, target)| target.latency.is_measured());
+    let times: Vec<f64> = measured.map(|(_, target)| step_time(target)).collect();
+    let mean = (!times.is_empty()).then(|| times.iter().sum::<f64>() / times.len() as f64);
+    let mut best: Option<(f64, TargetKey)> = None;
+    for (key, target) in candidates {
+        let step = match mean {
+            Some(mean) if !target.latency.is_measured() => mean,
+            _ => step_time(target),
+        };
+        let slots = target.engine().map_or(1, |(_, _, slots)| slots.max(1));
+        let load = f64::from(target.running + 1) / f64::from(slots);
+        let cost = step * (1.0 + load) * (1.0 + JITTER * rng.random::<f64>());
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, *key));
+        }
+    }
+    best
+}
+
+fn step_time(target: &Target) -> f64 {
+    target.latency.expected(1).as_secs_f64()
+}
+
+fn has_slot(target: &Target) -> bool {
+    let slots = target.engine().map_or(0, |(_, _, slots)| slots);
+    target.running < slots
 }
 
 /// Why no chain could be chosen.
@@ -106,63 +165,50 @@
     Full,
 }
 
-/// The engines of one model, sorted by the first layer they hold.
-pub type EngineList = [TargetKey];
-
-/// Choose the cheapest chain over `0..layers` by shortest path over layer boundaries.
-///
-/// `engines` must be sorted by first layer. The work is linear in their number.
+/// Choose a cheap chain over `0..layers`: the shortest path over layer boundaries, each group giving
+/// the cheapest of a few of its engines. The work grows with the number of groups, not of engines.
 ///
 /// # Errors
 /// [`NoChain`] if the engines that take work don't cover the layers.
 pub fn choose(
-    engines: &EngineList,
+    groups: &[Group],
     targets: &SlotMap<TargetKey, Target>,
     layers: u32,
     rng: &mut ChaCha8Rng,
 ) -> Result<Vec<Stage>, NoChain> {
-    match shortest(engines, targets, layers, rng, false) {
-        Some(stages) => Ok(stages),
-        None if shortest(engines, targets, layers, rng, true).is_some() => Err(NoChain::Full),
+    let free = |_: TargetKey, target: &Target| target.takes_work() && has_slot(target);
+    if let Some(stages) = shortest(groups, targets, layers, free, rng) {
+        return Ok(stages);
+    }
+    let any = |_: TargetKey, target: &Target| target.takes_work();
+    match shortest(groups, targets, layers, any, rng) {
+        Some(_) => Err(NoChain::Full),
         None => Err(NoChain::Uncovered),
     }
 }
 
 fn shortest(
-    engines: &EngineList,
+    groups: &[Group],
     targets: &SlotMap<TargetKey, Target>,
     layers: u32,
+    usable: impl Fn(TargetKey, &Target) -> bool,
     rng: &mut ChaCha8Rng,
-    full_too: bool,
 ) -> Option<Vec<Stage>> {
-    let layer_time = layer_time(engines, targets);
     let mut best: Vec<Option<(f64, Stage)>> = vec![None; layers as usize + 1];
-    for &key in engines {
-        let Some(target) = targets.get(key) else {
-            continue;
-        };
-        let Some((_, range, slots)) = target.engine() else {
-            continue;
-        };
-        if !target.takes_work() || range.end > layers || range.first >= range.end {
-            continue;
-        }
-        if !full_too && target.running >= slots {
-            continue;
-        }
-        let reached = match best[range.first as usize] {
-            _ if range.first == 0 => 0.0,
+    for group in groups.iter().filter(|group| group.layers.end <= layers) {
+        let reached = match best[group.layers.first as usize] {
+            _ if group.layers.first == 0 => 0.0,
             Some((cost, _)) => cost,
             None => continue,
         };
-        let total = reached + cost(target, slots, layer_time, rng);
-        let end = &mut best[range.end as usize];
-        if end.is_none_or(|(cost, _)| total < cost) {
-            let stage = Stage {
-                target: key,
-                layers: range,
-            };
-            *end = Some((total, stage));
+        let candidates = draw(group, targets, &usable, rng);
+        let Some((cost, target)) = cheapest(&candidates, rng) else {
+            continue;
+        };
+        let end = &mut best[group.layers.end as usize];
+        if end.is_none_or(|(least, _)| reached + cost < least) {
+            let layers = group.layers;
+            *end = Some((reached + cost, Stage { target, layers }));
         }
     }
     trace(&best, layers)
@@ -180,31 +226,17 @@
     Some(stages)
 }
 
-/// Choose another engine with exactly the range `layers`, cheapest first. A full engine is taken
-/// too: a request under way goes before a new one.
+/// Choose another engine than `not` with exactly the range `layers`, a cheap one. A full engine is
+/// taken too: a request under way goes before a new one.
 pub fn replacement(
-    engines: &EngineList,
+    groups: &[Group],
     targets: &SlotMap<TargetKey, Target>,
     layers: Layers,
     not: TargetKey,
     rng: &mut ChaCha8Rng,
 ) -> Option<TargetKey> {
-    let layer_time = layer_time(engines, targets);
-    let mut best: Option<(f64, TargetKey)> = None;
-    for &key in engines.iter().filter(|key| **key != not) {
-        let Some(target) = targets.get(key) else {
-            continue;
-        };
-        let Some((_, range, slots)) = target.engine() else {
-            continue;
-        };
-        if range != layers || !target.takes_work() {
-            continue;
-        }
-        let cost = cost(target, slots, layer_time, rng);
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, key));
-        }
-    }
-    best.map(|(_, key)| key)
+    let group = groups.iter().find(|group| group.layers == layers)?;
+    let usable = |key: TargetKey, target: &Target| key != not && target.takes_work();
+    let candidates = draw(group, targets, usable, rng);
+    cheapest(&candidates, rng).map(|(_, target)| target)
 }
--- a/reachtally-core/src/systems/configure.rs
+++ b/reachtally-core/src/systems/configure.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::chain;
 use crate::declare::{Kind, Object};
 use crate::effect::{Change, Effect, Effects};
 use crate::event::{BoxSeen, Read};
@@ -199,26 +200,21 @@
     }
 }
 
-/// Rebuild the lists of engines by model, sorted by first layer, and of instances by service.
+/// Rebuild the groups of engines by model, and the lists of instances by service.
 fn index(world: &mut World) {
-    world.engines.clear();
+    let mut engines: BTreeMap<String, Vec<TargetKey>> = BTreeMap::new();
     world.instances.clear();
     for key in world.target_by_name.values() {
         match &world.targets[*key].role {
-            Role::Engine { model, .. } => {
-                world.engines.entry(model.clone()).or_default().push(*key);
-            }
+            Role::Engine { model, .. } => engines.entry(model.clone()).or_default().push(*key),
             Role::Service { service } => {
-                world
-                    .instances
-                    .entry(service.clone())
-                    .or_default()
-                    .push(*key);
+                let instances = world.instances.entry(service.clone()).or_default();
+                instances.push(*key);
             }
         }
     }
     let targets = &world.targets;
-    for engines in world.engines.values_mut() {
-        engines.sort_by_key(|key| targets[*key].engine().map(|(_, layers, _)| layers));
-    }
+    let groups = engines.into_iter();
+    let groups = groups.map(|(model, engines)| (model, chain::group(&engines, targets)));
+    world.engines = groups.collect();
 }
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
-use crate::chain;
+use crate::chain::{self, Group};
 use crate::claim::{Claims, Outbox, Waiting};
 use crate::counters::Counters;
 use crate::effect::Effects;
@@ -181,7 +181,7 @@
     pub config: Config,
     pub(crate) target_by_name: BTreeMap<String, TargetKey>,
     pub(crate) account_by_name: BTreeMap<String, AccountKey>,
-    pub(crate) engines: BTreeMap<String, Vec<TargetKey>>,
+    pub(crate) engines: BTreeMap<String, Vec<Group>>,
     pub(crate) instances: BTreeMap<String, Vec<TargetKey>>,
     pub(crate) boxes: Option<BTreeMap<String, bool>>,
     pub(crate) claims: Claims,
