--- a/reachtally-config/src/settings.rs
+++ b/reachtally-config/src/settings.rs
@@ -90,7 +90,7 @@
     "limits",
 ];
 
-const LIMIT_FIELDS: [&str; 12] = [
+const LIMIT_FIELDS: [&str; 14] = [
     "body_bytes",
     "patience_s",
     "stop_notice_ms",
@@ -103,6 +103,8 @@
     "claim_window_s",
     "replacement_wait_ms",
     "standby_positions",
+    "kv_bytes",
+    "link_mbytes_s",
 ];
 
 /// Default of `limits.body_bytes`.
@@ -279,6 +281,12 @@
     if let Some(ms) = number("replacement_wait_ms", 0, 600_000) {
         limits.replacement_wait = Duration::from_millis(ms);
     }
+    if let Some(bytes) = number("kv_bytes", 1, 1 << 24) {
+        limits.kv_bytes = bytes as u32;
+    }
+    if let Some(mbytes) = number("link_mbytes_s", 1, 1 << 20) {
+        limits.link_rate = mbytes as f64 * 1e6;
+    }
     if let Some(positions) = number("standby_positions", 0, 1 << 16) {
         limits.standby_positions = positions as u32;
     }
--- a/reachtally-core/src/chain.rs
+++ b/reachtally-core/src/chain.rs
@@ -151,11 +151,6 @@
     target.latency.expected(1).as_secs_f64()
 }
 
-fn has_slot(target: &Target) -> bool {
-    let slots = target.engine().map_or(0, |(_, _, slots)| slots);
-    target.running < slots
-}
-
 /// Why no chain could be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoChain {
@@ -176,7 +171,7 @@
     layers: u32,
     rng: &mut ChaCha8Rng,
 ) -> Result<Vec<Stage>, NoChain> {
-    let free = |_: TargetKey, target: &Target| target.takes_work() && has_slot(target);
+    let free = |_: TargetKey, target: &Target| target.takes_work() && target.has_slot();
     if let Some(stages) = shortest(groups, targets, layers, free, rng) {
         return Ok(stages);
     }
--- a/reachtally-core/src/counters.rs
+++ b/reachtally-core/src/counters.rs
@@ -44,6 +44,8 @@
     restored_by_replay,
     /// Chains restored by prefilling every stage anew.
     restored_by_prefill,
+    /// Stages moved by export and import of their KV.
+    restored_by_import,
     /// Stages restored on an engine that followed them as a standby.
     restored_from_standby,
     /// Spans sent to standbys.
--- a/reachtally-core/src/effect.rs
+++ b/reachtally-core/src/effect.rs
@@ -3,7 +3,7 @@
 use crate::claim::ClaimRecord;
 use crate::event::Read;
 use crate::fold::{Config, Operation};
-use crate::ids::{CallKey, Incarnation, RequestKey, TargetKey};
+use crate::ids::{CallKey, Incarnation, RequestId, RequestKey, TargetKey};
 use crate::lease::DomainRecord;
 use crate::life::{NotRun, Unknown};
 use crate::lineage::Lineage;
@@ -98,6 +98,17 @@
         /// What to send.
         batch: Batch,
     },
+    /// Export a request's KV from one engine and import it into another.
+    MoveKv {
+        /// The request.
+        request: RequestKey,
+        /// Its identity towards engines.
+        id: RequestId,
+        /// The engine that holds the KV.
+        from: TargetKey,
+        /// The engine that takes it.
+        to: TargetKey,
+    },
     /// Send a call to a service instance.
     Call {
         /// The request.
--- a/reachtally-core/src/event.rs
+++ b/reachtally-core/src/event.rs
@@ -77,6 +77,15 @@
         /// How.
         failure: CallFailure,
     },
+    /// A move of KV ended.
+    KvMoved {
+        /// The request.
+        request: RequestKey,
+        /// The engine that was to take it.
+        to: TargetKey,
+        /// The positions that its KV covers there; nothing if it was not moved.
+        positions: Option<u32>,
+    },
     /// A service answered, or the call failed.
     Called {
         /// The request.
--- a/reachtally-core/src/request.rs
+++ b/reachtally-core/src/request.rs
@@ -99,6 +99,15 @@
     pub call: Option<CallKey>,
 }
 
+/// A move of a stage's KV from one engine to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moving {
+    /// Index of the stage.
+    pub stage: usize,
+    /// The engine that takes it.
+    pub to: TargetKey,
+}
+
 /// A completion under way.
 #[derive(Debug)]
 pub struct Running {
@@ -134,6 +143,8 @@
     pub standbys: Vec<Option<Standby>>,
     /// Whether its lost stage waits for the answer of its standby.
     pub waits_for_standby: bool,
+    /// The move of a stage that is under way; the stage's step is held back meanwhile.
+    pub moving: Option<Moving>,
 }
 
 impl Running {
--- a/reachtally-core/src/restore.rs
+++ b/reachtally-core/src/restore.rs
@@ -7,6 +7,8 @@
 /// A way of restoring a stage's KV on its replacement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
+    /// Export the KV from an engine that still answers, and import it.
+    Import,
     /// Send the inputs that a standby has not seen.
     Standby,
     /// Send the stage's own inputs again; no other stage does anything again.
@@ -32,13 +34,20 @@
 
 impl Estimate<'_> {
     /// Time to send the stage its own inputs from position `covered` on.
-    fn replay(&self, covered: u32) -> Duration {
+    pub fn replay(&self, covered: u32) -> Duration {
         let positions = self.positions.saturating_sub(covered);
         let bytes = f64::from(positions) * f64::from(self.unit);
         let transfer = Duration::from_secs_f64(bytes / self.link_rate.max(1.0));
         transfer + self.replacement.expected(positions)
     }
 
+    /// Time to export and import KV of `layers` layers at `kv_bytes` for each layer and position.
+    pub fn import(&self, layers: u32, kv_bytes: u32) -> Duration {
+        let bytes = f64::from(self.positions) * f64::from(layers) * f64::from(kv_bytes);
+        // Out of one engine and into the other.
+        Duration::from_secs_f64(2.0 * bytes / self.link_rate.max(1.0))
+    }
+
     /// Time to run all positions through every stage.
     fn prefill(&self) -> Duration {
         let stages = self.chain.iter();
--- a/reachtally-core/src/systems/dispatch.rs
+++ b/reachtally-core/src/systems/dispatch.rs
@@ -3,7 +3,7 @@
 use crate::effect::{Effect, Effects};
 use crate::ids::{CallKey, RequestId, RequestKey, TargetKey};
 use crate::step::{Batch, Input, Step};
-use crate::systems::shift;
+use crate::systems::{relocate, shift};
 use crate::target::Health;
 use crate::time::Instant;
 use crate::world::{Call, Load, Purpose, Sent, Timer, World};
@@ -39,6 +39,9 @@
     let mut singles = Vec::new();
     let mut waiting = Vec::new();
     for request in ready {
+        if relocate::begin(world, request, key, now, out) {
+            continue;
+        }
         match awaited_positions(world, request, key) {
             Some(1) => singles.push(request),
             Some(_) if has_room(world, key, Load::Span) => {
--- a/reachtally-core/src/systems/finish.rs
+++ b/reachtally-core/src/systems/finish.rs
@@ -151,6 +151,8 @@
                 .iter()
                 .flatten()
                 .map(|standby| standby.target);
+            let moving = running.moving.iter().map(|moving| moving.to);
+            let standbys = standbys.chain(moving);
             for target in running
                 .chain
                 .iter()
--- a/reachtally-core/src/systems/mod.rs
+++ b/reachtally-core/src/systems/mod.rs
@@ -9,6 +9,7 @@
 pub mod finish;
 pub mod gossip;
 pub mod health;
+pub mod relocate;
 pub mod service;
 pub mod shift;
 pub mod standby;
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -115,7 +115,7 @@
         return take_standby(world, request, stage, &standby, now, out);
     }
     match chain::replacement(engines, &world.targets, layers, not, &mut world.rng) {
-        Some(target) => place(world, request, stage, target, 0, now, out),
+        Some(target) => place(world, request, stage, target, Prepared::NOT, now, out),
         None => park(world, request, now),
     }
 }
@@ -159,15 +159,11 @@
     }
     running.standbys[stage] = None;
     world.targets[standby.target].running -= 1;
-    place(
-        world,
-        request,
-        stage,
-        standby.target,
-        standby.covered,
-        now,
-        out,
-    );
+    let prepared = Prepared {
+        covered: standby.covered,
+        way: Way::Standby,
+    };
+    place(world, request, stage, standby.target, prepared, now, out);
 }
 
 fn park(world: &mut World, request: RequestKey, now: Instant) {
@@ -220,16 +216,34 @@
     finish::give_up(world, request, refusal, Unknown::NoReplacement, out);
 }
 
-fn place(
+/// What the engine that takes a stage holds of it already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Prepared {
+    /// Positions that its KV covers.
+    pub covered: u32,
+    /// How it came by them.
+    pub way: Way,
+}
+
+impl Prepared {
+    /// Nothing.
+    pub const NOT: Prepared = Prepared {
+        covered: 0,
+        way: Way::Replay,
+    };
+}
+
+/// Put a stage on `target` and await its step there.
+pub fn place(
     world: &mut World,
     request: RequestKey,
     stage: usize,
     target: TargetKey,
-    covered: u32,
+    prepared: Prepared,
     now: Instant,
     out: &mut Effects,
 ) {
-    let way = choose_way(world, request, stage, target, covered);
+    let way = choose_way(world, request, stage, target, prepared);
     let id = RequestId::new(world.incarnation, request);
     let Some(running) = world.requests[request].running() else {
         return;
@@ -241,7 +255,7 @@
     };
     running.attempt += 1;
     let (awaited, freed) = match way {
-        Way::Standby => (replay(running, stage, covered), 0),
+        Way::Standby | Way::Import => (replay(running, stage, prepared.covered), 0),
         Way::Replay => (replay(running, stage, 0), 0),
         Way::Prefill => prefill(running),
     };
@@ -269,6 +283,7 @@
 fn count(world: &mut World, way: Way) {
     world.counters.stages_shifted += 1;
     match way {
+        Way::Import => world.counters.restored_by_import += 1,
         Way::Standby => world.counters.restored_from_standby += 1,
         Way::Replay => world.counters.restored_by_replay += 1,
         Way::Prefill => world.counters.restored_by_prefill += 1,
@@ -295,7 +310,7 @@
     request: RequestKey,
     stage: usize,
     target: TargetKey,
-    covered: u32,
+    prepared: Prepared,
 ) -> Way {
     let Progress::Running(running) = &world.requests[request].progress else {
         return Way::Prefill;
@@ -321,7 +336,10 @@
         replacement,
         chain: &chain,
     };
-    estimate.choose(possible, covered)
+    match estimate.choose(possible, prepared.covered) {
+        Way::Standby => prepared.way,
+        way => way,
+    }
 }
 
 /// Await the same span again, from a position such that the KV before it is rebuilt; `covered`
--- a/reachtally-core/src/systems/start.rs
+++ b/reachtally-core/src/systems/start.rs
@@ -101,5 +101,6 @@
         parked: false,
         standbys: vec![None; stages],
         waits_for_standby: false,
+        moving: None,
     }
 }
--- a/reachtally-core/src/target.rs
+++ b/reachtally-core/src/target.rs
@@ -116,6 +116,12 @@
         self.health == Health::Up && !self.drained && !self.leaving
     }
 
+    /// Whether an engine can hold another request.
+    pub fn has_slot(&self) -> bool {
+        self.engine()
+            .is_some_and(|(_, _, slots)| self.running < slots)
+    }
+
     /// Calls outstanding of one kind.
     pub fn outstanding(&mut self, load: Load) -> &mut u32 {
         match load {
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -46,6 +46,8 @@
     pub replacement_wait: Duration,
     /// Accepted positions after which a stage's standby is brought up; 0 for no standbys.
     pub standby_positions: u32,
+    /// Bytes of KV assumed for each layer and position.
+    pub kv_bytes: u32,
     /// Bytes a second assumed on the link to an engine.
     pub link_rate: f64,
 }
@@ -63,6 +65,7 @@
             claim_wait: Duration::from_secs(5),
             replacement_wait: Duration::from_secs(10),
             standby_positions: 64,
+            kv_bytes: 4096,
             link_rate: 100e6,
         }
     }
@@ -270,6 +273,11 @@
                 target,
                 result,
             } => systems::service::called(self, request, target, result, now, out),
+            Event::KvMoved {
+                request,
+                to,
+                positions,
+            } => systems::relocate::moved(self, request, to, positions, now, out),
             Event::Probed { target, up } => systems::health::probed(self, target, up, now, out),
             Event::Appended { seq, confirmed } => systems::claims::appended(self, seq, confirmed),
             Event::ClaimsRead(records) => systems::claims::read(self, &records, now, out),
--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -304,6 +304,15 @@
                 let url = self.url(target);
                 self.performer.call(request, target, url, call, key);
             }
+            Effect::MoveKv {
+                request,
+                id,
+                from,
+                to,
+            } => {
+                let urls = (self.url(from), self.url(to));
+                self.performer.move_kv(request, id, to, urls);
+            }
             Effect::Probe { target } => {
                 let url = self.url(target);
                 self.performer.probe(target, url);
--- a/reachtally-daemon/src/perform.rs
+++ b/reachtally-daemon/src/perform.rs
@@ -7,7 +7,7 @@
 use reachtally_core::claim::ClaimRecord;
 use reachtally_core::event::CallFailure;
 use reachtally_core::fold::Config;
-use reachtally_core::ids::{CallKey, RequestKey, TargetKey};
+use reachtally_core::ids::{CallKey, RequestId, RequestKey, TargetKey};
 use reachtally_core::lease::DomainRecord;
 use reachtally_core::request::ServiceCall;
 use reachtally_core::step::Batch;
@@ -17,7 +17,7 @@
 use reachtally_platform::{CLAIMS_STREAM, CONFIG_STREAM, DOMAINS_STREAM, Log, SNAPSHOTS_STREAM};
 use reachtally_protocol::{Message, link};
 use reachtally_target::http::HttpTargets;
-use reachtally_target::{Engines, Orders, Probe, Services};
+use reachtally_target::{Engines, KvMoves, Orders, Probe, Services};
 use tokio::time::timeout;
 
 use crate::actor::{self, Handle};
@@ -99,6 +99,26 @@
         });
     }
 
+    /// Move a request's KV from one engine to another, `(from, to)`.
+    pub fn move_kv(
+        &self,
+        request: RequestKey,
+        id: RequestId,
+        to: TargetKey,
+        urls: (String, String),
+    ) {
+        let (handle, targets) = (self.handle.clone(), self.targets.clone());
+        tokio::spawn(async move {
+            let positions = targets.move_kv(&urls.0, &urls.1, id).await;
+            let event = Event::KvMoved {
+                request,
+                to,
+                positions,
+            };
+            report(&handle, event);
+        });
+    }
+
     /// Probe a target.
     pub fn probe(&self, target: TargetKey, url: String) {
         let (handle, targets) = (self.handle.clone(), self.targets.clone());
--- a/reachtally-standin/src/engine/server.rs
+++ b/reachtally-standin/src/engine/server.rs
@@ -8,7 +8,7 @@
 use reachtally_core::step::{Batch, StepResult};
 use reachtally_listen::{Error, Listener};
 use reachtally_target::order::{OrderBody, ReportBody};
-use reachtally_target::{NOT_RUN, OUTCOME_HEADER, wire};
+use reachtally_target::{NOT_RUN, OUTCOME_HEADER, POSITIONS_HEADER, wire};
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Header, Status};
 use rocket::response::{self, Responder, Response};
@@ -285,13 +285,20 @@
 }
 
 #[get("/v1/kv/<incarnation>/<seq>")]
-fn export(
-    incarnation: u64,
-    seq: u64,
-    shared: &rocket::State<Shared>,
-) -> Result<Json<KvExport>, Status> {
+fn export(incarnation: u64, seq: u64, shared: &rocket::State<Shared>) -> Result<Exported, Status> {
     let export = shared.lock().export(id(incarnation, seq));
-    export.map(Json).ok_or(Status::NotFound)
+    export.map(Exported).ok_or(Status::NotFound)
+}
+
+struct Exported(KvExport);
+
+impl<'r> Responder<'r, 'static> for Exported {
+    fn respond_to(self, req: &'r Request<'_>) -> response::Result<'static> {
+        let positions = self.0.positions.to_string();
+        Response::build_from(Json(self.0).respond_to(req)?)
+            .header(Header::new(POSITIONS_HEADER, positions))
+            .ok()
+    }
 }
 
 #[put("/v1/kv/<incarnation>/<seq>", data = "<export>")]
--- a/reachtally-standin/src/fabric/mod.rs
+++ b/reachtally-standin/src/fabric/mod.rs
@@ -16,7 +16,7 @@
 use reachtally_core::declare::{Kind, Object};
 use reachtally_core::event::{BoxSeen, CallFailure, Peer};
 use reachtally_core::fold::{Config, Edit, EditChange, Operation};
-use reachtally_core::ids::{CallKey, RequestKey, TargetKey};
+use reachtally_core::ids::{CallKey, RequestId, RequestKey, TargetKey};
 use reachtally_core::life::NeverStarted;
 use reachtally_core::member::MemberState;
 use reachtally_core::request::{Ask, ServiceCall};
@@ -273,6 +273,12 @@
                 };
                 self.queue.push(self.now + LINK, arrives);
             }
+            Effect::MoveKv {
+                request,
+                id,
+                from,
+                to,
+            } => self.move_kv(daemon, request, id, (from, to)),
             Effect::Probe { target } => {
                 let url = self.nodes[daemon].url(target);
                 let engine = self.engines.get(&url).is_some_and(FakeEngine::answers);
@@ -387,6 +393,32 @@
         self.tell(daemon, LINK * 3, Event::Revalidated(nonce));
     }
 
+    fn move_kv(
+        &mut self,
+        daemon: usize,
+        request: RequestKey,
+        id: RequestId,
+        (from, to): (TargetKey, TargetKey),
+    ) {
+        let urls = (self.nodes[daemon].url(from), self.nodes[daemon].url(to));
+        let source = self.engines.get(&urls.0).filter(|engine| engine.answers());
+        let export = source.and_then(|engine| engine.state.export(id));
+        let taker = self
+            .engines
+            .get_mut(&urls.1)
+            .filter(|engine| engine.answers());
+        let positions = export.zip(taker).and_then(|(export, engine)| {
+            let positions = export.positions;
+            engine.state.import(id, export).then_some(positions)
+        });
+        let event = Event::KvMoved {
+            request,
+            to,
+            positions,
+        };
+        self.tell(daemon, LINK * 4, event);
+    }
+
     fn ask_report(&mut self, daemon: usize, target: TargetKey) {
         let url = self.nodes[daemon].url(target);
         let Some(engine) = self.engines.get(&url).filter(|engine| engine.answers()) else {
--- a/reachtally-target/src/http.rs
+++ b/reachtally-target/src/http.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use reachtally_core::event::CallFailure;
+use reachtally_core::ids::RequestId;
 use reachtally_core::life::NeverStarted;
 use reachtally_core::request::{Answer, ServiceCall};
 use reachtally_core::step::{Batch, StepResult};
@@ -23,8 +24,8 @@
 
 use crate::order::{OrderBody, ReportBody};
 use crate::{
-    Engines, HEALTH_PATH, KEY_HEADER, NOT_RUN, ORDERS_PATH, OUTCOME_HEADER, Orders, Probe,
-    REPORT_PATH, STEPS_PATH, Services, wire,
+    Engines, HEALTH_PATH, KEY_HEADER, KV_PATH, KvMoves, NOT_RUN, ORDERS_PATH, OUTCOME_HEADER,
+    Orders, POSITIONS_HEADER, Probe, REPORT_PATH, STEPS_PATH, Services, wire,
 };
 
 /// Time for a connection to come about.
@@ -34,6 +35,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for an export, and for an import.
+const KV_TIMEOUT: Duration = Duration::from_secs(10);
 /// The longest service answer taken, in bytes. It is held whole, since its outcome goes in a header.
 pub const ANSWER_BYTES_MAX: usize = 4 << 20;
 
@@ -171,6 +174,21 @@
     }
 }
 
+impl KvMoves for HttpTargets {
+    async fn move_kv(&self, from: &str, to: &str, request: RequestId) -> Option<u32> {
+        let path = format!("{KV_PATH}/{}/{}", request.incarnation.0, request.seq);
+        let req = self.client.get(format!("{from}/{path}"));
+        let export = req.timeout(KV_TIMEOUT).send().await.ok()?;
+        let export = export.error_for_status().ok()?;
+        let positions = export.headers().get(POSITIONS_HEADER)?;
+        let positions = positions.to_str().ok()?.parse().ok()?;
+        let kv = export.bytes().await.ok()?;
+        let req = self.client.put(format!("{to}/{path}")).body(kv);
+        let import = req.timeout(KV_TIMEOUT).send().await.ok()?;
+        import.status().is_success().then_some(positions)
+    }
+}
+
 impl Probe for HttpTargets {
     async fn probe(&self, url: &str) -> bool {
         let req = self.client.get(format!("{url}/{HEALTH_PATH}"));
--- a/reachtally-target/src/lib.rs
+++ b/reachtally-target/src/lib.rs
@@ -8,6 +8,7 @@
 use std::future::Future;
 
 use reachtally_core::event::CallFailure;
+use reachtally_core::ids::RequestId;
 use reachtally_core::request::{Answer, ServiceCall};
 use reachtally_core::step::{Batch, StepResult};
 use reachtally_core::systems::steward::{Order, Reported};
@@ -26,6 +27,10 @@
 pub const STEPS_PATH: &str = "v1/steps";
 /// Path of an engine's report.
 pub const REPORT_PATH: &str = "v1/report";
+/// Path of a request's KV, before its incarnation and number.
+pub const KV_PATH: &str = "v1/kv";
+/// The header that tells how many positions exported KV covers.
+pub const POSITIONS_HEADER: &str = "reachtally-positions";
 /// Path of an engine's orders.
 pub const ORDERS_PATH: &str = "v1/orders";
 /// Path that every target answers while it is up.
@@ -67,6 +72,18 @@
     fn order(&self, url: &str, fence: u64, order: Order) -> impl Future<Output = bool> + Send;
 }
 
+/// Engines that export and import KV.
+pub trait KvMoves {
+    /// Export a request's KV from the engine at `from` and import it into the one at `to`; yields the
+    /// positions that it covers, or nothing if it was not moved.
+    fn move_kv(
+        &self,
+        from: &str,
+        to: &str,
+        request: RequestId,
+    ) -> impl Future<Output = Option<u32>> + Send;
+}
+
 /// Any target.
 pub trait Probe {
     /// Whether the target at `url` answers.
