--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod claims;
 mod control;
+mod drain;
 mod faults;
 mod overhead;
 mod process;
@@ -41,6 +42,9 @@
     /// What control costs one daemon, against the sizes of the fleet
     #[bpaf(command)]
     Control(#[bpaf(external(control::options))] control::Options),
+    /// A daemon that is told to stop with many streams open
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain::options))] drain::Options),
     /// A soak of several daemons and stand-ins as processes, under faults, against the ledgers
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -56,6 +60,7 @@
         Experiment::Overhead(options) => overhead::run(options).await,
         Experiment::Faults(options) => faults::run(options).await,
         Experiment::Control(options) => control::run(&options),
+        Experiment::Drain(options) => drain::run(options).await,
         Experiment::Recovery(options) => recovery::run(&options),
         Experiment::Claims(options) => claims::run(&options),
     };
--- a/reachtally-bench/src/process.rs
+++ b/reachtally-bench/src/process.rs
@@ -29,6 +29,12 @@
         self.child.id()
     }
 
+    /// Whether it still runs; one that ended and was not waited for does not.
+    pub fn is_running(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
+        stat.is_ok_and(|stat| !stat.contains(") Z "))
+    }
+
     /// Processor time used so far.
     pub fn cpu(&self) -> Duration {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
