--- a/reachtally-bench/src/overhead.rs
+++ b/reachtally-bench/src/overhead.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 
 use crate::report::{Goal, Report};
-use crate::setup::{self, OPERATOR_KEY, Setup};
+use crate::setup::{self, KEY, OPERATOR_KEY, Setup};
 use crate::sse;
 
 /// Most milliseconds that the router may add to the first token at the median.
@@ -72,6 +72,7 @@
     let engines = HttpTargets::new().map_err(|err| err.to_string())?;
     let mut routed = histogram()?;
     let mut direct = histogram()?;
+    let mut own = histogram()?;
     for number in 0..WARM_UP + options.requests {
         let sent = Instant::now();
         direct_first_token(&engines, &setup.engines, u64::from(number)).await?;
@@ -82,12 +83,18 @@
                 .violations
                 .push("a stream ended without its outcome".to_owned());
         }
+        let sent = Instant::now();
+        models(&client, &setup.callers).await?;
+        let own_time = sent.elapsed();
         if number >= WARM_UP {
+            record(&mut own, own_time);
             record(&mut direct, direct_time);
             record(&mut routed, seen.first_token);
         }
     }
     let ms = |histogram: &Histogram<u64>| histogram.value_at_quantile(0.5) as f64 / 1000.0;
+    let name = "a call that the daemon answers itself, median";
+    report.add(name, ms(&own), "ms", Goal::None);
     report.add(
         "first token, engines called directly, median",
         ms(&direct),
@@ -105,6 +112,14 @@
     Ok(())
 }
 
+/// A call that no engine takes part in.
+async fn models(client: &Client, callers: &str) -> Result<(), String> {
+    let req = client.get(format!("{callers}/v1/models")).bearer_auth(KEY);
+    let response = req.send().await.map_err(|err| err.to_string())?;
+    let body = response.bytes().await;
+    body.map(|_| ()).map_err(|err| err.to_string())
+}
+
 fn histogram() -> Result<Histogram<u64>, String> {
     Histogram::new(3).map_err(|err| err.to_string())
 }
--- a/reachtally-core/src/systems/steward.rs
+++ b/reachtally-core/src/systems/steward.rs
@@ -22,6 +22,8 @@
 /// Lease time that must be left for an order to a target that does not check fences. Longer than an
 /// order takes to arrive or fail.
 pub const ORDER_MARGIN: Duration = Duration::from_secs(2);
+/// Engines asked in one round, so that the steward's cost does not grow with its domain.
+const REPORTS_PER_ROUND: usize = 4;
 /// Time after which the first in rank takes a lease that nobody renews; each later rank waits longer.
 const RANK_WAIT: Duration = Duration::from_secs(2);
 /// Time a target must be idle, by its own report, after the whole domain has confirmed its drain.
@@ -59,7 +61,8 @@
         return;
     }
     confirm(world, now, out);
-    for target in own_engines(world) {
+    for target in longest_unasked(world) {
+        world.targets[target].asked_at = Some(now);
         out.push(Effect::AskReport { target });
     }
 }
@@ -148,13 +151,17 @@
     }));
 }
 
-fn own_engines(world: &World) -> Vec<TargetKey> {
+/// The engines of the own domain that were not asked for the longest time.
+fn longest_unasked(world: &World) -> Vec<TargetKey> {
     let own = &world.members.me.domain;
-    let engines = world
-        .targets
-        .iter()
-        .filter(|(_, target)| target.engine().is_some() && target.domain == *own);
-    engines.map(|(key, _)| key).collect()
+    let engines = world.targets.iter();
+    let engines = engines.filter(|(_, target)| target.engine().is_some() && target.domain == *own);
+    let mut by_time: Vec<_> = engines
+        .map(|(key, target)| (target.asked_at, key))
+        .collect();
+    by_time.sort_unstable();
+    by_time.truncate(REPORTS_PER_ROUND);
+    by_time.into_iter().map(|(_, key)| key).collect()
 }
 
 /// A target reported: order what is missing.
--- a/reachtally-core/src/target.rs
+++ b/reachtally-core/src/target.rs
@@ -63,6 +63,8 @@
     pub checks_fence: bool,
     /// Engine or service instance.
     pub role: Role,
+    /// When the steward last asked it for a report.
+    pub asked_at: Option<Instant>,
     /// Since when it has reported itself idle with its drain confirmed.
     pub quiet_since: Option<Instant>,
     /// Whether it answers.
@@ -97,6 +99,7 @@
             domain: String::new(),
             checks_fence: false,
             role,
+            asked_at: None,
             quiet_since: None,
             health: Health::Up,
             drained: false,
