feat(core): over the bound, drop first the inputs that a standby covers

Cause: at 16 KiB an activation a single request fills the bound on kept inputs and then lost its standby's tail as well. Change: covered positions go first; a new standby is only taken where it could be given all inputs.

--- a/reachtally-core/src/restore.rs
+++ b/reachtally-core/src/restore.rs
@@ -70,7 +70,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct KeptInputs {
     bytes: Vec<u8>,
-    positions: u32,
+    /// First position kept.
+    first: u32,
+    /// One past the last position kept.
+    end: u32,
     dropped: bool,
 }
 
@@ -87,49 +90,49 @@
             self.bytes.reserve_exact(activations.len() + needed / 4);
         }
         self.bytes.extend_from_slice(activations);
-        self.positions += positions;
+        self.end += positions;
         self.bytes.capacity() - before
     }
 
+    /// Drop what is kept of positions below `first`. Returns the bytes freed.
+    pub fn drop_below(&mut self, first: u32) -> usize {
+        let first = first.clamp(self.first, self.end);
+        let before = self.bytes.capacity();
+        let cut = self.unit() as usize * (first - self.first) as usize;
+        self.bytes.drain(..cut);
+        self.bytes.shrink_to_fit();
+        self.first = first;
+        before - self.bytes.capacity()
+    }
+
     /// Drop what is kept and keep nothing more. Returns the bytes freed.
     pub fn drop_all(&mut self) -> usize {
-        let freed = self.bytes.capacity();
-        self.bytes = Vec::new();
-        self.positions = 0;
+        let freed = self.reset();
         self.dropped = true;
         freed
     }
 
     /// Start over with nothing kept. Returns the bytes freed.
     pub fn reset(&mut self) -> usize {
-        let freed = self.drop_all();
-        self.dropped = false;
+        let freed = self.bytes.capacity();
+        *self = KeptInputs::default();
         freed
     }
 
-    /// The activations of positions `0..end`, if all of them are kept.
-    pub fn up_to(&self, end: u32) -> Option<&[u8]> {
-        if self.dropped || self.positions < end {
-            return None;
-        }
-        if self.positions == 0 {
-            return Some(&[]);
-        }
-        let unit = self.bytes.len() / self.positions as usize;
-        Some(&self.bytes[..unit * end as usize])
-    }
-
     /// The activations of positions `from..end`, if all of them are kept.
     pub fn span(&self, from: u32, end: u32) -> Option<&[u8]> {
-        let up_to_end = self.up_to(end)?;
-        up_to_end.get(self.unit() as usize * from as usize..)
+        if self.dropped || from < self.first || self.end < end || end < from {
+            return None;
+        }
+        let unit = self.unit() as usize;
+        let (skip, take) = (from - self.first, end - from);
+        let bytes = self.bytes.get(unit * skip as usize..)?;
+        bytes.get(..unit * take as usize)
     }
 
     /// Bytes of one activation, 0 while nothing is kept.
     pub fn unit(&self) -> u32 {
-        self.bytes
-            .len()
-            .checked_div(self.positions as usize)
-            .unwrap_or(0) as u32
+        let positions = (self.end - self.first) as usize;
+        self.bytes.len().checked_div(positions).unwrap_or(0) as u32
     }
 }
--- a/reachtally-core/src/systems/accept.rs
+++ b/reachtally-core/src/systems/accept.rs
@@ -8,6 +8,7 @@
 use crate::life::{NeverStarted, Unknown};
 use crate::lineage::Run;
 use crate::request::{Awaited, Running};
+use crate::restore::KeptInputs;
 use crate::step::{Input, Output, StepRefusal, StepResult};
 use crate::systems::{deliver, finish, shift, standby};
 use crate::time::Instant;
@@ -223,16 +224,27 @@
     }
 }
 
-/// Over the bound on kept inputs, the request that grew gives its own up; it can still be restored
-/// by prefill.
+/// Over the bound on kept inputs, the request that grew gives up first what its standbys cover, then
+/// everything; it can still be restored by prefill.
 fn shed_kept(world: &mut World, request: RequestKey) {
-    if world.kept_bytes <= world.limits.replay_bytes {
+    let most = world.limits.replay_bytes;
+    if world.kept_bytes <= most {
         return;
     }
-    if let Some(running) = world.requests[request].running() {
-        let freed: usize = running.kept.iter_mut().map(|kept| kept.drop_all()).sum();
-        world.kept_bytes -= freed;
+    let Some(running) = world.requests[request].running() else {
+        return;
+    };
+    let stages = running.kept.iter_mut().zip(&running.standbys);
+    let covered = stages.map(|(kept, standby)| {
+        let covered = standby.as_ref().map_or(0, |standby| standby.covered);
+        kept.drop_below(covered)
+    });
+    let mut freed: usize = covered.sum();
+    if world.kept_bytes - freed > most {
+        let all = running.kept.iter_mut().map(KeptInputs::drop_all);
+        freed += all.sum::<usize>();
     }
+    world.kept_bytes -= freed;
 }
 
 fn accept_token(
--- a/reachtally-core/src/systems/relocate.rs
+++ b/reachtally-core/src/systems/relocate.rs
@@ -73,7 +73,7 @@
         return false;
     };
     let end = running.accepted[stage];
-    if stage > 0 && running.kept[stage].up_to(end).is_none() {
+    if stage > 0 && running.kept[stage].span(0, end).is_none() {
         return false;
     }
     let estimate = Estimate {
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -319,7 +319,8 @@
         return Way::Prefill;
     };
     let end = awaited.from + awaited.positions;
-    let possible = stage == 0 || running.kept[stage].up_to(end).is_some();
+    let from = running.restorable_from(stage, prepared.covered);
+    let possible = stage == 0 || running.kept[stage].span(from, end).is_some();
     let replacement = &world.targets[target].latency;
     let chain: Vec<&Latency> = running
         .chain
--- a/reachtally-core/src/systems/standby.rs
+++ b/reachtally-core/src/systems/standby.rs
@@ -51,6 +51,14 @@
     running.chain.len()
 }
 
+/// Whether a new standby could be given the stage's inputs from the start.
+fn can_begin(running: &Running, stage: usize) -> bool {
+    stage == 0
+        || running.kept[stage]
+            .span(0, running.accepted[stage])
+            .is_some()
+}
+
 fn is_idle(target: &Target) -> bool {
     target
         .engine()
@@ -63,7 +71,7 @@
     else {
         return;
     };
-    if running.standbys[stage].is_some() {
+    if running.standbys[stage].is_some() || !can_begin(running, stage) {
         return;
     }
     let serving = running.chain[stage];
--- a/reachtally-core/tests/core/stages.rs
+++ b/reachtally-core/tests/core/stages.rs
@@ -383,3 +383,24 @@
     fabric.run_for(2 * SECOND);
     assert_eq!(world(&fabric).counters.standby_spans, 0);
 }
+
+#[test]
+fn over_the_bound_the_inputs_that_a_standby_covers_go_first() {
+    // Inputs of 64 bytes, two stages that keep them: all of them would take 11 KiB.
+    let limits = Limits {
+        replay_bytes: 6 << 10,
+        ..with_standbys()
+    };
+    let mut fabric = fabric_with(1, &limits);
+    let key = fabric.ask(0, completion(LONG));
+    fabric.run_for(Duration::from_millis(2200));
+    assert!(world(&fabric).kept_bytes() > 0, "everything was dropped");
+    assert!(world(&fabric).kept_bytes() <= limits.replay_bytes);
+    let serving = world(&fabric).serving(key, 1).expect("it runs").to_owned();
+    let url = format!("http://{serving}");
+    fabric.engines.get_mut(&url).expect("declared").dead = true;
+    fabric.run_for(10 * SECOND);
+    assert_whole(&fabric, key, LONG);
+    assert_eq!(world(&fabric).counters.restored_from_standby, 1);
+    assert_eq!(world(&fabric).kept_bytes(), 0);
+}
