fix: take keyed requests only while the claim window is whole

Cause: a new box whose log had dropped claims younger than the claim window would have taken their keys for free, and a box cut off for longer than the retention skipped the records in between without a word. Change: coverage of the claim stream is followed; with a gap, keyed requests are refused as not run until what was read spans the window. Also the logic that stood twice: edits for objects, groups of a model, running requests, the models' declarations, and the fabric's file is split in two.

--- a/reachtally-bench/src/control.rs
+++ b/reachtally-bench/src/control.rs
@@ -11,7 +11,7 @@
 use reachtally_core::claim::{ClaimKey, ClaimRecord, Entry, Recorded};
 use reachtally_core::declare::{Account, Engine, Layers, Model, Object};
 use reachtally_core::event::Read;
-use reachtally_core::fold::{Edit, EditChange, Operation};
+use reachtally_core::fold::{Config, Operation};
 use reachtally_core::member::{GOSSIP_INTERVAL, MemberState};
 use reachtally_core::request::{Ask, Completion, Work};
 use reachtally_core::{Effect, Effects, Event, Incarnation, Instant, Limits, World};
@@ -61,23 +61,14 @@
     Ok(report)
 }
 
-fn put(object: Object) -> Edit {
-    Edit {
-        kind: object.kind(),
-        name: object.name().to_owned(),
-        base: 0,
-        change: EditChange::Put(object),
-    }
-}
-
-fn read(offset: u64, edits: Vec<Edit>) -> Event {
+fn read(offset: u64, objects: Vec<Object>) -> Event {
     Event::ConfigRead(vec![Read {
         offset,
         at_ms: 0,
         record: Operation {
             id: format!("operation-{offset}"),
             actor: "bench".to_owned(),
-            edits,
+            edits: Config::default().edits(objects),
         },
     }])
 }
@@ -109,9 +100,8 @@
         }));
     }
     let mut world = World::new(Incarnation(1), 1, Limits::default());
-    let edits = objects.into_iter().map(put).collect();
     let mut out = Effects::default();
-    world.handle(read(0, edits), Instant::ZERO, &mut out);
+    world.handle(read(0, objects), Instant::ZERO, &mut out);
     world.handle(Event::ClaimsCaughtUp, Instant::ZERO, &mut out);
     world
 }
@@ -192,7 +182,7 @@
     let rounds = 100;
     let mut fold = || {
         let object = Object::Account(account(&format!("account-{offset}"), 1));
-        world.handle(read(offset, vec![put(object)]), Instant::ZERO, &mut out);
+        world.handle(read(offset, vec![object]), Instant::ZERO, &mut out);
         out.drain();
         offset += 1;
     };
--- a/reachtally-bench/src/faults/fleet.rs
+++ b/reachtally-bench/src/faults/fleet.rs
@@ -242,7 +242,7 @@
     let operation = Operation {
         id: "soak".to_owned(),
         actor: "soak".to_owned(),
-        edits: publish::edits(&Config::default(), objects),
+        edits: Config::default().edits(objects),
     };
     let platform = HttpPlatform::new(log, list).map_err(|err| err.to_string())?;
     let published = publish::publish(&platform, &operation).await;
--- a/reachtally-bench/src/setup.rs
+++ b/reachtally-bench/src/setup.rs
@@ -157,7 +157,7 @@
     let operation = Operation {
         id: "bench".to_owned(),
         actor: "bench".to_owned(),
-        edits: publish::edits(&Config::default(), objects),
+        edits: Config::default().edits(objects),
     };
     let platform = HttpPlatform::new(log, list).map_err(|err| err.to_string())?;
     publish::publish(&platform, &operation)
--- a/reachtally-core/src/chain.rs
+++ b/reachtally-core/src/chain.rs
@@ -97,6 +97,11 @@
         .collect()
 }
 
+/// The groups of a model; none for a model without engines.
+pub fn groups_of<'a>(by_model: &'a BTreeMap<String, Vec<Group>>, model: &str) -> &'a [Group] {
+    by_model.get(model).map_or(&[], Vec::as_slice)
+}
+
 type Candidate<'a> = (TargetKey, &'a Target);
 
 /// Up to [`SAMPLE`] engines that `usable` lets pass, at random; from all of the group if the draw has
--- a/reachtally-core/src/event.rs
+++ b/reachtally-core/src/event.rs
@@ -111,7 +111,9 @@
     },
     /// Claim records were read, in order.
     ClaimsRead(Vec<Read<ClaimRecord>>),
-    /// The claim stream was read to its end as of the daemon's start.
+    /// Records of the claim stream were lost before they were read.
+    ClaimsGap,
+    /// Every claim of the claim window is known.
     ClaimsCaughtUp,
     /// Configuration records were read, in order.
     ConfigRead(Vec<Read<Operation>>),
--- a/reachtally-core/src/fold.rs
+++ b/reachtally-core/src/fold.rs
@@ -165,6 +165,25 @@
         self.get(kind, name).map_or(0, |entry| entry.revision)
     }
 
+    /// The edits that put `objects` in place of what is in force. Objects that are the same already
+    /// are left out, so applying twice changes nothing.
+    pub fn edits(&self, objects: Vec<Object>) -> Vec<Edit> {
+        let changed = objects.into_iter().filter(|object| {
+            let entry = self.get(object.kind(), object.name());
+            entry.is_none_or(|entry| entry.object != *object)
+        });
+        changed.map(|object| self.put(object)).collect()
+    }
+
+    fn put(&self, object: Object) -> Edit {
+        Edit {
+            kind: object.kind(),
+            name: object.name().to_owned(),
+            base: self.revision(object.kind(), object.name()),
+            change: EditChange::Put(object),
+        }
+    }
+
     /// Fold the operation at `offset`. A record before [`next`](Self::next) was folded already and
     /// yields `Ok(None)`.
     ///
--- a/reachtally-core/src/systems/deliver.rs
+++ b/reachtally-core/src/systems/deliver.rs
@@ -28,11 +28,7 @@
 /// The caller's stream took tokens; a request that paused for it goes on.
 pub fn drained(world: &mut World, request: RequestKey, tokens: u32) {
     let window = world.limits.caller_window;
-    let Some(running) = world
-        .requests
-        .get_mut(request)
-        .and_then(|req| req.running())
-    else {
+    let Some(running) = world.running(request) else {
         return;
     };
     running.undrained = running.undrained.saturating_sub(tokens);
--- a/reachtally-core/src/systems/relocate.rs
+++ b/reachtally-core/src/systems/relocate.rs
@@ -96,11 +96,7 @@
     now: Instant,
     out: &mut Effects,
 ) {
-    let Some(running) = world
-        .requests
-        .get_mut(request)
-        .and_then(|req| req.running())
-    else {
+    let Some(running) = world.running(request) else {
         return;
     };
     let Some(moving) = running.moving.take_if(|moving| moving.to == to) else {
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -74,11 +74,7 @@
 
 /// The awaited step is lost: another engine takes the stage.
 pub fn lost(world: &mut World, request: RequestKey, now: Instant, out: &mut Effects) {
-    let Some(running) = world
-        .requests
-        .get_mut(request)
-        .and_then(|req| req.running())
-    else {
+    let Some(running) = world.running(request) else {
         return;
     };
     let Some(stage) = running.awaited.as_ref().map(|awaited| awaited.stage) else {
@@ -107,14 +103,11 @@
         return;
     };
     let layers = running.chain[stage].layers;
-    let engines = world
-        .engines
-        .get(&running.model)
-        .map_or(&[][..], Vec::as_slice);
+    let groups = chain::groups_of(&world.engines, &running.model);
     if let Some(standby) = usable_standby(world, running, stage, not) {
         return take_standby(world, request, stage, &standby, now, out);
     }
-    match chain::replacement(engines, &world.targets, layers, not, &mut world.rng) {
+    match chain::replacement(groups, &world.targets, layers, not, &mut world.rng) {
         Some(target) => place(world, request, stage, target, Prepared::NOT, now, out),
         None => park(world, request, now),
     }
@@ -186,11 +179,7 @@
 /// Try again to place every request that waits for an engine.
 pub fn retry_parked(world: &mut World, now: Instant, out: &mut Effects) {
     for request in std::mem::take(&mut world.parked) {
-        let Some(running) = world
-            .requests
-            .get_mut(request)
-            .and_then(|req| req.running())
-        else {
+        let Some(running) = world.running(request) else {
             continue;
         };
         running.parked = false;
@@ -200,11 +189,7 @@
 
 /// A parked request has waited long enough.
 pub fn replacement_wait_over(world: &mut World, request: RequestKey, out: &mut Effects) {
-    let parked = world
-        .requests
-        .get_mut(request)
-        .and_then(|req| req.running())
-        .is_some_and(|running| running.parked);
+    let parked = world.running(request).is_some_and(|running| running.parked);
     if parked {
         finish::end_unknown(world, request, Unknown::NoReplacement, out);
     }
--- a/reachtally-core/src/systems/standby.rs
+++ b/reachtally-core/src/systems/standby.rs
@@ -18,11 +18,7 @@
 /// A token was accepted; every so many positions the standbys are brought up.
 pub fn note_token(world: &mut World, request: RequestKey) {
     let every = world.limits.standby_positions;
-    let Some(running) = world
-        .requests
-        .get_mut(request)
-        .and_then(|req| req.running())
-    else {
+    let Some(running) = world.running(request) else {
         return;
     };
     if every > 0 && running.tokens.len().is_multiple_of(every as usize) {
@@ -33,11 +29,7 @@
 /// Bring up the standbys of the requests that are due.
 pub fn run(world: &mut World, now: Instant, out: &mut Effects) {
     for request in std::mem::take(&mut world.standby_due) {
-        let Some(running) = world
-            .requests
-            .get_mut(request)
-            .and_then(|req| req.running())
-        else {
+        let Some(running) = world.running(request) else {
             continue;
         };
         for stage in 0..running_stages(running) {
@@ -75,12 +67,9 @@
         return;
     }
     let serving = running.chain[stage];
-    let engines = world
-        .engines
-        .get(&running.model)
-        .map_or(&[][..], Vec::as_slice);
+    let groups = chain::groups_of(&world.engines, &running.model);
     let (targets, rng) = (&world.targets, &mut world.rng);
-    let found = chain::replacement(engines, targets, serving.layers, serving.target, rng);
+    let found = chain::replacement(groups, targets, serving.layers, serving.target, rng);
     let Some(target) = found.filter(|key| is_idle(&world.targets[*key])) else {
         return;
     };
@@ -175,11 +164,7 @@
     let Purpose::Standby { stage, end } = sent.purpose else {
         return;
     };
-    let Some(running) = world
-        .requests
-        .get_mut(sent.request)
-        .and_then(|req| req.running())
-    else {
+    let Some(running) = world.running(sent.request) else {
         return;
     };
     let Some(standby) = running.standbys[stage]
@@ -206,11 +191,7 @@
 /// Let a standby go.
 pub fn drop_standby(world: &mut World, request: RequestKey, stage: usize) {
     let id = RequestId::new(world.incarnation, request);
-    let Some(running) = world
-        .requests
-        .get_mut(request)
-        .and_then(|req| req.running())
-    else {
+    let Some(running) = world.running(request) else {
         return;
     };
     let attempt = running.attempt;
--- a/reachtally-core/src/systems/start.rs
+++ b/reachtally-core/src/systems/start.rs
@@ -64,8 +64,8 @@
     let adapter = served
         .adapter
         .map_or(String::new(), |adapter| adapter.name.clone());
-    let engines = world.engines.get(&model).map_or(&[][..], Vec::as_slice);
-    match chain::choose(engines, &world.targets, layers, &mut world.rng) {
+    let groups = chain::groups_of(&world.engines, &model);
+    match chain::choose(groups, &world.targets, layers, &mut world.rng) {
         Ok(stages) => Ok(new_running(stages, model, adapter, &completion.prompt)),
         Err(NoChain::Uncovered) => Err(Refusal::NoTarget),
         Err(NoChain::Full) => Err(Refusal::Busy),
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -17,7 +17,7 @@
 use crate::ids::{AccountKey, CallKey, Incarnation, RequestKey, TargetKey};
 use crate::lease::{Domains, Tenure};
 use crate::member::{MemberState, Members};
-use crate::request::{Ask, Progress, Request};
+use crate::request::{Ask, Progress, Request, Running};
 use crate::retry::Budget;
 use crate::systems;
 use crate::target::{Health, Target};
@@ -281,6 +281,7 @@
             Event::Probed { target, up } => systems::health::probed(self, target, up, now, out),
             Event::Appended { seq, confirmed } => systems::claims::appended(self, seq, confirmed),
             Event::ClaimsRead(records) => systems::claims::read(self, &records, now, out),
+            Event::ClaimsGap => self.claims_ready = false,
             Event::ClaimsCaughtUp => self.claims_ready = true,
             Event::ConfigRead(records) => systems::configure::read(self, &records, now, out),
             Event::Revalidated(nonce) => systems::gossip::revalidated(self, nonce),
@@ -408,6 +409,11 @@
         self.target_by_name.get(name).copied()
     }
 
+    /// Whether every claim of the claim window is known, so that keyed requests are taken.
+    pub fn claims_ready(&self) -> bool {
+        self.claims_ready
+    }
+
     /// The boxes of the live list and whether each is leaving; none before it was read.
     pub fn boxes(&self) -> impl Iterator<Item = (&str, bool)> {
         let boxes = self.boxes.iter().flatten();
@@ -420,6 +426,11 @@
         key.map_or(0, |key| self.accounts[*key].running)
     }
 
+    /// A running completion.
+    pub(crate) fn running(&mut self, request: RequestKey) -> Option<&mut Running> {
+        self.requests.get_mut(request)?.running()
+    }
+
     pub(crate) fn start_timer(&mut self, at: Instant, timer: Timer) {
         self.timers.push(Reverse((at, timer)));
     }
--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -224,10 +224,11 @@
             }
             Message::Event(event) => {
                 let configured = matches!(event, Event::ConfigRead(_) | Event::PeerConfig(_));
+                let shown = matches!(event, Event::ClaimsCaughtUp | Event::ClaimsGap);
                 self.world.handle(event, now, &mut self.effects);
                 self.perform();
-                if configured {
-                    self.config_read = true;
+                self.config_read |= configured;
+                if configured || shown {
                     self.publish_view();
                 }
             }
--- a/reachtally-daemon/src/follow.rs
+++ b/reachtally-daemon/src/follow.rs
@@ -4,7 +4,6 @@
 
 use log::{info, warn};
 use reachtally_core::Event;
-use reachtally_core::claim::ClaimRecord;
 use reachtally_core::event::Read;
 use reachtally_core::fold::{Config, Operation};
 use reachtally_core::lease::DomainRecord;
@@ -146,30 +145,73 @@
     }
 }
 
-/// Feed the claim stream to the actor until it is gone.
-pub async fn claims<L: Log>(log: L, handle: Handle) {
-    let mut next = 0;
-    let mut caught_up = false;
+/// How much of the claim stream a daemon has read without a gap.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Coverage {
+    next: u64,
+    /// The log's time of the first record read, unless that was the stream's very first.
+    since_ms: Option<u64>,
+    newest_ms: u64,
+}
+
+impl Coverage {
+    /// Whether `page` does not continue what was read: records in between are gone.
+    fn has_gap(&self, page: &Page) -> bool {
+        page.first > self.next
+    }
+
+    fn read(&mut self, page: &Page) {
+        let gap = self.has_gap(page);
+        if let (true, Some(first)) = (gap, page.records.first()) {
+            self.since_ms = Some(first.at_ms);
+        }
+        self.next = next_offset(page, self.next);
+        self.newest_ms = page
+            .records
+            .last()
+            .map_or(self.newest_ms, |last| last.at_ms);
+    }
+
+    /// Whether every claim of the last `window` was read. A key claimed in a record that retention
+    /// dropped earlier would look free.
+    fn is_whole(&self, page: &Page, window: Duration) -> bool {
+        let at_end = self.next >= page.end;
+        let covered = |since_ms| self.newest_ms - since_ms >= window.as_millis() as u64;
+        at_end && self.since_ms.is_none_or(covered)
+    }
+}
+
+/// Feed the claim stream to the actor until it is gone. Requests with a key are only taken while every
+/// claim of the last `window` is known.
+pub async fn claims<L: Log>(log: L, handle: Handle, window: Duration) {
+    let mut coverage = Coverage::default();
+    let mut whole = false;
+    // The first read waits for nothing, so that an empty stream is known at once.
+    let mut wait_ms = 0;
     let mut seen = Availability {
         what: CLAIMS_STREAM,
         up: true,
     };
     loop {
-        let wait_ms = if caught_up { READ_WAIT_MS } else { 0 };
-        let page = log.read(CLAIMS_STREAM, next, wait_ms).await;
+        let page = log.read(CLAIMS_STREAM, coverage.next, wait_ms).await;
         seen.saw(page.is_ok());
         let Ok(page) = page else {
             sleep(RETRY_WAIT).await;
             continue;
         };
-        next = next_offset(&page, next);
-        let at_end = next >= page.end;
-        let records = readable::<ClaimRecord>(page.records);
-        if !tell(&handle, Event::ClaimsRead(records)) {
+        wait_ms = READ_WAIT_MS;
+        if coverage.has_gap(&page) {
+            warn!(next = coverage.next, first = page.first; "claim records are gone");
+            whole = false;
+            tell(&handle, Event::ClaimsGap);
+        }
+        coverage.read(&page);
+        let now_whole = coverage.is_whole(&page, window);
+        if !tell(&handle, Event::ClaimsRead(readable(page.records))) {
             return;
         }
-        if at_end && !caught_up {
-            caught_up = true;
+        if now_whole && !whole {
+            whole = true;
             tell(&handle, Event::ClaimsCaughtUp);
         }
     }
--- a/reachtally-daemon/src/operator/mod.rs
+++ b/reachtally-daemon/src/operator/mod.rs
@@ -136,7 +136,7 @@
 ) -> Result<Json<Published>, Failed> {
     operator.needs(Role::Admin)?;
     let config = config(shared).await?;
-    let edits = publish::edits(&config, objects.into_inner());
+    let edits = config.edits(objects.into_inner());
     publish(shared, &operator, edits).await.map(Json)
 }
 
--- a/reachtally-daemon/src/publish.rs
+++ b/reachtally-daemon/src/publish.rs
@@ -1,32 +1,12 @@
 //! Publishing operations to the configuration stream.
 
-use reachtally_core::declare::Object;
-use reachtally_core::fold::{Config, Edit, EditChange, Operation};
+use reachtally_core::fold::Operation;
 use reachtally_platform::{AppendError, CONFIG_STREAM, Log};
 use serde_json::Value;
 
 /// Times an append with a lost answer is repeated; the operation's id makes that harmless.
 const TRIES: u32 = 3;
 
-/// The edits that put `objects` in place of what `config` holds. Objects that are the same already
-/// are left out, so applying twice changes nothing.
-pub fn edits(config: &Config, objects: Vec<Object>) -> Vec<Edit> {
-    let changed = objects.into_iter().filter(|object| {
-        let entry = config.get(object.kind(), object.name());
-        entry.is_none_or(|entry| entry.object != *object)
-    });
-    changed.map(|object| put(config, object)).collect()
-}
-
-fn put(config: &Config, object: Object) -> Edit {
-    Edit {
-        kind: object.kind(),
-        name: object.name().to_owned(),
-        base: config.revision(object.kind(), object.name()),
-        change: EditChange::Put(object),
-    }
-}
-
 /// Append `operation`; yields its offset.
 ///
 /// # Errors
--- a/reachtally-daemon/src/run.rs
+++ b/reachtally-daemon/src/run.rs
@@ -107,6 +107,7 @@
     };
     let peers = listen_peers(&settings).await?;
     let limits = settings.limits.clone();
+    let window = limits.claim_window;
     let mut world = World::new(identity.incarnation, identity.seed, limits);
     if let Some(peers) = &peers {
         let address = peers
@@ -119,7 +120,7 @@
         tokio::spawn(actor.run()),
         tokio::spawn(follow::config(platform.clone(), handle.clone(), reader)),
         tokio::spawn(follow::domains(platform.clone(), handle.clone())),
-        tokio::spawn(follow::claims(platform.clone(), handle.clone())),
+        tokio::spawn(follow::claims(platform.clone(), handle.clone(), window)),
         tokio::spawn(follow::list(platform, handle.clone())),
         tokio::spawn(metrics::report(statsd, counters)),
     ];
@@ -214,13 +215,15 @@
         self.operators.address
     }
 
-    /// Wait until the daemon has read a configuration and serves.
+    /// Wait until the daemon has read a configuration and the claims, and serves everything.
     pub async fn ready(&self) {
         let mut view = self.view.clone();
         // The sender lives as long as the actor; a daemon without one never gets ready.
-        view.wait_for(|view| view.readiness == Readiness::Ready && view.config_next > 0)
-            .await
-            .ok();
+        view.wait_for(|view| {
+            view.readiness == Readiness::Ready && view.claims_ready && view.config_next > 0
+        })
+        .await
+        .ok();
     }
 
     /// Ask something of the world; nothing if the actor is gone.
--- a/reachtally-daemon/src/standalone.rs
+++ b/reachtally-daemon/src/standalone.rs
@@ -225,7 +225,7 @@
     let operation = Operation {
         id: "embedded-declarations".to_owned(),
         actor: "standalone".to_owned(),
-        edits: publish::edits(&Config::default(), objects),
+        edits: Config::default().edits(objects),
     };
     publish::publish(log.log(), &operation)
         .await
--- a/reachtally-daemon/src/view.rs
+++ b/reachtally-daemon/src/view.rs
@@ -23,6 +23,8 @@
 pub struct View {
     /// Whether the daemon can serve.
     pub readiness: Readiness,
+    /// Whether requests with an idempotency key are taken.
+    pub claims_ready: bool,
     /// The configuration offset reached, the number of records folded.
     pub config_next: u64,
     /// Client accounts by name.
@@ -34,6 +36,7 @@
     pub fn empty() -> Self {
         View {
             readiness: Readiness::NoConfig,
+            claims_ready: false,
             config_next: 0,
             accounts: Arc::default(),
         }
@@ -49,6 +52,7 @@
         });
         View {
             readiness,
+            claims_ready: world.claims_ready(),
             config_next: world.config.next(),
             accounts: Arc::new(accounts.collect()),
         }
--- a/reachtally-spec/src/claims.rs
+++ b/reachtally-spec/src/claims.rs
@@ -7,15 +7,15 @@
 
 use bytes::Bytes;
 use reachtally_core::claim::{ClaimKey, ClaimRecord, Entry};
-use reachtally_core::declare::{Account, Object, Service};
+use reachtally_core::declare::{Object, Service};
 use reachtally_core::effect::{Effects, Finish};
 use reachtally_core::event::{CallFailure, Read};
-use reachtally_core::fold::{Edit, EditChange, Operation};
 use reachtally_core::ids::{RequestKey, TargetKey};
 use reachtally_core::request::{Answer, Ask, ServiceCall, Work};
 use reachtally_core::{Effect, Event, Incarnation, Instant, Limits, World};
 
 use crate::Model;
+use crate::fixture::{ACCOUNT, account, declare};
 
 /// A rule broken on purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -303,7 +303,7 @@
     fn release(&mut self, at: usize) {
         let by = self.incarnation(at);
         let key = ClaimKey {
-            account: "a".to_owned(),
+            account: ACCOUNT.to_owned(),
             key: KEY.to_owned(),
         };
         self.log.push(ClaimRecord {
@@ -434,7 +434,7 @@
 
 fn order() -> Ask {
     Ask {
-        account: "a".to_owned(),
+        account: ACCOUNT.to_owned(),
         work: Work::Service(ServiceCall {
             service: "s".to_owned(),
             method: "POST".to_owned(),
@@ -448,36 +448,11 @@
 }
 
 fn declarations() -> Event {
-    let objects = [
-        Object::Service(Service {
-            name: "s".to_owned(),
-            urls: vec![URL.to_owned()],
-            repeatable: false,
-            deduplicates: false,
-        }),
-        Object::Account(Account {
-            name: "a".to_owned(),
-            key_hashes: Vec::new(),
-            models: Vec::new(),
-            adapters: Vec::new(),
-            services: vec!["s".to_owned()],
-            max_running: 100,
-            priority: 0,
-        }),
-    ];
-    let edits = objects.into_iter().map(|object| Edit {
-        kind: object.kind(),
-        name: object.name().to_owned(),
-        base: 0,
-        change: EditChange::Put(object),
+    let service = Object::Service(Service {
+        name: "s".to_owned(),
+        urls: vec![URL.to_owned()],
+        repeatable: false,
+        deduplicates: false,
     });
-    Event::ConfigRead(vec![Read {
-        offset: 0,
-        at_ms: 0,
-        record: Operation {
-            id: "declarations".to_owned(),
-            actor: "spec".to_owned(),
-            edits: edits.collect(),
-        },
-    }])
+    declare(vec![service, account(&[], &["s"])])
 }
--- a/reachtally-spec/src/lib.rs
+++ b/reachtally-spec/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod config;
 pub mod explore;
+mod fixture;
 pub mod lineage;
 
 pub use explore::{Found, Model, explore};
--- a/reachtally-spec/src/lineage.rs
+++ b/reachtally-spec/src/lineage.rs
@@ -6,10 +6,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use reachtally_core::declare::{Account, Engine, Layers, Model as DeclaredModel, Object};
+use reachtally_core::declare::{Engine, Layers, Model as DeclaredModel, Object};
 use reachtally_core::effect::{Completed, CompletionEnd, Effects, Finish};
-use reachtally_core::event::{CallFailure, Read};
-use reachtally_core::fold::{Edit, EditChange, Operation};
+use reachtally_core::event::CallFailure;
 use reachtally_core::ids::{CallKey, RequestId, RequestKey, TargetKey};
 use reachtally_core::life::NeverStarted;
 use reachtally_core::request::{Ask, Completion, Work};
@@ -19,6 +18,7 @@
 use reachtally_standin::verify::{Accepted, verify};
 
 use crate::Model;
+use crate::fixture::{ACCOUNT, account, declare};
 
 /// A rule broken on purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -345,7 +345,7 @@
 
 fn ask() -> Ask {
     Ask {
-        account: "a".to_owned(),
+        account: ACCOUNT.to_owned(),
         work: Work::Completion(Completion {
             model: "m".to_owned(),
             prompt: PROMPT.to_owned(),
@@ -357,21 +357,11 @@
 }
 
 fn declarations() -> Event {
-    let mut objects = vec![
-        Object::Model(DeclaredModel {
-            name: "m".to_owned(),
-            layers: LAYERS,
-        }),
-        Object::Account(Account {
-            name: "a".to_owned(),
-            key_hashes: Vec::new(),
-            models: vec!["m".to_owned()],
-            adapters: Vec::new(),
-            services: Vec::new(),
-            max_running: 100,
-            priority: 0,
-        }),
-    ];
+    let model = Object::Model(DeclaredModel {
+        name: "m".to_owned(),
+        layers: LAYERS,
+    });
+    let mut objects = vec![model, account(&["m"], &[])];
     for engine in 0..4 {
         let stage = engine / 2;
         objects.push(Object::Engine(Engine {
@@ -388,19 +378,5 @@
             checks_fence: false,
         }));
     }
-    let edits = objects.into_iter().map(|object| Edit {
-        kind: object.kind(),
-        name: object.name().to_owned(),
-        base: 0,
-        change: EditChange::Put(object),
-    });
-    Event::ConfigRead(vec![Read {
-        offset: 0,
-        at_ms: 0,
-        record: Operation {
-            id: "declarations".to_owned(),
-            actor: "spec".to_owned(),
-            edits: edits.collect(),
-        },
-    }])
+    declare(objects)
 }
--- /dev/null
+++ b/reachtally-standin/src/fabric/domains.rs
@@ -0,0 +1,133 @@
+//! What passes between daemons, and between stewards and engines.
+
+use reachtally_core::Event;
+use reachtally_core::event::{BoxSeen, Peer};
+use reachtally_core::ids::{RequestId, RequestKey, TargetKey};
+use reachtally_core::member::MemberState;
+use reachtally_core::systems::steward::Order;
+use reachtally_target::order::OrderBody;
+
+use super::queue::Happening;
+use super::{Fabric, LINK};
+
+impl Fabric {
+    /// Let every daemon take part in a failure domain. Their addresses are their numbers.
+    pub fn join(&mut self, domains: &[&str]) {
+        self.domains = domains.iter().map(|&domain| domain.to_owned()).collect();
+        for daemon in 0..domains.len() {
+            self.rejoin(daemon);
+        }
+    }
+
+    /// Let a daemon take part in its failure domain, again after a restart.
+    pub fn rejoin(&mut self, daemon: usize) {
+        let me = MemberState {
+            box_name: format!("b{daemon}"),
+            domain: self.domains[daemon].clone(),
+            address: daemon.to_string(),
+            ..MemberState::default()
+        };
+        self.nodes[daemon].world.join(me, self.now);
+        let peers = self
+            .domains
+            .iter()
+            .enumerate()
+            .map(|(daemon, domain)| BoxSeen {
+                name: format!("b{daemon}"),
+                leaving: false,
+                peer: Some(Peer {
+                    domain: domain.clone(),
+                    address: daemon.to_string(),
+                }),
+            });
+        let engines = self.log.engine_boxes().map(|name| BoxSeen {
+            name,
+            leaving: false,
+            peer: None,
+        });
+        let seen: Vec<BoxSeen> = peers.chain(engines).collect();
+        self.handle(daemon, Event::ListRead(seen));
+    }
+
+    /// The daemon at an address, unless the two are cut off from each other.
+    fn peer(&self, from: usize, address: &str) -> Option<usize> {
+        let to: usize = address.parse().ok()?;
+        let cut = self.cut_peers.contains(&from) || self.cut_peers.contains(&to);
+        (!cut && to < self.nodes.len()).then_some(to)
+    }
+
+    pub(super) fn tell_peer(&mut self, from: usize, address: &str, event: Event) {
+        if let Some(to) = self.peer(from, address) {
+            self.tell(to, LINK, event);
+        }
+    }
+
+    pub(super) fn pull(&mut self, daemon: usize, from: &str, next: u64) {
+        if let Some(peer) = self.peer(daemon, from) {
+            let config = self.nodes[peer].world.config_for(next);
+            self.tell(daemon, LINK * 2, Event::PeerConfig(config));
+        }
+    }
+
+    pub(super) fn revalidate(&mut self, daemon: usize, nonce: u64, peers: &[String]) {
+        let log = !self.log.down && !self.log.cut.contains(&daemon);
+        let peer = peers.iter().find_map(|address| self.peer(daemon, address));
+        if log {
+            self.queue.push(self.now + LINK, Happening::Spread);
+        } else if let Some(peer) = peer {
+            let next = self.nodes[daemon].world.config.next();
+            let config = self.nodes[peer].world.config_for(next);
+            self.tell(daemon, LINK * 2, Event::PeerConfig(config));
+        } else {
+            return;
+        }
+        self.tell(daemon, LINK * 3, Event::Revalidated(nonce));
+    }
+
+    pub(super) fn move_kv(
+        &mut self,
+        daemon: usize,
+        request: RequestKey,
+        id: RequestId,
+        (from, to): (TargetKey, TargetKey),
+    ) {
+        let urls = (self.nodes[daemon].url(from), self.nodes[daemon].url(to));
+        let source = self.engines.get(&urls.0).filter(|engine| engine.answers());
+        let export = source.and_then(|engine| engine.state.export(id));
+        let taker = self
+            .engines
+            .get_mut(&urls.1)
+            .filter(|engine| engine.answers());
+        let positions = export.zip(taker).and_then(|(export, engine)| {
+            let positions = export.positions;
+            engine.state.import(id, export).then_some(positions)
+        });
+        let event = Event::KvMoved {
+            request,
+            to,
+            positions,
+        };
+        self.tell(daemon, LINK * 4, event);
+    }
+
+    pub(super) fn ask_report(&mut self, daemon: usize, target: TargetKey) {
+        let url = self.nodes[daemon].url(target);
+        let Some(engine) = self.engines.get(&url).filter(|engine| engine.answers()) else {
+            return;
+        };
+        let report = engine.state.report().into();
+        self.tell(daemon, LINK * 2, Event::Reported { target, report });
+    }
+
+    pub(super) fn order(&mut self, daemon: usize, target: TargetKey, fence: u64, order: Order) {
+        let url = self.nodes[daemon].url(target);
+        self.orders
+            .push((daemon, url.clone(), fence, order.clone()));
+        if let Some(engine) = self.engines.get_mut(&url) {
+            let action = order.into();
+            // A refused fence is the engine's answer; the steward sees it in the next report.
+            engine.state.order(OrderBody { fence, action }).ok();
+            engine.dead |= engine.state.is_stopped();
+        }
+    }
+}
--- a/reachtally-standin/src/fabric/mod.rs
+++ b/reachtally-standin/src/fabric/mod.rs
@@ -4,6 +4,7 @@
 //! are the shipped core, unchanged, and nothing depends on sockets, threads or real time. Events at
 //! the same instant happen in the order they were scheduled, so a run is a function of its input.
 
+mod domains;
 mod engine;
 mod log;
 mod node;
@@ -14,17 +15,15 @@
 use std::time::Duration;
 
 use reachtally_core::declare::{Kind, Object};
-use reachtally_core::event::{BoxSeen, CallFailure, Peer};
+use reachtally_core::event::{BoxSeen, CallFailure};
 use reachtally_core::fold::{Config, Edit, EditChange, Operation};
-use reachtally_core::ids::{CallKey, RequestId, RequestKey, TargetKey};
+use reachtally_core::ids::{CallKey, RequestKey, TargetKey};
 use reachtally_core::life::NeverStarted;
-use reachtally_core::member::MemberState;
 use reachtally_core::request::{Ask, ServiceCall};
 use reachtally_core::step::Batch;
 use reachtally_core::systems::gossip::PeerConfig;
 use reachtally_core::systems::steward::Order;
 use reachtally_core::{Effect, Event, Incarnation, Instant, Limits};
-use reachtally_target::order::OrderBody;
 
 use self::queue::{Happening, Queue};
 
@@ -82,13 +81,7 @@
 
     /// Publish objects; every daemon that is not cut off folds them at once.
     pub fn declare(&mut self, objects: Vec<Object>) {
-        let edits = objects.into_iter().map(|object| Edit {
-            kind: object.kind(),
-            name: object.name().to_owned(),
-            base: self.log.folded().revision(object.kind(), object.name()),
-            change: EditChange::Put(object),
-        });
-        let edits = edits.collect();
+        let edits = self.log.folded().edits(objects);
         self.publish(edits);
     }
 
@@ -320,126 +313,6 @@
         }
     }
 
-    /// Let every daemon take part in a failure domain. Their addresses are their numbers.
-    pub fn join(&mut self, domains: &[&str]) {
-        self.domains = domains.iter().map(|&domain| domain.to_owned()).collect();
-        for daemon in 0..domains.len() {
-            self.rejoin(daemon);
-        }
-    }
-
-    /// Let a daemon take part in its failure domain, again after a restart.
-    pub fn rejoin(&mut self, daemon: usize) {
-        let me = MemberState {
-            box_name: format!("b{daemon}"),
-            domain: self.domains[daemon].clone(),
-            address: daemon.to_string(),
-            ..MemberState::default()
-        };
-        self.nodes[daemon].world.join(me, self.now);
-        let peers = self
-            .domains
-            .iter()
-            .enumerate()
-            .map(|(daemon, domain)| BoxSeen {
-                name: format!("b{daemon}"),
-                leaving: false,
-                peer: Some(Peer {
-                    domain: domain.clone(),
-                    address: daemon.to_string(),
-                }),
-            });
-        let engines = self.log.engine_boxes().map(|name| BoxSeen {
-            name,
-            leaving: false,
-            peer: None,
-        });
-        let seen: Vec<BoxSeen> = peers.chain(engines).collect();
-        self.handle(daemon, Event::ListRead(seen));
-    }
-
-    /// The daemon at an address, unless the two are cut off from each other.
-    fn peer(&self, from: usize, address: &str) -> Option<usize> {
-        let to: usize = address.parse().ok()?;
-        let cut = self.cut_peers.contains(&from) || self.cut_peers.contains(&to);
-        (!cut && to < self.nodes.len()).then_some(to)
-    }
-
-    fn tell_peer(&mut self, from: usize, address: &str, event: Event) {
-        if let Some(to) = self.peer(from, address) {
-            self.tell(to, LINK, event);
-        }
-    }
-
-    fn pull(&mut self, daemon: usize, from: &str, next: u64) {
-        if let Some(peer) = self.peer(daemon, from) {
-            let config = self.nodes[peer].world.config_for(next);
-            self.tell(daemon, LINK * 2, Event::PeerConfig(config));
-        }
-    }
-
-    fn revalidate(&mut self, daemon: usize, nonce: u64, peers: &[String]) {
-        let log = !self.log.down && !self.log.cut.contains(&daemon);
-        let peer = peers.iter().find_map(|address| self.peer(daemon, address));
-        if log {
-            self.queue.push(self.now + LINK, Happening::Spread);
-        } else if let Some(peer) = peer {
-            let next = self.nodes[daemon].world.config.next();
-            let config = self.nodes[peer].world.config_for(next);
-            self.tell(daemon, LINK * 2, Event::PeerConfig(config));
-        } else {
-            return;
-        }
-        self.tell(daemon, LINK * 3, Event::Revalidated(nonce));
-    }
-
-    fn move_kv(
-        &mut self,
-        daemon: usize,
-        request: RequestKey,
-        id: RequestId,
-        (from, to): (TargetKey, TargetKey),
-    ) {
-        let urls = (self.nodes[daemon].url(from), self.nodes[daemon].url(to));
-        let source = self.engines.get(&urls.0).filter(|engine| engine.answers());
-        let export = source.and_then(|engine| engine.state.export(id));
-        let taker = self
-            .engines
-            .get_mut(&urls.1)
-            .filter(|engine| engine.answers());
-        let positions = export.zip(taker).and_then(|(export, engine)| {
-            let positions = export.positions;
-            engine.state.import(id, export).then_some(positions)
-        });
-        let event = Event::KvMoved {
-            request,
-            to,
-            positions,
-        };
-        self.tell(daemon, LINK * 4, event);
-    }
-
-    fn ask_report(&mut self, daemon: usize, target: TargetKey) {
-        let url = self.nodes[daemon].url(target);
-        let Some(engine) = self.engines.get(&url).filter(|engine| engine.answers()) else {
-            return;
-        };
-        let report = engine.state.report().into();
-        self.tell(daemon, LINK * 2, Event::Reported { target, report });
-    }
-
-    fn order(&mut self, daemon: usize, target: TargetKey, fence: u64, order: Order) {
-        let url = self.nodes[daemon].url(target);
-        self.orders
-            .push((daemon, url.clone(), fence, order.clone()));
-        if let Some(engine) = self.engines.get_mut(&url) {
-            let action = order.into();
-            // A refused fence is the engine's answer; the steward sees it in the next report.
-            engine.state.order(OrderBody { fence, action }).ok();
-            engine.dead |= engine.state.is_stopped();
-        }
-    }
-
     /// Every daemon that reaches the log reads what it has not read yet.
     fn spread(&mut self) {
         for daemon in 0..self.nodes.len() {
