--- a/reachtally-core/tests/core/claims.rs
+++ b/reachtally-core/tests/core/claims.rs
@@ -24,7 +24,7 @@
 fn order_time(fabric: &mut Fabric, time: Duration) {
     for instance in 0..2 {
         let url = service_url(ORDERS, instance);
-        fabric.services.get_mut(&url).expect("declared").time = time;
+        service(fabric, &url).time = time;
     }
 }
 
@@ -184,11 +184,7 @@
     let mut fabric = fabric(2);
     for instance in 0..2 {
         let url = service_url(ORDERS, instance);
-        fabric
-            .services
-            .get_mut(&url)
-            .expect("declared")
-            .behave(&[Behaviour::Lose]);
+        service(&mut fabric, &url).behave(&[Behaviour::Lose]);
     }
     let first = fabric.ask(0, order("k"));
     fabric.run_for(SECOND);
--- a/reachtally-core/tests/core/domains.rs
+++ b/reachtally-core/tests/core/domains.rs
@@ -270,7 +270,7 @@
     declare_adapter(&mut fabric);
     fabric.run_for(5 * SECOND);
     let url = engine_url(0, 0);
-    fabric.engines.get_mut(&url).expect("declared").revive();
+    revive(&mut fabric, &url);
     assert!(!loaded(&fabric, &url));
     fabric.run_for(5 * SECOND);
     assert!(loaded(&fabric, &url));
@@ -283,7 +283,7 @@
     fabric.run_for(LEASE - LEASE_MARGIN);
     let before = fabric.orders.len();
     let url = engine_url(0, 0);
-    fabric.engines.get_mut(&url).expect("declared").revive();
+    revive(&mut fabric, &url);
     fabric.run_for(60 * SECOND);
     assert_eq!(fabric.orders.len(), before);
 }
--- a/reachtally-core/tests/core/membership.rs
+++ b/reachtally-core/tests/core/membership.rs
@@ -83,7 +83,7 @@
         let left = leave(&mut fabric, key);
         fabric.run_for(Duration::from_millis(moment));
         let url = format!("http://{left}");
-        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        kill(&mut fabric, &url);
         fabric.run_for(10 * SECOND);
         assert_whole(&fabric, key, 60);
     }
--- a/reachtally-core/tests/core/outcomes.rs
+++ b/reachtally-core/tests/core/outcomes.rs
@@ -48,11 +48,7 @@
 fn without_a_live_chain_the_request_is_refused_at_once() {
     let mut fabric = fabric(1);
     for replica in 0..2 {
-        fabric
-            .engines
-            .get_mut(&engine_url(0, replica))
-            .expect("declared")
-            .dead = true;
+        kill(&mut fabric, &engine_url(0, replica));
     }
     let key = fabric.ask(0, completion(5));
     fabric.run_for(SECOND / 10);
@@ -76,11 +72,7 @@
             .expect("declared");
         engine.behave(&[Behaviour::Refuse]);
     }
-    fabric
-        .engines
-        .get_mut(&engine_url(0, 1))
-        .expect("declared")
-        .behave(&[]);
+    behave(&mut fabric, &engine_url(0, 1), &[]);
     let key = fabric.ask(0, completion(5));
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, 5);
@@ -101,11 +93,7 @@
     let mut fabric = fabric(1);
     for instance in 0..2 {
         let url = service_url(LOOKUP, instance);
-        fabric
-            .services
-            .get_mut(&url)
-            .expect("declared")
-            .behave(&[Behaviour::Lose]);
+        service(&mut fabric, &url).behave(&[Behaviour::Lose]);
     }
     let key = fabric.ask(0, call(LOOKUP, None, "a"));
     fabric.run_for(SECOND);
@@ -128,11 +116,7 @@
     let mut fabric = fabric(1);
     for instance in 0..2 {
         let url = service_url(ORDERS, instance);
-        fabric
-            .services
-            .get_mut(&url)
-            .expect("declared")
-            .behave(&[Behaviour::Lose]);
+        service(&mut fabric, &url).behave(&[Behaviour::Lose]);
     }
     let key = fabric.ask(0, call(ORDERS, None, "a"));
     fabric.run_for(SECOND);
@@ -146,11 +130,7 @@
 #[test]
 fn a_call_that_never_started_is_sent_to_another_instance() {
     let mut fabric = fabric(1);
-    fabric
-        .services
-        .get_mut(&service_url(ORDERS, 0))
-        .expect("declared")
-        .up = false;
+    service(&mut fabric, &service_url(ORDERS, 0)).up = false;
     let key = fabric.ask(0, call(ORDERS, Some("k"), "a"));
     fabric.run_for(SECOND);
     assert_eq!(
@@ -164,11 +144,7 @@
 fn a_call_that_no_instance_takes_is_refused_as_not_run_and_may_be_tried_again() {
     let mut fabric = fabric(1);
     for instance in 0..2 {
-        fabric
-            .services
-            .get_mut(&service_url(ORDERS, instance))
-            .expect("declared")
-            .up = false;
+        service(&mut fabric, &service_url(ORDERS, instance)).up = false;
     }
     let key = fabric.ask(0, call(ORDERS, Some("k"), "a"));
     fabric.run_for(SECOND / 10);
@@ -177,11 +153,7 @@
         Some(&End::NotRun(Refusal::NeverStarted))
     );
     for instance in 0..2 {
-        fabric
-            .services
-            .get_mut(&service_url(ORDERS, instance))
-            .expect("declared")
-            .up = true;
+        service(&mut fabric, &service_url(ORDERS, instance)).up = true;
     }
     fabric.run_for(5 * SECOND);
     let again = fabric.ask(0, call(ORDERS, Some("k"), "a"));
@@ -198,8 +170,7 @@
     let mut fabric = fabric(1);
     for instance in 0..2 {
         let url = service_url(LOOKUP, instance);
-        let service = fabric.services.get_mut(&url).expect("declared");
-        service.behave(&[Behaviour::Lose; 200]);
+        service(&mut fabric, &url).behave(&[Behaviour::Lose; 200]);
     }
     let asked = 50;
     for _ in 0..asked {
@@ -217,27 +188,15 @@
 fn a_retry_waits_a_little_and_goes_to_another_instance() {
     let mut fabric = fabric(1);
     let first = service_url(LOOKUP, 0);
-    fabric
-        .services
-        .get_mut(&first)
-        .expect("declared")
-        .behave(&[Behaviour::Lose]);
+    service(&mut fabric, &first).behave(&[Behaviour::Lose]);
     let second = service_url(LOOKUP, 1);
-    fabric
-        .services
-        .get_mut(&second)
-        .expect("declared")
-        .behave(&[Behaviour::Lose]);
-    fabric.services.get_mut(&second).expect("declared").up = false;
+    service(&mut fabric, &second).behave(&[Behaviour::Lose]);
+    service(&mut fabric, &second).up = false;
     let key = fabric.ask(0, call(LOOKUP, None, "a"));
     fabric.run_for(SECOND / 200);
     assert_eq!(end(&fabric, 0, key), None);
-    fabric.services.get_mut(&second).expect("declared").up = true;
-    fabric
-        .services
-        .get_mut(&second)
-        .expect("declared")
-        .behave(&[]);
+    service(&mut fabric, &second).up = true;
+    service(&mut fabric, &second).behave(&[]);
     fabric.run_for(SECOND);
     assert_eq!(
         end(&fabric, 0, key),
--- a/reachtally-core/tests/core/setup.rs
+++ b/reachtally-core/tests/core/setup.rs
@@ -10,7 +10,7 @@
 use reachtally_core::request::{Ask, Completion, ServiceCall, Work};
 use reachtally_core::{Limits, World};
 use reachtally_standin::engine::{Ledger, Options, StepTime, model};
-use reachtally_standin::fabric::{End, Fabric, FakeEngine, FakeService};
+use reachtally_standin::fabric::{Behaviour, End, Fabric, FakeEngine, FakeService};
 use reachtally_standin::verify::{Accepted, verify};
 
 pub const MODEL: &str = "m";
@@ -204,3 +204,27 @@
     let id = RequestId::new(world.incarnation, key);
     assert_eq!(verify(id, LAYERS, positions, &accepted, &ledgers), []);
 }
+
+/// The engine at `url` dies.
+pub fn kill(fabric: &mut Fabric, url: &str) {
+    fabric.engines.get_mut(url).expect("declared").dead = true;
+}
+
+/// The engine at `url` comes back with nothing held.
+pub fn revive(fabric: &mut Fabric, url: &str) {
+    fabric.engines.get_mut(url).expect("declared").revive();
+}
+
+/// Let the next answers of the engine at `url` be as given.
+pub fn behave(fabric: &mut Fabric, url: &str, behaviours: &[Behaviour]) {
+    fabric
+        .engines
+        .get_mut(url)
+        .expect("declared")
+        .behave(behaviours);
+}
+
+/// The service instance at `url`.
+pub fn service<'a>(fabric: &'a mut Fabric, url: &str) -> &'a mut FakeService {
+    fabric.services.get_mut(url).expect("declared")
+}
--- a/reachtally-core/tests/core/stages.rs
+++ b/reachtally-core/tests/core/stages.rs
@@ -30,7 +30,7 @@
         let key = fabric.ask(0, completion(TOKENS));
         fabric.run_for(HALF_WAY);
         let url = serving(&fabric, stage);
-        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        kill(&mut fabric, &url);
         fabric.run_for(5 * SECOND);
         assert_whole(&fabric, key, TOKENS);
         assert_eq!(world(&fabric).counters.restored_by_replay, 1);
@@ -51,11 +51,7 @@
         {
             continue;
         }
-        fabric
-            .engines
-            .get_mut(&engine_url(1, replica))
-            .expect("declared")
-            .dead = true;
+        kill(&mut fabric, &engine_url(1, replica));
     }
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, TOKENS);
@@ -71,7 +67,7 @@
     let key = fabric.ask(0, completion(TOKENS));
     fabric.run_for(HALF_WAY);
     let url = serving(&fabric, 1);
-    fabric.engines.get_mut(&url).expect("declared").dead = true;
+    kill(&mut fabric, &url);
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, TOKENS);
     assert_eq!(world(&fabric).counters.restored_by_prefill, 1);
@@ -85,11 +81,7 @@
     fabric.run_for(HALF_WAY);
     let url = serving(&fabric, 1);
     let silent = [Behaviour::Silent; 4];
-    fabric
-        .engines
-        .get_mut(&url)
-        .expect("declared")
-        .behave(&silent);
+    behave(&mut fabric, &url, &silent);
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, TOKENS);
     assert_eq!(shifts(&fabric), 1);
@@ -131,11 +123,7 @@
     fabric.run_for(HALF_WAY);
     let url = serving(&fabric, 2);
     let late = [Behaviour::Late(Duration::from_millis(700))];
-    fabric
-        .engines
-        .get_mut(&url)
-        .expect("declared")
-        .behave(&late);
+    behave(&mut fabric, &url, &late);
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, TOKENS);
     assert_eq!(shifts(&fabric), 1);
@@ -148,11 +136,7 @@
     let key = fabric.ask(0, completion(TOKENS));
     fabric.run_for(HALF_WAY);
     let url = serving(&fabric, 0);
-    fabric
-        .engines
-        .get_mut(&url)
-        .expect("declared")
-        .behave(&[Behaviour::Lose]);
+    behave(&mut fabric, &url, &[Behaviour::Lose]);
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, TOKENS);
     assert_eq!(shifts(&fabric), 1);
@@ -165,7 +149,7 @@
     fabric.run_for(HALF_WAY);
     for stage in [0, 2] {
         let url = serving(&fabric, stage);
-        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        kill(&mut fabric, &url);
     }
     fabric.run_for(5 * SECOND);
     assert_whole(&fabric, key, TOKENS);
@@ -178,13 +162,13 @@
     let key = fabric.ask(0, completion(LONG));
     fabric.run_for(HALF_WAY);
     let first = serving(&fabric, 1);
-    fabric.engines.get_mut(&first).expect("declared").dead = true;
+    kill(&mut fabric, &first);
     fabric.run_for(Duration::from_millis(100));
-    fabric.engines.get_mut(&first).expect("declared").revive();
+    revive(&mut fabric, &first);
     fabric.run_for(SECOND / 2);
     let second = serving(&fabric, 1);
     assert_ne!(first, second);
-    fabric.engines.get_mut(&second).expect("declared").dead = true;
+    kill(&mut fabric, &second);
     fabric.run_for(5 * SECOND);
     let answered = &fabric.nodes[0].answered[&key];
     assert_eq!(answered.tokens.len(), LONG as usize, "{:?}", answered.end);
@@ -199,11 +183,7 @@
     fabric.run_for(HALF_WAY);
     let died_at = fabric.now;
     for replica in 0..2 {
-        fabric
-            .engines
-            .get_mut(&engine_url(1, replica))
-            .expect("declared")
-            .dead = true;
+        kill(&mut fabric, &engine_url(1, replica));
     }
     fabric.run_for(limits.replacement_wait / 2);
     assert_eq!(end(&fabric, 0, key), None);
@@ -222,18 +202,10 @@
     let key = fabric.ask(0, completion(TOKENS));
     fabric.run_for(HALF_WAY);
     for replica in 0..2 {
-        fabric
-            .engines
-            .get_mut(&engine_url(1, replica))
-            .expect("declared")
-            .dead = true;
+        kill(&mut fabric, &engine_url(1, replica));
     }
     fabric.run_for(2 * SECOND);
-    fabric
-        .engines
-        .get_mut(&engine_url(1, 0))
-        .expect("declared")
-        .revive();
+    revive(&mut fabric, &engine_url(1, 0));
     fabric.run_for(10 * SECOND);
     let answered = &fabric.nodes[0].answered[&key];
     assert_eq!(answered.tokens.len(), TOKENS as usize, "{:?}", answered.end);
@@ -291,7 +263,7 @@
         .collect();
     fabric.run_for(HALF_WAY);
     let url = engine_url(1, 0);
-    fabric.engines.get_mut(&url).expect("declared").dead = true;
+    kill(&mut fabric, &url);
     fabric.run_for(20 * SECOND);
     for (n, key) in keys.into_iter().enumerate() {
         assert_whole(&fabric, key, TOKENS + n as u32);
@@ -315,7 +287,7 @@
             .serving(key, stage as usize)
             .expect("it runs");
         let url = format!("http://{serving}");
-        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        kill(&mut fabric, &url);
         fabric.run_for(10 * SECOND);
         assert_whole(&fabric, key, LONG);
         assert_eq!(world(&fabric).counters.restored_from_standby, 1);
@@ -331,12 +303,12 @@
     let serving = world(&fabric).serving(key, 1).expect("it runs").to_owned();
     let standby = if serving == "e10" { "e11" } else { "e10" };
     let standby = format!("http://{standby}");
-    fabric.engines.get_mut(&standby).expect("declared").dead = true;
+    kill(&mut fabric, &standby);
     fabric.run_for(SECOND);
-    fabric.engines.get_mut(&standby).expect("declared").revive();
+    revive(&mut fabric, &standby);
     fabric.run_for(SECOND / 2);
     let serving = format!("http://{serving}");
-    fabric.engines.get_mut(&serving).expect("declared").dead = true;
+    kill(&mut fabric, &serving);
     fabric.run_for(10 * SECOND);
     assert_whole(&fabric, key, LONG);
 }
@@ -350,7 +322,7 @@
         fabric.run_for(Duration::from_millis(500 + 5 * moment));
         let serving = world(&fabric).serving(key, 1).expect("it runs").to_owned();
         let url = format!("http://{serving}");
-        fabric.engines.get_mut(&url).expect("declared").dead = true;
+        kill(&mut fabric, &url);
         fabric.run_for(10 * SECOND);
         assert_whole(&fabric, key, LONG);
         assert_eq!(shifts(&fabric), 1);
@@ -398,7 +370,7 @@
     assert!(world(&fabric).kept_bytes() <= limits.replay_bytes);
     let serving = world(&fabric).serving(key, 1).expect("it runs").to_owned();
     let url = format!("http://{serving}");
-    fabric.engines.get_mut(&url).expect("declared").dead = true;
+    kill(&mut fabric, &url);
     fabric.run_for(10 * SECOND);
     assert_whole(&fabric, key, LONG);
     assert_eq!(world(&fabric).counters.restored_from_standby, 1);
--- a/reachtally-standin/src/engine/server.rs
+++ b/reachtally-standin/src/engine/server.rs
@@ -250,12 +250,12 @@
 
 #[get("/v1/load")]
 fn load(shared: &rocket::State<Shared>) -> Json<Load> {
-    Json(shared.lock().reports.load())
+    Json(shared.lock().load())
 }
 
 #[get("/v1/cache-events?<after>")]
 fn cache_events(after: u64, shared: &rocket::State<Shared>) -> Json<Vec<CacheEvent>> {
-    Json(shared.lock().reports.events(after))
+    Json(shared.lock().cache_events(after))
 }
 
 #[post("/v1/orders", data = "<order>")]
--- a/reachtally-standin/src/engine/state.rs
+++ b/reachtally-standin/src/engine/state.rs
@@ -13,7 +13,7 @@
 use super::ledger::{Ledger, LedgerRun};
 use super::model;
 use super::orders::{Orders, OutdatedFence};
-use super::reports::{Load, Reports};
+use super::reports::{CacheEvent, Load, Reports};
 use super::timing::StepTime;
 
 /// What an engine is.
@@ -66,7 +66,7 @@
     pub(super) faults: Faults,
     pub(super) steps_run: u64,
     pub(super) orders: Orders,
-    pub(super) reports: Reports,
+    reports: Reports,
     ledger: Ledger,
     kv: KvStore,
 }
@@ -106,6 +106,16 @@
         }
     }
 
+    /// The load that it reports, which lags.
+    pub fn load(&self) -> Load {
+        self.reports.load()
+    }
+
+    /// The cache events after number `after` that it reports, late and with gaps.
+    pub fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        self.reports.events(after)
+    }
+
     /// Whether it was ordered to stop.
     pub fn is_stopped(&self) -> bool {
         self.orders.stopped
--- a/reachtally-standin/src/main.rs
+++ b/reachtally-standin/src/main.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser};
 use reachtally_listen::{Error, Options as Listen};
 use reachtally_platform::memory;
-use reachtally_standin::engine::{self, StepTime};
+use reachtally_standin::engine::{self, Fault, StepTime};
 use reachtally_standin::{list, log_server, service};
 
 /// A stand-in of what surrounds the router, for tests on loopback.
@@ -69,6 +69,8 @@
         checks_fence: bool,
         /// Keep no ledger
         no_ledger: bool,
+        #[bpaf(external(initial_faults), many)]
+        faults: Vec<Fault>,
     },
     /// A plain service.
     #[bpaf(command)]
@@ -76,9 +78,36 @@
         /// Port on loopback, 0 for any free one
         #[bpaf(argument("PORT"), fallback(0))]
         port: u16,
+        #[bpaf(external(initial_faults), many)]
+        faults: Vec<Fault>,
     },
 }
 
+/// Faults in effect from the start; the route `POST /faults` changes them later.
+fn initial_faults() -> impl bpaf::Parser<Fault> {
+    let pause = bpaf::long("pause-ms")
+        .help("Answer nothing for so many milliseconds")
+        .argument("MS")
+        .map(Fault::PauseMs);
+    let slow = bpaf::long("slow")
+        .help("Take so many times longer")
+        .argument("FACTOR")
+        .map(Fault::Slow);
+    let lose = bpaf::long("lose-answers")
+        .help("Run so many calls and lose their answers")
+        .argument("N")
+        .map(Fault::LoseAnswers);
+    let double = bpaf::long("double-answers")
+        .help("Give the results of so many calls twice")
+        .argument("N")
+        .map(Fault::DoubleAnswers);
+    let refuse = bpaf::long("refuse")
+        .help("Refuse so many calls as not run")
+        .argument("N")
+        .map(Fault::Refuse);
+    bpaf::construct!([pause, slow, lose, double, refuse])
+}
+
 #[tokio::main]
 async fn main() -> std::process::ExitCode {
     env_logger::Builder::from_default_env()
@@ -134,6 +163,7 @@
             report_lag_ms,
             checks_fence,
             no_ledger,
+            faults,
         } => {
             let options = engine::Options {
                 slots,
@@ -148,11 +178,13 @@
                 ..engine::Options::range(first, end, model_layers)
             };
             let engine = engine::start(listen(port), options).await?;
+            faults.into_iter().for_each(|fault| engine.fault(fault));
             println!("{}", engine.url());
             engine.stopped().await;
         }
-        Command::Service { port } => {
+        Command::Service { port, faults } => {
             let service = service::start(listen(port)).await?;
+            faults.into_iter().for_each(|fault| service.fault(fault));
             println!("{}", service.url());
             service.stopped().await;
         }
