--- a/reachtally-bench/src/faults/fleet.rs
+++ b/reachtally-bench/src/faults/fleet.rs
@@ -59,6 +59,8 @@
     pub log: Managed,
     /// The live list.
     pub list: Managed,
+    /// The log's entrance for each failure domain.
+    pub entrances: [String; 2],
     /// For control routes.
     pub client: Client,
 }
@@ -156,7 +158,9 @@
 
 /// Start everything and wait until every daemon serves.
 pub async fn start() -> Result<Fleet, String> {
-    let log = stand_in("log")?;
+    let entrances = [free_address()?, free_address()?];
+    let ports = entrances.map(|address| format!(" --entrance {}", address.port()));
+    let log = stand_in(&format!("log{}", ports.concat()))?;
     let list = stand_in("list")?;
     let orders = stand_in("service")?;
     let mut engines = Vec::new();
@@ -181,9 +185,12 @@
     publish_all(&log.url, &list.url, declared, &orders.url).await?;
     let mut daemons = Vec::new();
     for (number, domain) in DOMAINS.iter().enumerate() {
-        daemons.push(daemon(number, domain, &log.url, &list.url)?);
+        let entrance = if *domain == DOMAINS[0] { 0 } else { 1 };
+        let log = format!("http://{}", entrances[entrance]);
+        daemons.push(daemon(number, domain, &log, &list.url)?);
     }
     let fleet = Fleet {
+        entrances: entrances.map(|address| format!("http://{address}")),
         daemons,
         engines,
         orders,
@@ -298,6 +305,13 @@
     req.send().await.map(|_| ()).map_err(|err| err.to_string())
 }
 
+/// Cut a failure domain off from the log, or heal the cut.
+pub async fn cut(fleet: &Fleet, domain: usize, is_cut: bool) -> Result<(), String> {
+    let url = format!("{}/cut", fleet.entrances[domain]);
+    let sent = fleet.client.post(url).json(&is_cut).send().await;
+    sent.map(|_| ()).map_err(|err| err.to_string())
+}
+
 /// Wait until a daemon serves.
 pub async fn wait_ready(client: &Client, url: &str) -> Result<(), String> {
     for _ in 0..READY_TRIES {
--- a/reachtally-config/src/settings.rs
+++ b/reachtally-config/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one daemon.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use reachtally_core::Limits;
@@ -107,6 +107,10 @@
     "link_mbytes_s",
 ];
 
+/// Default of `callers`.
+pub const CALLERS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7070);
+/// Default of `operators`.
+pub const OPERATORS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7071);
 /// Default of `limits.body_bytes`.
 pub const BODY_BYTES: u64 = 1 << 20;
 /// Default of `limits.patience_s`.
@@ -135,8 +139,8 @@
     }
     let box_name = required_text(reader, top, "box");
     let domain = required_text(reader, top, "domain");
-    let callers = required_address(reader, top, "callers");
-    let operators = required_address(reader, top, "operators");
+    let callers = address(reader, top, "callers", CALLERS);
+    let operators = address(reader, top, "operators", OPERATORS);
     let log = required_url(reader, top, "log");
     let list = required_url(reader, top, "list");
     let statsd = top
@@ -180,9 +184,17 @@
     reader.text(&at)
 }
 
-fn required_address(reader: &mut Reader<'_>, top: &At<'_, '_>, name: &str) -> Option<SocketAddr> {
-    let at = reader.required(top, name)?;
-    reader.parsed(&at, ADDRESS_MEND)
+/// An address, or `default` where none is given.
+fn address(
+    reader: &mut Reader<'_>,
+    top: &At<'_, '_>,
+    name: &str,
+    default: SocketAddr,
+) -> Option<SocketAddr> {
+    match top.get(name) {
+        Some(at) => reader.parsed(&at, ADDRESS_MEND),
+        None => Some(default),
+    }
 }
 
 fn required_url(reader: &mut Reader<'_>, top: &At<'_, '_>, name: &str) -> Option<String> {
--- a/reachtally-daemon/src/main.rs
+++ b/reachtally-daemon/src/main.rs
@@ -1,6 +1,5 @@
 //! `reachtallyd`: the entry box's daemon.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -38,10 +37,6 @@
     Demo,
 }
 
-/// Where a standalone daemon listens.
-const CALLERS: ([u8; 4], u16) = ([127, 0, 0, 1], 7070);
-const OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 7071);
-
 fn main() -> ExitCode {
     init_logs();
     let command = command().run();
@@ -114,8 +109,8 @@
 
 async fn run_standalone() -> Result<(), String> {
     let options = standalone::Options {
-        callers: SocketAddr::from(CALLERS),
-        operators: SocketAddr::from(OPERATORS),
+        callers: settings::CALLERS,
+        operators: settings::OPERATORS,
         ..standalone::Options::default()
     };
     let setup = standalone::standalone(options)
--- a/reachtally-standin/src/log_server.rs
+++ b/reachtally-standin/src/log_server.rs
@@ -1,5 +1,6 @@
 //! The append-only log as an HTTP server over [`MemoryLog`].
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use reachtally_listen::{Error, Listener};
@@ -48,23 +49,47 @@
     listen: reachtally_listen::Options,
     options: Options,
 ) -> Result<LogServer, Error> {
-    let log = MemoryLog::new(options);
+    entrance(listen, MemoryLog::new(options)).await
+}
+
+/// Start another server before the same log, which can be cut off apart from the others.
+///
+/// # Errors
+/// If the address can't be bound.
+pub async fn entrance(
+    listen: reachtally_listen::Options,
+    log: MemoryLog,
+) -> Result<LogServer, Error> {
     let managed = log.clone();
     let listener = reachtally_listen::start(listen, |rocket| {
         rocket
             .manage(managed)
-            .mount("/", routes![append, read, faults])
+            .manage(Cut::default())
+            .mount("/", routes![append, read, faults, cut])
     })
     .await?;
     Ok(LogServer { listener, log })
 }
 
+/// Whether this entrance is cut off from the log.
+#[derive(Debug, Default)]
+struct Cut(AtomicBool);
+
+#[post("/cut", data = "<is_cut>")]
+fn cut(is_cut: Json<bool>, cut: &rocket::State<Cut>) {
+    cut.0.store(is_cut.into_inner(), Ordering::SeqCst);
+}
+
 #[post("/streams/<stream>", data = "<data>")]
 async fn append(
     stream: &str,
     data: Json<Value>,
     log: &rocket::State<MemoryLog>,
+    cut: &rocket::State<Cut>,
 ) -> Result<Json<Appended>, Status> {
+    if cut.0.load(Ordering::SeqCst) {
+        return Err(Status::ServiceUnavailable);
+    }
     match log.append(stream, data.into_inner()).await {
         Ok(offset) => Ok(Json(Appended { offset })),
         Err(AppendError::Refused) => Err(Status::TooManyRequests),
@@ -78,7 +103,11 @@
     from: u64,
     wait_ms: Option<u64>,
     log: &rocket::State<MemoryLog>,
+    cut: &rocket::State<Cut>,
 ) -> Result<Json<Page>, Status> {
+    if cut.0.load(Ordering::SeqCst) {
+        return Err(Status::ServiceUnavailable);
+    }
     let page = log.read(stream, from, wait_ms.unwrap_or(0)).await;
     page.map(Json).map_err(|_| Status::ServiceUnavailable)
 }
--- a/reachtally-standin/src/main.rs
+++ b/reachtally-standin/src/main.rs
@@ -24,6 +24,9 @@
         /// Records kept in each stream
         #[bpaf(argument("N"), fallback(100_000))]
         keep_records: usize,
+        /// Ports of more entrances, each of which can be cut off
+        #[bpaf(argument("PORT"), many)]
+        entrance: Vec<u16>,
     },
     /// The live list.
     #[bpaf(command)]
@@ -67,6 +70,9 @@
         report_lag_ms: u64,
         /// Refuse orders with an outdated fence
         checks_fence: bool,
+        /// Die after so many milliseconds
+        #[bpaf(argument("MS"))]
+        die_after_ms: Option<u64>,
         /// Keep no ledger
         no_ledger: bool,
         #[bpaf(external(initial_faults), many)]
@@ -136,6 +142,7 @@
             port,
             appends_per_s,
             keep_records,
+            entrance,
         } => {
             let options = memory::Options {
                 appends_per_s,
@@ -144,6 +151,12 @@
             };
             let log = log_server::start(listen(port), options).await?;
             println!("{}", log.url());
+            let mut entrances = Vec::new();
+            for port in entrance {
+                let more = log_server::entrance(listen(port), log.log().clone()).await?;
+                println!("{}", more.url());
+                entrances.push(more);
+            }
             log.stopped().await;
         }
         Command::List { port, boxes } => {
@@ -162,6 +175,7 @@
             per_layer_us,
             report_lag_ms,
             checks_fence,
+            die_after_ms,
             no_ledger,
             faults,
         } => {
@@ -180,6 +194,10 @@
             let engine = engine::start(listen(port), options).await?;
             faults.into_iter().for_each(|fault| engine.fault(fault));
             println!("{}", engine.url());
+            if let Some(ms) = die_after_ms {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                engine.fault(Fault::Die);
+            }
             engine.stopped().await;
         }
         Command::Service { port, faults } => {
