fix(core): prove a chain whole before any token moves

Cause: the check of a chain existed and nothing called it; the choice yields whole chains by construction, but the design asks for the proof.

--- a/reachtally-core/src/effect.rs
+++ b/reachtally-core/src/effect.rs
@@ -3,7 +3,7 @@
 use crate::claim::ClaimRecord;
 use crate::event::Read;
 use crate::fold::{Config, Operation};
-use crate::ids::{CallKey, Incarnation, RequestId, RequestKey, TargetKey};
+use crate::ids::{CallKey, RequestId, RequestKey, TargetKey};
 use crate::lease::DomainRecord;
 use crate::life::{NotRun, Unknown};
 use crate::lineage::Lineage;
@@ -147,8 +147,6 @@
         seq: u64,
         /// The record.
         record: ClaimRecord,
-        /// This daemon run.
-        by: Incarnation,
     },
     /// Send a digest to another daemon.
     Gossip {
--- a/reachtally-core/src/systems/claims.rs
+++ b/reachtally-core/src/systems/claims.rs
@@ -68,7 +68,6 @@
                 by: world.incarnation,
                 entries,
             },
-            by: world.incarnation,
         });
     }
     if let Some(at) = world.outbox.due() {
--- a/reachtally-core/src/systems/start.rs
+++ b/reachtally-core/src/systems/start.rs
@@ -1,6 +1,7 @@
 //! Sending an admitted, and where needed claimed, request to its first target.
 
 use crate::chain::{self, NoChain, Stage};
+use crate::declare::Layers;
 use crate::effect::Effects;
 use crate::ids::RequestKey;
 use crate::life::{Refusal, Unknown};
@@ -66,12 +67,19 @@
         .map_or(String::new(), |adapter| adapter.name.clone());
     let groups = chain::groups_of(&world.engines, &model);
     match chain::choose(groups, &world.targets, layers, &mut world.rng) {
+        Ok(stages) if !is_whole(&stages, layers) => Err(Refusal::NoTarget),
         Ok(stages) => Ok(new_running(stages, model, adapter, &completion.prompt)),
         Err(NoChain::Uncovered) => Err(Refusal::NoTarget),
         Err(NoChain::Full) => Err(Refusal::Busy),
     }
 }
 
+/// The check before any token moves: the stages cover the model's layers in order, each layer once.
+fn is_whole(stages: &[Stage], layers: u32) -> bool {
+    let ranges: Vec<Layers> = stages.iter().map(|stage| stage.layers).collect();
+    chain::check(&ranges, layers).is_ok()
+}
+
 fn new_running(chain: Vec<Stage>, model: String, adapter: String, prompt: &str) -> Running {
     let stages = chain.len();
     Running {
--- a/reachtally-core/tests/core/main.rs
+++ b/reachtally-core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core's decisions on a virtual clock.
 
+mod chains;
 mod claims;
 mod config;
 mod domains;
--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -318,7 +318,7 @@
                 let url = self.url(target);
                 self.performer.probe(target, url);
             }
-            Effect::Append { seq, record, .. } => self.performer.append(seq, &record),
+            Effect::Append { seq, record } => self.performer.append(seq, &record),
             Effect::Gossip { to, members } => self.performer.tell(to, Wire::Digest(members)),
             Effect::PushConfig { to, records } => self.performer.tell(to, Wire::Records(records)),
             Effect::PullConfig { from, next } => self.performer.pull(from, next),
--- a/reachtally-spec/src/claims.rs
+++ b/reachtally-spec/src/claims.rs
@@ -184,7 +184,7 @@
         let by = self.incarnation(at);
         for effect in effects {
             match effect {
-                Effect::Append { seq, record, .. } => self.net.push(Message::Append {
+                Effect::Append { seq, record } => self.net.push(Message::Append {
                     at,
                     by,
                     seq,
--- a/reachtally-standin/src/fabric/mod.rs
+++ b/reachtally-standin/src/fabric/mod.rs
@@ -279,7 +279,7 @@
                 let up = engine || service;
                 self.tell(daemon, LINK * 2, Event::Probed { target, up });
             }
-            Effect::Append { seq, record, .. } => {
+            Effect::Append { seq, record } => {
                 let at_ms = self.now.elapsed().as_millis() as u64;
                 let confirmed = self.log.append(daemon, at_ms, record);
                 let delay = self.log.delay;
