refactor(daemon): ended requests in a module of their own

The daemon's task used a type of the stand-ins, and the operators' routes held a copy of it. Also the log stand-in prints its addresses in one write: the soak reads the first line and closes the pipe, and the second print then failed.

--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -5,17 +5,16 @@
 use log::{info, warn};
 use reachtally_command::Table;
 use reachtally_core::counters::Counters;
-use reachtally_core::effect::{Change, Completed, Finish};
+use reachtally_core::effect::{Change, Finish};
 use reachtally_core::ids::{RequestId, RequestKey};
-use reachtally_core::lineage::Lineage;
 use reachtally_core::request::Ask;
 use reachtally_core::systems::gossip::PeerConfig;
 use reachtally_core::{Effect, Effects, Event, Instant, World};
 use reachtally_protocol::Message as Wire;
-use reachtally_standin::verify::Accepted;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
+use crate::ended::{Ended, describe};
 use crate::perform::Performer;
 use crate::view::{Readiness, View};
 
@@ -45,30 +44,6 @@
     pub id: RequestId,
 }
 
-/// A request that ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ended {
-    /// Its identity.
-    pub id: RequestId,
-    /// `completed`, `not-run`, `unknown` or `abandoned`.
-    pub outcome: &'static str,
-    /// Positions of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens generated.
-    pub completion_tokens: u32,
-    /// The attempt it ended with.
-    pub attempts: u32,
-    /// What was accepted from which engine.
-    pub accepted: Vec<Accepted>,
-}
-
-impl Ended {
-    /// Positions that every layer must have run: the last token generated is never an input.
-    pub fn positions(&self) -> u32 {
-        (self.prompt_tokens + self.completion_tokens).saturating_sub(1)
-    }
-}
-
 /// What the task is told.
 #[derive(Debug)]
 pub enum Message {
@@ -385,46 +360,6 @@
     }
 }
 
-fn describe(world: &World, id: RequestId, finish: &Finish) -> Ended {
-    let mut ended = Ended {
-        id,
-        outcome: "unknown",
-        prompt_tokens: 0,
-        completion_tokens: 0,
-        attempts: 0,
-        accepted: Vec::new(),
-    };
-    match finish {
-        Finish::Completed(completed) => {
-            ended.outcome = "completed";
-            if let Completed::Completion(end) = completed {
-                ended.prompt_tokens = end.prompt_tokens;
-                ended.completion_tokens = end.completion_tokens;
-                ended.attempts = end.attempts;
-                ended.accepted = accepted(world, &end.lineage);
-            }
-        }
-        Finish::NotRun(_) => ended.outcome = "not-run",
-        Finish::Unknown(_) => {}
-        Finish::Abandoned => ended.outcome = "abandoned",
-    }
-    ended
-}
-
-fn accepted(world: &World, lineage: &Lineage) -> Vec<Accepted> {
-    let named = lineage.runs().iter().map(|run| Accepted {
-        target: world
-            .targets
-            .get(run.target)
-            .map_or_else(String::new, |target| target.name.clone()),
-        layers: run.layers,
-        from: run.from,
-        end: run.end,
-        attempt: run.attempt,
-    });
-    named.collect()
-}
-
 fn log_change(change: &Change) {
     match change {
         Change::TargetSuspect(name) => warn!(target_name = name.as_str(); "target suspected"),
--- a/reachtally-daemon/src/demo.rs
+++ b/reachtally-daemon/src/demo.rs
@@ -5,10 +5,11 @@
 
 use error_stack::{Report, ResultExt};
 use reachtally_standin::engine::{Fault, Ledger, model};
-use reachtally_standin::verify::verify;
+use reachtally_standin::verify::{Accepted, verify};
 use serde_json::{Value, json};
 
-use crate::actor::{Answer, Ended, Query};
+use crate::actor::{Answer, Query};
+use crate::ended::{AcceptedRun, Ended};
 use crate::standalone::{self, CALLER_KEY, LAYERS, MODEL, Standalone};
 
 /// Tokens asked for.
@@ -130,6 +131,16 @@
     .ok_or_else(|| Report::new(DemoError::Request))
 }
 
+fn by_name(run: &AcceptedRun) -> Accepted {
+    Accepted {
+        target: run.target.clone(),
+        layers: run.layers,
+        from: run.from,
+        end: run.end,
+        attempt: run.attempt,
+    }
+}
+
 fn check_ledgers(setup: &Standalone, ended: &Ended) -> Result<(), Report<DemoError>> {
     for run in &ended.accepted {
         println!(
@@ -147,7 +158,8 @@
         .map(|(name, engine)| (name.clone(), engine.ledger()))
         .collect();
     let positions = ended.positions();
-    let violations = verify(ended.id, LAYERS, positions, &ended.accepted, &ledgers);
+    let accepted: Vec<Accepted> = ended.accepted.iter().map(by_name).collect();
+    let violations = verify(ended.id, LAYERS, positions, &accepted, &ledgers);
     if !violations.is_empty() {
         return Err(Report::new(DemoError::Ledger).attach(format!("{violations:?}")));
     }
--- a/reachtally-daemon/src/lib.rs
+++ b/reachtally-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod actor;
 pub mod caller;
 pub mod demo;
+pub mod ended;
 pub mod follow;
 pub mod metrics;
 pub mod operator;
--- a/reachtally-daemon/src/operator/mod.rs
+++ b/reachtally-daemon/src/operator/mod.rs
@@ -17,7 +17,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
 
-use crate::actor::{Answer, Ended, Handle, Message, Query};
+use crate::actor::{Answer, Handle, Message, Query};
+use crate::ended::Ended;
 use crate::operator::auth::Authorized;
 use crate::publish;
 use crate::view::View;
@@ -207,65 +208,10 @@
     }
 }
 
-/// One accepted run of an ended request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedRun {
-    /// The engine.
-    pub target: String,
-    /// First layer.
-    pub first_layer: u32,
-    /// One past the last layer.
-    pub end_layer: u32,
-    /// First position.
-    pub from: u32,
-    /// One past the last position.
-    pub end: u32,
-    /// The attempt.
-    pub attempt: u32,
-}
-
-/// An ended request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedRequest {
-    /// The daemon run.
-    pub incarnation: u64,
-    /// The request's number in it.
-    pub seq: u64,
-    /// How it ended.
-    pub outcome: String,
-    /// Positions accepted from every layer.
-    pub positions: u32,
-    /// What was accepted from which engine.
-    pub accepted: Vec<EndedRun>,
-}
-
-impl EndedRequest {
-    fn of(ended: Ended) -> Self {
-        let accepted = ended.accepted.iter().map(|run| EndedRun {
-            target: run.target.clone(),
-            first_layer: run.layers.first,
-            end_layer: run.layers.end,
-            from: run.from,
-            end: run.end,
-            attempt: run.attempt,
-        });
-        EndedRequest {
-            incarnation: ended.id.incarnation.0,
-            seq: ended.id.seq,
-            outcome: ended.outcome.to_owned(),
-            positions: ended.positions(),
-            accepted: accepted.collect(),
-        }
-    }
-}
-
 #[get("/ended")]
-async fn ended(
-    _operator: Authorized,
-    shared: &State<Shared>,
-) -> Result<Json<Vec<EndedRequest>>, Failed> {
+async fn ended(_operator: Authorized, shared: &State<Shared>) -> Result<Json<Vec<Ended>>, Failed> {
     match query(shared, Query::Ended).await? {
-        Answer::Ended(ended) => Ok(Json(ended.into_iter().map(EndedRequest::of).collect())),
+        Answer::Ended(ended) => Ok(Json(ended)),
         _ => Err(failed(Status::InternalServerError, "unexpected answer")),
     }
 }
--- a/reachtally-daemon/src/operator/tables.rs
+++ b/reachtally-daemon/src/operator/tables.rs
@@ -7,7 +7,7 @@
 use reachtally_core::target::{Health, Role, Target};
 use reachtally_core::{Instant, World};
 
-use crate::actor::Ended;
+use crate::ended::Ended;
 
 /// The table of one subject.
 pub fn show(world: &World, ended: &VecDeque<Ended>, subject: Subject, now: Instant) -> Table {
--- a/reachtally-standin/src/main.rs
+++ b/reachtally-standin/src/main.rs
@@ -150,13 +150,15 @@
                 ..memory::Options::default()
             };
             let log = log_server::start(listen(port), options).await?;
-            println!("{}", log.url());
+            let mut urls = vec![log.url()];
             let mut entrances = Vec::new();
             for port in entrance {
                 let more = log_server::entrance(listen(port), log.log().clone()).await?;
-                println!("{}", more.url());
+                urls.push(more.url());
                 entrances.push(more);
             }
+            // In one write: a reader of the first line may close the pipe after it.
+            println!("{}", urls.join("\n"));
             log.stopped().await;
         }
         Command::List { port, boxes } => {
