--- a/reachtally-bench/src/process.rs
+++ b/reachtally-bench/src/process.rs
@@ -4,7 +4,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
 
 /// Clock ticks a second in `/proc/<pid>/stat`, fixed by the kernel's user interface.
@@ -13,6 +13,8 @@
 /// A child that is killed when dropped.
 pub struct Process {
     child: Child,
+    /// Held open, since a child that prints to a closed pipe fails.
+    _stdout: Option<BufReader<ChildStdout>>,
 }
 
 impl Drop for Process {
@@ -88,11 +90,14 @@
         .spawn()
         .map_err(|err| err.to_string())?;
     let stdout = child.stdout.take().ok_or("no standard output")?;
-    let process = Process { child };
+    let mut stdout = BufReader::new(stdout);
     let mut line = String::new();
-    BufReader::new(stdout)
-        .read_line(&mut line)
-        .map_err(|err| err.to_string())?;
+    let read = stdout.read_line(&mut line);
+    let process = Process {
+        child,
+        _stdout: Some(stdout),
+    };
+    read.map_err(|err| err.to_string())?;
     Ok((process, line.trim().to_owned()))
 }
 
@@ -105,5 +110,8 @@
         .env("RUST_LOG", "warn")
         .spawn()
         .map_err(|err| err.to_string())?;
-    Ok(Process { child })
+    Ok(Process {
+        child,
+        _stdout: None,
+    })
 }
