refactor: a reader's rank once a round, one set of answers, no dead methods

Cause, found in a last read: (1) each tick of the daemon ranked all live members to see whether it reads the log closely, work in proportion to the domain on the hottest path; (2) the operators' tool kept a copy of the daemon's answer types; (3) four methods were called by nobody. Change: the rank is taken in each round of gossip, once a second; the answers stand in reachtally-command; the methods are gone. Behaviour is the same but that a change of rank shows up to a second later.

--- a/reachtally-command/src/lib.rs
+++ b/reachtally-command/src/lib.rs
@@ -2,8 +2,10 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod answer;
 pub mod parse;
 pub mod table;
 
+pub use answer::{CommandAnswer, Problem, Published};
 pub use parse::{Command, Subject, parse};
 pub use table::Table;
--- a/reachtally-core/src/systems/gossip.rs
+++ b/reachtally-core/src/systems/gossip.rs
@@ -48,6 +48,7 @@
     me.config_next = config_next;
     me.stopping = world.stopping;
     world.members.forget(now);
+    world.reader = world.members.rank("reader", now) < READERS;
     if !world.members.takes_part() {
         return;
     }
@@ -104,11 +105,6 @@
     }
 }
 
-/// Whether this daemon is to follow the log closely.
-pub fn is_reader(world: &World, now: Instant) -> bool {
-    world.members.rank("reader", now) < READERS
-}
-
 /// Something reaches the daemon: if the last time is far too long ago, it was paused, the configuration
 /// in force may be old, and nothing is admitted until it was compared. What arrived during the pause
 /// proves nothing, so only the answer to a question asked after it counts.
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -192,6 +192,7 @@
     pub(crate) outbox: Outbox,
     pub(crate) waiting: Waiting,
     pub(crate) members: Members,
+    pub(crate) reader: bool,
     pub(crate) recent: VecDeque<Read<Operation>>,
     pub(crate) snapshot_next: u64,
     pub(crate) domains: Domains,
@@ -231,6 +232,7 @@
             outbox: Outbox::default(),
             waiting: Waiting::default(),
             members: Members::default(),
+            reader: true,
             recent: VecDeque::new(),
             snapshot_next: 0,
             domains: Domains::default(),
@@ -337,9 +339,9 @@
         &self.members.me
     }
 
-    /// Whether this daemon is to follow the log closely.
-    pub fn is_reader(&self, now: Instant) -> bool {
-        systems::gossip::is_reader(self, now)
+    /// Whether this daemon is to follow the log closely, as of the last round of gossip.
+    pub fn is_reader(&self) -> bool {
+        self.reader
     }
 
     /// What a daemon that has folded the configuration records below `next` lacks.
--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -177,7 +177,7 @@
             self.world.tick(now, &mut self.effects);
             self.perform();
             self.counters.send_replace(self.world.counters);
-            self.publish_reader(now);
+            self.publish_reader();
             self.tell_idle();
         }
     }
@@ -230,8 +230,8 @@
         self.view.send_replace(View::of(&self.world, readiness));
     }
 
-    fn publish_reader(&mut self, now: Instant) {
-        let reader = self.world.is_reader(now);
+    fn publish_reader(&mut self) {
+        let reader = self.world.is_reader();
         self.reader
             .send_if_modified(|known| std::mem::replace(known, reader) != reader);
     }
--- a/reachtally-daemon/src/caller/mod.rs
+++ b/reachtally-daemon/src/caller/mod.rs
@@ -52,11 +52,6 @@
         OpenStream(self.0.clone())
     }
 
-    /// Answers being written now.
-    pub fn count(&self) -> usize {
-        *self.0.borrow()
-    }
-
     /// Wait until no answer is being written.
     pub async fn drained(&self) {
         let mut rx = self.0.subscribe();
--- a/reachtally-daemon/src/operator/mod.rs
+++ b/reachtally-daemon/src/operator/mod.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use reachtally_command::{Command, Table, parse};
+use reachtally_command::{Command, CommandAnswer, Problem, Published, parse};
 use reachtally_config::settings::{Operator, Role};
 use reachtally_core::declare::{Kind, Object};
 use reachtally_core::fold::{Config, Edit, EditChange, Operation};
@@ -14,7 +14,6 @@
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State, get, post, routes};
-use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
 
 use crate::actor::{Answer, Handle, Message, Query};
@@ -45,13 +44,6 @@
         .mount("/v1", routes![command, apply, counters, ended])
 }
 
-/// What went wrong, for the operator.
-#[derive(Debug, Serialize)]
-pub struct Problem {
-    /// A sentence, or several lines that point at a word.
-    pub message: String,
-}
-
 /// A failed answer.
 pub type Failed = (Status, Json<Problem>);
 
@@ -60,29 +52,6 @@
     (status, Json(Problem { message }))
 }
 
-/// What a change of the configuration came to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Published {
-    /// The operation's identity.
-    pub operation: String,
-    /// Objects changed; nothing was published where this is 0.
-    pub changes: usize,
-    /// The record's offset in the configuration stream.
-    pub offset: Option<u64>,
-    /// Whether this daemon has folded it.
-    pub folded: bool,
-}
-
-/// The answer to a command.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum CommandAnswer {
-    /// A table.
-    Table(Table),
-    /// A change of the configuration.
-    Published(Published),
-}
-
 #[post("/commands", data = "<text>")]
 async fn command(
     text: &str,
--- a/reachtally-platform/src/memory.rs
+++ b/reachtally-platform/src/memory.rs
@@ -62,7 +62,6 @@
     started: Instant,
     window_start: Instant,
     window_appends: u32,
-    appends: u64,
 }
 
 /// A log in memory; clones share it.
@@ -83,7 +82,6 @@
             started: now,
             window_start: now,
             window_appends: 0,
-            appends: 0,
         };
         MemoryLog {
             inner: Arc::new(Mutex::new(inner)),
@@ -97,11 +95,6 @@
         self.grown.notify_waiters();
     }
 
-    /// Appends taken since the start.
-    pub fn appends(&self) -> u64 {
-        self.lock().appends
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         // A poisoned lock means that a holder panicked; the data is plain and still whole.
         self.inner
@@ -161,7 +154,6 @@
     fn push(&mut self, stream: &str, data: Value) -> u64 {
         let at_ms = self.started.elapsed().as_millis() as u64;
         let keep = self.options.keep_records;
-        self.appends += 1;
         let stream = self.streams.entry(stream.to_owned()).or_default();
         let offset = stream.end();
         stream.records.push_back(Record {
--- a/reachtally-standin/src/engine/server.rs
+++ b/reachtally-standin/src/engine/server.rs
@@ -1,6 +1,5 @@
 //! The engine's HTTP routes and its iteration loop.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -60,11 +59,6 @@
         self.listener.url()
     }
 
-    /// Its address.
-    pub fn address(&self) -> SocketAddr {
-        self.listener.address
-    }
-
     /// Inject a fault.
     pub fn fault(&self, fault: Fault) {
         inject(&self.shared, &self.listener.closer(), fault);
@@ -85,13 +79,6 @@
         self.shared.lock().requests_held()
     }
 
-    /// Orders it took, and what it holds loaded.
-    pub fn loaded(&self) -> (u64, Vec<String>) {
-        let state = self.shared.lock();
-        let loaded = state.orders.loaded.iter().cloned().collect();
-        (state.orders.taken, loaded)
-    }
-
     /// Close it.
     pub async fn stop(self) {
         self.listener.stop().await;
--- a/reachtally/src/client.rs
+++ b/reachtally/src/client.rs
@@ -3,38 +3,14 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use reachtally_command::Table;
+use reachtally_command::{CommandAnswer, Problem, Published};
 use reachtally_core::declare::Object;
 use reqwest::{RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
 /// Time for a call; a publication waits for the log and its fold.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// What a change of the configuration came to.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Published {
-    /// The operation's identity.
-    pub operation: String,
-    /// Objects changed.
-    pub changes: usize,
-    /// The record's offset; nothing where there was nothing to change.
-    pub offset: Option<u64>,
-    /// Whether the entry box has folded it.
-    pub folded: bool,
-}
-
-/// The answer to a command.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Answer {
-    /// A table.
-    Table(Table),
-    /// A change of the configuration.
-    Published(Published),
-}
-
 /// Why a call failed. Each kind has an exit code of its own.
 #[derive(Debug)]
 pub enum Failure {
@@ -68,11 +44,6 @@
 
 impl std::error::Error for Failure {}
 
-#[derive(Deserialize)]
-struct Problem {
-    message: String,
-}
-
 /// An entry box.
 pub struct Client {
     http: reqwest::Client,
@@ -91,7 +62,7 @@
     }
 
     /// Run a command.
-    pub async fn command(&self, command: &str) -> Result<Answer, Failure> {
+    pub async fn command(&self, command: &str) -> Result<CommandAnswer, Failure> {
         let url = format!("{}/v1/commands", self.url);
         self.call(self.http.post(url).body(command.to_owned()))
             .await
--- a/reachtally/src/main.rs
+++ b/reachtally/src/main.rs
@@ -6,9 +6,10 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use reachtally_command::{CommandAnswer, Published};
 use reachtally_config::{declarations, keys};
 
-use crate::client::{Answer, Client, Failure, Published};
+use crate::client::{Client, Failure};
 
 /// The operators' tool of reachtally.
 #[derive(Debug, Clone, Bpaf)]
@@ -81,7 +82,7 @@
             let objects = declarations::parse(&name, &text)
                 .map_err(|findings| Failure::Usage(format!("bad declarations\n{findings}")))?;
             let published = client.apply(&objects).await?;
-            render(json, &Answer::Published(published))
+            render(json, &CommandAnswer::Published(published))
         }
         Action::Run { command } => {
             reachtally_command::parse(&command)
@@ -92,15 +93,15 @@
     }
 }
 
-fn render(json: bool, answer: &Answer) -> Result<String, Failure> {
+fn render(json: bool, answer: &CommandAnswer) -> Result<String, Failure> {
     if json {
         let text = serde_json::to_string_pretty(answer);
         let text = text.map_err(|err| Failure::Usage(err.to_string()))?;
         return Ok(format!("{text}\n"));
     }
     Ok(match answer {
-        Answer::Table(table) => table.to_string(),
-        Answer::Published(published) => render_published(published),
+        CommandAnswer::Table(table) => table.to_string(),
+        CommandAnswer::Published(published) => render_published(published),
     })
 }
 
