--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -44,6 +44,12 @@
     pub layers: Layers,
 }
 
+/// An entry that is read this long after its target was found dead was written by a live target:
+/// entries are read within a second.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(1300);
+/// A target found dead is tried again after this, should its entry never be written again.
+const DEAD_FOR: Duration = Duration::from_secs(10);
+
 /// Failures of a target and what was concluded.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
@@ -51,6 +57,10 @@
     pub held_until: Option<Instant>,
     hold: Duration,
     failed_at: Option<Instant>,
+    /// Since when it takes no connections.
+    dead_since: Option<Instant>,
+    /// When it was last seen to take a connection or write its entry.
+    alive_at: Option<Instant>,
 }
 
 impl Health {
@@ -59,6 +69,36 @@
         self.held_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the target takes no connections, as far as is known.
+    pub fn is_dead(&self, now: Instant) -> bool {
+        self.dead_since.is_some_and(|at| now.since(at) < DEAD_FOR)
+    }
+
+    /// The target took no connection.
+    pub fn found_dead(&mut self, now: Instant) {
+        if !self.is_dead(now) {
+            self.dead_since = Some(now);
+        }
+    }
+
+    /// The target took a connection.
+    pub fn found_alive(&mut self, now: Instant) {
+        self.dead_since = None;
+        self.alive_at = Some(now);
+    }
+
+    /// The target wrote its entry.
+    fn wrote(&mut self, now: Instant) {
+        if self.dead_since.is_none_or(|at| now.since(at) > HEARTBEAT_DELAY) {
+            self.found_alive(now);
+        }
+    }
+
+    /// When the target was last seen alive.
+    pub fn alive_at(&self) -> Option<Instant> {
+        self.alive_at
+    }
+
     /// Count a failure: each one in a row doubles the hold-off.
     pub fn failed(&mut self, now: Instant) {
         if self.is_held(now) {
@@ -113,6 +153,7 @@
                 engine.layers_since = now;
             }
             engine.missing_since = None;
+            engine.health.wrote(now);
             let draining = engine.entry.draining || entry.draining;
             engine.entry = Entry { draining, ..entry };
             return (key, changed);
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -112,7 +112,11 @@
     if engine.entry.draining || cx.avoid.contains(&key) {
         return false;
     }
-    trust == Trust::Any || !(engine.health.is_held(cx.now) || engine.missing_since.is_some())
+    if trust == Trust::Any {
+        return true;
+    }
+    let health = &engine.health;
+    !health.is_dead(cx.now) && !health.is_held(cx.now) && engine.missing_since.is_none()
 }
 
 /// An engine with what a token and the prompt cost on it for each layer.
--- a/reachtally-core/src/forward/stall.rs
+++ b/reachtally-core/src/forward/stall.rs
@@ -11,7 +11,7 @@
 use crate::time::Instant;
 
 /// Least silence that counts, however fast the path is: scheduling and queues cause shorter ones.
-pub const LEAST_SILENCE: Duration = Duration::from_millis(110);
+pub const LEAST_SILENCE: Duration = Duration::from_millis(80);
 /// Silence that counts, in expected gaps between events.
 pub const SILENCE_GAPS: f64 = 4.0;
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -14,6 +14,7 @@
 use reachtally_core::forward::stall::Progress;
 use tokio::sync::watch;
 
+use crate::target;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -67,6 +68,10 @@
     started: tokio::time::Instant,
 }
 
+/// Time for which the answer to whether a target is there holds, so that the streams of one engine
+/// ask once.
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Boxes assumed before the first count: a small share of the budget is the safe side.
 const BOXES_ASSUMED: (u32, u32) = (64, 4);
 
@@ -157,6 +162,50 @@
         fleet.failed(key, self.now());
     }
 
+    /// A target took no connection.
+    pub fn target_dead(&self, key: EngineKey) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(engine) = fleet.get_mut(key) else {
+            return;
+        };
+        if !engine.health.is_dead(now) {
+            log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address; "a target takes no connections");
+        }
+        engine.health.found_dead(now);
+    }
+
+    /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
+    pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
+        let now = self.now();
+        let checks = engines.iter().map(|key| async move {
+            let engine = self.fleet.borrow().get(*key).cloned();
+            let Some(engine) = engine else {
+                return Some(*key);
+            };
+            let is_recent = |at: Instant| now.since(at) < CHECK_INTERVAL;
+            if engine.health.is_dead(now) {
+                return Some(*key);
+            }
+            if engine.health.alive_at().is_some_and(is_recent) {
+                return None;
+            }
+            match target::is_there(engine.entry.address).await {
+                true => {
+                    if let Some(engine) = self.fleet.borrow_mut().get_mut(*key) {
+                        engine.health.found_alive(self.now());
+                    }
+                    None
+                }
+                false => {
+                    self.target_dead(*key);
+                    Some(*key)
+                }
+            }
+        });
+        futures::future::join_all(checks).await.into_iter().flatten().collect()
+    }
+
     /// Whether some target could take a request now.
     pub fn can_serve(&self) -> bool {
         let Some(table) = self.config() else {
@@ -200,6 +249,11 @@
         *self.stage.borrow() != Stage::Serving
     }
 
+    /// Whether the relay takes no more requests.
+    pub fn is_closing(&self) -> bool {
+        *self.stage.borrow() == Stage::Closing
+    }
+
     /// Number of open connections of callers.
     pub fn open(&self) -> usize {
         self.open.get()
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -89,6 +89,9 @@
     let Some(table) = relay.config() else {
         return Err(refuse(Refusal::Paused));
     };
+    if relay.is_closing() {
+        return Err(refuse(Refusal::Stopping));
+    }
     if !relay.is_fresh() {
         let age = relay
             .freshness
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -89,7 +89,7 @@
     let now = relay.now();
     let fleet = relay.fleet.borrow();
     let usable = |engine: &Engine| {
-        !engine.entry.draining && engine.missing_since.is_none() && !engine.health.is_held(now)
+        !engine.entry.draining && engine.missing_since.is_none() && !engine.health.is_dead(now)
     };
     fleet
         .of_service(service)
--- a/reachtally-relay/src/stream.rs
+++ b/reachtally-relay/src/stream.rs
@@ -234,7 +234,7 @@
     let answer = match result {
         Ok(answer) => answer,
         Err(SendError::NotConnected(why)) => {
-            relay.target_failed(key, &why);
+            relay.target_dead(key);
             attempts.avoid.push(key);
             return Sent::NotRun(NeverStarted::ConnectFailed, why);
         }
@@ -258,6 +258,7 @@
         let why = format!("status {status} by engine {at_fault:?}");
         if at_fault != key || status.as_u16() == 421 {
             relay.target_failed(at_fault, &why);
+            relay.dead_of(&[at_fault]).await;
         }
         return Sent::NotRun(NeverStarted::TargetSaidSo, why);
     }
@@ -299,8 +300,8 @@
     Whole,
     /// The engines broke off.
     Broke(String),
-    /// The engines named have made no progress.
-    Silent(Vec<EngineKey>),
+    /// These of its engines are dead.
+    Dead(Vec<EngineKey>),
     /// The final answer is due.
     Late,
 }
@@ -338,7 +339,11 @@
                 }
                 Stopped::Broke(why) => {
                     log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(); "a stream broke off");
-                    attempts.avoid.extend_from_slice(running.occupied.engines());
+                    let dead = relay.dead_of(running.occupied.engines()).await;
+                    match dead.is_empty() {
+                        true => attempts.avoid.extend(running.occupied.engines().first()),
+                        false => attempts.avoid.extend(dead),
+                    }
                     let until = relay.now() + LOOK_FOR;
                     match resume(&relay, &call, &mut attempts, &splitter, until).await {
                         Some(other) => running = other,
@@ -349,8 +354,8 @@
                         }
                     }
                 }
-                Stopped::Silent(engines) => {
-                    log::info!(event = "silent", id = &*call.head.id, engines = engines.len(), last:? = splitter.last(); "engines of a stream make no progress");
+                Stopped::Dead(engines) => {
+                    log::info!(event = "stage-dead", id = &*call.head.id, engines = engines.len(), last:? = splitter.last(); "engines of a stream are dead");
                     attempts.avoid.extend_from_slice(&engines);
                     let now = relay.now();
                     match resume(&relay, &call, &mut attempts, &splitter, now).await {
@@ -392,9 +397,9 @@
                     return;
                 }
                 Err(_) => {
-                    let silent = silent(relay, call, attempts, running, since);
-                    if !silent.is_empty() {
-                        yield Step::Stopped(Stopped::Silent(silent));
+                    let dead = dead(relay, running.occupied.engines(), since).await;
+                    if !dead.is_empty() && may_go_elsewhere(relay, call, attempts, &dead) {
+                        yield Step::Stopped(Stopped::Dead(dead));
                         return;
                     }
                     look_at = relay.now() + stall::overdue_after(running.gap);
@@ -438,34 +443,20 @@
     }
 }
 
-/// Engines of an overdue stream that make no progress, if the stream could go on elsewhere.
-fn silent(
-    relay: &Relay,
-    call: &Call,
-    attempts: &Attempts,
-    running: &Running,
-    since: Instant,
-) -> Vec<EngineKey> {
-    let resumable = matches!(
-        call.route.shape,
-        Shape::Events {
-            resumable: true,
-            ..
-        }
-    );
-    if !resumable || attempts.ran >= call.route.max_attempts {
-        return Vec::new();
+/// Engines of a path without progress since `since` that take no connections.
+async fn dead(relay: &Relay, engines: &[EngineKey], since: Instant) -> Vec<EngineKey> {
+    let silent = relay.progress.borrow().silent_since(engines, since);
+    relay.dead_of(&silent).await
+}
+
+/// Whether the request may be sent once more, and there is a path without `dead`.
+fn may_go_elsewhere(relay: &Relay, call: &Call, attempts: &Attempts, dead: &[EngineKey]) -> bool {
+    if !call.route.is_repeatable() || attempts.ran >= call.route.max_attempts {
+        return false;
     }
-    let silent = relay
-        .progress
-        .borrow()
-        .silent_since(running.occupied.engines(), since);
     let mut avoid = attempts.avoid.clone();
-    avoid.extend_from_slice(&silent);
-    match choose(relay, call, &avoid) {
-        Some(_) => silent,
-        None => Vec::new(),
-    }
+    avoid.extend_from_slice(dead);
+    choose(relay, call, &avoid).is_some()
 }
 
 /// Go on over another chain after the last event that the caller got.
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -20,6 +20,15 @@
 /// again only after a second, so a second try elsewhere is better than waiting.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for a connection that only shows whether a target is there.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Whether a target takes connections.
+pub async fn is_there(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Ok(_)))
+}
+
 /// Why there is no answer.
 #[derive(Debug)]
 pub enum SendError {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -155,7 +155,7 @@
     let answer = match tokio::time::timeout_at(due, sending).await {
         Err(_) => return Sent::Late,
         Ok(Err(SendError::NotConnected(why))) => {
-            relay.target_failed(key, &why);
+            relay.target_dead(key);
             return Sent::NotRun(NeverStarted::ConnectFailed, why);
         }
         Ok(Err(SendError::Broken(why))) => {
