--- a/reachtally-core/src/forward/placement.rs
+++ b/reachtally-core/src/forward/placement.rs
@@ -18,7 +18,7 @@
 const MOST_REQUESTS: f64 = 512.0;
 /// Step between two amounts tried.
 const REQUESTS_STEP: f64 = 1.15;
-/// Part of the largest chain's flow that is taken off for the chance that it dies.
+/// Part of the largest chain's worth that is taken off for the chance that it dies.
 const LARGEST_AT_RISK: f64 = 0.4;
 /// Time of a hop between engines of a group, in ms.
 const HOP_MS: f64 = 0.5;
@@ -188,10 +188,10 @@
     let mut requests = LEAST_REQUESTS;
     while requests <= MOST_REQUESTS {
         let chains = chains(model, &hosts, requests * model.usual_context());
-        let flow = expected_flow(model, &chains);
-        if flow > best.0 {
+        let worth = worth(model, &chains);
+        if worth > best.0 {
             best = (
-                flow,
+                worth,
                 chains
                     .into_iter()
                     .flatten()
@@ -233,22 +233,21 @@
     chains
 }
 
-/// Requests a second over all chains, less a part of the largest.
-fn expected_flow(model: &LayerModel, chains: &[Vec<Placed<'_>>]) -> f64 {
-    let flows: Vec<f64> = chains
-        .iter()
-        .map(|chain| chain_flow(model, chain))
-        .collect();
-    let largest = flows.iter().copied().fold(0.0, f64::max);
-    flows.iter().sum::<f64>() - LARGEST_AT_RISK * largest
+/// What chains are worth: the sum of each one's flow over the time that a request takes there, less a
+/// part of the largest. Flow alone would put every engine into one long chain, where requests take
+/// long, hold KV long, and all stand still when one engine dies.
+fn worth(model: &LayerModel, chains: &[Vec<Placed<'_>>]) -> f64 {
+    let each: Vec<f64> = chains.iter().map(|chain| chain_worth(model, chain)).collect();
+    let largest = each.iter().copied().fold(0.0, f64::max);
+    each.iter().sum::<f64>() - LARGEST_AT_RISK * largest
 }
 
-/// Requests a second of one chain: by its KV and the time that a request holds it, or by its busiest
-/// engine if that is less.
-fn chain_flow(model: &LayerModel, chain: &[Placed<'_>]) -> f64 {
-    let kv = chain
-        .iter()
-        .map(|(host, placed)| model.kv_tokens(&host.card, placed.layers.len() as u32));
+/// Requests a second of one chain, by its KV and the time that a request holds it or by its busiest
+/// engine if that is less, over that time in seconds.
+fn chain_worth(model: &LayerModel, chain: &[Placed<'_>]) -> f64 {
+    let kv = chain.iter().map(|(host, placed)| {
+        model.kv_tokens(&host.card, placed.layers.len() as u32)
+    });
     let kv = kv.fold(f64::INFINITY, f64::min);
     let at_once = (kv / model.usual_context()).min(f64::from(model.slots));
     let batch = (at_once / chain.len() as f64).max(1.0);
@@ -261,5 +260,6 @@
         held_ms += read_ms + model.usual_answer * (step_ms + HOP_MS);
         busiest_ms = busiest_ms.max(read_ms + model.usual_answer * step_ms / batch);
     }
-    (at_once * 1000.0 / held_ms).min(1000.0 / busiest_ms)
+    let flow = (at_once * 1000.0 / held_ms).min(1000.0 / busiest_ms);
+    flow * 1000.0 / held_ms
 }
--- /dev/null
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -0,0 +1,4 @@
+//! Forwarded requests: tables, choices and placement.
+
+mod placement;
+mod setup;
--- /dev/null
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -0,0 +1,82 @@
+//! A model over three kinds of card and fleets of them.
+
+use std::sync::Arc;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::cost::{Card, LayerModel, Layers};
+use reachtally_core::forward::fleet::{EngineKey, Entry, Fleet};
+use reachtally_core::forward::placement::Host;
+
+/// The service of all engines here.
+pub const SERVICE: &str = "pool";
+
+/// A model of 80 layers on a large, a middle and a small card.
+pub fn model() -> LayerModel {
+    let card = |memory_mb, step_factor, read_factor| Card {
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    let cards = [
+        ("large", card(72_000.0, 2.4, 3.2)),
+        ("middle", card(43_200.0, 5.6, 2.7)),
+        ("small", card(21_600.0, 16.0, 8.2)),
+    ];
+    LayerModel {
+        layers: 80,
+        layer_mb: 1750.0,
+        kv_token_mb: 0.918,
+        step_ms: 1.02,
+        per_seq_ms: 0.00714,
+        context_ms_per_k: 0.00956,
+        read_per_s: 105_000.0,
+        stride: 3.0,
+        slots: 192,
+        usual_prompt: 774.0,
+        usual_answer: 200.0,
+        cards: cards.map(|(name, card)| (name.to_owned(), card)).into(),
+    }
+}
+
+/// An entry of an engine.
+pub fn entry(number: u16, domain: &str, card: &str, layers: Layers) -> Entry {
+    Entry {
+        id: format!("e{number}").into(),
+        service: SERVICE.into(),
+        address: ([10, 0, 0, 1], 1000 + number).into(),
+        domain: domain.into(),
+        draining: false,
+        slots: 192,
+        card: Some(card.into()),
+        layers,
+    }
+}
+
+/// Empty engines of one domain: how many of each card.
+pub fn hosts(domain: &str, cards: &[(&str, u16)]) -> Vec<Host> {
+    let model = model();
+    let mut fleet = Fleet::default();
+    let mut hosts = Vec::new();
+    let mut number = 0;
+    for (card, count) in cards {
+        for _ in 0..*count {
+            let (engine, _) = fleet.upsert(entry(number, domain, card, 0..0), Instant::ZERO);
+            hosts.push(Host {
+                engine,
+                id: format!("e{number:03}").into(),
+                domain: Arc::from(domain),
+                card: model.cards[*card],
+                layers: 0..0,
+            });
+            number += 1;
+        }
+    }
+    hosts
+}
+
+/// A fleet with these engines, and their rows in order.
+pub fn fleet(entries: impl IntoIterator<Item = Entry>) -> (Fleet, Vec<EngineKey>) {
+    let mut fleet = Fleet::default();
+    let keys = entries.into_iter().map(|entry| fleet.upsert(entry, Instant::ZERO).0).collect();
+    (fleet, keys)
+}
--- a/reachtally-core/tests/core/main.rs
+++ b/reachtally-core/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod config;
 mod domains;
+mod forward;
 mod membership;
 mod outcomes;
 mod setup;
