feat: boxes tell each other their loads, and requests that would overflow KV are refused

Cause: every box knew only its own requests, so all chose the same chain until its KV overflowed; preempted prompts were read again, and streams of seconds held the KV that new ones needed.

--- a/reachtally-core/src/forward/cost.rs
+++ b/reachtally-core/src/forward/cost.rs
@@ -3,6 +3,10 @@
 use std::collections::BTreeMap;
 use std::ops::Range;
 
+/// Time of a token at a loaded engine, in passes: its own, and on average half of the one under way.
+/// Measured: gaps of 33 to 48 ms where the passes alone come to 22 to 28.
+pub const WAIT_FACTOR: f64 = 1.5;
+
 /// A kind of accelerator.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Card {
--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -89,7 +89,10 @@
 
     /// The target wrote its entry.
     fn wrote(&mut self, now: Instant) {
-        if self.dead_since.is_none_or(|at| now.since(at) > HEARTBEAT_DELAY) {
+        if self
+            .dead_since
+            .is_none_or(|at| now.since(at) > HEARTBEAT_DELAY)
+        {
             self.found_alive(now);
         }
     }
@@ -125,8 +128,12 @@
     pub running: u32,
     /// KV tokens that those need at their end.
     pub tokens: f64,
-    /// Requests that other boxes have on it, as last told.
+    /// Requests that other boxes have on it, as they last told.
     pub running_elsewhere: f64,
+    /// KV tokens that those need at their end.
+    pub tokens_elsewhere: f64,
+    /// Requests that the target itself last told of, less those of this box.
+    pub others_told: f64,
     /// Its failures.
     pub health: Health,
     /// Since when it holds what its entry says.
@@ -165,6 +172,8 @@
             running: 0,
             tokens: 0.0,
             running_elsewhere: 0.0,
+            tokens_elsewhere: 0.0,
+            others_told: 0.0,
             health: Health::default(),
             layers_since: now,
             missing_since: None,
@@ -253,6 +262,14 @@
         }
     }
 
+    /// Forget what other boxes told of their requests.
+    pub fn clear_elsewhere(&mut self) {
+        for engine in self.engines.values_mut() {
+            engine.running_elsewhere = 0.0;
+            engine.tokens_elsewhere = 0.0;
+        }
+    }
+
     /// Count a request on the targets `keys`, which needs `tokens` of KV at its end.
     pub fn begin(&mut self, keys: &[EngineKey], tokens: f64) {
         for key in keys {
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod path;
+pub mod peers;
 pub mod placement;
 pub mod routes;
 pub mod select;
--- /dev/null
+++ b/reachtally-core/src/forward/peers.rs
@@ -0,0 +1,98 @@
+//! What the other boxes have on the targets, as they last told.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::forward::fleet::Fleet;
+use crate::ids::Incarnation;
+use crate::time::Instant;
+
+/// A box that has told nothing for this long is taken to have nothing on the targets: several reports
+/// in a row are lost only with the box or its links.
+pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
+
+/// Requests of a box on one target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// The run of the target.
+    pub target: Arc<str>,
+    /// Requests that take part there.
+    pub running: u32,
+    /// KV tokens that they need at their end.
+    pub tokens: u32,
+}
+
+/// What a box tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerReport {
+    /// Its run.
+    pub run: Incarnation,
+    /// Numbers its reports, so that a late one is not taken for the newest.
+    pub number: u64,
+    /// What it has on its targets.
+    pub loads: Vec<PeerLoad>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    number: u64,
+    heard: Instant,
+    loads: Vec<PeerLoad>,
+}
+
+/// The other boxes.
+#[derive(Debug, Default)]
+pub struct Peers {
+    by_run: HashMap<Incarnation, Peer>,
+}
+
+impl Peers {
+    /// Take in a report.
+    pub fn hear(&mut self, report: PeerReport, now: Instant) {
+        let known = self.by_run.get(&report.run);
+        if known.is_some_and(|peer| peer.number >= report.number) {
+            return;
+        }
+        let peer = Peer {
+            number: report.number,
+            heard: now,
+            loads: report.loads,
+        };
+        self.by_run.insert(report.run, peer);
+    }
+
+    /// Forget boxes that have told nothing for [`REPORT_LIFE`], and sum up the others on the targets.
+    pub fn sum_up(&mut self, fleet: &mut Fleet, now: Instant) {
+        self.by_run
+            .retain(|_, peer| now.since(peer.heard) < REPORT_LIFE);
+        fleet.clear_elsewhere();
+        for load in self.by_run.values().flat_map(|peer| &peer.loads) {
+            let Some(engine) = fleet.find(&load.target).and_then(|key| fleet.get_mut(key)) else {
+                continue;
+            };
+            engine.running_elsewhere += f64::from(load.running);
+            engine.tokens_elsewhere += f64::from(load.tokens);
+        }
+    }
+
+    /// Number of boxes that tell.
+    pub fn count(&self) -> usize {
+        self.by_run.len()
+    }
+}
+
+/// What this box tells of itself.
+pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet) -> PeerReport {
+    let loads = fleet.iter().filter(|(_, engine)| engine.running > 0);
+    let loads = loads.map(|(_, engine)| PeerLoad {
+        target: engine.entry.id.clone(),
+        running: engine.running,
+        tokens: engine.tokens as u32,
+    });
+    PeerReport {
+        run,
+        number,
+        loads: loads.collect(),
+    }
+}
--- a/reachtally-core/src/forward/placement.rs
+++ b/reachtally-core/src/forward/placement.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::forward::cost::{Card, LayerModel, Layers};
+use crate::forward::cost::{Card, LayerModel, Layers, WAIT_FACTOR};
 use crate::forward::fleet::EngineKey;
 
 /// Least KV of an engine, in usual requests; below it every second request would not fit.
@@ -237,7 +237,10 @@
 /// part of the largest. Flow alone would put every engine into one long chain, where requests take
 /// long, hold KV long, and all stand still when one engine dies.
 fn worth(model: &LayerModel, chains: &[Vec<Placed<'_>>]) -> f64 {
-    let each: Vec<f64> = chains.iter().map(|chain| chain_worth(model, chain)).collect();
+    let each: Vec<f64> = chains
+        .iter()
+        .map(|chain| chain_worth(model, chain))
+        .collect();
     let largest = each.iter().copied().fold(0.0, f64::max);
     each.iter().sum::<f64>() - LARGEST_AT_RISK * largest
 }
@@ -245,9 +248,9 @@
 /// Requests a second of one chain, by its KV and the time that a request holds it or by its busiest
 /// engine if that is less, over that time in seconds.
 fn chain_worth(model: &LayerModel, chain: &[Placed<'_>]) -> f64 {
-    let kv = chain.iter().map(|(host, placed)| {
-        model.kv_tokens(&host.card, placed.layers.len() as u32)
-    });
+    let kv = chain
+        .iter()
+        .map(|(host, placed)| model.kv_tokens(&host.card, placed.layers.len() as u32));
     let kv = kv.fold(f64::INFINITY, f64::min);
     let at_once = (kv / model.usual_context()).min(f64::from(model.slots));
     let batch = (at_once / chain.len() as f64).max(1.0);
@@ -257,7 +260,8 @@
         let layers = placed.layers.len() as u32;
         let step_ms = model.step_ms(&host.card, layers, batch);
         let read_ms = model.read_ms(&host.card, layers, model.usual_prompt);
-        held_ms += read_ms + model.usual_answer * (step_ms + HOP_MS);
+        held_ms += WAIT_FACTOR * (read_ms + model.usual_answer * step_ms);
+        held_ms += model.usual_answer * HOP_MS;
         busiest_ms = busiest_ms.max(read_ms + model.usual_answer * step_ms / batch);
     }
     let flow = (at_once * 1000.0 / held_ms).min(1000.0 / busiest_ms);
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::forward::cost::LayerModel;
+use crate::forward::cost::{LayerModel, WAIT_FACTOR};
 use crate::forward::fleet::{Engine, EngineKey, Fleet};
 use crate::forward::path::{Part, Path};
 use crate::time::Instant;
@@ -13,9 +13,9 @@
 const HOP_MS: f64 = 0.5;
 /// Time that a token takes more between failure domains, in ms.
 const FAR_HOP_MS: f64 = 2.0;
-/// Added for each MB of KV that a part would lack, relative to the request's own: a request that does
-/// not fit is read again, often more than once.
-const OVERFLOW_FACTOR: f64 = 4.0;
+/// Part of an engine's KV that requests may need at their ends, all together. They do not end all at
+/// once, and a request that does not fit any more is read again, often more than once.
+const KV_USED: f64 = 1.1;
 /// What another failure domain's chain must be faster by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
 
@@ -37,8 +37,6 @@
     pub home: &'a str,
     /// Engines that must not take part.
     pub avoid: &'a [EngineKey],
-    /// Boxes that probably load the same engines as this one does.
-    pub sharing: f64,
 }
 
 /// A path and what is expected of it.
@@ -87,7 +85,7 @@
         if !is_usable(key, engine, cx, trust) {
             continue;
         }
-        let Some(candidate) = Candidate::new(key, engine, model, need, cx) else {
+        let Some(candidate) = Candidate::new(key, engine, model, need) else {
             continue;
         };
         by_domain
@@ -129,31 +127,25 @@
 }
 
 impl<'a> Candidate<'a> {
-    fn new(
-        key: EngineKey,
-        engine: &'a Engine,
-        model: &LayerModel,
-        need: Need,
-        cx: &Circumstance<'_>,
-    ) -> Option<Self> {
+    fn new(key: EngineKey, engine: &'a Engine, model: &LayerModel, need: Need) -> Option<Self> {
         let card = model.cards.get(&**engine.entry.card.as_ref()?)?;
         let layers = engine.entry.layers.len() as u32;
         if layers == 0 {
             return None;
         }
-        let running = f64::from(engine.running) * cx.sharing + engine.running_elsewhere;
-        let held = engine.tokens * cx.sharing + need.prompt + need.answer;
-        let room = model.kv_tokens(card, layers);
-        if room < need.prompt + need.answer {
+        let running = f64::from(engine.running) + engine.running_elsewhere;
+        let tokens = engine.tokens + engine.tokens_elsewhere + need.prompt + need.answer;
+        if tokens > KV_USED * model.kv_tokens(card, layers) {
             return None;
         }
-        let over = (held / room - 1.0).max(0.0) * OVERFLOW_FACTOR;
         let each = f64::from(layers);
+        // The requests of a chain are spread over its engines.
+        let batch = running * model.share(layers) + 1.0;
         Some(Candidate {
             key,
             engine,
-            token_ms: model.step_ms(card, layers, running + 1.0) * (1.0 + over) / each,
-            read_ms: model.read_ms(card, layers, need.prompt) * (1.0 + over) / each,
+            token_ms: WAIT_FACTOR * model.step_ms(card, layers, batch) / each,
+            read_ms: WAIT_FACTOR * model.read_ms(card, layers, need.prompt) / each,
         })
     }
 }
@@ -250,7 +242,8 @@
     trust: Trust,
 ) -> Option<EngineKey> {
     let work = |engine: &Engine| {
-        let running = f64::from(engine.running) + engine.running_elsewhere;
+        let others = engine.running_elsewhere.max(engine.others_told);
+        let running = f64::from(engine.running) + others;
         running / f64::from(engine.entry.slots.max(1))
     };
     let usable: Vec<(EngineKey, &Engine)> = fleet
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -7,12 +7,21 @@
 #[test]
 fn show() {
     let model = model();
-    for (name, cards) in [("a", [("large", 1), ("middle", 3), ("small", 8)]), ("b", [("large", 1), ("middle", 6), ("small", 5)]), ("c", [("large", 2), ("middle", 2), ("small", 5)])] {
+    for (name, cards) in [
+        ("a", [("large", 1), ("middle", 3), ("small", 8)]),
+        ("b", [("large", 1), ("middle", 6), ("small", 5)]),
+        ("c", [("large", 2), ("middle", 2), ("small", 5)]),
+    ] {
         let hosts = hosts(name, &cards);
         let moves = placement::plan(&model, &hosts);
         for m in &moves {
             let h = hosts.iter().find(|h| h.engine == m.engine).unwrap();
-            println!("{name} {} {:?} kv {:.0}", h.card.memory_mb, m.layers, model.kv_tokens(&h.card, m.layers.len() as u32));
+            println!(
+                "{name} {} {:?} kv {:.0}",
+                h.card.memory_mb,
+                m.layers,
+                model.kv_tokens(&h.card, m.layers.len() as u32)
+            );
         }
     }
 }
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -77,6 +77,9 @@
 /// A fleet with these engines, and their rows in order.
 pub fn fleet(entries: impl IntoIterator<Item = Entry>) -> (Fleet, Vec<EngineKey>) {
     let mut fleet = Fleet::default();
-    let keys = entries.into_iter().map(|entry| fleet.upsert(entry, Instant::ZERO).0).collect();
+    let keys = entries
+        .into_iter()
+        .map(|entry| fleet.upsert(entry, Instant::ZERO).0)
+        .collect();
     (fleet, keys)
 }
--- a/reachtally-generate/src/lib.rs
+++ b/reachtally-generate/src/lib.rs
@@ -14,7 +14,7 @@
 }
 
 /// Every `.proto` file of the workspace.
-pub const SOURCES: [Source; 2] = [
+pub const SOURCES: [Source; 3] = [
     Source {
         crate_name: "reachtally-target",
         name: "engine",
@@ -23,6 +23,10 @@
         crate_name: "reachtally-protocol",
         name: "peer",
     },
+    Source {
+        crate_name: "reachtally-protocol",
+        name: "relay",
+    },
 ];
 
 impl Source {
--- a/reachtally-protocol/src/lib.rs
+++ b/reachtally-protocol/src/lib.rs
@@ -11,11 +11,13 @@
 
 pub mod codec;
 pub mod link;
+pub mod load;
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 mod generated {
     pub mod peer;
+    pub mod relay;
 }
 
 /// The longest frame taken, in bytes. A whole configuration must fit.
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -267,11 +267,12 @@
 }
 
 async fn count_boxes<S: Store>(relay: &Relay, store: &S) {
-    match store.census().await {
-        Ok(census) => {
-            let boxes = (census.boxes.max(1), census.at_home.max(1));
-            if relay.boxes.replace(boxes) != boxes {
-                log::info!(event = "boxes", boxes = boxes.0, at_home = boxes.1; "the number of boxes changed");
+    match store.members().await {
+        Ok(members) => {
+            let before = relay.members.replace(members).len();
+            let boxes = relay.members.borrow().len();
+            if before != boxes {
+                log::info!(event = "boxes", boxes = boxes, before = before; "the number of boxes changed");
             }
         }
         Err(err) => log::info!(event = "census-failed", why:% = err; "the boxes were not counted"),
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod answer;
 pub mod events;
 pub mod follow;
+pub mod gossip;
 pub mod listen;
 pub mod ready;
 pub mod relay;
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -9,11 +9,13 @@
 use reachtally_core::forward::budget::{BudgetBounds, SharedBudget};
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
 use reachtally_core::forward::freshness::Freshness;
+use reachtally_core::forward::peers::Peers;
 use reachtally_core::forward::routes::Table;
 use reachtally_core::forward::select;
 use reachtally_core::forward::stall::Progress;
 use tokio::sync::watch;
 
+use crate::store::Member;
 use crate::target;
 use crate::wire::Wire;
 
@@ -60,8 +62,10 @@
     pub progress: RefCell<Progress>,
     /// How old the configuration may be.
     pub freshness: Cell<Freshness>,
-    /// Boxes in the group, and those in this failure domain.
-    pub boxes: Cell<(u32, u32)>,
+    /// The other boxes' loads.
+    pub peers: RefCell<Peers>,
+    /// Boxes in the group.
+    pub members: RefCell<Vec<Member>>,
     budgets: RefCell<HashMap<Arc<str>, SharedBudget>>,
     stage: watch::Sender<Stage>,
     open: Cell<usize>,
@@ -73,7 +77,7 @@
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Boxes assumed before the first count: a small share of the budget is the safe side.
-const BOXES_ASSUMED: (u32, u32) = (64, 4);
+const BOXES_ASSUMED: u32 = 64;
 
 impl Relay {
     /// A relay that knows no configuration and no targets yet.
@@ -85,7 +89,8 @@
             fleet: RefCell::default(),
             progress: RefCell::default(),
             freshness: Cell::default(),
-            boxes: Cell::new(BOXES_ASSUMED),
+            peers: RefCell::default(),
+            members: RefCell::default(),
             budgets: RefCell::default(),
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
@@ -134,6 +139,14 @@
         }
     }
 
+    /// Number of boxes, this one included.
+    pub fn boxes(&self) -> u32 {
+        match self.members.borrow().len() {
+            0 => BOXES_ASSUMED,
+            count => count as u32,
+        }
+    }
+
     /// Count a request for a service's budget.
     pub fn count_first(&self, service: &Arc<str>) {
         let bounds = self.settings.borrow().budget;
@@ -149,7 +162,7 @@
         let bounds = self.settings.borrow().budget;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        budget.take(self.now(), &bounds, self.boxes.get().0)
+        budget.take(self.now(), &bounds, self.boxes())
     }
 
     /// Count a failure of a target.
@@ -203,7 +216,11 @@
                 }
             }
         });
-        futures::future::join_all(checks).await.into_iter().flatten().collect()
+        futures::future::join_all(checks)
+            .await
+            .into_iter()
+            .flatten()
+            .collect()
     }
 
     /// Whether some target could take a request now.
@@ -217,7 +234,6 @@
             now: self.now(),
             home: &settings.domain,
             avoid: &[],
-            sharing: 0.0,
         };
         table
             .services
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -1,12 +1,14 @@
 //! The platform's store as the relay uses it, with typed answers.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use reachtally_core::forward::cost::Layers;
 use reachtally_core::forward::fleet::{Engine, Entry};
 use reachtally_core::forward::routes::Table;
+use reachtally_core::ids::Incarnation;
 
 /// Why a call to the store yielded nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,13 +64,15 @@
     pub is_steward: bool,
 }
 
-/// Boxes in the group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Census {
-    /// All boxes seen.
-    pub boxes: u32,
-    /// Those of this box's own failure domain.
-    pub at_home: u32,
+/// A box in the group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its failure domain.
+    pub domain: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its run.
+    pub run: Incarnation,
 }
 
 /// The store.
@@ -99,8 +103,8 @@
         generation: u64,
     ) -> impl Future<Output = Result<Membership, StoreError>>;
 
-    /// Count the boxes of the group.
-    fn census(&self) -> impl Future<Output = Result<Census, StoreError>>;
+    /// The boxes of the group, this one included.
+    fn members(&self) -> impl Future<Output = Result<Vec<Member>, StoreError>>;
 }
 
 /// What an engine answered to an order.
--- a/reachtally-relay/src/stream.rs
+++ b/reachtally-relay/src/stream.rs
@@ -48,6 +48,46 @@
     occupied: Occupied,
     /// Expected time between two events.
     gap: Duration,
+    /// What was expected of the chain, and what it did, for the log.
+    record: Record,
+}
+
+/// What was expected of a chain, and what it did.
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    expected_first: Duration,
+    expected_gap: Duration,
+    began: Instant,
+    first: Option<Duration>,
+    longest_gap: Duration,
+    events: u32,
+    running: u32,
+}
+
+impl Record {
+    fn note(&mut self, now: Instant, since: Instant) {
+        match self.first {
+            None => self.first = Some(now.since(self.began)),
+            Some(_) => self.longest_gap = self.longest_gap.max(now.since(since)),
+        }
+        self.events += 1;
+    }
+
+    fn log(&self, relay: &Relay, call: &Call, engines: &[EngineKey]) {
+        let ms = |time: Duration| time.as_millis() as u64;
+        let first = self.first.unwrap_or_default();
+        let took = relay.now().since(self.began);
+        let gaps = self.events.saturating_sub(1).max(1);
+        log::info!(
+            event = "ended", id = &*call.head.id, parts = engines.len(), first:? = engines.first(),
+            first_ms = ms(first), expected_first_ms = ms(self.expected_first),
+            gap_us = (took.saturating_sub(first) / gaps).as_micros() as u64,
+            expected_gap_us = self.expected_gap.as_micros() as u64,
+            longest_ms = ms(self.longest_gap), events = self.events, running = self.running,
+            prompt = call.head.prompt_tokens as u64;
+            "a stream ended"
+        );
+    }
 }
 
 /// Engines picked for a send.
@@ -154,7 +194,6 @@
         now: relay.now(),
         home: &settings.domain,
         avoid,
-        sharing: f64::from(relay.boxes.get().1.max(1)),
     };
     match &call.service.model {
         Some(model) => {
@@ -206,6 +245,11 @@
         last_event: last,
     };
     let began = relay.now();
+    let running = relay
+        .fleet
+        .borrow()
+        .get(key)
+        .map_or(0, |engine| engine.running);
     let req = request(relay, call, &add);
     let mut sending = std::pin::pin!(target::send(address, req));
     let mut patience = pick.first.mul_f64(stall::SILENCE_GAPS) + FIRST_SLACK;
@@ -282,6 +326,15 @@
         driver: answer.driver,
         occupied,
         gap: pick.token,
+        record: Record {
+            expected_first: pick.first,
+            expected_gap: pick.token,
+            began,
+            first: None,
+            longest_gap: Duration::ZERO,
+            events: 0,
+            running,
+        },
     };
     Sent::Answer(Box::new((Response::from_parts(parts, ()), running)))
 }
@@ -412,6 +465,7 @@
                     return;
                 }
                 None => {
+                    running.record.log(relay, call, running.occupied.engines());
                     yield Step::Stopped(Stopped::Whole);
                     return;
                 }
@@ -434,6 +488,7 @@
                     return;
                 }
             }
+            running.record.note(now, since);
             let gap = now.since(since).as_secs_f64();
             let mean = running.gap.as_secs_f64();
             running.gap = Duration::from_secs_f64(mean + GAP_WEIGHT * (gap - mean));
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -109,9 +109,8 @@
         now: relay.now(),
         home: &settings.domain,
         avoid: tried,
-        sharing: 1.0,
     };
-    let most = (call.service.max_connections / relay.boxes.get().0.max(1)).max(1);
+    let most = (call.service.max_connections / relay.boxes()).max(1);
     select::instance(&fleet, &call.service_name, most, &cx, call.draw)
 }
 
@@ -193,7 +192,7 @@
     };
     if let Some(engine) = relay.fleet.borrow_mut().get_mut(key) {
         let others = (load.running + load.waiting).saturating_sub(engine.running);
-        engine.running_elsewhere = f64::from(others);
+        engine.others_told = f64::from(others);
     }
 }
 
