--- a/reachtally-core/src/forward/cost.rs
+++ b/reachtally-core/src/forward/cost.rs
@@ -7,6 +7,9 @@
 /// Measured: gaps of 33 to 48 ms where the passes alone come to 22 to 28.
 pub const WAIT_FACTOR: f64 = 1.5;
 
+/// Most of an engine's time that reading is reckoned to take; beyond it the queue grows without end.
+const MOST_READING: f64 = 0.8;
+
 /// A kind of accelerator.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Card {
@@ -83,6 +86,13 @@
         self.share(layers) * tokens * 1000.0 / self.read_per_s * card.read_factor
     }
 
+    /// How much longer everything takes on an engine of `layers` layers that also reads the prompts of
+    /// `rate` requests a second.
+    pub fn reading_slowdown(&self, card: &Card, layers: u32, rate: f64) -> f64 {
+        let busy = rate * self.read_ms(card, layers, self.usual_prompt) / 1000.0;
+        1.0 / (1.0 - busy.min(MOST_READING))
+    }
+
     /// Mean tokens that a request holds in KV while it runs.
     pub fn usual_context(&self) -> f64 {
         self.usual_prompt + self.usual_answer / 2.0
--- a/reachtally-core/src/forward/peers.rs
+++ b/reachtally-core/src/forward/peers.rs
@@ -12,6 +12,9 @@
 /// in a row are lost only with the box or its links.
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 
+/// Most boxes that one heard stands for; before the first reports nothing is known.
+const MOST_UNHEARD: f64 = 4.0;
+
 /// Requests of a box on one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerLoad {
@@ -76,9 +79,10 @@
         }
     }
 
-    /// Number of boxes that tell.
-    pub fn count(&self) -> usize {
-        self.by_run.len()
+    /// Boxes for each one that tells its load, of `boxes` boxes with this one.
+    pub fn unheard(&self, boxes: u32) -> f64 {
+        let others = f64::from(boxes.saturating_sub(1));
+        (others / self.by_run.len().max(1) as f64).clamp(1.0, MOST_UNHEARD)
     }
 }
 
--- a/reachtally-core/src/forward/placement.rs
+++ b/reachtally-core/src/forward/placement.rs
@@ -20,6 +20,8 @@
 const REQUESTS_STEP: f64 = 1.15;
 /// Part of the largest chain's worth that is taken off for the chance that it dies.
 const LARGEST_AT_RISK: f64 = 0.4;
+/// Rounds in which a chain's flow and the time that depends on it settle.
+const FLOW_ROUNDS: u32 = 12;
 /// Time of a hop between engines of a group, in ms.
 const HOP_MS: f64 = 0.5;
 
@@ -245,8 +247,8 @@
     each.iter().sum::<f64>() - LARGEST_AT_RISK * largest
 }
 
-/// Requests a second of one chain, by its KV and the time that a request holds it or by its busiest
-/// engine if that is less, over that time in seconds.
+/// Requests a second of one chain, by its places or its KV and the time that a request holds it, over
+/// that time in seconds. The time depends on the flow, since engines read prompts in between.
 fn chain_worth(model: &LayerModel, chain: &[Placed<'_>]) -> f64 {
     let kv = chain
         .iter()
@@ -254,16 +256,23 @@
     let kv = kv.fold(f64::INFINITY, f64::min);
     let at_once = (kv / model.usual_context()).min(f64::from(model.slots));
     let batch = (at_once / chain.len() as f64).max(1.0);
-    let mut held_ms = 0.0;
-    let mut busiest_ms: f64 = 0.0;
-    for (host, placed) in chain {
+    let mut flow = 0.0;
+    let mut held_ms = 1.0;
+    for _ in 0..FLOW_ROUNDS {
+        held_ms = chain_held_ms(model, chain, batch, flow);
+        flow = (flow + at_once * 1000.0 / held_ms) / 2.0;
+    }
+    flow * 1000.0 / held_ms
+}
+
+/// Time that a request holds a chain which serves `flow` requests a second, in ms.
+fn chain_held_ms(model: &LayerModel, chain: &[Placed<'_>], batch: f64, flow: f64) -> f64 {
+    let parts = chain.iter().map(|(host, placed)| {
         let layers = placed.layers.len() as u32;
         let step_ms = model.step_ms(&host.card, layers, batch);
         let read_ms = model.read_ms(&host.card, layers, model.usual_prompt);
-        held_ms += WAIT_FACTOR * (read_ms + model.usual_answer * step_ms);
-        held_ms += model.usual_answer * HOP_MS;
-        busiest_ms = busiest_ms.max(read_ms + model.usual_answer * step_ms / batch);
-    }
-    let flow = (at_once * 1000.0 / held_ms).min(1000.0 / busiest_ms);
-    flow * 1000.0 / held_ms
+        let busy = model.reading_slowdown(&host.card, layers, flow) * WAIT_FACTOR;
+        busy * (read_ms + model.usual_answer * step_ms) + model.usual_answer * HOP_MS
+    });
+    parts.sum()
 }
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -16,6 +16,8 @@
 /// Part of an engine's KV that requests may need at their ends, all together. They do not end all at
 /// once, and a request that does not fit any more is read again, often more than once.
 const KV_USED: f64 = 1.1;
+/// Part of an engine's places that is used, since loads are known some hundred ms late.
+const SLOTS_USED: f64 = 0.95;
 /// What another failure domain's chain must be faster by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
 
@@ -37,6 +39,10 @@
     pub home: &'a str,
     /// Engines that must not take part.
     pub avoid: &'a [EngineKey],
+    /// How long requests have lately run.
+    pub held: Duration,
+    /// Boxes for each box that tells its load, this one included.
+    pub unheard: f64,
 }
 
 /// A path and what is expected of it.
@@ -85,7 +91,7 @@
         if !is_usable(key, engine, cx, trust) {
             continue;
         }
-        let Some(candidate) = Candidate::new(key, engine, model, need) else {
+        let Some(candidate) = Candidate::new(key, engine, model, need, cx) else {
             continue;
         };
         by_domain
@@ -122,30 +128,42 @@
 struct Candidate<'a> {
     key: EngineKey,
     engine: &'a Engine,
+    /// Whether it has a place for a request that is sent to it.
+    takes_more: bool,
     token_ms: f64,
     read_ms: f64,
 }
 
 impl<'a> Candidate<'a> {
-    fn new(key: EngineKey, engine: &'a Engine, model: &LayerModel, need: Need) -> Option<Self> {
+    fn new(
+        key: EngineKey,
+        engine: &'a Engine,
+        model: &LayerModel,
+        need: Need,
+        cx: &Circumstance<'_>,
+    ) -> Option<Self> {
         let card = model.cards.get(&**engine.entry.card.as_ref()?)?;
         let layers = engine.entry.layers.len() as u32;
         if layers == 0 {
             return None;
         }
-        let running = f64::from(engine.running) + engine.running_elsewhere;
-        let tokens = engine.tokens + engine.tokens_elsewhere + need.prompt + need.answer;
+        let running = f64::from(engine.running) + engine.running_elsewhere * cx.unheard;
+        let others = engine.tokens_elsewhere * cx.unheard;
+        let tokens = engine.tokens + others + need.prompt + need.answer;
         if tokens > KV_USED * model.kv_tokens(card, layers) {
             return None;
         }
         let each = f64::from(layers);
         // The requests of a chain are spread over its engines.
         let batch = running * model.share(layers) + 1.0;
+        let rate = running / cx.held.as_secs_f64();
+        let busy = model.reading_slowdown(card, layers, rate) * WAIT_FACTOR;
         Some(Candidate {
             key,
             engine,
-            token_ms: WAIT_FACTOR * model.step_ms(card, layers, batch) / each,
-            read_ms: WAIT_FACTOR * model.read_ms(card, layers, need.prompt) / each,
+            takes_more: running < SLOTS_USED * f64::from(engine.entry.slots),
+            token_ms: busy * model.step_ms(card, layers, batch) / each,
+            read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
         })
     }
 }
@@ -185,7 +203,7 @@
         };
         for (index, candidate) in candidates.iter().enumerate() {
             let held = &candidate.engine.entry.layers;
-            if !held.contains(&(at as u32)) {
+            if !held.contains(&(at as u32)) || (at == 0 && !candidate.takes_more) {
                 continue;
             }
             let to = (held.end as usize).min(end);
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -67,6 +67,7 @@
     /// Boxes in the group.
     pub members: RefCell<Vec<Member>>,
     budgets: RefCell<HashMap<Arc<str>, SharedBudget>>,
+    held: Cell<Duration>,
     stage: watch::Sender<Stage>,
     open: Cell<usize>,
     started: tokio::time::Instant,
@@ -76,6 +77,12 @@
 /// ask once.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time that a request is assumed to run before the first one has ended.
+const HELD_ASSUMED: Duration = Duration::from_secs(3);
+/// Weight of a request in the running mean of that time.
+const HELD_WEIGHT: f64 = 0.03;
+/// Least mean, in seconds, so that rates stay finite.
+const LEAST_HELD: f64 = 0.2;
 /// Boxes assumed before the first count: a small share of the budget is the safe side.
 const BOXES_ASSUMED: u32 = 64;
 
@@ -92,6 +99,7 @@
             peers: RefCell::default(),
             members: RefCell::default(),
             budgets: RefCell::default(),
+            held: Cell::new(HELD_ASSUMED),
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             started: tokio::time::Instant::now(),
@@ -223,6 +231,28 @@
             .collect()
     }
 
+    /// Note how long a request ran on its engines.
+    pub fn note_held(&self, held: Duration) {
+        let mean = self.held.get().as_secs_f64();
+        let next = mean + HELD_WEIGHT * (held.as_secs_f64() - mean);
+        self.held.set(Duration::from_secs_f64(next.max(LEAST_HELD)));
+    }
+
+    /// What choices take into account, with `settings` for the home domain.
+    pub fn circumstance<'a>(
+        &self,
+        settings: &'a Settings,
+        avoid: &'a [EngineKey],
+    ) -> select::Circumstance<'a> {
+        select::Circumstance {
+            now: self.now(),
+            home: &settings.domain,
+            avoid,
+            held: self.held.get(),
+            unheard: self.peers.borrow().unheard(self.boxes()),
+        }
+    }
+
     /// Whether some target could take a request now.
     pub fn can_serve(&self) -> bool {
         let Some(table) = self.config() else {
@@ -230,11 +260,7 @@
         };
         let settings = self.settings.borrow();
         let fleet = self.fleet.borrow();
-        let cx = select::Circumstance {
-            now: self.now(),
-            home: &settings.domain,
-            avoid: &[],
-        };
+        let cx = self.circumstance(&settings, &[]);
         table
             .services
             .iter()
--- a/reachtally-relay/src/stream.rs
+++ b/reachtally-relay/src/stream.rs
@@ -190,11 +190,7 @@
 fn choose(relay: &Relay, call: &Call, avoid: &[EngineKey]) -> Option<Pick> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
-    let cx = select::Circumstance {
-        now: relay.now(),
-        home: &settings.domain,
-        avoid,
-    };
+    let cx = relay.circumstance(&settings, avoid);
     match &call.service.model {
         Some(model) => {
             let found = select::path(&fleet, &call.service_name, model, need(call), &cx)?;
@@ -466,6 +462,7 @@
                 }
                 None => {
                     running.record.log(relay, call, running.occupied.engines());
+                    relay.note_held(relay.now().since(running.record.began));
                     yield Step::Stopped(Stopped::Whole);
                     return;
                 }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -105,11 +105,7 @@
 fn choose(relay: &Relay, call: &Call, tried: &[EngineKey]) -> Option<EngineKey> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
-    let cx = select::Circumstance {
-        now: relay.now(),
-        home: &settings.domain,
-        avoid: tried,
-    };
+    let cx = relay.circumstance(&settings, tried);
     let most = (call.service.max_connections / relay.boxes()).max(1);
     select::instance(&fleet, &call.service_name, most, &cx, call.draw)
 }
