feat: one box of each failure domain reads the store, the others ask it

Change: questions and answers between boxes (prost, length-delimited), confirmations aged from when the question was sent; a box whose source fails reads the store at once.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -47,8 +47,6 @@
 /// An entry that is read this long after its target was found dead was written by a live target:
 /// entries are read within a second.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(1300);
-/// A target found dead is tried again after this, should its entry never be written again.
-const DEAD_FOR: Duration = Duration::from_secs(10);
 
 /// Failures of a target and what was concluded.
 #[derive(Debug, Clone, Copy, Default)]
@@ -70,15 +68,13 @@
     }
 
     /// Whether the target takes no connections, as far as is known.
-    pub fn is_dead(&self, now: Instant) -> bool {
-        self.dead_since.is_some_and(|at| now.since(at) < DEAD_FOR)
+    pub fn is_dead(&self) -> bool {
+        self.dead_since.is_some()
     }
 
     /// The target took no connection.
     pub fn found_dead(&mut self, now: Instant) {
-        if !self.is_dead(now) {
-            self.dead_since = Some(now);
-        }
+        self.dead_since.get_or_insert(now);
     }
 
     /// The target took a connection.
@@ -220,6 +216,15 @@
         self.by_id.keys().cloned().collect()
     }
 
+    /// Targets that take no connections.
+    pub fn dead(&self) -> Vec<EngineKey> {
+        let dead = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.health.is_dead());
+        dead.map(|(key, _)| key).collect()
+    }
+
     /// A target by row.
     pub fn get(&self, key: EngineKey) -> Option<&Engine> {
         self.engines.get(key)
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! time, which layers an engine should hold. Nothing here knows a wire format.
 
 pub mod budget;
+pub mod changes;
 pub mod cost;
 pub mod fleet;
 pub mod freshness;
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -120,7 +120,7 @@
         return true;
     }
     let health = &engine.health;
-    !health.is_dead(cx.now) && !health.is_held(cx.now) && engine.missing_since.is_none()
+    !health.is_dead() && !health.is_held(cx.now) && engine.missing_since.is_none()
 }
 
 /// An engine with what a token and the prompt cost on it for each layer.
--- a/reachtally-protocol/src/lib.rs
+++ b/reachtally-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod codec;
 pub mod link;
 pub mod load;
+pub mod news;
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- /dev/null
+++ b/reachtally-protocol/src/news.rs
@@ -0,0 +1,140 @@
+//! What a box asks another for, and what it is told: the configuration and the targets.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message as _;
+use reachtally_core::forward::changes::Cursor;
+use reachtally_core::forward::fleet::Entry;
+
+use crate::FRAME_MAX;
+use crate::codec::Error;
+use crate::generated::relay as pb;
+
+/// Asks for what is new since what the asker holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Ask {
+    /// Version of the configuration held; 0 for none.
+    pub config_version: u64,
+    /// How far the asker has followed the answerer's changes of targets.
+    pub targets: Cursor,
+}
+
+/// What is new.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct News {
+    /// Age of the read that confirmed the configuration.
+    pub confirmed_age: Option<Duration>,
+    /// The configuration as published; empty if the asker's is as new.
+    pub config: Bytes,
+    /// How far the changes of targets go.
+    pub targets: Cursor,
+    /// Whether `wrote` holds all targets.
+    pub is_whole: bool,
+    /// Entries that changed.
+    pub wrote: Vec<Entry>,
+    /// Ids of targets that are gone.
+    pub gone: Vec<String>,
+}
+
+/// Frames of these messages: a length of four bytes, then `prost`.
+pub fn frames() -> tokio_util::codec::LengthDelimitedCodec {
+    let mut builder = tokio_util::codec::LengthDelimitedCodec::builder();
+    builder.max_frame_length(FRAME_MAX);
+    builder.new_codec()
+}
+
+impl Ask {
+    /// As the content of a frame.
+    pub fn encode(&self) -> Bytes {
+        let message = pb::Ask {
+            config_version: self.config_version,
+            targets_run: self.targets.run,
+            targets_next: self.targets.next,
+        };
+        message.encode_to_vec().into()
+    }
+
+    /// From the content of a frame.
+    ///
+    /// # Errors
+    /// [`Error::Decode`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let message = pb::Ask::decode(bytes).map_err(Error::Decode)?;
+        Ok(Ask {
+            config_version: message.config_version,
+            targets: Cursor {
+                run: message.targets_run,
+                next: message.targets_next,
+            },
+        })
+    }
+}
+
+impl News {
+    /// As the content of a frame.
+    pub fn encode(&self) -> Bytes {
+        let message = pb::News {
+            confirmed_age_ms: self.confirmed_age.map(|age| age.as_millis() as u64),
+            config: self.config.clone(),
+            targets_run: self.targets.run,
+            targets_next: self.targets.next,
+            is_whole: self.is_whole,
+            wrote: self.wrote.iter().map(encode_entry).collect(),
+            gone: self.gone.clone(),
+        };
+        message.encode_to_vec().into()
+    }
+
+    /// From the content of a frame.
+    ///
+    /// # Errors
+    /// [`Error::Decode`], or [`Error::Missing`] for an address that is none.
+    pub fn decode(bytes: Bytes) -> Result<Self, Error> {
+        let message = pb::News::decode(bytes).map_err(Error::Decode)?;
+        let wrote: Result<Vec<Entry>, Error> =
+            message.wrote.into_iter().map(decode_entry).collect();
+        Ok(News {
+            // Rounded up, since a smaller age would be a promise that was not given.
+            confirmed_age: message
+                .confirmed_age_ms
+                .map(|ms| Duration::from_millis(ms + 1)),
+            config: message.config,
+            targets: Cursor {
+                run: message.targets_run,
+                next: message.targets_next,
+            },
+            is_whole: message.is_whole,
+            wrote: wrote?,
+            gone: message.gone,
+        })
+    }
+}
+
+fn encode_entry(entry: &Entry) -> pb::Target {
+    pb::Target {
+        run: entry.id.to_string(),
+        service: entry.service.to_string(),
+        address: entry.address.to_string(),
+        domain: entry.domain.to_string(),
+        draining: entry.draining,
+        slots: entry.slots,
+        card: entry.card.as_deref().unwrap_or_default().to_owned(),
+        layers_from: entry.layers.start,
+        layers_to: entry.layers.end,
+    }
+}
+
+fn decode_entry(target: pb::Target) -> Result<Entry, Error> {
+    let address = target.address.parse();
+    Ok(Entry {
+        id: target.run.into(),
+        service: target.service.into(),
+        address: address.map_err(|_| Error::Missing("address"))?,
+        domain: target.domain.into(),
+        draining: target.draining,
+        slots: target.slots,
+        card: (!target.card.is_empty()).then(|| target.card.into()),
+        layers: target.layers_from..target.layers_to,
+    })
+}
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -15,14 +15,17 @@
 pub mod events;
 pub mod follow;
 pub mod gossip;
+pub mod group;
 pub mod listen;
 pub mod ready;
 pub mod relay;
 pub mod serve;
+pub mod share;
 pub mod steward;
 pub mod store;
 mod stream;
 pub mod target;
+mod targets;
 mod whole;
 pub mod wire;
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use reachtally_core::Instant;
 use reachtally_core::forward::budget::{BudgetBounds, SharedBudget};
+use reachtally_core::forward::changes::Changes;
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
 use reachtally_core::forward::freshness::Freshness;
 use reachtally_core::forward::peers::Peers;
@@ -16,7 +18,6 @@
 use tokio::sync::watch;
 
 use crate::store::Member;
-use crate::target;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -68,15 +69,16 @@
     pub members: RefCell<Vec<Member>>,
     budgets: RefCell<HashMap<Arc<str>, SharedBudget>>,
     held: Cell<Duration>,
+    published: RefCell<Bytes>,
+    direct: watch::Sender<bool>,
+    news: watch::Sender<()>,
+    /// Changes of targets, for other boxes.
+    pub changes: RefCell<Changes>,
     stage: watch::Sender<Stage>,
     open: Cell<usize>,
     started: tokio::time::Instant,
 }
 
-/// Time for which the answer to whether a target is there holds, so that the streams of one engine
-/// ask once.
-pub const CHECK_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Time that a request is assumed to run before the first one has ended.
 const HELD_ASSUMED: Duration = Duration::from_secs(3);
 /// Weight of a request in the running mean of that time.
@@ -100,6 +102,10 @@
             members: RefCell::default(),
             budgets: RefCell::default(),
             held: Cell::new(HELD_ASSUMED),
+            published: RefCell::default(),
+            direct: watch::Sender::new(true),
+            news: watch::Sender::new(()),
+            changes: RefCell::default(),
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             started: tokio::time::Instant::now(),
@@ -121,15 +127,50 @@
         self.table.borrow().clone()
     }
 
-    /// Put a configuration in force, unless the one held is as new. Yields whether it was.
-    pub fn apply(&self, table: Table) -> bool {
-        let held = self.table.borrow().as_ref().map(|held| held.version);
+    /// Put a configuration in force as it was published, unless the one held is as new.
+    ///
+    /// # Errors
+    /// What is wrong with it; the one held stays.
+    pub fn publish(&self, raw: &Bytes) -> Result<(), String> {
+        let table = self.wire.config(raw)?;
+        let held = self.config().map(|held| held.version);
         if held.is_some_and(|version| version >= table.version) {
-            return false;
+            return Ok(());
         }
         log::info!(event = "config", version = table.version, held:? = held, routes = table.route_count(); "configuration applied");
         *self.table.borrow_mut() = Some(Arc::new(table));
-        true
+        *self.published.borrow_mut() = raw.clone();
+        self.touched();
+        Ok(())
+    }
+
+    /// The configuration in force as it was published.
+    pub fn published(&self) -> Bytes {
+        self.published.borrow().clone()
+    }
+
+    /// Whether this box reads the store itself.
+    pub fn set_direct(&self, direct: bool) {
+        self.direct
+            .send_if_modified(|held| std::mem::replace(held, direct) != direct);
+    }
+
+    /// Wait until this box reads the store itself.
+    pub async fn until_direct(&self) {
+        let mut direct = self.direct.subscribe();
+        // The sender lives as long as this value, so the wait ends only when it is so.
+        if direct.wait_for(|direct| *direct).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Follow the changes that other boxes must hear of.
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    pub(crate) fn touched(&self) {
+        self.news.send_replace(());
     }
 
     /// Note that a read which began at `began` showed no newer configuration.
@@ -173,64 +214,6 @@
         budget.take(self.now(), &bounds, self.boxes())
     }
 
-    /// Count a failure of a target.
-    pub fn target_failed(&self, key: EngineKey, why: &str) {
-        let mut fleet = self.fleet.borrow_mut();
-        let Some(engine) = fleet.get(key) else {
-            return;
-        };
-        log::info!(event = "target-failed", target = &*engine.entry.id, address:% = engine.entry.address, why = why; "hold off a target");
-        fleet.failed(key, self.now());
-    }
-
-    /// A target took no connection.
-    pub fn target_dead(&self, key: EngineKey) {
-        let now = self.now();
-        let mut fleet = self.fleet.borrow_mut();
-        let Some(engine) = fleet.get_mut(key) else {
-            return;
-        };
-        if !engine.health.is_dead(now) {
-            log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address; "a target takes no connections");
-        }
-        engine.health.found_dead(now);
-    }
-
-    /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
-    pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
-        let now = self.now();
-        let checks = engines.iter().map(|key| async move {
-            let engine = self.fleet.borrow().get(*key).cloned();
-            let Some(engine) = engine else {
-                return Some(*key);
-            };
-            let is_recent = |at: Instant| now.since(at) < CHECK_INTERVAL;
-            if engine.health.is_dead(now) {
-                return Some(*key);
-            }
-            if engine.health.alive_at().is_some_and(is_recent) {
-                return None;
-            }
-            match target::is_there(engine.entry.address).await {
-                true => {
-                    if let Some(engine) = self.fleet.borrow_mut().get_mut(*key) {
-                        engine.health.found_alive(self.now());
-                    }
-                    None
-                }
-                false => {
-                    self.target_dead(*key);
-                    Some(*key)
-                }
-            }
-        });
-        futures::future::join_all(checks)
-            .await
-            .into_iter()
-            .flatten()
-            .collect()
-    }
-
     /// Note how long a request ran on its engines.
     pub fn note_held(&self, held: Duration) {
         let mean = self.held.get().as_secs_f64();
--- /dev/null
+++ b/reachtally-relay/src/share.rs
@@ -0,0 +1,276 @@
+//! The configuration and the targets from other boxes.
+//!
+//! One box of each failure domain reads the store, and the others ask it. Calls to the store then grow
+//! with the failure domains and not with the boxes, and a box that the store turns away goes on with
+//! what a box that reaches it tells. A box whose source fails reads the store itself at once.
+//!
+//! How old a confirmation is counts from when the question was *sent*, less the age that the answer
+//! tells; so neither a slow answer nor a pause of this process makes it look newer than it is.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use reachtally_core::Instant;
+use reachtally_core::forward::changes::{Cursor, Since};
+use reachtally_core::ids::Incarnation;
+use reachtally_protocol::news::{Ask, News, frames};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::relay::Relay;
+
+/// How long a question waits for something new.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+/// Time for an answer beside that wait; boxes are a millisecond apart.
+const ANSWER_SLACK: Duration = Duration::from_millis(300);
+/// A box whose confirmation is older than this is no good source. Reads of the store wait for 1.2 s,
+/// and each confirms as of its beginning, so ages up to 2.4 s are usual.
+const SOUND_AGE: Duration = Duration::from_millis(2700);
+/// How long a source that failed is left alone.
+const AVOID_SOURCE: Duration = Duration::from_secs(2);
+/// Time between two looks while this box reads the store itself.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// A connection for questions is closed when nothing was asked for this long.
+const IDLE: Duration = Duration::from_secs(10);
+
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Answer other boxes' questions until the process ends.
+pub async fn serve(relay: Rc<Relay>, listener: TcpListener, run: Incarnation) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let relay = relay.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(why) = answer_all(&relay, stream, run).await {
+                        log::debug!(event = "peer-connection", from:% = from, why = &*why; "a box's connection ended");
+                    }
+                });
+            }
+            Err(err) => {
+                log::warn!(event = "accept-failed", why:% = err; "a box's connection was not taken");
+                sleep(LOOK_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn answer_all(relay: &Relay, stream: TcpStream, run: Incarnation) -> Result<(), String> {
+    let mut link = Framed::new(stream, frames());
+    loop {
+        let frame = timeout(IDLE, link.next())
+            .await
+            .map_err(|err| err.to_string())?;
+        let Some(frame) = frame else {
+            return Ok(());
+        };
+        let frame = frame.map_err(|err| err.to_string())?;
+        let ask = Ask::decode(&frame).map_err(|err| err.to_string())?;
+        let news = answer(relay, &ask, run).await;
+        link.send(news.encode())
+            .await
+            .map_err(|err| err.to_string())?;
+    }
+}
+
+/// Wait until there is something new, but not longer than [`ANSWER_WAIT`].
+async fn answer(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
+    let mut changed = relay.news();
+    let waiting = async { while !is_news(relay, ask, run) && changed.changed().await.is_ok() {} };
+    // Running out of time is an answer as good as any: nothing is new.
+    let _ = timeout(ANSWER_WAIT, waiting).await;
+    news(relay, ask, run)
+}
+
+fn is_news(relay: &Relay, ask: &Ask, run: Incarnation) -> bool {
+    let version = relay.config().map_or(0, |table| table.version);
+    let targets = Cursor {
+        run: run.0,
+        next: relay.changes.borrow().next(),
+    };
+    version > ask.config_version || ask.targets != targets
+}
+
+fn news(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
+    let version = relay.config().map_or(0, |table| table.version);
+    let is_newer = version > ask.config_version;
+    let changes = relay.changes.borrow();
+    let mut news = News {
+        confirmed_age: relay.freshness.get().age(relay.now()),
+        config: if is_newer {
+            relay.published()
+        } else {
+            Default::default()
+        },
+        targets: Cursor {
+            run: run.0,
+            next: changes.next(),
+        },
+        ..News::default()
+    };
+    let fleet = relay.fleet.borrow();
+    match changes.since(ask.targets, run.0) {
+        Since::Whole => {
+            news.is_whole = true;
+            news.wrote = fleet
+                .iter()
+                .map(|(_, engine)| engine.entry.clone())
+                .collect();
+        }
+        Since::Changed(ids) => {
+            for id in ids {
+                match fleet.find(&id).and_then(|key| fleet.get(key)) {
+                    Some(engine) => news.wrote.push(engine.entry.clone()),
+                    None => news.gone.push(id.to_string()),
+                }
+            }
+        }
+    }
+    news
+}
+
+/// A box that is asked.
+struct Source {
+    ip: IpAddr,
+    link: Link,
+    targets: Cursor,
+}
+
+/// Ask other boxes, or let this one read the store itself, until the process ends.
+pub async fn ask(relay: Rc<Relay>, port: u16, run: Incarnation) {
+    let mut source: Option<Source> = None;
+    let mut avoid: Vec<(IpAddr, Instant)> = Vec::new();
+    loop {
+        let now = relay.now();
+        avoid.retain(|(_, at)| now.since(*at) < AVOID_SOURCE);
+        let is_sound = relay
+            .freshness
+            .get()
+            .age(now)
+            .is_some_and(|age| age < SOUND_AGE);
+        let Some(ip) = pick(&relay, run, &avoid, is_sound) else {
+            relay.set_direct(true);
+            source = None;
+            sleep(LOOK_INTERVAL).await;
+            continue;
+        };
+        let kept = source.take().filter(|source| source.ip == ip);
+        match ask_once(&relay, kept, SocketAddr::new(ip, port)).await {
+            Ok(answered) => {
+                relay.set_direct(false);
+                source = Some(answered);
+            }
+            Err(why) => {
+                log::info!(event = "source-lost", from:% = ip, why = &*why; "a box is no source any more");
+                relay.set_direct(true);
+                avoid.push((ip, relay.now()));
+            }
+        }
+    }
+}
+
+/// The box to ask. The one with the least run of each failure domain reads the store; it asks others
+/// only while its own reads fail, and so does a box whose own source has failed.
+fn pick(
+    relay: &Relay,
+    run: Incarnation,
+    avoid: &[(IpAddr, Instant)],
+    is_sound: bool,
+) -> Option<IpAddr> {
+    let settings = relay.settings.borrow();
+    let members = relay.members.borrow();
+    let is_home = |domain: &str| domain == settings.domain;
+    let leader = members
+        .iter()
+        .filter(|member| is_home(&member.domain))
+        .min_by_key(|m| m.run.0)?;
+    let is_usable = |ip: &IpAddr| avoid.iter().all(|(other, _)| other != ip);
+    if leader.run != run && is_usable(&leader.ip) {
+        return Some(leader.ip);
+    }
+    if is_sound {
+        return None;
+    }
+    let others = members
+        .iter()
+        .filter(|member| member.run != run && is_usable(&member.ip));
+    others
+        .min_by_key(|member| (!is_home(&member.domain), member.run.0))
+        .map(|member| member.ip)
+}
+
+async fn ask_once(
+    relay: &Relay,
+    kept: Option<Source>,
+    address: SocketAddr,
+) -> Result<Source, String> {
+    let mut source = match kept {
+        Some(source) => source,
+        None => open(address).await?,
+    };
+    let began = relay.now();
+    let ask = Ask {
+        config_version: relay.config().map_or(0, |table| table.version),
+        targets: source.targets,
+    };
+    let asking = async {
+        source
+            .link
+            .send(ask.encode())
+            .await
+            .map_err(|err| err.to_string())?;
+        match source.link.next().await {
+            Some(Ok(frame)) => News::decode(frame.freeze()).map_err(|err| err.to_string()),
+            Some(Err(err)) => Err(err.to_string()),
+            None => Err("the connection was closed".to_owned()),
+        }
+    };
+    let answered = timeout(ANSWER_WAIT + ANSWER_SLACK, asking).await;
+    let news = answered.map_err(|_| "no answer in time".to_owned())??;
+    let age = news.confirmed_age.ok_or("it knows no configuration")?;
+    if age > SOUND_AGE {
+        return Err(format!(
+            "its configuration was confirmed {} ms ago",
+            age.as_millis()
+        ));
+    }
+    source.targets = news.targets;
+    take(relay, news)?;
+    let confirmed = began.elapsed().saturating_sub(age);
+    relay.confirm(Instant::from_elapsed(confirmed));
+    Ok(source)
+}
+
+fn take(relay: &Relay, news: News) -> Result<(), String> {
+    if !news.config.is_empty() {
+        relay.publish(&news.config)?;
+    }
+    if news.is_whole {
+        relay.replace_targets(news.wrote, false);
+        return Ok(());
+    }
+    for entry in news.wrote {
+        relay.target_wrote(entry);
+    }
+    for id in news.gone {
+        relay.target_gone(&id, false);
+    }
+    Ok(())
+}
+
+async fn open(address: SocketAddr) -> Result<Source, String> {
+    let connecting = timeout(ANSWER_SLACK, TcpStream::connect(address)).await;
+    let stream = connecting.map_err(|_| "no connection in time".to_owned())?;
+    let stream = stream.map_err(|err| err.to_string())?;
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!(event = "nodelay", why:% = err; "a connection waits for full packets");
+    }
+    Ok(Source {
+        ip: address.ip(),
+        link: Framed::new(stream, frames()),
+        targets: Cursor::default(),
+    })
+}
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -11,7 +11,7 @@
 use reachtally_core::forward::placement::{self, Host, Move};
 use tokio::time::sleep;
 
-use crate::follow::Tenure;
+use crate::group::Tenure;
 use crate::relay::Relay;
 use crate::store::{OrderAnswer, Orders};
 
@@ -86,10 +86,9 @@
     model: &LayerModel,
     pending: &HashMap<EngineKey, Pending>,
 ) -> Vec<Host> {
-    let now = relay.now();
     let fleet = relay.fleet.borrow();
     let usable = |engine: &Engine| {
-        !engine.entry.draining && engine.missing_since.is_none() && !engine.health.is_dead(now)
+        !engine.entry.draining && engine.missing_since.is_none() && !engine.health.is_dead()
     };
     fleet
         .of_service(service)
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use reachtally_core::forward::cost::Layers;
 use reachtally_core::forward::fleet::{Engine, Entry};
-use reachtally_core::forward::routes::Table;
 use reachtally_core::ids::Incarnation;
 
 /// Why a call to the store yielded nothing.
@@ -77,15 +77,15 @@
 
 /// The store.
 pub trait Store {
-    /// The newest configuration, if there is one.
-    fn config(&self) -> impl Future<Output = Result<Feed<Table>, StoreError>>;
+    /// The newest configuration as published, if there is one.
+    fn config(&self) -> impl Future<Output = Result<Feed<Bytes>, StoreError>>;
 
     /// Configurations from `offset` on; waits up to `wait` for the first.
     fn config_from(
         &self,
         offset: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Feed<Table>, StoreError>>;
+    ) -> impl Future<Output = Result<Feed<Bytes>, StoreError>>;
 
     /// All targets' entries.
     fn targets(&self) -> impl Future<Output = Result<Feed<Entry>, StoreError>>;
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -5,6 +5,7 @@
 
 use hyper::header::HeaderMap;
 use reachtally_core::forward::path::Path;
+use reachtally_core::forward::routes::Table;
 
 /// A request's head, decoded.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -72,8 +73,14 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BadHead(pub String);
 
-/// Decodes and encodes the heads of requests and answers.
+/// Decodes and encodes the heads of requests and answers, and decodes configurations.
 pub trait Wire {
+    /// Decode a configuration as published.
+    ///
+    /// # Errors
+    /// What is wrong with it, and where.
+    fn config(&self, raw: &[u8]) -> Result<Table, String>;
+
     /// Decode a caller's head.
     ///
     /// # Errors
