--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -183,24 +183,23 @@
         ends.filter_map(|end| by_prefix.get(&path[..end])).next()
     }
 
-    /// The route and account of a request.
+    /// Whether requests carry keys.
+    pub fn has_keys(&self) -> bool {
+        self.accounts.is_some()
+    }
+
+    /// The account of a request on `route` with this key; `None` if it needs none and has none.
     ///
     /// # Errors
-    /// See [`Denied`].
-    pub fn judge(
-        &self,
-        host: &str,
-        path: &str,
-        key: Option<&str>,
-    ) -> Result<(Arc<Route>, Option<Account>), Denied> {
-        let route = self.find(host, path).ok_or(Denied::NoRoute)?;
+    /// [`Denied::UnknownKey`].
+    pub fn account(&self, route: &Route, key: Option<&str>) -> Result<Option<Account>, Denied> {
         let Some(accounts) = &self.accounts else {
-            return Ok((route.clone(), None));
+            return Ok(None);
         };
         let account = key.and_then(|key| accounts.get(key));
         if account.is_none() && !route.public {
             return Err(Denied::UnknownKey);
         }
-        Ok((route.clone(), account.cloned()))
+        Ok(account.cloned())
     }
 }
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -10,9 +10,9 @@
 use crate::relay::Relay;
 use crate::store::{Feed, Store, StoreError, TargetChange};
 
-/// Longest wait of one read of the configuration. A key that was taken away must stop working within
-/// some seconds, so several reads must fit into that.
-const CONFIG_WAIT: Duration = Duration::from_millis(1200);
+/// Longest wait of one read of the configuration. Other boxes rely on this one's reads, and must notice
+/// within a second or so that they fail: a change must be in force everywhere within two.
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
 /// Time between two reads of the targets' changes: a leaving target must get nothing after two
 /// seconds or so, and waiting reads would return at every heartbeat of every target.
 const TARGETS_INTERVAL: Duration = Duration::from_millis(600);
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -12,7 +12,9 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use reachtally_core::Instant;
-use reachtally_core::forward::routes::{CallerLimits, Denied, Route, Service, Shape, Table};
+use reachtally_core::forward::routes::{
+    Account, CallerLimits, Denied, Route, Service, Shape, Table,
+};
 use reachtally_core::life::{GivenUp, Life, Received, Refusal};
 
 use crate::answer::{self, Body};
@@ -98,7 +100,8 @@
     if relay.is_closing() {
         return Err(refuse(Refusal::Stopping));
     }
-    if !relay.is_fresh() {
+    let judged = judge(&table, &parts)?;
+    if judged.needs_fresh() && !relay.is_fresh() {
         let age = relay
             .freshness
             .get()
@@ -107,7 +110,10 @@
         log::info!(event = "refused", id = &*head.id, why = "stale", version = table.version, age_ms:? = age; "the configuration was not confirmed in time");
         return Err(refuse(Refusal::Paused));
     }
-    let (route, account) = judge(&table, &parts, &head)?;
+    let (route, account) = judged.allow(&table, &head).map_err(|denied| {
+        log::info!(event = "denied", id = &*head.id, why:? = denied, version = table.version, path = parts.uri.path(); "the request is not allowed");
+        deny(denied)
+    })?;
     let body = read_body(body, table.limits).await?;
     let service_name = route.service(draw).cloned();
     let service_name = service_name.ok_or_else(|| refuse(Refusal::UnknownService))?;
@@ -131,25 +137,46 @@
     })
 }
 
-type Judged = (
-    Arc<Route>,
-    Option<reachtally_core::forward::routes::Account>,
-);
+/// The route of a request, if there is one.
+struct Judged {
+    route: Option<Arc<Route>>,
+    has_keys: bool,
+}
 
-fn judge(table: &Table, parts: &Parts, head: &CallHead) -> Result<Judged, Response<Body>> {
+fn judge(table: &Table, parts: &Parts) -> Result<Judged, Response<Body>> {
     let by_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let by_uri = parts.uri.authority().map(|authority| authority.as_str());
     let host = by_uri.or(by_header).ok_or_else(|| bad_request("no host"))?;
-    let judged = table.judge(host, parts.uri.path(), head.key.as_deref());
-    judged.map_err(|denied| {
-        log::info!(event = "denied", id = &*head.id, why:? = denied, version = table.version, host = host, path = parts.uri.path(); "no route took the request");
-        match denied {
-            Denied::NoRoute => answer::plain(StatusCode::NOT_FOUND, "no such route"),
-            Denied::UnknownKey => answer::plain(StatusCode::UNAUTHORIZED, "the key is not known"),
-        }
+    Ok(Judged {
+        route: table.find(host, parts.uri.path()).cloned(),
+        has_keys: table.has_keys(),
     })
 }
 
+impl Judged {
+    /// Whether the decision may depend on a key or route that has just changed.
+    fn needs_fresh(&self) -> bool {
+        self.has_keys && self.route.as_ref().is_none_or(|route| !route.public)
+    }
+
+    fn allow(
+        self,
+        table: &Table,
+        head: &CallHead,
+    ) -> Result<(Arc<Route>, Option<Account>), Denied> {
+        let route = self.route.ok_or(Denied::NoRoute)?;
+        let account = table.account(&route, head.key.as_deref())?;
+        Ok((route, account))
+    }
+}
+
+fn deny(denied: Denied) -> Response<Body> {
+    match denied {
+        Denied::NoRoute => answer::plain(StatusCode::NOT_FOUND, "no such route"),
+        Denied::UnknownKey => answer::plain(StatusCode::UNAUTHORIZED, "the key is not known"),
+    }
+}
+
 fn bad_request(why: &str) -> Response<Body> {
     answer::closing(StatusCode::BAD_REQUEST, why)
 }
--- a/reachtally-relay/src/share.rs
+++ b/reachtally-relay/src/share.rs
@@ -26,9 +26,11 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
 /// Time for an answer beside that wait; boxes are a millisecond apart.
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
-/// A box whose confirmation is older than this is no good source. Reads of the store wait for 1.2 s,
-/// and each confirms as of its beginning, so ages up to 2.4 s are usual.
-const SOUND_AGE: Duration = Duration::from_millis(2700);
+/// A box whose confirmation is older than this is no good source. Reads of the store wait for half a
+/// second, and each confirms as of its beginning, so ages up to a second are usual. With the wait for
+/// an answer it is 1.6 s until a box reads the store itself, less than the two in which a change must
+/// be in force.
+const SOUND_AGE: Duration = Duration::from_millis(1200);
 /// How long a source that failed is left alone.
 const AVOID_SOURCE: Duration = Duration::from_secs(2);
 /// Time between two looks while this box reads the store itself.
--- a/reachtally-relay/src/stream.rs
+++ b/reachtally-relay/src/stream.rs
@@ -38,6 +38,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// How long a stream that broke off waits for another path.
 const LOOK_FOR: Duration = Duration::from_millis(1500);
+/// Of this many successes, one is logged: by id, so that all boxes log the same ones.
+const SUCCESSES_LOGGED: u64 = 16;
 /// Weight of a new gap in the running mean of a stream's gaps.
 const GAP_WEIGHT: f64 = 0.2;
 
@@ -78,6 +80,9 @@
         let first = self.first.unwrap_or_default();
         let took = relay.now().since(self.began);
         let gaps = self.events.saturating_sub(1).max(1);
+        if call.draw % SUCCESSES_LOGGED != 0 {
+            return;
+        }
         log::info!(
             event = "ended", id = &*call.head.id, parts = engines.len(), first:? = engines.first(),
             first_ms = ms(first), expected_first_ms = ms(self.expected_first),
