--- /dev/null
+++ b/reachtally-core/tests/core/forward/changes.rs
@@ -0,0 +1,42 @@
+//! The changes of targets that boxes tell each other.
+
+use reachtally_core::forward::changes::{Changes, Cursor, Since};
+
+const RUN: u64 = 7;
+
+fn cursor(next: u64) -> Cursor {
+    Cursor { run: RUN, next }
+}
+
+#[test]
+fn a_box_hears_each_target_that_changed_once() {
+    let mut changes = Changes::default();
+    for id in ["a", "b", "a"] {
+        changes.note(id.into());
+    }
+    let since = changes.since(cursor(1), RUN);
+    assert_eq!(since, Since::Changed(vec!["a".into(), "b".into()]));
+    assert_eq!(changes.since(cursor(3), RUN), Since::Changed(Vec::new()));
+}
+
+#[test]
+fn a_box_that_followed_another_run_gets_everything() {
+    let changes = Changes::default();
+    let other = Cursor { run: 8, next: 0 };
+    assert_eq!(changes.since(other, RUN), Since::Whole);
+}
+
+#[test]
+fn a_box_that_is_too_far_behind_gets_everything() {
+    let mut changes = Changes::default();
+    for number in 0..1000 {
+        changes.note(format!("e{number}").into());
+    }
+    assert_eq!(changes.next(), 1000);
+    assert_eq!(changes.since(cursor(10), RUN), Since::Whole);
+    assert_eq!(
+        changes.since(cursor(999), RUN),
+        Since::Changed(vec!["e999".into()])
+    );
+    assert_eq!(changes.since(cursor(1001), RUN), Since::Whole);
+}
--- /dev/null
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -0,0 +1,95 @@
+//! The table of targets and what is believed of them.
+
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fleet::{Entry, Fleet};
+
+use super::setup::entry;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_elapsed(Duration::from_millis(ms))
+}
+
+#[test]
+fn a_target_that_leaves_never_takes_work_again() {
+    let mut fleet = Fleet::default();
+    let ready = entry(0, "a", "small", 0..8);
+    let leaving = Entry {
+        draining: true,
+        ..ready.clone()
+    };
+    let (key, _) = fleet.upsert(leaving, at(0));
+    fleet.upsert(ready, at(10));
+    assert!(fleet.get(key).expect("it is known").entry.draining);
+}
+
+#[test]
+fn a_heartbeat_that_was_on_its_way_does_not_revive_a_dead_target() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    fleet
+        .get_mut(key)
+        .expect("it is known")
+        .health
+        .found_dead(at(1_000));
+    fleet.upsert(entry(0, "a", "small", 0..8), at(1_500));
+    assert_eq!(fleet.dead(), vec![key]);
+    fleet.upsert(entry(0, "a", "small", 0..8), at(4_000));
+    assert!(fleet.dead().is_empty());
+}
+
+#[test]
+fn failures_in_a_row_double_the_hold_off_up_to_a_bound() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    let mut now = at(0);
+    let mut holds = Vec::new();
+    for _ in 0..7 {
+        fleet.failed(key, now);
+        let until = fleet.get(key).and_then(|engine| engine.health.held_until);
+        let until = until.expect("it is held off");
+        holds.push(until.since(now).as_millis());
+        now = until;
+    }
+    assert_eq!(holds, [500, 1000, 2000, 4000, 8000, 8000, 8000]);
+}
+
+#[test]
+fn a_full_target_is_held_off_shortly_and_without_doubling() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    for start in [0, 1_000, 2_000, 3_000] {
+        let engine = fleet.get_mut(key).expect("it is known");
+        engine.health.refused(at(start));
+        assert!(engine.health.is_held(at(start + 100)));
+        assert!(!engine.health.is_held(at(start + 200)));
+    }
+}
+
+#[test]
+fn an_address_that_passes_to_another_run_names_that_run() {
+    let mut fleet = Fleet::default();
+    let first = entry(0, "a", "small", 0..8);
+    let second = Entry {
+        id: "next".into(),
+        ..first.clone()
+    };
+    fleet.upsert(first.clone(), at(0));
+    let (key, _) = fleet.upsert(second, at(1));
+    fleet.remove(&first.id);
+    assert_eq!(fleet.at(first.address), Some(key));
+}
+
+#[test]
+fn entries_missing_after_an_outage_are_dropped_only_after_a_while() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    fleet.miss("e0", at(100));
+    let patience = Duration::from_millis(1500);
+    assert!(fleet.missing(at(1_000), patience).is_empty());
+    assert_eq!(fleet.missing(at(1_600), patience), vec!["e0".into()]);
+    fleet.upsert(entry(0, "a", "small", 0..8), at(1_650));
+    assert!(fleet.missing(at(9_000), patience).is_empty());
+    assert!(fleet.get(key).is_some());
+}
--- /dev/null
+++ b/reachtally-core/tests/core/forward/freshness.rs
@@ -0,0 +1,38 @@
+//! How old the configuration may be.
+
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::freshness::{FRESHNESS_MARGIN, Freshness};
+
+const BOUND: Duration = Duration::from_secs(5);
+
+fn at(ms: u64) -> Instant {
+    Instant::from_elapsed(Duration::from_millis(ms))
+}
+
+#[test]
+fn nothing_is_fresh_before_the_first_read() {
+    assert!(!Freshness::default().holds(at(0), BOUND));
+}
+
+#[test]
+fn it_holds_from_the_beginning_of_the_read_and_not_from_its_end() {
+    let mut freshness = Freshness::default();
+    freshness.confirm(at(1_000));
+    let last = at(6_000) - at(0) - FRESHNESS_MARGIN;
+    let last = Instant::from_elapsed(last);
+    assert!(freshness.holds(
+        Instant::from_elapsed(last.elapsed() - Duration::from_millis(1)),
+        BOUND
+    ));
+    assert!(!freshness.holds(last, BOUND));
+}
+
+#[test]
+fn a_late_answer_to_an_older_read_changes_nothing() {
+    let mut freshness = Freshness::default();
+    freshness.confirm(at(3_000));
+    freshness.confirm(at(1_000));
+    assert_eq!(freshness.age(at(3_500)), Some(Duration::from_millis(500)));
+}
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -1,4 +1,13 @@
 //! Forwarded requests: tables, choices and placement.
 
+mod budget;
+mod changes;
+mod fleet;
+mod freshness;
+mod path;
+mod peers;
 mod placement;
+mod routes;
+mod select;
 mod setup;
+mod stall;
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -1,36 +1,179 @@
 //! Which layers engines are given.
 
-use reachtally_core::forward::placement;
+use reachtally_core::forward::cost::LayerModel;
+use reachtally_core::forward::placement::{Host, Move, moves, plan};
 
 use super::setup::{hosts, model};
 
+/// Carry out moves.
+fn place(hosts: &mut [Host], moves: &[Move]) {
+    for placed in moves {
+        let host = hosts.iter_mut().find(|host| host.engine == placed.engine);
+        host.expect("the engine is known").layers = placed.layers.clone();
+    }
+}
+
+/// Repair until nothing is left to do; yields the number of moves.
+fn settle(model: &LayerModel, hosts: &mut [Host]) -> usize {
+    let mut count = 0;
+    for _ in 0..20 {
+        let next = moves(model, hosts);
+        if next.is_empty() {
+            return count;
+        }
+        count += next.len();
+        place(hosts, &next);
+    }
+    panic!("placement does not settle");
+}
+
+/// How many engines hold each layer.
+fn cover(model: &LayerModel, hosts: &[Host]) -> Vec<usize> {
+    let holds = |layer: u32| {
+        hosts
+            .iter()
+            .filter(|host| host.layers.contains(&layer))
+            .count()
+    };
+    (0..model.layers).map(holds).collect()
+}
+
+/// KV tokens for each layer, all engines together.
+fn least_room(model: &LayerModel, hosts: &[Host]) -> f64 {
+    let room = |layer: u32| -> f64 {
+        let holders = hosts.iter().filter(|host| host.layers.contains(&layer));
+        holders
+            .map(|host| model.kv_tokens(&host.card, host.layers.len() as u32))
+            .sum()
+    };
+    (0..model.layers).map(room).fold(f64::INFINITY, f64::min)
+}
+
+fn fleets() -> Vec<Vec<Host>> {
+    vec![
+        hosts("a", &[("large", 1), ("middle", 3), ("small", 8)]),
+        hosts("b", &[("large", 1), ("middle", 6), ("small", 5)]),
+        hosts("c", &[("large", 2), ("middle", 2), ("small", 5)]),
+        hosts("d", &[("middle", 9)]),
+        hosts("e", &[("small", 30)]),
+    ]
+}
+
 #[test]
-fn show() {
-    let model = model();
-    for (name, cards) in [
-        ("a", [("large", 1), ("middle", 3), ("small", 8)]),
-        ("b", [("large", 1), ("middle", 6), ("small", 5)]),
-        ("c", [("large", 2), ("middle", 2), ("small", 5)]),
-    ] {
-        let hosts = hosts(name, &cards);
-        let mut hosts = hosts;
-        let mut moves = placement::plan(&model, &hosts);
-        for m in &moves {
-            hosts
-                .iter_mut()
-                .find(|h| h.engine == m.engine)
-                .unwrap()
-                .layers = m.layers.clone();
+fn an_empty_group_covers_every_layer_and_never_more_than_a_card_holds() {
+    let model = model();
+    for mut hosts in fleets() {
+        settle(&model, &mut hosts);
+        assert!(cover(&model, &hosts).iter().all(|count| *count > 0));
+        for host in &hosts {
+            let layers = host.layers.len() as f64;
+            assert!(layers * model.layer_mb <= host.card.memory_mb, "{host:?}");
+            assert!(host.layers.end <= model.layers);
         }
-        moves.extend(placement::moves(&model, &hosts));
-        for m in &moves {
-            let h = hosts.iter().find(|h| h.engine == m.engine).unwrap();
-            println!(
-                "{name} {} {:?} kv {:.0}",
-                h.card.memory_mb,
-                m.layers,
-                model.kv_tokens(&h.card, m.layers.len() as u32)
+    }
+}
+
+#[test]
+fn fast_cards_form_a_chain_of_their_own() {
+    let model = model();
+    let mut hosts = hosts("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    let planned = plan(&model, &hosts);
+    place(&mut hosts, &planned);
+    let slow = hosts.iter().filter(|host| host.card.step_factor > 10.0);
+    let slow_layers: usize = slow.map(|host| host.layers.len()).sum();
+    assert!(
+        slow_layers <= 2,
+        "{slow_layers} layers of the first chain are on slow cards"
+    );
+}
+
+#[test]
+fn a_group_that_is_in_order_is_left_alone() {
+    let model = model();
+    for mut hosts in fleets() {
+        settle(&model, &mut hosts);
+        assert_eq!(moves(&model, &hosts), Vec::new());
+    }
+}
+
+#[test]
+fn after_any_one_death_every_layer_is_held_again() {
+    let model = model();
+    for fleet in fleets() {
+        let mut whole = fleet;
+        settle(&model, &mut whole);
+        for dead in 0..whole.len() {
+            let mut left = whole.clone();
+            left.remove(dead);
+            settle(&model, &mut left);
+            let cover = cover(&model, &left);
+            assert!(
+                cover.iter().all(|count| *count > 0),
+                "without {:?}",
+                whole[dead]
             );
         }
     }
 }
+
+#[test]
+fn small_cards_move_into_the_gap_that_a_fast_card_leaves() {
+    let model = model();
+    let mut hosts = hosts("b", &[("large", 1), ("middle", 6), ("small", 5)]);
+    settle(&model, &mut hosts);
+    let before = least_room(&model, &hosts);
+    let dead = hosts.iter().position(|host| host.layers.contains(&55));
+    hosts.remove(dead.expect("a middle card holds it alone"));
+    assert_eq!(least_room(&model, &hosts), 0.0);
+    let moved = settle(&model, &mut hosts);
+    let after = least_room(&model, &hosts);
+    assert!(moved <= 4, "{moved} moves");
+    assert!(after > 0.25 * before, "{after} of {before}");
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_is_given_layers_again() {
+    let model = model();
+    let mut hosts = hosts("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    settle(&model, &mut hosts);
+    let large = hosts
+        .iter()
+        .position(|host| host.card.memory_mb > 70_000.0)
+        .expect("there is one");
+    hosts[large].layers = 0..0;
+    settle(&model, &mut hosts);
+    assert!(!hosts[large].layers.is_empty());
+}
+
+#[test]
+fn domains_that_cannot_hold_the_model_alone_are_placed_together() {
+    let model = model();
+    let mut all = hosts("a", &[("large", 1)]);
+    all.extend(hosts("b", &[("middle", 2)]).into_iter().map(|host| Host {
+        engine: renumber(&host),
+        ..host
+    }));
+    all.extend(hosts("c", &[("small", 6)]).into_iter().map(|host| Host {
+        engine: renumber(&host),
+        ..host
+    }));
+    settle(&model, &mut all);
+    assert!(cover(&model, &all).iter().all(|count| *count > 0));
+}
+
+/// Rows of separate tables are alike; give each host of these tests its own.
+fn renumber(host: &Host) -> reachtally_core::forward::fleet::EngineKey {
+    use slotmap::{Key, KeyData};
+    let offset = u64::from(host.domain.as_bytes()[0]) << 8;
+    KeyData::from_ffi(host.engine.data().as_ffi() + offset).into()
+}
+
+#[test]
+fn nothing_is_placed_where_the_model_does_not_fit() {
+    let model = model();
+    let hosts = hosts("a", &[("small", 3)]);
+    let orders = moves(&model, &hosts);
+    for order in &orders {
+        assert!(f64::from(order.layers.len() as u32) * model.layer_mb <= 21_600.0);
+    }
+}
--- /dev/null
+++ b/reachtally-core/tests/core/forward/routes.rs
@@ -0,0 +1,97 @@
+//! Which route and account a request has.
+
+use std::time::Duration;
+
+use reachtally_core::forward::routes::{Account, Denied, Repeat, Route, Shape, Table};
+
+fn route(name: &str, public: bool) -> Route {
+    Route {
+        name: name.into(),
+        repeat: Repeat::Idempotent,
+        shape: Shape::Whole,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 1,
+        services: vec![("one".into(), 90), ("two".into(), 10)],
+        max_attempts: 2,
+        public,
+    }
+}
+
+fn table() -> Table {
+    let mut table = Table::new(1);
+    table.add_route("shop.example", "/", route("root", false));
+    table.add_route("shop.example", "/a/", route("a", false));
+    table.add_route("shop.example", "/a/b/", route("ab", true));
+    table
+}
+
+fn found(table: &Table, host: &str, path: &str) -> Option<String> {
+    table.find(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_that_begins_the_path_wins() {
+    let table = table();
+    assert_eq!(
+        found(&table, "shop.example", "/a/b/c").as_deref(),
+        Some("ab")
+    );
+    assert_eq!(found(&table, "shop.example", "/a/bc").as_deref(), Some("a"));
+    assert_eq!(found(&table, "shop.example", "/x").as_deref(), Some("root"));
+    assert_eq!(found(&table, "other.example", "/a/"), None);
+}
+
+#[test]
+fn the_host_counts_without_its_port_and_case() {
+    let table = table();
+    assert_eq!(
+        found(&table, "shop.example:8080", "/a/").as_deref(),
+        Some("a")
+    );
+    assert_eq!(found(&table, "Shop.Example", "/a/").as_deref(), Some("a"));
+}
+
+#[test]
+fn keys_name_accounts_and_public_routes_need_none() {
+    let mut table = table();
+    assert!(
+        table
+            .account(&route("r", false), None)
+            .expect("no keys are needed")
+            .is_none()
+    );
+    let account = Account {
+        name: "acme".into(),
+        priority: Some(0),
+    };
+    table.add_key("secret", account);
+    let known = table
+        .account(&route("r", false), Some("secret"))
+        .expect("the key is known");
+    assert_eq!(&*known.expect("it has an account").name, "acme");
+    let denied = table.account(&route("r", false), Some("wrong"));
+    assert_eq!(denied.err(), Some(Denied::UnknownKey));
+    assert_eq!(
+        table.account(&route("r", false), None).err(),
+        Some(Denied::UnknownKey)
+    );
+    assert!(table.account(&route("r", true), Some("wrong")).is_ok());
+}
+
+#[test]
+fn a_configuration_whose_accounts_have_no_keys_lets_nobody_in() {
+    let mut table = table();
+    table.require_keys();
+    assert_eq!(
+        table.account(&route("r", false), Some("any")).err(),
+        Some(Denied::UnknownKey)
+    );
+}
+
+#[test]
+fn services_share_a_route_by_weight() {
+    let route = route("r", false);
+    let one = (0..1000).filter(|draw| &**route.service(*draw).expect("there are two") == "one");
+    assert_eq!(one.count(), 900);
+}
--- /dev/null
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -0,0 +1,161 @@
+//! Which engines a request runs on.
+
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fleet::{EngineKey, Entry, Fleet};
+use reachtally_core::forward::select::{Choice, Circumstance, Need, instance, path};
+
+use super::setup::{SERVICE, entry, fleet, model};
+
+const NEED: Need = Need {
+    prompt: 800.0,
+    answer: 200.0,
+};
+
+fn cx(avoid: &[EngineKey]) -> Circumstance<'_> {
+    Circumstance {
+        now: Instant::from_elapsed(Duration::from_secs(1)),
+        home: "a",
+        avoid,
+        held: Duration::from_secs(3),
+        unheard: 1.0,
+    }
+}
+
+fn choose(fleet: &Fleet, avoid: &[EngineKey]) -> Option<Choice> {
+    path(fleet, SERVICE, &model(), NEED, &cx(avoid))
+}
+
+/// Two whole chains in domain `a`, the first of faster cards, and one in `b`.
+fn two_domains() -> (Fleet, Vec<EngineKey>) {
+    fleet([
+        entry(0, "a", "large", 0..30),
+        entry(1, "a", "middle", 30..48),
+        entry(2, "a", "middle", 48..66),
+        entry(3, "a", "middle", 66..80),
+        entry(4, "a", "small", 0..10),
+        entry(5, "a", "small", 10..20),
+        entry(6, "a", "small", 20..30),
+        entry(7, "b", "large", 0..30),
+        entry(8, "b", "middle", 30..48),
+        entry(9, "b", "middle", 48..66),
+        entry(10, "b", "middle", 66..80),
+    ])
+}
+
+#[test]
+fn an_idle_fleet_serves_at_home_on_the_fastest_cards() {
+    let (fleet, keys) = two_domains();
+    let choice = choose(&fleet, &[]).expect("there is a path");
+    assert_eq!(choice.path.engines(), &keys[0..4]);
+}
+
+#[test]
+fn without_an_engine_others_that_hold_its_layers_take_its_place() {
+    let (fleet, keys) = two_domains();
+    let choice = choose(&fleet, &keys[7..]).expect("there is a path");
+    assert_eq!(choice.path.engines(), &keys[0..4]);
+    let mut avoid = keys[7..].to_vec();
+    avoid.push(keys[0]);
+    let choice = choose(&fleet, &avoid).expect("the small cards hold its layers");
+    assert_eq!(choice.path.engines()[..3], keys[4..7]);
+}
+
+#[test]
+fn a_domain_with_a_hole_leaves_its_requests_to_another() {
+    let (fleet, keys) = two_domains();
+    let choice = choose(&fleet, &[keys[2]]).expect("the other domain is whole");
+    assert_eq!(choice.path.engines(), &keys[7..]);
+}
+
+#[test]
+fn engines_that_leave_are_never_chosen() {
+    let (mut fleet, keys) = two_domains();
+    for key in [keys[2], keys[9]] {
+        let leaving = Entry {
+            draining: true,
+            ..fleet.get(key).expect("it is known").entry.clone()
+        };
+        fleet.upsert(leaving, Instant::ZERO);
+    }
+    assert!(choose(&fleet, &[]).is_none());
+}
+
+#[test]
+fn engines_held_off_are_the_last_choice() {
+    let (mut fleet, keys) = two_domains();
+    fleet.failed(keys[2], Instant::from_elapsed(Duration::from_millis(900)));
+    assert_eq!(
+        choose(&fleet, &[]).expect("b is whole").path.engines(),
+        &keys[7..]
+    );
+    let choice = choose(&fleet, &keys[7..]).expect("nothing else is left");
+    assert!(choice.path.engines().contains(&keys[2]));
+}
+
+#[test]
+fn a_chain_whose_kv_is_taken_gets_no_more() {
+    let (mut fleet, keys) = two_domains();
+    fleet.begin(&keys[1..2], 56_000.0);
+    assert_eq!(
+        choose(&fleet, &[]).expect("b is whole").path.engines(),
+        &keys[7..]
+    );
+    fleet.begin(&keys[8..9], 56_000.0);
+    assert!(choose(&fleet, &[]).is_none());
+}
+
+#[test]
+fn a_first_engine_without_a_place_gets_no_more() {
+    let (mut fleet, keys) = two_domains();
+    for _ in 0..190 {
+        fleet.begin(&keys[0..1], 1.0);
+    }
+    let choice = choose(&fleet, &keys[7..]).expect("the small cards begin");
+    assert_eq!(choice.path.first().engine, keys[4]);
+}
+
+#[test]
+fn a_request_larger_than_an_engine_is_not_sent_there() {
+    let (fleet, _) = two_domains();
+    let huge = Need {
+        prompt: 60_000.0,
+        answer: 1.0,
+    };
+    assert!(path(&fleet, SERVICE, &model(), huge, &cx(&[])).is_none());
+}
+
+#[test]
+fn where_no_domain_is_whole_a_path_crosses_them() {
+    let (fleet, keys) = fleet([
+        entry(0, "a", "large", 0..40),
+        entry(1, "b", "middle", 38..55),
+        entry(2, "c", "large", 55..80),
+    ]);
+    let small = Need {
+        prompt: 100.0,
+        answer: 10.0,
+    };
+    let choice = path(&fleet, SERVICE, &model(), small, &cx(&[])).expect("together they are whole");
+    assert_eq!(choice.path.engines(), keys);
+    assert_eq!(choice.path.parts()[1].layers, 40..55);
+}
+
+#[test]
+fn a_plain_request_goes_to_the_instance_with_the_least_work() {
+    let plain = |number| Entry {
+        slots: 6,
+        card: None,
+        ..entry(number, "a", "small", 0..0)
+    };
+    let (mut fleet, keys) = fleet([plain(0), plain(1), plain(2)]);
+    fleet.begin(&keys[0..1], 0.0);
+    fleet.get_mut(keys[1]).expect("it is known").others_told = 3.0;
+    assert_eq!(instance(&fleet, SERVICE, 10, &cx(&[]), 5), Some(keys[2]));
+    assert_eq!(
+        instance(&fleet, SERVICE, 10, &cx(&keys[2..]), 5),
+        Some(keys[0])
+    );
+    assert_eq!(instance(&fleet, SERVICE, 1, &cx(&keys[1..]), 5), None);
+}
--- /dev/null
+++ b/reachtally-core/tests/core/forward/stall.rs
@@ -0,0 +1,37 @@
+//! Which engines have stopped making progress.
+
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::stall::{LEAST_SILENCE, Progress, overdue_after};
+
+use super::setup::{entry, fleet};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_elapsed(Duration::from_millis(ms))
+}
+
+#[test]
+fn an_engine_that_serves_another_stream_is_not_silent() {
+    let (_, keys) = fleet((0..3).map(|n| entry(n, "a", "small", 0..8)));
+    let mut progress = Progress::default();
+    progress.note(&keys[0..2], at(100));
+    progress.note(&keys[1..3], at(300));
+    assert_eq!(progress.silent_since(&keys, at(200)), vec![keys[0]]);
+    assert!(progress.silent_since(&keys, at(50)).is_empty());
+}
+
+#[test]
+fn an_engine_without_any_event_is_silent() {
+    let (_, keys) = fleet([entry(0, "a", "small", 0..8)]);
+    assert_eq!(Progress::default().silent_since(&keys, at(0)), keys);
+}
+
+#[test]
+fn a_stream_is_overdue_by_its_own_pace_but_never_at_once() {
+    assert_eq!(overdue_after(Duration::from_millis(1)), LEAST_SILENCE);
+    assert_eq!(
+        overdue_after(Duration::from_millis(100)),
+        Duration::from_millis(400)
+    );
+}
