test(platform): the adapter and the relay against stand-ins of the published protocol

Two faults found: entries that lapsed with the store were dropped in the first read after its return (the return was noted only after that read), and a connection that came while the box closes was closed without its refusal. Both mended, their tests failed before.

--- a/reachtally-protocol/tests/protocol/main.rs
+++ b/reachtally-protocol/tests/protocol/main.rs
@@ -82,3 +82,5 @@
         let _ = Codec::default().decode(&mut framed);
     }
 }
+
+mod relay;
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -56,6 +56,10 @@
         }
     }
 
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
     pub(crate) fn lost(&mut self, now: Instant, why: &StoreError) {
         if self.lost_at.is_none() {
             log::warn!(event = "lost", dependency = self.name, why:% = why; "a dependency was lost");
@@ -128,7 +132,9 @@
         if relay.now().since(read_at) > LONGEST_GAP {
             next = None;
         }
-        let read = read_targets(&relay, &store, next, back_at).await;
+        let is_back = |at: Instant| relay.now().since(at) < LAPSE_WINDOW;
+        let may_lapse = dependency.is_lost() || back_at.is_some_and(is_back);
+        let read = read_targets(&relay, &store, next, may_lapse).await;
         let now = relay.now();
         match read {
             Ok(offset) => {
@@ -156,9 +162,8 @@
     relay: &Relay,
     store: &S,
     next: Option<u64>,
-    back_at: Option<Instant>,
+    may_lapse: bool,
 ) -> Result<u64, StoreError> {
-    let may_lapse = back_at.is_some_and(|at| relay.now().since(at) < LAPSE_WINDOW);
     let Some(offset) = next else {
         let feed = store.targets().await?;
         relay.replace_targets(feed.items, may_lapse);
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -95,7 +95,8 @@
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut stage = relay.stage();
-    let mut closing = false;
+    // A connection that came late gets its refusal, which closes it.
+    let mut closing = relay.is_closing();
     loop {
         let (phase, since) = watch.phase.get();
         let due = match phase {
