--- a/reachtally-core/src/forward/placement.rs
+++ b/reachtally-core/src/forward/placement.rs
@@ -163,6 +163,13 @@
         self.tokens.iter().map(lack).sum()
     }
 
+    /// Whether some layers have the room that is asked for.
+    fn suffices(&self, layers: &Layers, goal: f64) -> bool {
+        layers
+            .clone()
+            .all(|layer| self.tokens[layer as usize] >= goal)
+    }
+
     /// Where runs of layers with equal room begin.
     fn starts(&self) -> Vec<u32> {
         let is_start = |at: &usize| *at == 0 || self.tokens[*at] != self.tokens[*at - 1];
@@ -179,8 +186,9 @@
     layers: Layers,
 }
 
-/// Give empty engines the layers that lack room most, and move engines whose layers have room to
-/// spare.
+/// Give empty engines the layers that lack room most, and move engines whose layers have enough room
+/// without them; any engine, where nobody holds some layer. Moving others would only carry the lack to
+/// another place, while requests pass there.
 fn repair(model: &LayerModel, group: &[Host], usual: f64) -> Vec<Move> {
     let mut hosts: Vec<Host> = group.to_vec();
     hosts.sort_by(by_speed);
@@ -202,9 +210,13 @@
                 .iter()
                 .any(|placed: &Move| placed.engine == hosts[*at].engine)
         });
+        let has_hole = room.least() <= 0.0;
         let options = candidates.filter_map(|at| {
             let mut without = room.clone();
             without.add(model, &hosts[at], &hosts[at].layers, -1.0);
+            if !has_hole && !without.suffices(&hosts[at].layers, goal) {
+                return None;
+            }
             let best = best_layers(model, &hosts[at], &without, goal)?;
             Some((at, best))
         });
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -131,6 +131,23 @@
     assert!(after > 0.25 * before, "{after} of {before}");
 }
 
+#[test]
+fn engines_that_others_need_stay_where_they_are() {
+    let model = model();
+    let mut hosts = hosts("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    settle(&model, &mut hosts);
+    hosts.retain(|host| host.card.memory_mb < 70_000.0);
+    let before = hosts.clone();
+    settle(&model, &mut hosts);
+    for (before, after) in before.iter().zip(&hosts) {
+        let is_middle = before.card.memory_mb > 40_000.0;
+        assert!(
+            !is_middle || before.layers == after.layers,
+            "{before:?} {after:?}"
+        );
+    }
+}
+
 #[test]
 fn an_engine_that_comes_back_empty_is_given_layers_again() {
     let model = model();
