--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -7,6 +7,7 @@
 use crate::forward::fleet::{Engine, EngineKey, Fleet};
 use crate::forward::path::{Part, Path};
 use crate::time::Instant;
+use slotmap::Key;
 
 /// Time that a token takes from one engine to the next within a failure domain, in ms. Links there
 /// take under a millisecond, and the engine's queue adds as much again.
@@ -18,6 +19,11 @@
 const KV_USED: f64 = 0.95;
 /// Part of an engine's places that is used, since loads are known some hundred ms late.
 const SLOTS_USED: f64 = 0.95;
+/// Part that is used at which the pressure grows no more.
+const MOST_USED: f64 = 0.97;
+/// Largest part by which chance makes an engine look slower. Chains of a fleet differ by more than
+/// this where the choice matters.
+const SPREAD: f64 = 0.3;
 /// What another failure domain's chain must be faster by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
 
@@ -43,6 +49,8 @@
     pub held: Duration,
     /// Boxes for each box that tells its load, this one included.
     pub unheard: f64,
+    /// A well-spread number of the request, so that boxes which believe the same choose differently.
+    pub draw: u64,
 }
 
 /// A path and what is expected of it.
@@ -158,6 +166,9 @@
         let batch = running * model.share(layers) + 1.0;
         let rate = running / cx.held.as_secs_f64();
         let busy = model.reading_slowdown(card, layers, rate) * WAIT_FACTOR;
+        let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
+        let used = (tokens / (KV_USED * model.kv_tokens(card, layers))).max(places);
+        let busy = busy * pressure(used) * (1.0 + SPREAD * chance(cx.draw, key));
         Some(Candidate {
             key,
             engine,
@@ -168,6 +179,20 @@
     }
 }
 
+/// How much an engine's cost grows with the part of it that is used. Loads are known late, so engines
+/// that are nearly full are left to those that find nothing better.
+fn pressure(used: f64) -> f64 {
+    1.0 / (1.0 - used.min(MOST_USED)).sqrt()
+}
+
+/// A number from 0 to 1 for a request and an engine, by the finalizer of SplitMix64.
+fn chance(draw: u64, key: EngineKey) -> f64 {
+    let mut mixed = draw ^ key.data().as_ffi().wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    (mixed ^ (mixed >> 31)) as f64 / u64::MAX as f64
+}
+
 /// Parts with their summed times.
 #[derive(Debug, Clone)]
 struct Found {
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -20,6 +20,7 @@
         avoid,
         held: Duration::from_secs(3),
         unheard: 1.0,
+        draw: 0,
     }
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -246,6 +246,7 @@
         &self,
         settings: &'a Settings,
         avoid: &'a [EngineKey],
+        draw: u64,
     ) -> select::Circumstance<'a> {
         select::Circumstance {
             now: self.now(),
@@ -253,6 +254,7 @@
             avoid,
             held: self.held.get(),
             unheard: self.peers.borrow().unheard(self.boxes()),
+            draw,
         }
     }
 
@@ -263,7 +265,7 @@
         };
         let settings = self.settings.borrow();
         let fleet = self.fleet.borrow();
-        let cx = self.circumstance(&settings, &[]);
+        let cx = self.circumstance(&settings, &[], 0);
         table
             .services
             .iter()
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -66,7 +66,7 @@
 pub(super) fn choose(relay: &Relay, call: &Call, avoid: &[EngineKey]) -> Option<Pick> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
-    let cx = relay.circumstance(&settings, avoid);
+    let cx = relay.circumstance(&settings, avoid, call.draw);
     let Some(model) = &call.service.model else {
         let most = call.service.max_connections;
         let key = select::instance(&fleet, &call.service_name, most, &cx, call.draw)?;
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -92,7 +92,7 @@
 fn choose(relay: &Relay, call: &Call, tried: &[EngineKey]) -> Option<EngineKey> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
-    let cx = relay.circumstance(&settings, tried);
+    let cx = relay.circumstance(&settings, tried, call.draw);
     let most = (call.service.max_connections / relay.boxes()).max(1);
     select::instance(&fleet, &call.service_name, most, &cx, call.draw)
 }
