--- a/reachtally-core/src/forward/placement.rs
+++ b/reachtally-core/src/forward/placement.rs
@@ -194,12 +194,9 @@
     hosts.sort_by(by_speed);
     let mut room = Room::of(model, &hosts, usual);
     let mut moves = Vec::new();
-    for at in 0..hosts.len() {
-        if !hosts[at].layers.is_empty() {
-            continue;
-        }
-        if let Some(best) = best_layers(model, &hosts[at], &room, usual * SPARE_GOAL) {
-            apply(model, &mut hosts[at], &mut room, best.layers, &mut moves);
+    for host in hosts.iter_mut().filter(|host| host.layers.is_empty()) {
+        if let Some(best) = best_layers(model, host, &room, usual * SPARE_GOAL) {
+            apply(model, host, &mut room, best.layers, &mut moves);
         }
     }
     let goal = usual * MOVE_GOAL;
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -216,52 +216,96 @@
     }
 }
 
+/// The cheapest way found to run the layers from the first to some layer.
+#[derive(Debug, Clone, Copy)]
+struct Way {
+    /// What it costs a usual request, in ms.
+    cost: f64,
+    token_ms: f64,
+    read_ms: f64,
+    /// Where its last part begins.
+    from: usize,
+    /// The candidate that runs its last part.
+    last: usize,
+}
+
+impl Way {
+    /// Before the first layer.
+    const START: Way = Way {
+        cost: 0.0,
+        token_ms: 0.0,
+        read_ms: 0.0,
+        from: 0,
+        last: usize::MAX,
+    };
+
+    /// Go on over a candidate, from layer `from` for `layers` layers.
+    fn step(
+        self,
+        (last, candidate): (usize, &Candidate<'_>),
+        from: usize,
+        layers: f64,
+        hop_ms: f64,
+        answer: f64,
+    ) -> Way {
+        let token_ms = candidate.token_ms * layers + hop_ms;
+        let read_ms = candidate.read_ms * layers + hop_ms;
+        Way {
+            cost: self.cost + token_ms * answer + read_ms,
+            token_ms: self.token_ms + token_ms,
+            read_ms: self.read_ms + read_ms,
+            from,
+            last,
+        }
+    }
+}
+
 /// The cheapest way from layer 0 to the last, where each part runs to the end of what its engine
 /// holds. `ways[x]` is the cheapest way that has run the layers `0..x`.
 fn cheapest(candidates: &[Candidate<'_>], model: &LayerModel, hop_ms: f64) -> Option<Found> {
     let end = model.layers as usize;
-    let mut ways: Vec<Option<(f64, f64, f64, usize, usize)>> = vec![None; end + 1];
-    ways[0] = Some((0.0, 0.0, 0.0, 0, usize::MAX));
+    let mut ways: Vec<Option<Way>> = vec![None; end + 1];
+    ways[0] = Some(Way::START);
     for at in 0..end {
-        let Some((cost, token, read, _, _)) = ways[at] else {
+        let Some(way) = ways[at] else {
             continue;
         };
-        for (index, candidate) in candidates.iter().enumerate() {
-            let held = &candidate.engine.entry.layers;
-            if !held.contains(&(at as u32)) || (at == 0 && !candidate.takes_more) {
+        for candidate in candidates.iter().enumerate() {
+            let held = &candidate.1.engine.entry.layers;
+            if !held.contains(&(at as u32)) || (at == 0 && !candidate.1.takes_more) {
                 continue;
             }
             let to = (held.end as usize).min(end);
-            let layers = (to - at) as f64;
-            let token = token + candidate.token_ms * layers + hop_ms;
-            let read = read + candidate.read_ms * layers + hop_ms;
-            let step = candidate.token_ms * layers * model.usual_answer;
-            let step = step + candidate.read_ms * layers + hop_ms * model.usual_answer;
-            let total = cost + step;
-            if ways[to].is_none_or(|way| total < way.0) {
-                ways[to] = Some((total, token, read, at, index));
+            let next = way.step(candidate, at, (to - at) as f64, hop_ms, model.usual_answer);
+            if ways[to].is_none_or(|known| next.cost < known.cost) {
+                ways[to] = Some(next);
             }
         }
     }
-    let (_, token_ms, read_ms, _, _) = ways[end]?;
+    let whole = ways[end]?;
+    Some(Found {
+        parts: parts_of(candidates, &ways)?,
+        token_ms: whole.token_ms,
+        read_ms: whole.read_ms,
+    })
+}
+
+/// The parts of the way that has run all layers, from the last back to the first.
+fn parts_of(candidates: &[Candidate<'_>], ways: &[Option<Way>]) -> Option<Vec<Part>> {
     let mut parts = Vec::new();
-    let mut to = end;
+    let mut to = ways.len() - 1;
     while to > 0 {
-        let (_, _, _, from, index) = ways[to]?;
-        let candidate = &candidates[index];
+        let way = ways[to]?;
+        let candidate = &candidates[way.last];
         parts.push(Part {
             engine: candidate.key,
             address: candidate.engine.entry.address,
-            layers: from as u32..to as u32,
+            layers: way.from as u32..to as u32,
         });
-        to = from;
+        to = way.from;
     }
     parts.reverse();
-    Some(Found {
-        parts,
-        token_ms,
-        read_ms,
-    })
+    Some(parts)
 }
 
 /// The instance of a plain service with the least work for its slots; `draw` breaks ties.
--- a/reachtally-core/tests/core/forward/path.rs
+++ b/reachtally-core/tests/core/forward/path.rs
@@ -34,7 +34,7 @@
         prove(&[0..20, 20..20, 20..80]),
         Err(NotAPath::Broken { at: 20 })
     );
-    assert_eq!(prove(&[1..80]), Err(NotAPath::Broken { at: 0 }));
+    assert_eq!(prove(&[1..40, 40..80]), Err(NotAPath::Broken { at: 0 }));
 }
 
 #[test]
@@ -43,7 +43,10 @@
         prove(&[0..20, 20..79]),
         Err(NotAPath::Incomplete { end: 79 })
     );
-    assert_eq!(prove(&[0..81]), Err(NotAPath::Incomplete { end: 81 }));
+    assert_eq!(
+        prove(&[0..40, 40..81]),
+        Err(NotAPath::Incomplete { end: 81 })
+    );
     assert_eq!(prove(&[]), Err(NotAPath::Empty));
 }
 
--- a/reachtally-journal/src/lib.rs
+++ b/reachtally-journal/src/lib.rs
@@ -7,8 +7,8 @@
 #![deny(missing_docs)]
 
 mod explain;
+pub mod queue;
 
-use std::collections::VecDeque;
 use std::io::Write;
 use std::os::fd::AsFd;
 use std::sync::{Mutex, OnceLock, PoisonError};
@@ -21,37 +21,13 @@
 use tokio::net::unix::pipe;
 use tokio::sync::Notify;
 
+use crate::queue::Queue;
+
 pub use explain::{Error as ExplainError, explain};
 
-/// Most bytes that wait to be written.
-const QUEUE_BYTES: usize = 256 * 1024;
 /// Most time that the end of a process waits for its last lines.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(100);
 
-#[derive(Default)]
-struct Queue {
-    lines: VecDeque<Vec<u8>>,
-    bytes: usize,
-    dropped: u64,
-}
-
-impl Queue {
-    fn push(&mut self, line: Vec<u8>) {
-        if self.bytes + line.len() > QUEUE_BYTES {
-            self.dropped += 1;
-            return;
-        }
-        self.bytes += line.len();
-        self.lines.push_back(line);
-    }
-
-    fn pop(&mut self) -> Option<Vec<u8>> {
-        let line = self.lines.pop_front()?;
-        self.bytes -= line.len();
-        Some(line)
-    }
-}
-
 struct Journal {
     name: String,
     started: Instant,
@@ -81,7 +57,7 @@
         return;
     };
     let empty = async {
-        while !journal.lock().lines.is_empty() {
+        while !journal.lock().is_empty() {
             tokio::time::sleep(std::time::Duration::from_millis(5)).await;
         }
     };
@@ -113,18 +89,8 @@
         line
     }
 
-    /// The next line, after the count of those dropped before it.
     fn next(&self) -> Option<Vec<u8>> {
-        let mut queue = self.lock();
-        if queue.dropped > 0 {
-            let dropped = std::mem::take(&mut queue.dropped);
-            let line = format!(
-                "{{\"box\":{:?},\"event\":\"dropped\",\"lines\":{dropped}}}\n",
-                self.name
-            );
-            return Some(line.into_bytes());
-        }
-        queue.pop()
+        self.lock().next(&self.name)
     }
 }
 
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -104,7 +104,7 @@
     if relay.is_closing() {
         return Err(refuse(Refusal::Stopping));
     }
-    let judged = judge(&table, &parts)?;
+    let judged = judge(&table, &parts).ok_or_else(|| bad_request("no host"))?;
     if judged.needs_fresh() && !relay.is_fresh() {
         let age = relay
             .freshness
@@ -149,11 +149,12 @@
     has_keys: bool,
 }
 
-fn judge(table: &Table, parts: &Parts) -> Result<Judged, Response<Body>> {
+/// `None` if the request names no host.
+fn judge(table: &Table, parts: &Parts) -> Option<Judged> {
     let by_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let by_uri = parts.uri.authority().map(|authority| authority.as_str());
-    let host = by_uri.or(by_header).ok_or_else(|| bad_request("no host"))?;
-    Ok(Judged {
+    let host = by_uri.or(by_header)?;
+    Some(Judged {
         route: table.find(host, parts.uri.path()).cloned(),
         has_keys: table.has_keys(),
     })
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -34,10 +34,7 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let last = call.head.last_event;
-    loop {
-        let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
-            break;
-        };
+    while let Some(pick) = send::choose(relay, &call, &attempts.avoid) {
         if !attempts.may_send(relay, &call) {
             break;
         }
