fix(relay): fewer calls while a reader fails or the store is away

Change: the next box takes a failed reader's place; boxes beside the reader pause longer while the store is away and go on asking it.

--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -19,8 +19,13 @@
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause of a box beside the reader of its failure domain, which learns from that one of the
+/// store's return.
+const LONGEST_PAUSE_BESIDE: Duration = Duration::from_millis(2500);
 /// How long after the store's return missing entries may still come back.
 const LAPSE_WINDOW: Duration = Duration::from_millis(2500);
+/// Time between two looks whether the store is back.
+const AWAY_PAUSE: Duration = Duration::from_millis(100);
 /// After a pause this long in reading, a new list is cheaper than the heartbeats since.
 const LONGEST_GAP: Duration = Duration::from_secs(3);
 
@@ -36,9 +41,13 @@
         self.0 = FIRST_PAUSE;
     }
 
-    async fn wait(&mut self) {
+    async fn wait(&mut self, relay: &Relay) {
         sleep(self.0).await;
-        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+        let longest = match relay.is_reader.get() {
+            true => LONGEST_PAUSE,
+            false => LONGEST_PAUSE_BESIDE,
+        };
+        self.0 = (self.0 * 2).min(longest);
     }
 }
 
@@ -91,7 +100,9 @@
             Some(offset) => store.config_from(offset, CONFIG_WAIT).await,
         };
         let is_first = next.is_none();
-        match read.and_then(|feed| take_config(&relay, feed, began)) {
+        let taken = read.and_then(|feed| take_config(&relay, feed, began));
+        relay.store_away.set(taken.is_err());
+        match taken {
             Ok(offset) => {
                 dependency.regained(relay.now());
                 pause.reset();
@@ -105,7 +116,7 @@
                 if matches!(err, StoreError::Gone | StoreError::Malformed(_)) {
                     next = None;
                 }
-                pause.wait().await;
+                pause.wait(&relay).await;
             }
         }
     }
@@ -131,6 +142,11 @@
     let mut read_at = relay.now();
     loop {
         relay.until_direct().await;
+        if relay.store_away.get() && dependency.is_lost() {
+            // The reads of the configuration will show the store's return.
+            sleep(AWAY_PAUSE).await;
+            continue;
+        }
         if relay.now().since(read_at) > LONGEST_GAP {
             next = None;
         }
@@ -152,7 +168,7 @@
                 if matches!(err, StoreError::Gone | StoreError::Malformed(_)) {
                     next = None;
                 }
-                pause.wait().await;
+                pause.wait(&relay).await;
                 continue;
             }
         }
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -15,10 +15,12 @@
 const MEMBER_TTL: Duration = Duration::from_secs(3);
 /// Time between two words to the group.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
+/// Time before the first word, so that the first count finds all boxes that start together.
+const START_PAUSE: Duration = Duration::from_millis(400);
 /// Least and most joins between two counts of the boxes: a change of the group is mostly one of
 /// several in a row.
 const LEAST_JOINS: u32 = 2;
-const MOST_JOINS: u32 = 15;
+const MOST_JOINS: u32 = 60;
 
 /// This box's place in the group.
 #[derive(Debug, Default)]
@@ -40,9 +42,11 @@
 /// Stay in the group of boxes, and count them.
 pub async fn run<S: Store>(relay: Rc<Relay>, store: S, tenure: Rc<Tenure>) {
     let mut generation = 0;
-    let mut joins = 0;
+    let mut joins = LEAST_JOINS;
     let mut is_counted = false;
     let mut dependency = Dependency::new("group");
+    // All boxes of a deployment start within some tenths of a second.
+    sleep(START_PAUSE).await;
     while !relay.is_leaving() {
         let began = relay.now();
         match store.join(MEMBER_TTL, generation).await {
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -74,6 +74,10 @@
     published: RefCell<Bytes>,
     direct: watch::Sender<bool>,
     news: watch::Sender<()>,
+    /// Whether this box is the one of its failure domain that should read the store.
+    pub is_reader: Cell<bool>,
+    /// Whether this box's own reads of the store fail.
+    pub store_away: Cell<bool>,
     /// What is counted.
     pub tally: Cell<Tally>,
     /// Times of requests.
@@ -111,6 +115,8 @@
             published: RefCell::default(),
             direct: watch::Sender::new(true),
             news: watch::Sender::new(()),
+            is_reader: Cell::new(true),
+            store_away: Cell::default(),
             tally: Cell::default(),
             times: Times::default(),
             changes: RefCell::default(),
--- a/reachtally-relay/src/share.rs
+++ b/reachtally-relay/src/share.rs
@@ -21,6 +21,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::relay::Relay;
+use crate::store::Member;
 
 /// How long a question waits for something new.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
@@ -31,8 +32,14 @@
 /// an answer it is 1.6 s until a box reads the store itself, less than the two in which a change must
 /// be in force.
 const SOUND_AGE: Duration = Duration::from_millis(1200);
-/// How long a source that failed is left alone.
-const AVOID_SOURCE: Duration = Duration::from_secs(2);
+/// How long after the start a source may know no configuration: boxes may start before the first one
+/// is published.
+const FIRST_CONFIGURATION: Duration = Duration::from_secs(4);
+/// How long a source that failed is left alone: longer than the group takes to notice that it is gone.
+const AVOID_SOURCE: Duration = Duration::from_secs(5);
+/// The same while this box does not reach the store either: then the reader is the first to know of its
+/// return, and asking it costs no call.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Time between two looks while this box reads the store itself.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// A connection for questions is closed when nothing was asked for this long.
@@ -147,7 +154,12 @@
     let mut avoid: Vec<(IpAddr, Instant)> = Vec::new();
     loop {
         let now = relay.now();
-        avoid.retain(|(_, at)| now.since(*at) < AVOID_SOURCE);
+        let avoid_for = match relay.store_away.get() {
+            true => ASK_AGAIN,
+            false => AVOID_SOURCE,
+        };
+        avoid.retain(|(_, at)| now.since(*at) < avoid_for);
+        relay.is_reader.set(is_reader(&relay, run));
         let is_sound = relay
             .freshness
             .get()
@@ -174,8 +186,20 @@
     }
 }
 
-/// The box to ask. The one with the least run of each failure domain reads the store; it asks others
-/// only while its own reads fail, and so does a box whose own source has failed.
+/// Whether this box is the one of its failure domain that should read the store.
+fn is_reader(relay: &Relay, run: Incarnation) -> bool {
+    let settings = relay.settings.borrow();
+    let members = relay.members.borrow();
+    let home = members
+        .iter()
+        .filter(|member| member.domain == settings.domain);
+    home.map(|member| member.run.0)
+        .min()
+        .is_none_or(|least| least == run.0)
+}
+
+/// The box to ask. The one with the least run of each failure domain reads the store; where it fails,
+/// the next one takes its place. The reader asks others only while its own reads fail.
 fn pick(
     relay: &Relay,
     run: Incarnation,
@@ -184,23 +208,26 @@
 ) -> Option<IpAddr> {
     let settings = relay.settings.borrow();
     let members = relay.members.borrow();
-    let is_home = |domain: &str| domain == settings.domain;
-    let leader = members
+    let is_home = |member: &Member| member.domain == settings.domain;
+    let is_usable =
+        |member: &&Member| member.run == run || avoid.iter().all(|(other, _)| *other != member.ip);
+    let home = members
         .iter()
-        .filter(|member| is_home(&member.domain))
-        .min_by_key(|m| m.run.0)?;
-    let is_usable = |ip: &IpAddr| avoid.iter().all(|(other, _)| other != ip);
-    if leader.run != run && is_usable(&leader.ip) {
-        return Some(leader.ip);
+        .filter(is_usable)
+        .filter(|member| is_home(member));
+    let reader = home.min_by_key(|member| member.run.0)?;
+    if reader.run != run {
+        return Some(reader.ip);
     }
     if is_sound {
         return None;
     }
     let others = members
         .iter()
-        .filter(|member| member.run != run && is_usable(&member.ip));
+        .filter(is_usable)
+        .filter(|member| member.run != run);
     others
-        .min_by_key(|member| (!is_home(&member.domain), member.run.0))
+        .min_by_key(|member| (!is_home(member), member.run.0))
         .map(|member| member.ip)
 }
 
@@ -232,7 +259,14 @@
     };
     let answered = timeout(ANSWER_WAIT + ANSWER_SLACK, asking).await;
     let news = answered.map_err(|_| "no answer in time".to_owned())??;
-    let age = news.confirmed_age.ok_or("it knows no configuration")?;
+    let Some(age) = news.confirmed_age else {
+        if began.elapsed() > FIRST_CONFIGURATION {
+            return Err("it knows no configuration".to_owned());
+        }
+        source.targets = news.targets;
+        take(relay, news)?;
+        return Ok(source);
+    };
     if age > SOUND_AGE {
         return Err(format!(
             "its configuration was confirmed {} ms ago",
