--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -69,7 +69,7 @@
 enum Trust {
     /// Only engines without a recent failure whose entry is there.
     Sound,
-    /// Any engine that is not leaving.
+    /// Any engine that is neither leaving nor dead.
     Any,
 }
 
@@ -121,14 +121,11 @@
 }
 
 fn is_usable(key: EngineKey, engine: &Engine, cx: &Circumstance<'_>, trust: Trust) -> bool {
-    if engine.entry.draining || cx.avoid.contains(&key) {
+    let health = &engine.health;
+    if engine.entry.draining || health.is_dead() || cx.avoid.contains(&key) {
         return false;
     }
-    if trust == Trust::Any {
-        return true;
-    }
-    let health = &engine.health;
-    !health.is_dead() && !health.is_held(cx.now) && engine.missing_since.is_none()
+    trust == Trust::Any || (!health.is_held(cx.now) && engine.missing_since.is_none())
 }
 
 /// An engine with what a token and the prompt cost on it for each layer.
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -83,6 +83,29 @@
     assert!(choose(&fleet, &[]).is_none());
 }
 
+#[test]
+fn dead_engines_are_never_chosen_and_live_again_once_they_are_back() {
+    let (mut fleet, keys) = two_domains();
+    for key in [keys[2], keys[9]] {
+        fleet
+            .get_mut(key)
+            .expect("it is known")
+            .health
+            .found_dead(Instant::ZERO);
+    }
+    assert!(choose(&fleet, &[]).is_none());
+    let back = Instant::from_elapsed(Duration::from_millis(100));
+    fleet
+        .get_mut(keys[2])
+        .expect("it is known")
+        .health
+        .found_alive(back);
+    assert_eq!(
+        choose(&fleet, &[]).expect("a is whole").path.engines(),
+        &keys[0..4]
+    );
+}
+
 #[test]
 fn engines_held_off_are_the_last_choice() {
     let (mut fleet, keys) = two_domains();
