--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -10,6 +10,7 @@
 mod overhead;
 mod process;
 mod recovery;
+mod relay;
 mod report;
 mod scene;
 mod setup;
@@ -48,11 +49,25 @@
     /// A soak of several daemons and stand-ins as processes, under faults, against the ledgers
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
+    /// What the relay of whole requests adds, in time, processor time and memory
+    #[bpaf(command)]
+    Relay(#[bpaf(external(relay::options))] relay::Options),
+    /// The relay as a process of its own; started by `relay`
+    #[bpaf(command("relay-box"), hide)]
+    RelayBox(#[bpaf(external(relay::box_options))] relay::BoxOptions),
     /// Requests that may run once: how many share an append, and that none runs twice
     #[bpaf(command)]
     Claims(#[bpaf(external(claims::options))] claims::Options),
 }
 
+/// On a thread of its own, since the relay brings its own runtime.
+fn run_box(options: relay::BoxOptions) -> Result<report::Report, String> {
+    let running = std::thread::spawn(move || relay::run_box(&options));
+    running
+        .join()
+        .map_err(|_| "the relay panicked".to_owned())?
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = arguments().run();
@@ -62,6 +77,8 @@
         Experiment::Control(options) => control::run(&options),
         Experiment::Drain(options) => drain::run(options).await,
         Experiment::Recovery(options) => recovery::run(&options),
+        Experiment::Relay(options) => relay::run(options).await,
+        Experiment::RelayBox(options) => run_box(options),
         Experiment::Claims(options) => claims::run(&options),
     };
     match result {
--- a/reachtally-bench/src/process.rs
+++ b/reachtally-bench/src/process.rs
@@ -3,6 +3,7 @@
 //! Only this tool starts processes; the daemon and the stand-ins start none.
 
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
@@ -101,6 +102,34 @@
     Ok((process, line.trim().to_owned()))
 }
 
+/// Start the relay of whole requests before an engine; yields its address.
+pub fn relay_box(engine: SocketAddr, logs: bool) -> Result<(Process, SocketAddr), String> {
+    let own = std::env::current_exe().map_err(|err| err.to_string())?;
+    let mut command = Command::new(own);
+    command.args(["relay-box", "--engine", &engine.to_string()]);
+    if logs {
+        command.arg("--logs");
+    }
+    let mut child = command
+        .stdout(Stdio::piped())
+        .spawn()
+        .map_err(|err| err.to_string())?;
+    let stdout = child.stdout.take().ok_or("no standard output")?;
+    let mut stdout = BufReader::new(stdout);
+    let mut line = String::new();
+    let read = stdout.read_line(&mut line);
+    let process = Process {
+        child,
+        _stdout: Some(stdout),
+    };
+    read.map_err(|err| err.to_string())?;
+    let address = line
+        .trim()
+        .parse()
+        .map_err(|_| format!("no address: {line}"))?;
+    Ok((process, address))
+}
+
 /// Start a daemon with these settings.
 pub fn daemon(settings: &std::path::Path) -> Result<Process, String> {
     let child = Command::new(program("reachtallyd")?)
