--- a/reachtally-bench/src/process.rs
+++ b/reachtally-bench/src/process.rs
@@ -83,10 +83,9 @@
     Err(format!("{name} is not built; run: cargo build --release"))
 }
 
-/// Start a stand-in; yields its base address, which it prints first.
-pub fn standin(arguments: &[String]) -> Result<(Process, String), String> {
-    let mut child = Command::new(program("reachtally-standin")?)
-        .args(arguments)
+/// Start a program that prints a line first; yields that line.
+fn start(command: &mut Command) -> Result<(Process, String), String> {
+    let mut child = command
         .stdout(Stdio::piped())
         .spawn()
         .map_err(|err| err.to_string())?;
@@ -102,6 +101,11 @@
     Ok((process, line.trim().to_owned()))
 }
 
+/// Start a stand-in; yields its base address, which it prints first.
+pub fn standin(arguments: &[String]) -> Result<(Process, String), String> {
+    start(Command::new(program("reachtally-standin")?).args(arguments))
+}
+
 /// Start the relay of whole requests before an engine; yields its address.
 pub fn relay_box(engine: SocketAddr, logs: bool) -> Result<(Process, SocketAddr), String> {
     let own = std::env::current_exe().map_err(|err| err.to_string())?;
@@ -110,23 +114,8 @@
     if logs {
         command.arg("--logs");
     }
-    let mut child = command
-        .stdout(Stdio::piped())
-        .spawn()
-        .map_err(|err| err.to_string())?;
-    let stdout = child.stdout.take().ok_or("no standard output")?;
-    let mut stdout = BufReader::new(stdout);
-    let mut line = String::new();
-    let read = stdout.read_line(&mut line);
-    let process = Process {
-        child,
-        _stdout: Some(stdout),
-    };
-    read.map_err(|err| err.to_string())?;
-    let address = line
-        .trim()
-        .parse()
-        .map_err(|_| format!("no address: {line}"))?;
+    let (process, line) = start(&mut command)?;
+    let address = line.parse().map_err(|_| format!("no address: {line}"))?;
     Ok((process, address))
 }
 
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod group;
 pub mod listen;
 pub mod metrics;
+mod page;
 pub mod ready;
 pub mod relay;
 pub mod serve;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -1,15 +1,10 @@
 //! Counters and histograms as text, in the format that Prometheus reads.
 
-use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
@@ -19,6 +14,7 @@
 use tokio::net::TcpListener;
 
 use crate::answer::{self, Body};
+use crate::page;
 use crate::relay::Relay;
 
 /// Where the metrics are.
@@ -28,8 +24,6 @@
 /// Buckets of times: from 1 ms, doubling, to 32 s.
 const FIRST_BUCKET_S: f64 = 0.001;
 const BUCKETS: u16 = 16;
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Times of requests.
 #[derive(Debug)]
@@ -98,29 +92,8 @@
 
 /// Serve the metrics until the process ends.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!(event = "accept-failed", why:% = err; "a question for metrics was not taken");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let relay = relay.clone();
-        let service = service_fn(move |req| {
-            let response = respond(&relay, &req);
-            async move { Ok::<_, Infallible>(response) }
-        });
-        tokio::task::spawn_local(async move {
-            let served = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(err) = served {
-                log::debug!(event = "metrics-connection", why:% = err; "a connection for metrics broke");
-            }
-        });
-    }
+    let respond = move |req: &Request<Incoming>| respond(&relay, req);
+    page::serve(listener, "metrics", respond).await;
 }
 
 fn respond(relay: &Relay, req: &Request<Incoming>) -> Response<Body> {
