--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -25,6 +25,8 @@
 pub struct News {
     /// Age of the read that confirmed the configuration.
     pub confirmed_age: Option<Duration>,
+    /// Age of the last read of the targets.
+    pub targets_age: Option<Duration>,
     /// The configuration as published; empty if the asker's is as new.
     pub config: Bytes,
     /// How far the changes of targets go.
@@ -77,6 +79,7 @@
         let message = pb::News {
             confirmed_age_ms: self.confirmed_age.map(|age| age.as_millis() as u64),
             config: self.config.clone(),
+            targets_age_ms: self.targets_age.map(|age| age.as_millis() as u64),
             targets_run: self.targets.run,
             targets_next: self.targets.next,
             is_whole: self.is_whole,
@@ -99,6 +102,9 @@
             confirmed_age: message
                 .confirmed_age_ms
                 .map(|ms| Duration::from_millis(ms + 1)),
+            targets_age: message
+                .targets_age_ms
+                .map(|ms| Duration::from_millis(ms + 1)),
             config: message.config,
             targets: Cursor {
                 run: message.targets_run,
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -33,6 +33,7 @@
     assert_eq!(Ask::decode(&ask.encode()).expect("it decodes"), ask);
     let news = News {
         confirmed_age: None,
+        targets_age: None,
         config: Bytes::from_static(b"{}"),
         targets: Cursor { run: 5, next: 80 },
         is_whole: true,
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -152,6 +152,7 @@
         }
         let is_back = |at: Instant| relay.now().since(at) < LAPSE_WINDOW;
         let may_lapse = dependency.is_lost() || back_at.is_some_and(is_back);
+        let began = relay.now();
         let read = read_targets(&relay, &store, next, may_lapse).await;
         let now = relay.now();
         match read {
@@ -159,6 +160,7 @@
                 if dependency.regained(now) {
                     back_at = Some(now);
                 }
+                relay.targets_are_of(began);
                 next = Some(offset);
                 read_at = now;
                 pause.reset();
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -76,6 +76,8 @@
     news: watch::Sender<()>,
     /// Whether this box is the one of its failure domain that should read the store.
     pub is_reader: Cell<bool>,
+    /// When the read of the targets began that what is held goes back to.
+    pub targets_read: Cell<Option<Instant>>,
     /// Whether this box's own reads of the store fail.
     pub store_away: Cell<bool>,
     /// What is counted.
@@ -116,6 +118,7 @@
             direct: watch::Sender::new(true),
             news: watch::Sender::new(()),
             is_reader: Cell::new(true),
+            targets_read: Cell::default(),
             store_away: Cell::default(),
             tally: Cell::default(),
             times: Times::default(),
@@ -202,6 +205,12 @@
         self.freshness.set(freshness);
     }
 
+    /// Note that the targets are those of a read which began at `began`.
+    pub fn targets_are_of(&self, began: Instant) {
+        self.targets_read
+            .set(self.targets_read.get().max(Some(began)));
+    }
+
     /// Whether keyed requests may be judged by the configuration held.
     pub fn is_fresh(&self) -> bool {
         match self.settings.borrow().revoke_within {
--- a/reachtally-relay/src/share.rs
+++ b/reachtally-relay/src/share.rs
@@ -32,6 +32,9 @@
 /// an answer it is 1.6 s until a box reads the store itself, less than the two in which a change must
 /// be in force.
 const SOUND_AGE: Duration = Duration::from_millis(1200);
+/// The same for its targets, which are read every 0.6 s. A box must not bring back a target that another
+/// has seen leave.
+const SOUND_TARGETS_AGE: Duration = Duration::from_millis(1500);
 /// How long after the start a source may know no configuration: boxes may start before the first one
 /// is published.
 const FIRST_CONFIGURATION: Duration = Duration::from_secs(4);
@@ -109,6 +112,7 @@
     let changes = relay.changes.borrow();
     let mut news = News {
         confirmed_age: relay.freshness.get().age(relay.now()),
+        targets_age: relay.targets_read.get().map(|at| relay.now().since(at)),
         config: if is_newer {
             relay.published()
         } else {
@@ -273,8 +277,17 @@
             age.as_millis()
         ));
     }
+    let targets_age = news.targets_age.ok_or("it has read no targets")?;
+    if targets_age > SOUND_TARGETS_AGE {
+        return Err(format!(
+            "its targets were read {} ms ago",
+            targets_age.as_millis()
+        ));
+    }
     source.targets = news.targets;
     take(relay, news)?;
+    let read = began.elapsed().saturating_sub(targets_age);
+    relay.targets_are_of(Instant::from_elapsed(read));
     let confirmed = began.elapsed().saturating_sub(age);
     relay.confirm(Instant::from_elapsed(confirmed));
     Ok(source)
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -12,8 +12,9 @@
 /// Time for which the answer to whether a target is there holds, so that the streams of one engine
 /// ask once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// Part of the drain bound that is kept for requests which are on their way.
-const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+/// Part of the drain bound that is kept for requests on their way, and for the time from the loss of an
+/// entry until this box hears of it: 0.6 s between reads and 0.4 s from box to box.
+const DRAIN_MARGIN: Duration = Duration::from_millis(1500);
 
 impl Relay {
     /// A target wrote its entry.
