--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -15,7 +15,7 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(500);
 /// Time between two reads of the targets' changes: a leaving target must get nothing after two
 /// seconds or so, and waiting reads would return at every heartbeat of every target.
-const TARGETS_INTERVAL: Duration = Duration::from_millis(600);
+const TARGETS_INTERVAL: Duration = Duration::from_millis(400);
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -24,6 +24,9 @@
 const LONGEST_PAUSE_BESIDE: Duration = Duration::from_millis(2500);
 /// How long after the store's return missing entries may still come back.
 const LAPSE_WINDOW: Duration = Duration::from_millis(2500);
+/// Failed reads in a row after which the targets are left to the reads of the configuration, which fail
+/// too. A single one may be a lost packet.
+const FAILURES_AWAY: u32 = 3;
 /// Time between two looks whether the store is back.
 const AWAY_PAUSE: Duration = Duration::from_millis(100);
 /// After a pause this long in reading, a new list is cheaper than the heartbeats since.
@@ -140,13 +143,15 @@
     let mut dependency = Dependency::new("targets");
     let mut back_at: Option<Instant> = None;
     let mut read_at = relay.now();
+    let mut failures = 0;
     loop {
         relay.until_direct().await;
-        if relay.store_away.get() && dependency.is_lost() {
+        if relay.store_away.get() && failures >= FAILURES_AWAY {
             // The reads of the configuration will show the store's return.
             sleep(AWAY_PAUSE).await;
             continue;
         }
+        failures += 1;
         if relay.now().since(read_at) > LONGEST_GAP {
             next = None;
         }
@@ -161,6 +166,7 @@
                     back_at = Some(now);
                 }
                 relay.targets_are_of(began);
+                failures = 0;
                 next = Some(offset);
                 read_at = now;
                 pause.reset();
