refactor(relay): one exchange with a target, one accept loop, one dial, one JSON request

Change: modules exchange and accept, target::dial, request::json in the adapter, share::reader, Running::next in place of the inner stream, Unanswered in place of two Sent. One difference: after a failed accept of another box's connection the pause is 20 ms as elsewhere, not 250. Two comments named an interval that had changed.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -139,8 +139,6 @@
     pub others_told: f64,
     /// Its failures.
     pub health: Health,
-    /// Since when it holds what its entry says.
-    pub layers_since: Instant,
     /// Since when its entry is missing though that may be the store's fault.
     pub missing_since: Option<Instant>,
 }
@@ -159,9 +157,6 @@
         if let Some(&key) = self.by_id.get(&entry.id) {
             let engine = &mut self.engines[key];
             let changed = engine.entry != entry;
-            if engine.entry.layers != entry.layers {
-                engine.layers_since = now;
-            }
             engine.missing_since = None;
             engine.health.wrote(now);
             let draining = engine.entry.draining || entry.draining;
@@ -178,7 +173,6 @@
             tokens_elsewhere: 0.0,
             others_told: 0.0,
             health: Health::default(),
-            layers_since: now,
             missing_since: None,
         });
         self.by_id.insert(id, key);
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -94,7 +94,6 @@
     trust: Trust,
 ) -> Option<Choice> {
     let mut by_domain: BTreeMap<&str, Vec<Candidate<'_>>> = BTreeMap::new();
-    let mut all = Vec::new();
     for (key, engine) in fleet.of_service(service) {
         if !is_usable(key, engine, cx, trust) {
             continue;
@@ -106,7 +105,6 @@
             .entry(&engine.entry.domain)
             .or_default()
             .push(candidate);
-        all.push(candidate);
     }
     let within = by_domain.iter().filter_map(|(domain, candidates)| {
         let found = cheapest(candidates, model, HOP_MS)?;
@@ -116,7 +114,11 @@
     let best = within
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, found)| found);
-    let found = best.or_else(|| cheapest(&all, model, FAR_HOP_MS))?;
+    let across = || {
+        let all: Vec<Candidate<'_>> = by_domain.values().flatten().copied().collect();
+        cheapest(&all, model, FAR_HOP_MS)
+    };
+    let found = best.or_else(across)?;
     found.prove(model)
 }
 
@@ -305,16 +307,15 @@
     Some(parts)
 }
 
-/// The instance of a plain service with the least work for its slots; `draw` breaks ties.
+/// The instance of a plain service with the least work for its slots; the draw breaks ties.
 pub fn instance(
     fleet: &Fleet,
     service: &str,
     most_connections: u32,
     cx: &Circumstance<'_>,
-    draw: u64,
 ) -> Option<EngineKey> {
-    instance_of(fleet, service, most_connections, cx, draw, Trust::Sound)
-        .or_else(|| instance_of(fleet, service, most_connections, cx, draw, Trust::Any))
+    instance_of(fleet, service, most_connections, cx, Trust::Sound)
+        .or_else(|| instance_of(fleet, service, most_connections, cx, Trust::Any))
 }
 
 fn instance_of(
@@ -322,7 +323,6 @@
     service: &str,
     most_connections: u32,
     cx: &Circumstance<'_>,
-    draw: u64,
     trust: Trust,
 ) -> Option<EngineKey> {
     let work = |engine: &Engine| {
@@ -344,5 +344,5 @@
         .filter(|(_, engine)| work(engine) <= least + f64::EPSILON)
         .map(|(key, _)| *key)
         .collect();
-    near.get(draw as usize % near.len()).copied()
+    near.get(cx.draw as usize % near.len()).copied()
 }
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -176,10 +176,10 @@
     let (mut fleet, keys) = fleet([plain(0), plain(1), plain(2)]);
     fleet.begin(&keys[0..1], 0.0);
     fleet.get_mut(keys[1]).expect("it is known").others_told = 3.0;
-    assert_eq!(instance(&fleet, SERVICE, 10, &cx(&[]), 5), Some(keys[2]));
+    assert_eq!(instance(&fleet, SERVICE, 10, &cx(&[])), Some(keys[2]));
     assert_eq!(
-        instance(&fleet, SERVICE, 10, &cx(&keys[2..]), 5),
+        instance(&fleet, SERVICE, 10, &cx(&keys[2..])),
         Some(keys[0])
     );
-    assert_eq!(instance(&fleet, SERVICE, 1, &cx(&keys[1..]), 5), None);
+    assert_eq!(instance(&fleet, SERVICE, 1, &cx(&keys[1..])), None);
 }
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -4,9 +4,10 @@
 
 use hyper::Response;
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::life::{GivenUp, Life, NeverStarted, Refusal, State, Unknown};
+use reachtally_core::life::{GivenUp, Life, Refusal, State, Unknown};
 
 use crate::answer::{self, Body};
+use crate::exchange::Unanswered;
 use crate::relay::Relay;
 use crate::serve::Call;
 
@@ -89,25 +90,24 @@
         self.take(State::stream);
     }
 
-    /// Nothing ran of the last send.
-    pub fn not_run(&mut self, relay: &Relay, call: &Call, proof: NeverStarted, why: &str) {
-        log::info!(event = "not-run", id = &*call.head.id, why = why, send = self.sends(); "a target ran nothing of the request");
-        relay.count(|tally| tally.sends_not_run += 1);
-        if self.ran == 0 {
-            self.take(|state| state.never_started(proof));
+    /// The last send yielded no answer; tells whether there is time for another.
+    pub fn failed(&mut self, relay: &Relay, call: &Call, why: Unanswered) -> bool {
+        match why {
+            Unanswered::NotRun(proof, why) => {
+                log::info!(event = "not-run", id = &*call.head.id, why = &*why, send = self.sends(); "a target ran nothing of the request");
+                relay.count(|tally| tally.sends_not_run += 1);
+                if self.ran == 0 {
+                    self.take(|state| state.never_started(proof));
+                }
+            }
+            Unanswered::Lost(why) => {
+                log::info!(event = "lost", id = &*call.head.id, why = &*why, send = self.sends(); "an answer was lost");
+                relay.count(|tally| tally.sends_lost += 1);
+                self.ran += 1;
+            }
+            Unanswered::Late => self.is_late = true,
         }
-    }
-
-    /// Some part of the last send may have run, and its answer is lost.
-    pub fn lost(&mut self, relay: &Relay, call: &Call, why: &str) {
-        log::info!(event = "lost", id = &*call.head.id, why = why, send = self.sends(); "an answer was lost");
-        relay.count(|tally| tally.sends_lost += 1);
-        self.ran += 1;
-    }
-
-    /// The final answer is due.
-    pub fn late(&mut self) {
-        self.is_late = true;
+        !self.is_late
     }
 
     /// Give the request up; yields the final answer.
--- /dev/null
+++ b/reachtally-relay/src/exchange.rs
@@ -0,0 +1,93 @@
+//! What requests with one body and requests for streams share of an exchange with a target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_ENCODING;
+use hyper::{Request, Response};
+use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::life::NeverStarted;
+
+use crate::relay::Relay;
+use crate::serve::Call;
+use crate::wire::{Addition, AnswerHead};
+
+/// Why a send yielded no answer that can be passed on.
+pub(crate) enum Unanswered {
+    /// Proven that nothing ran.
+    NotRun(NeverStarted, String),
+    /// It may have run.
+    Lost(String),
+    /// It took until the final answer was due.
+    Late,
+}
+
+/// Statuses that promise callers that nothing ran. Without a target's proof they are not passed on.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Where a target listens, and its run.
+pub(crate) fn target_of(
+    relay: &Relay,
+    key: EngineKey,
+) -> Result<(SocketAddr, Arc<str>), Unanswered> {
+    let fleet = relay.fleet.borrow();
+    let Some(engine) = fleet.get(key) else {
+        let why = "the target is gone".to_owned();
+        return Err(Unanswered::NotRun(NeverStarted::ConnectFailed, why));
+    };
+    Ok((engine.entry.address, engine.entry.id.clone()))
+}
+
+/// The request as a target gets it.
+pub(crate) fn request(relay: &Relay, call: &Call, add: &Addition<'_>) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.parts.method.clone();
+    *req.uri_mut() = origin_form(call);
+    *req.headers_mut() = relay.wire.forward(&call.parts.headers, add);
+    req
+}
+
+/// The target of the request line as a server expects it: path and query alone.
+fn origin_form(call: &Call) -> hyper::Uri {
+    match call.parts.uri.path_and_query() {
+        Some(path) => hyper::Uri::from(path.clone()),
+        None => hyper::Uri::from_static("/"),
+    }
+}
+
+/// Decode an answer's head, and keep the load that it tells, less what this box itself has there.
+pub(crate) fn head_of(relay: &Relay, key: EngineKey, response: &Response<Incoming>) -> AnswerHead {
+    let head = relay
+        .wire
+        .answer(response.status().as_u16(), response.headers());
+    let mut fleet = relay.fleet.borrow_mut();
+    if let (Some(load), Some(engine)) = (head.load, fleet.get_mut(key)) {
+        let others = (load.running + load.waiting).saturating_sub(engine.running);
+        engine.others_told = f64::from(others);
+    }
+    head
+}
+
+/// Why an answer can't be the target's answer to this request, if so.
+pub(crate) fn mistrust(
+    call: &Call,
+    head: &AnswerHead,
+    response: &Response<Incoming>,
+) -> Option<&'static str> {
+    if head.id.as_deref() != Some(call.head.id.as_str()) {
+        return Some("the answer is another request's");
+    }
+    if !head.sealed {
+        return Some("the answer has no seal");
+    }
+    if PROMISES.contains(&response.status().as_u16()) {
+        return Some("the status would promise that nothing ran");
+    }
+    if response.headers().contains_key(CONTENT_ENCODING) {
+        return Some("the answer is encoded");
+    }
+    None
+}
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -11,9 +11,11 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod accept;
 pub mod answer;
 mod attempts;
 pub mod events;
+mod exchange;
 pub mod follow;
 pub mod gossip;
 pub mod group;
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -16,9 +16,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
+use crate::accept;
 use crate::answer::{Body, CutShort};
 use crate::relay::{Relay, Stage};
 use crate::serve;
+use crate::target;
 
 /// Bounds until a configuration is known.
 const HEADER_BYTES: usize = 16 * 1024;
@@ -28,22 +30,11 @@
 const LEAST_BUFFER: usize = 8 * 1024;
 /// Added to the time that callers may rest, so that a request sent at the last moment is still read.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
-/// Pause after a failed accept, which is most often a lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serve callers until the process ends.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(relay.clone(), stream));
-            }
-            Err(err) => {
-                log::warn!(event = "accept-failed", why:% = err; "a caller's connection was not taken");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream, _| connection(relay.clone(), stream);
+    accept::each(listener, "callers", serve).await;
 }
 
 /// What a caller's connection waits for.
@@ -71,9 +62,7 @@
 
 async fn connection(relay: Rc<Relay>, stream: TcpStream) {
     let _open = relay.connection();
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!(event = "nodelay", why:% = err; "a connection waits for full packets");
-    }
+    target::send_at_once(&stream);
     let limits = relay.config().and_then(|table| table.limits);
     let header_bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes);
     let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| limits.header_timeout);
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -292,7 +292,7 @@
                     };
                     select::path(&fleet, name, model, need, &cx).is_some()
                 }
-                None => select::instance(&fleet, name, service.max_connections, &cx, 0).is_some(),
+                None => select::instance(&fleet, name, service.max_connections, &cx).is_some(),
             })
     }
 
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -198,13 +198,12 @@
         return Err(too_large());
     }
     let patience = limits.map_or(LONGEST_HELD, |limits| limits.idle_timeout);
-    let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
+    let mut held = BytesMut::new();
     loop {
         let frame = match tokio::time::timeout(patience, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Err(bad_request("the body is malformed")),
-            Ok(None) => break,
+            Ok(None) => return Ok(held.freeze()),
             Err(_) => {
                 return Err(answer::closing(
                     StatusCode::REQUEST_TIMEOUT,
@@ -212,23 +211,13 @@
                 ));
             }
         };
+        // Trailers are no part of the body.
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let held = first.as_ref().map_or(0, Bytes::len) + rest.len();
-        if held + data.len() > most {
+        if held.len() + data.len() > most {
             return Err(too_large());
         }
-        match first {
-            None => first = Some(data),
-            Some(_) => rest.extend_from_slice(&data),
-        }
-    }
-    let first = first.unwrap_or_default();
-    if rest.is_empty() {
-        return Ok(first);
+        held.extend_from_slice(&data);
     }
-    let mut joined = BytesMut::from(&first[..]);
-    joined.unsplit(rest);
-    Ok(joined.freeze())
 }
--- a/reachtally-relay/src/share.rs
+++ b/reachtally-relay/src/share.rs
@@ -20,8 +20,10 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::accept;
 use crate::relay::Relay;
 use crate::store::Member;
+use crate::target;
 
 /// How long a question waits for something new.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
@@ -32,7 +34,7 @@
 /// an answer it is 1.6 s until a box reads the store itself, less than the two in which a change must
 /// be in force.
 const SOUND_AGE: Duration = Duration::from_millis(1200);
-/// The same for its targets, which are read every 0.6 s. A box must not bring back a target that another
+/// The same for its targets, which are read every 0.4 s. A box must not bring back a target that another
 /// has seen leave.
 const SOUND_TARGETS_AGE: Duration = Duration::from_millis(1500);
 /// How long after the start a source may know no configuration: boxes may start before the first one
@@ -52,22 +54,15 @@
 
 /// Answer other boxes' questions until the process ends.
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener, run: Incarnation) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let relay = relay.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(why) = answer_all(&relay, stream, run).await {
-                        log::debug!(event = "peer-connection", from:% = from, why = &*why; "a box's connection ended");
-                    }
-                });
-            }
-            Err(err) => {
-                log::warn!(event = "accept-failed", why:% = err; "a box's connection was not taken");
-                sleep(LOOK_INTERVAL).await;
+    let serve = |stream, from| {
+        let relay = relay.clone();
+        async move {
+            if let Err(why) = answer_all(&relay, stream, run).await {
+                log::debug!(event = "peer-connection", from:% = from, why = &*why; "a box's connection ended");
             }
         }
-    }
+    };
+    accept::each(listener, "boxes", serve).await;
 }
 
 async fn answer_all(relay: &Relay, stream: TcpStream, run: Incarnation) -> Result<(), String> {
@@ -190,20 +185,27 @@
     }
 }
 
-/// Whether this box is the one of its failure domain that should read the store.
+/// The box of a failure domain that should read the store: of those that are usable, the one with the
+/// least run.
+fn reader<'a>(
+    members: &'a [Member],
+    domain: &str,
+    is_usable: impl Fn(&Member) -> bool,
+) -> Option<&'a Member> {
+    let home = members.iter().filter(|member| member.domain == domain);
+    home.filter(|member| is_usable(member))
+        .min_by_key(|member| member.run.0)
+}
+
+/// Whether this box is the reader of its failure domain.
 fn is_reader(relay: &Relay, run: Incarnation) -> bool {
     let settings = relay.settings.borrow();
     let members = relay.members.borrow();
-    let home = members
-        .iter()
-        .filter(|member| member.domain == settings.domain);
-    home.map(|member| member.run.0)
-        .min()
-        .is_none_or(|least| least == run.0)
+    reader(&members, &settings.domain, |_| true).is_none_or(|reader| reader.run == run)
 }
 
-/// The box to ask. The one with the least run of each failure domain reads the store; where it fails,
-/// the next one takes its place. The reader asks others only while its own reads fail.
+/// The box to ask: the reader, or where it fails the next one in its place. The reader asks others only
+/// while its own reads fail.
 fn pick(
     relay: &Relay,
     run: Incarnation,
@@ -212,14 +214,9 @@
 ) -> Option<IpAddr> {
     let settings = relay.settings.borrow();
     let members = relay.members.borrow();
-    let is_home = |member: &Member| member.domain == settings.domain;
     let is_usable =
-        |member: &&Member| member.run == run || avoid.iter().all(|(other, _)| *other != member.ip);
-    let home = members
-        .iter()
-        .filter(is_usable)
-        .filter(|member| is_home(member));
-    let reader = home.min_by_key(|member| member.run.0)?;
+        |member: &Member| member.run == run || avoid.iter().all(|(other, _)| *other != member.ip);
+    let reader = reader(&members, &settings.domain, is_usable)?;
     if reader.run != run {
         return Some(reader.ip);
     }
@@ -228,10 +225,9 @@
     }
     let others = members
         .iter()
-        .filter(is_usable)
-        .filter(|member| member.run != run);
+        .filter(|member| member.run != run && is_usable(member));
     others
-        .min_by_key(|member| (!is_home(member), member.run.0))
+        .min_by_key(|member| (member.domain != settings.domain, member.run.0))
         .map(|member| member.ip)
 }
 
@@ -311,12 +307,8 @@
 }
 
 async fn open(address: SocketAddr) -> Result<Source, String> {
-    let connecting = timeout(ANSWER_SLACK, TcpStream::connect(address)).await;
-    let stream = connecting.map_err(|_| "no connection in time".to_owned())?;
-    let stream = stream.map_err(|err| err.to_string())?;
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!(event = "nodelay", why:% = err; "a connection waits for full packets");
-    }
+    let stream = target::dial(address, ANSWER_SLACK).await?;
+    target::send_at_once(&stream);
     Ok(Source {
         ip: address.ip(),
         link: Framed::new(stream, frames()),
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -1,10 +1,8 @@
 //! Following the events of one chain.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use reachtally_core::Instant;
@@ -27,28 +25,25 @@
 
 /// A chain at work on a stream.
 pub(super) struct Running {
-    pub body: Incoming,
+    body: Incoming,
     /// Keeps the connection; dropping it cancels the work.
-    pub _driver: Driver,
-    pub occupied: Occupied,
+    _driver: Driver,
+    occupied: Occupied,
     /// Expected time between two events, corrected by those that came.
-    pub gap: Duration,
-    pub pace: Pace,
-}
-
-impl Running {
-    /// The chain's engines.
-    pub fn engines(&self) -> &[EngineKey] {
-        self.occupied.engines()
-    }
+    gap: Duration,
+    pace: Pace,
+    /// When the last event came, or when waiting began.
+    since: Instant,
+    /// When to look at the engines if no event comes.
+    look_at: Instant,
 }
 
 /// What was expected of a chain, and what it did.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Pace {
     pub began: Instant,
-    pub expected_first: Duration,
-    pub expected_gap: Duration,
+    expected_first: Duration,
+    expected_gap: Duration,
     first: Option<Duration>,
     longest: Duration,
     events: u32,
@@ -109,83 +104,108 @@
     Late,
 }
 
-/// What comes of a chain next.
-pub(super) enum Step {
-    /// Whole events that the caller lacks.
-    Events(Bytes),
-    /// Nothing more.
-    Stopped(Stopped),
-}
+impl Running {
+    /// A chain whose answer's head has come.
+    pub fn new(
+        body: Incoming,
+        driver: Driver,
+        occupied: Occupied,
+        pace: Pace,
+        now: Instant,
+    ) -> Self {
+        let mut running = Running {
+            body,
+            _driver: driver,
+            occupied,
+            gap: pace.expected_gap,
+            pace,
+            since: now,
+            look_at: now,
+        };
+        running.wait_from(now);
+        running
+    }
+
+    /// The chain's engines.
+    pub fn engines(&self) -> &[EngineKey] {
+        self.occupied.engines()
+    }
+
+    /// Begin to wait for an event, with time for other prompts that the engines read first.
+    pub fn wait_from(&mut self, now: Instant) {
+        self.since = now;
+        self.look_at = now + stall::overdue_after(self.gap) + FIRST_SLACK;
+    }
 
-/// Follow a chain until it stops.
-pub(super) fn follow<'a>(
-    relay: &'a Rc<Relay>,
-    call: &'a Call,
-    attempts: &'a Attempts,
-    running: &'a mut Running,
-    splitter: &'a mut Splitter,
-) -> impl Stream<Item = Step> + 'a {
-    async_stream::stream! {
-        let mut since = relay.now();
-        let mut look_at = since + stall::overdue_after(running.gap) + FIRST_SLACK;
+    /// The next whole events that the caller lacks, or how the chain stopped.
+    pub async fn next(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        attempts: &Attempts,
+        splitter: &mut Splitter,
+    ) -> Result<Bytes, Stopped> {
         loop {
-            let until = relay.clock(call.due.min(look_at));
-            let Ok(frame) = tokio::time::timeout_at(until, running.body.frame()).await else {
-                if relay.now() >= call.due {
-                    yield Step::Stopped(Stopped::Late);
-                    return;
-                }
-                let dead = dead_of_silent(relay, running.engines(), since).await;
-                if !dead.is_empty() && send::may_go_elsewhere(relay, call, attempts, &dead) {
-                    yield Step::Stopped(Stopped::Dead(dead));
-                    return;
-                }
-                look_at = relay.now() + stall::overdue_after(running.gap);
+            let until = relay.clock(call.due.min(self.look_at));
+            let Ok(frame) = tokio::time::timeout_at(until, self.body.frame()).await else {
+                self.look(relay, call, attempts).await?;
                 continue;
             };
-            let data = match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => data,
-                    // Trailers say nothing of the events.
-                    Err(_) => continue,
-                },
-                Some(Err(err)) => {
-                    yield Step::Stopped(Stopped::Broke(err.to_string()));
-                    return;
-                }
-                None => {
-                    let stopped = ended(relay, call, running, splitter);
-                    yield Step::Stopped(stopped);
-                    return;
-                }
+            let Some(frame) = frame else {
+                return Err(self.ended(relay, call, splitter));
             };
-            let now = relay.now();
-            relay.progress.borrow_mut().note(running.engines(), now);
-            match splitter.push(&data) {
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => yield Step::Events(events),
-                Err(_) => {
-                    yield Step::Stopped(Stopped::Broke("an event does not end".to_owned()));
-                    return;
-                }
+            let frame = frame.map_err(|err| Stopped::Broke(err.to_string()))?;
+            // Trailers say nothing of the events.
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.note(relay);
+            let events = splitter.push(&data);
+            let events = events.map_err(|_| Stopped::Broke("an event does not end".to_owned()))?;
+            if !events.is_empty() {
+                return Ok(events);
             }
-            running.pace.note(now, since);
-            let gap = now.since(since).as_secs_f64();
-            let mean = running.gap.as_secs_f64();
-            running.gap = Duration::from_secs_f64(mean + GAP_WEIGHT * (gap - mean));
-            since = now;
-            look_at = now + stall::overdue_after(running.gap);
         }
     }
-}
 
-/// The body has ended in order. A part of an event shows that the engine did not mean to.
-fn ended(relay: &Relay, call: &Call, running: &Running, splitter: &Splitter) -> Stopped {
-    if splitter.has_part() {
-        return Stopped::Broke("it ended within an event".to_owned());
+    /// No event came in time: is the final answer due, or are engines dead?
+    async fn look(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        attempts: &Attempts,
+    ) -> Result<(), Stopped> {
+        if relay.now() >= call.due {
+            return Err(Stopped::Late);
+        }
+        let dead = dead_of_silent(relay, self.engines(), self.since).await;
+        if !dead.is_empty() && send::may_go_elsewhere(relay, call, attempts, &dead) {
+            return Err(Stopped::Dead(dead));
+        }
+        self.look_at = relay.now() + stall::overdue_after(self.gap);
+        Ok(())
+    }
+
+    /// Bytes of the stream came.
+    fn note(&mut self, relay: &Relay) {
+        let now = relay.now();
+        relay.progress.borrow_mut().note(self.engines(), now);
+        self.pace.note(now, self.since);
+        let gap = now.since(self.since).as_secs_f64();
+        let mean = self.gap.as_secs_f64();
+        self.gap = Duration::from_secs_f64(mean + GAP_WEIGHT * (gap - mean));
+        self.since = now;
+        self.look_at = now + stall::overdue_after(self.gap);
+    }
+
+    /// The body has ended in order. A part of an event shows that the engine did not mean to.
+    fn ended(&self, relay: &Relay, call: &Call, splitter: &Splitter) -> Stopped {
+        if splitter.has_part() {
+            return Stopped::Broke("it ended within an event".to_owned());
+        }
+        self.pace.keep(relay, call, self.engines());
+        Stopped::Whole
     }
-    running.pace.keep(relay, call, running.engines());
-    Stopped::Whole
 }
 
 /// Engines of a chain without an event since `since`, over any stream, that take no connections.
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::body::Frame;
@@ -22,8 +21,8 @@
 use crate::events::Splitter;
 use crate::relay::Relay;
 use crate::serve::Call;
-use chain::{Running, Step, Stopped};
-use send::Sent;
+use chain::{Running, Stopped};
+use send::Answered;
 
 /// Pause between two looks for a path where none was found.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
@@ -39,17 +38,16 @@
             break;
         }
         match send::send(relay, &call, pick, last, &mut attempts).await {
-            Sent::Answer(answer) => {
+            Ok(Answered::Stream(answer)) => {
                 attempts.answered();
                 let (head, running) = *answer;
                 return streamed(relay.clone(), call, head, running, attempts);
             }
-            Sent::Failure(response) => return response,
-            Sent::NotRun(proof, why) => attempts.not_run(relay, &call, proof, &why),
-            Sent::Lost(why) => attempts.lost(relay, &call, &why),
-            Sent::Late => {
-                attempts.late();
-                break;
+            Ok(Answered::Failure(response)) => return response,
+            Err(why) => {
+                if !attempts.failed(relay, &call, why) {
+                    break;
+                }
             }
         }
     }
@@ -70,27 +68,23 @@
         let mut attempts = attempts;
         let mut splitter = Splitter::after(call.head.last_event);
         loop {
-            let stopped = {
-                let steps = chain::follow(&relay, &call, &attempts, &mut running, &mut splitter);
-                let mut steps = std::pin::pin!(steps);
-                loop {
-                    match steps.next().await {
-                        Some(Step::Events(bytes)) => yield Ok(Frame::data(bytes)),
-                        Some(Step::Stopped(stopped)) => break stopped,
-                        None => break Stopped::Broke("the chain ended".to_owned()),
-                    }
+            let stopped = match running.next(&relay, &call, &attempts, &mut splitter).await {
+                Ok(events) => {
+                    yield Ok(Frame::data(events));
+                    continue;
                 }
+                Err(stopped) => stopped,
             };
-            if matches!(stopped, Stopped::Whole) {
-                relay.count(|tally| tally.requests_answered += 1);
-                return;
-            }
             match go_on(&relay, &call, &mut attempts, &splitter, &running, stopped).await {
+                Next::Done => {
+                    relay.count(|tally| tally.requests_answered += 1);
+                    return;
+                }
                 Next::Other(other) => {
                     running = *other;
                     splitter.restart();
                 }
-                Next::Same => {}
+                Next::Same => running.wait_from(relay.now()),
                 Next::Cut(why) => {
                     relay.count(|tally| tally.streams_cut += 1);
                     attempts.log(&relay, &call);
@@ -106,6 +100,8 @@
 
 /// How a stream goes on after its chain stopped.
 enum Next {
+    /// It is whole.
+    Done,
     /// Over another chain.
     Other(Box<Running>),
     /// Over the same one, which is not over yet.
@@ -123,7 +119,7 @@
     stopped: Stopped,
 ) -> Next {
     match stopped {
-        Stopped::Whole => Next::Same,
+        Stopped::Whole => Next::Done,
         Stopped::Late => Next::Cut("it took as long as it may"),
         Stopped::Broke(why) => {
             log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(); "a stream broke off");
@@ -176,19 +172,21 @@
             return None;
         }
         match send::send(relay, call, pick, splitter.last(), attempts).await {
-            Sent::Answer(answer) => {
+            Ok(Answered::Stream(answer)) => {
                 attempts.answered();
                 relay.count(|tally| tally.streams_resumed += 1);
                 log::info!(event = "resumed", id = &*call.head.id, last:? = splitter.last(), send = attempts.sends(); "the stream goes on over another chain");
                 return Some(answer.1);
             }
-            Sent::NotRun(proof, why) => attempts.not_run(relay, call, proof, &why),
-            Sent::Lost(why) => attempts.lost(relay, call, &why),
-            Sent::Failure(response) => {
+            Ok(Answered::Failure(response)) => {
                 log::info!(event = "not-resumed", id = &*call.head.id, status = response.status().as_u16(); "another chain answered with a failure");
                 return None;
             }
-            Sent::Late => return None,
+            Err(why) => {
+                if !attempts.failed(relay, call, why) {
+                    return None;
+                }
+            }
         }
     }
 }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH};
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use reachtally_core::Instant;
@@ -18,11 +18,11 @@
 
 use crate::answer::{self, Body};
 use crate::attempts::{Attempts, SendRecord};
+use crate::exchange::{self, Unanswered};
 use crate::relay::{Occupied, Relay};
 use crate::serve::Call;
 use crate::stream::chain::{FIRST_SLACK, Pace, Running, dead_of_silent};
 use crate::target::{self, Answer, SendError};
-use crate::whole::{mistrust, note_load, request};
 use crate::wire::{Addition, AnswerHead};
 
 /// Time without the head of an answer after which a chain that is silent for all streams is left,
@@ -39,18 +39,12 @@
     first: Duration,
 }
 
-/// What one send came to.
-pub(super) enum Sent {
+/// What engines answered.
+pub(super) enum Answered {
     /// The head of a stream, which follows.
-    Answer(Box<(Response<()>, Running)>),
-    /// A failure that the engine itself answered.
+    Stream(Box<(Response<()>, Running)>),
+    /// A failure of the engine's own.
     Failure(Response<Body>),
-    /// Proven that nothing ran.
-    NotRun(NeverStarted, String),
-    /// It may have run.
-    Lost(String),
-    /// It took until the final answer was due.
-    Late,
 }
 
 fn need(call: &Call) -> Need {
@@ -69,7 +63,7 @@
     let cx = relay.circumstance(&settings, avoid, call.draw);
     let Some(model) = &call.service.model else {
         let most = call.service.max_connections;
-        let key = select::instance(&fleet, &call.service_name, most, &cx, call.draw)?;
+        let key = select::instance(&fleet, &call.service_name, most, &cx)?;
         return Some(Pick {
             path: None,
             engines: vec![key],
@@ -108,17 +102,10 @@
     pick: Pick,
     last: Option<u64>,
     attempts: &mut Attempts,
-) -> Sent {
+) -> Result<Answered, Unanswered> {
     let key = pick.engines[0];
-    let target = relay
-        .fleet
-        .borrow()
-        .get(key)
-        .map(|engine| (engine.entry.address, engine.entry.id.clone()));
     attempts.begin(relay, record(relay, call, &pick));
-    let Some((address, run)) = target else {
-        return Sent::NotRun(NeverStarted::ConnectFailed, "the engine is gone".to_owned());
-    };
+    let (address, run) = exchange::target_of(relay, key)?;
     let need = need(call);
     let occupied = Occupied::new(relay, pick.engines.clone(), need.prompt + need.answer);
     let add = Addition {
@@ -130,17 +117,9 @@
         last_event: last,
     };
     let pace = Pace::new(relay.now(), pick.first, pick.gap);
-    let req = request(relay, call, &add);
-    match head(relay, call, &pick, address, req, attempts, pace.began).await {
-        Head::Came(answer) => judge(relay, call, answer, key, occupied, pace, attempts).await,
-        Head::Other(sent) => sent,
-    }
-}
-
-/// The head of an answer, or what came in its place.
-enum Head {
-    Came(Answer),
-    Other(Sent),
+    let req = exchange::request(relay, call, &add);
+    let answer = head(relay, call, &pick, address, req, attempts, pace.began).await?;
+    judge(relay, call, answer, key, occupied, pace, attempts).await
 }
 
 /// Wait for the head. While it is overdue, engines that are silent for all streams are looked at.
@@ -152,25 +131,21 @@
     req: Request<Full<Bytes>>,
     attempts: &mut Attempts,
     began: Instant,
-) -> Head {
+) -> Result<Answer, Unanswered> {
     let key = pick.engines[0];
     let mut sending = std::pin::pin!(target::send(address, req));
     let mut patience = pick.first.mul_f64(stall::SILENCE_GAPS) + FIRST_SLACK;
     loop {
         let until = call.due.min(relay.now() + patience);
         match tokio::time::timeout_at(relay.clock(until), &mut sending).await {
-            Ok(Ok(answer)) => return Head::Came(answer),
+            Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(SendError::NotConnected(why))) => {
                 relay.target_dead(key);
                 attempts.avoid.push(key);
-                return Head::Other(Sent::NotRun(NeverStarted::ConnectFailed, why));
+                return Err(Unanswered::NotRun(NeverStarted::ConnectFailed, why));
             }
-            Ok(Err(SendError::Broken(why))) => {
-                relay.target_failed(key, &why);
-                attempts.avoid.push(key);
-                return Head::Other(Sent::Lost(why));
-            }
-            Err(_) if relay.now() >= call.due => return Head::Other(Sent::Late),
+            Ok(Err(SendError::Broken(why))) => return Err(failed(relay, key, attempts, why)),
+            Err(_) if relay.now() >= call.due => return Err(Unanswered::Late),
             Err(_) => {}
         }
         let mut stuck = dead_of_silent(relay, &pick.engines, began).await;
@@ -184,9 +159,8 @@
         }
         if !stuck.is_empty() && may_go_elsewhere(relay, call, attempts, &stuck) {
             attempts.avoid.extend(stuck);
-            return Head::Other(Sent::Lost(
-                "no first event, and its engines are silent".to_owned(),
-            ));
+            let why = "no first event, and its engines are silent".to_owned();
+            return Err(Unanswered::Lost(why));
         }
         patience = FIRST_SLACK;
     }
@@ -201,21 +175,14 @@
     occupied: Occupied,
     pace: Pace,
     attempts: &mut Attempts,
-) -> Sent {
+) -> Result<Answered, Unanswered> {
     let status = answer.response.status();
-    let head = relay
-        .wire
-        .answer(status.as_u16(), answer.response.headers());
-    note_load(relay, key, &head);
+    let head = exchange::head_of(relay, key, &answer.response);
     if head.not_run {
-        return not_run(relay, key, &head, status, attempts).await;
+        return Err(not_run(relay, key, &head, status, attempts).await);
     }
-    let is_encoded = answer.response.headers().contains_key(CONTENT_ENCODING);
-    let mistrust = mistrust(call, &head, status);
-    if let Some(why) = mistrust.or(is_encoded.then_some("the answer is encoded")) {
-        relay.target_failed(key, why);
-        attempts.avoid.push(key);
-        return Sent::Lost(why.to_owned());
+    if let Some(why) = exchange::mistrust(call, &head, &answer.response) {
+        return Err(failed(relay, key, attempts, why.to_owned()));
     }
     let (mut parts, body) = answer.response.into_parts();
     parts.headers = relay.wire.backward(&parts.headers);
@@ -223,14 +190,18 @@
         return failure(parts, body).await;
     }
     parts.headers.remove(CONTENT_LENGTH);
-    let running = Running {
-        body,
-        _driver: answer.driver,
-        occupied,
-        gap: pace.expected_gap,
-        pace,
-    };
-    Sent::Answer(Box::new((Response::from_parts(parts, ()), running)))
+    let running = Running::new(body, answer.driver, occupied, pace, relay.now());
+    Ok(Answered::Stream(Box::new((
+        Response::from_parts(parts, ()),
+        running,
+    ))))
+}
+
+/// The first engine has failed, and the request may have run.
+fn failed(relay: &Relay, key: EngineKey, attempts: &mut Attempts, why: String) -> Unanswered {
+    relay.target_failed(key, &why);
+    attempts.avoid.push(key);
+    Unanswered::Lost(why)
 }
 
 /// The engine that is to blame is left alone for a moment, and asked whether it is there at all.
@@ -240,7 +211,7 @@
     head: &AnswerHead,
     status: StatusCode,
     attempts: &mut Attempts,
-) -> Sent {
+) -> Unanswered {
     let blamed = head
         .at_fault
         .and_then(|address| relay.fleet.borrow().at(address));
@@ -254,15 +225,15 @@
         .get(blamed)
         .map(|engine| engine.entry.address);
     let why = format!("status {} by {address:?}", status.as_u16());
-    Sent::NotRun(NeverStarted::TargetSaidSo, why)
+    Unanswered::NotRun(NeverStarted::TargetSaidSo, why)
 }
 
 /// A failure that an engine answered, whole.
-async fn failure(parts: Parts, body: Incoming) -> Sent {
-    match body.collect().await {
-        Ok(held) => Sent::Failure(Response::from_parts(parts, answer::whole(held.to_bytes()))),
-        Err(err) => Sent::Lost(err.to_string()),
-    }
+async fn failure(parts: Parts, body: Incoming) -> Result<Answered, Unanswered> {
+    let held = body.collect().await;
+    let held = held.map_err(|err| Unanswered::Lost(err.to_string()))?;
+    let whole = answer::whole(held.to_bytes());
+    Ok(Answered::Failure(Response::from_parts(parts, whole)))
 }
 
 fn record(relay: &Relay, call: &Call, pick: &Pick) -> SendRecord {
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -18,15 +18,30 @@
 
 /// Time for a connection to come about: links take under 10 ms, and a lost opening packet is sent
 /// again only after a second, so a second try elsewhere is better than waiting.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time for a connection that only shows whether a target is there.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Whether a target takes connections.
 pub async fn is_there(address: SocketAddr) -> bool {
-    let connecting = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Ok(_)))
+    dial(address, CHECK_TIMEOUT).await.is_ok()
+}
+
+/// Open a connection within `patience`; the error tells why there is none.
+pub(crate) async fn dial(address: SocketAddr, patience: Duration) -> Result<TcpStream, String> {
+    match tokio::time::timeout(patience, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(err)) => Err(err.to_string()),
+        Err(_) => Err("timed out".to_owned()),
+    }
+}
+
+/// Let a connection send small packets at once.
+pub(crate) fn send_at_once(stream: &TcpStream) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!(event = "nodelay", why:% = err; "a connection waits for full packets");
+    }
 }
 
 /// Why there is no answer.
@@ -75,15 +90,9 @@
 pub async fn connect(
     address: SocketAddr,
 ) -> Result<(http1::SendRequest<Full<Bytes>>, Driver), SendError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = match connecting.await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(err)) => return Err(SendError::NotConnected(err.to_string())),
-        Err(_) => return Err(SendError::NotConnected("timed out".to_owned())),
-    };
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!(event = "nodelay", why:% = err; "a connection waits for full packets");
-    }
+    let dialled = dial(address, CONNECT_TIMEOUT).await;
+    let stream = dialled.map_err(SendError::NotConnected)?;
+    send_at_once(&stream);
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER)
         .handshake(TokioIo::new(stream));
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -13,7 +13,7 @@
 /// ask once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Part of the drain bound that is kept for requests on their way, and for the time from the loss of an
-/// entry until this box hears of it: 0.6 s between reads and 0.4 s from box to box.
+/// entry until this box hears of it: 0.4 s between reads, and as much from box to box.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1500);
 
 impl Relay {
@@ -105,18 +105,22 @@
     pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
         let now = self.now();
         let checks = engines.iter().map(|key| async move {
-            let engine = self.fleet.borrow().get(*key).cloned();
-            let Some(engine) = engine else {
+            let known = self
+                .fleet
+                .borrow()
+                .get(*key)
+                .map(|engine| (engine.entry.address, engine.health));
+            let Some((address, health)) = known else {
                 return Some(*key);
             };
             let is_recent = |at: Instant| now.since(at) < CHECK_INTERVAL;
-            if engine.health.is_dead() {
+            if health.is_dead() {
                 return Some(*key);
             }
-            if engine.health.alive_at().is_some_and(is_recent) {
+            if health.alive_at().is_some_and(is_recent) {
                 return None;
             }
-            match target::is_there(engine.entry.address).await {
+            match target::is_there(address).await {
                 true => {
                     self.target_there(*key);
                     None
