fix(relay): targets follow the store's offsets, so that no box is set back by another

Change: what boxes tell each other carries the store's offset up to which it is known; an older list is not taken, and a direct read goes on from the newest offset known by either way. Missing entries are told as missing. Targets that stay missing are dropped by a loop of their own: it waited for the questions to dead targets, 80 ms each, one after the other.

Ruled out: the time of reads (2.5 a second), the age bound of sources (it was kept).

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -156,7 +156,7 @@
     pub fn upsert(&mut self, entry: Entry, now: Instant) -> (EngineKey, bool) {
         if let Some(&key) = self.by_id.get(&entry.id) {
             let engine = &mut self.engines[key];
-            let changed = engine.entry != entry;
+            let changed = engine.entry != entry || engine.missing_since.is_some();
             engine.missing_since = None;
             engine.health.wrote(now);
             let draining = engine.entry.draining || entry.draining;
@@ -190,12 +190,16 @@
         Some(engine)
     }
 
-    /// The entry of `id` is missing, but the store was away: use it as the last choice only.
-    pub fn miss(&mut self, id: &str, now: Instant) {
+    /// The entry of `id` is missing, but the store was away: use it as the last choice only. Yields
+    /// whether that is news.
+    pub fn miss(&mut self, id: &str, now: Instant) -> bool {
         let Some(&key) = self.by_id.get(id) else {
-            return;
+            return false;
         };
-        self.engines[key].missing_since.get_or_insert(now);
+        let engine = &mut self.engines[key];
+        let is_news = engine.missing_since.is_none();
+        engine.missing_since.get_or_insert(now);
+        is_news
     }
 
     /// Ids of targets whose entries have been missing for `patience`.
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -18,6 +18,8 @@
     pub config_version: u64,
     /// How far the asker has followed the answerer's changes of targets.
     pub targets: Cursor,
+    /// Offset in the store up to which the asker knows the targets; 0 for none.
+    pub targets_end: u64,
 }
 
 /// What is new.
@@ -27,6 +29,8 @@
     pub confirmed_age: Option<Duration>,
     /// Age of the last read of the targets.
     pub targets_age: Option<Duration>,
+    /// Offset in the store up to which the targets are known.
+    pub targets_end: u64,
     /// The configuration as published; empty if the asker's is as new.
     pub config: Bytes,
     /// How far the changes of targets go.
@@ -35,6 +39,8 @@
     pub is_whole: bool,
     /// Entries that changed.
     pub wrote: Vec<Entry>,
+    /// Ids among `wrote` whose entries are missing in the store, perhaps through its own fault.
+    pub lapsed: Vec<String>,
     /// Ids of targets that are gone.
     pub gone: Vec<String>,
 }
@@ -53,6 +59,7 @@
             config_version: self.config_version,
             targets_run: self.targets.run,
             targets_next: self.targets.next,
+            targets_end: self.targets_end,
         };
         message.encode_to_vec().into()
     }
@@ -69,6 +76,7 @@
                 run: message.targets_run,
                 next: message.targets_next,
             },
+            targets_end: message.targets_end,
         })
     }
 }
@@ -82,6 +90,8 @@
             targets_age_ms: self.targets_age.map(|age| age.as_millis() as u64),
             targets_run: self.targets.run,
             targets_next: self.targets.next,
+            targets_end: self.targets_end,
+            lapsed: self.lapsed.clone(),
             is_whole: self.is_whole,
             wrote: self.wrote.iter().map(encode_entry).collect(),
             gone: self.gone.clone(),
@@ -110,6 +120,8 @@
                 run: message.targets_run,
                 next: message.targets_next,
             },
+            targets_end: message.targets_end,
+            lapsed: message.lapsed,
             is_whole: message.is_whole,
             wrote: wrote?,
             gone: message.gone,
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -27,11 +27,14 @@
 #[test]
 fn questions_and_answers_survive() {
     let ask = Ask {
+        targets_end: 812,
         config_version: 9,
         targets: Cursor { run: 5, next: 77 },
     };
     assert_eq!(Ask::decode(&ask.encode()).expect("it decodes"), ask);
     let news = News {
+        targets_end: 812,
+        lapsed: vec!["i-1".to_owned()],
         confirmed_age: None,
         targets_age: None,
         config: Bytes::from_static(b"{}"),
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -138,11 +138,10 @@
 
 /// Keep the targets like the store's, while this box reads the store itself.
 pub async fn targets<S: Store>(relay: Rc<Relay>, store: S) {
-    let mut next: Option<u64> = None;
+    let mut needs_list = true;
     let mut pause = Pause::new();
     let mut dependency = Dependency::new("targets");
     let mut back_at: Option<Instant> = None;
-    let mut read_at = relay.now();
     let mut failures = 0;
     loop {
         relay.until_direct().await;
@@ -152,30 +151,28 @@
             continue;
         }
         failures += 1;
-        if relay.now().since(read_at) > LONGEST_GAP {
-            next = None;
-        }
-        let is_back = |at: Instant| relay.now().since(at) < LAPSE_WINDOW;
-        let may_lapse = dependency.is_lost() || back_at.is_some_and(is_back);
         let began = relay.now();
-        let read = read_targets(&relay, &store, next, may_lapse).await;
+        let is_long_ago = |at: Instant| began.since(at) > LONGEST_GAP;
+        needs_list |= relay.targets_read.get().is_none_or(is_long_ago);
+        let is_back = |at: Instant| began.since(at) < LAPSE_WINDOW;
+        let may_lapse = dependency.is_lost() || back_at.is_some_and(is_back);
+        let read = match needs_list {
+            true => list_targets(&relay, &store, began, may_lapse).await,
+            false => read_targets(&relay, &store, began, may_lapse).await,
+        };
         let now = relay.now();
         match read {
-            Ok(offset) => {
+            Ok(()) => {
                 if dependency.regained(now) {
                     back_at = Some(now);
                 }
-                relay.targets_are_of(began);
                 failures = 0;
-                next = Some(offset);
-                read_at = now;
+                needs_list = false;
                 pause.reset();
             }
             Err(err) => {
                 dependency.lost(&relay, &err);
-                if matches!(err, StoreError::Gone | StoreError::Malformed(_)) {
-                    next = None;
-                }
+                needs_list |= matches!(err, StoreError::Gone | StoreError::Malformed(_));
                 pause.wait(&relay).await;
                 continue;
             }
@@ -184,40 +181,66 @@
     }
 }
 
-async fn read_targets<S: Store>(
+/// Take over the store's list of targets by a read that began at `began`.
+async fn list_targets<S: Store>(
     relay: &Relay,
     store: &S,
-    next: Option<u64>,
+    began: Instant,
     may_lapse: bool,
-) -> Result<u64, StoreError> {
-    let Some(offset) = next else {
-        let feed = store.targets().await?;
+) -> Result<(), StoreError> {
+    let feed = store.targets().await?;
+    // Another box may have told of later changes while this read was under way.
+    if feed.next >= relay.targets_end.get() {
         relay.replace_targets(feed.items, may_lapse);
-        return Ok(feed.next);
-    };
-    let feed = store.targets_from(offset).await?;
+        relay.targets_are_of(began, feed.next);
+    }
+    Ok(())
+}
+
+/// Take over the changes since the offset up to which the targets are known, by a read that began at
+/// `began`.
+async fn read_targets<S: Store>(
+    relay: &Relay,
+    store: &S,
+    began: Instant,
+    may_lapse: bool,
+) -> Result<(), StoreError> {
+    let feed = store.targets_from(relay.targets_end.get()).await?;
+    if feed.next < relay.targets_end.get() {
+        return Ok(());
+    }
     for change in feed.items {
         match change {
             TargetChange::Wrote(entry) => relay.target_wrote(entry),
             TargetChange::Gone(id) => relay.target_gone(&id, may_lapse),
         }
     }
-    Ok(feed.next)
+    relay.targets_are_of(began, feed.next);
+    Ok(())
 }
 
-/// Look after targets that are dead or missing: ask the first whether they are back, and drop the
-/// others when they stay away.
-pub async fn targets_away(relay: Rc<Relay>) {
+/// Drop targets whose entries stay away, until the process ends.
+pub async fn targets_missing(relay: Rc<Relay>) {
     loop {
-        sleep(AWAY_INTERVAL).await;
+        sleep(MISSING_INTERVAL).await;
         relay.drop_missing();
+    }
+}
+
+/// Time between two looks at targets whose entries are missing: a small part of the time in which a
+/// target that left must be left alone.
+const MISSING_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Ask dead targets whether they are back, until the process ends. All are asked at once: each that is
+/// cut off takes as long as a question may.
+pub async fn targets_dead(relay: Rc<Relay>) {
+    loop {
+        sleep(AWAY_INTERVAL).await;
         let dead = relay.fleet.borrow().dead();
-        for key in dead {
-            relay.ask_dead(key).await;
-        }
+        futures::future::join_all(dead.into_iter().map(|key| relay.ask_dead(key))).await;
     }
 }
 
-/// Time between two looks at targets that are away. A dead one restarts as another run, so only one
+/// Time between two questions to a dead target. One that crashed restarts as another run, so only one
 /// that was cut off comes back.
 const AWAY_INTERVAL: Duration = Duration::from_millis(700);
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -78,6 +78,9 @@
     pub is_reader: Cell<bool>,
     /// When the read of the targets began that what is held goes back to.
     pub targets_read: Cell<Option<Instant>>,
+    /// Offset in the store up to which the targets are known; it never falls, so that neither an answer
+    /// of the store nor another box sets them back. 0 before the first.
+    pub targets_end: Cell<u64>,
     /// Whether this box's own reads of the store fail.
     pub store_away: Cell<bool>,
     /// What is counted.
@@ -119,6 +122,7 @@
             news: watch::Sender::new(()),
             is_reader: Cell::new(true),
             targets_read: Cell::default(),
+            targets_end: Cell::default(),
             store_away: Cell::default(),
             tally: Cell::default(),
             times: Times::default(),
@@ -205,10 +209,11 @@
         self.freshness.set(freshness);
     }
 
-    /// Note that the targets are those of a read which began at `began`.
-    pub fn targets_are_of(&self, began: Instant) {
+    /// Note that the targets are those of a read which began at `began` and went up to `end`.
+    pub fn targets_are_of(&self, began: Instant, end: u64) {
         self.targets_read
             .set(self.targets_read.get().max(Some(began)));
+        self.targets_end.set(self.targets_end.get().max(end));
     }
 
     /// Whether keyed requests may be judged by the configuration held.
--- a/reachtally-relay/src/share.rs
+++ b/reachtally-relay/src/share.rs
@@ -14,6 +14,7 @@
 use futures::{SinkExt, StreamExt};
 use reachtally_core::Instant;
 use reachtally_core::forward::changes::{Cursor, Since};
+use reachtally_core::forward::fleet::Engine;
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::news::{Ask, News, frames};
 use tokio::net::{TcpListener, TcpStream};
@@ -98,7 +99,8 @@
         run: run.0,
         next: relay.changes.borrow().next(),
     };
-    version > ask.config_version || ask.targets != targets
+    let is_behind = relay.targets_end.get() < ask.targets_end;
+    version > ask.config_version || (ask.targets != targets && !is_behind)
 }
 
 fn news(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
@@ -117,21 +119,21 @@
             run: run.0,
             next: changes.next(),
         },
+        targets_end: relay.targets_end.get(),
         ..News::default()
     };
     let fleet = relay.fleet.borrow();
     match changes.since(ask.targets, run.0) {
         Since::Whole => {
             news.is_whole = true;
-            news.wrote = fleet
-                .iter()
-                .map(|(_, engine)| engine.entry.clone())
-                .collect();
+            for (_, engine) in fleet.iter() {
+                show(&mut news, engine);
+            }
         }
         Since::Changed(ids) => {
             for id in ids {
                 match fleet.find(&id).and_then(|key| fleet.get(key)) {
-                    Some(engine) => news.wrote.push(engine.entry.clone()),
+                    Some(engine) => show(&mut news, engine),
                     None => news.gone.push(id.to_string()),
                 }
             }
@@ -140,6 +142,13 @@
     news
 }
 
+fn show(news: &mut News, engine: &Engine) {
+    news.wrote.push(engine.entry.clone());
+    if engine.missing_since.is_some() {
+        news.lapsed.push(engine.entry.id.to_string());
+    }
+}
+
 /// A box that is asked.
 struct Source {
     ip: IpAddr,
@@ -244,6 +253,7 @@
     let ask = Ask {
         config_version: relay.config().map_or(0, |table| table.version),
         targets: source.targets,
+        targets_end: relay.targets_end.get(),
     };
     let asking = async {
         source
@@ -263,8 +273,7 @@
         if began.elapsed() > FIRST_CONFIGURATION {
             return Err("it knows no configuration".to_owned());
         }
-        source.targets = news.targets;
-        take(relay, news)?;
+        take(relay, &mut source, news)?;
         return Ok(source);
     };
     if age > SOUND_AGE {
@@ -280,30 +289,41 @@
             targets_age.as_millis()
         ));
     }
-    source.targets = news.targets;
-    take(relay, news)?;
-    let read = began.elapsed().saturating_sub(targets_age);
-    relay.targets_are_of(Instant::from_elapsed(read));
+    let end = news.targets_end;
+    if take(relay, &mut source, news)? {
+        let read = began.elapsed().saturating_sub(targets_age);
+        relay.targets_are_of(Instant::from_elapsed(read), end);
+    }
     let confirmed = began.elapsed().saturating_sub(age);
     relay.confirm(Instant::from_elapsed(confirmed));
     Ok(source)
 }
 
-fn take(relay: &Relay, news: News) -> Result<(), String> {
+/// Take in what a box told; yields whether its targets were taken. Those of a box that knows the store's
+/// list only up to an earlier offset are not: they would bring back targets that have left.
+fn take(relay: &Relay, source: &mut Source, news: News) -> Result<bool, String> {
     if !news.config.is_empty() {
         relay.publish(&news.config)?;
     }
+    if news.targets_end < relay.targets_end.get() {
+        log::debug!(event = "source-behind", from:% = source.ip, end = news.targets_end, held = relay.targets_end.get(); "a box's targets are older than those held");
+        return Ok(false);
+    }
+    source.targets = news.targets;
     if news.is_whole {
         relay.replace_targets(news.wrote, false);
-        return Ok(());
-    }
-    for entry in news.wrote {
-        relay.target_wrote(entry);
+    } else {
+        for entry in news.wrote {
+            relay.target_wrote(entry);
+        }
+        for id in news.gone {
+            relay.target_gone(&id, false);
+        }
     }
-    for id in news.gone {
-        relay.target_gone(&id, false);
+    for id in news.lapsed {
+        relay.target_lapsed(&id);
     }
-    Ok(())
+    Ok(true)
 }
 
 async fn open(address: SocketAddr) -> Result<Source, String> {
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -32,10 +32,17 @@
     /// A target's entry is gone: it has left, unless the store was away and took the entry with it.
     pub fn target_gone(&self, id: &str, may_lapse: bool) {
         log::info!(event = "target-gone", target = id, may_lapse = may_lapse; "a target's entry is gone");
-        if may_lapse {
-            self.fleet.borrow_mut().miss(id, self.now());
-        } else {
-            self.forget(id);
+        match may_lapse {
+            true => self.target_lapsed(id),
+            false => self.forget(id),
+        }
+    }
+
+    /// A target's entry is missing, perhaps through the store's fault.
+    pub fn target_lapsed(&self, id: &str) {
+        if self.fleet.borrow_mut().miss(id, self.now()) {
+            self.changes.borrow_mut().note(Arc::from(id));
+            self.touched();
         }
     }
 
