feat(relay): three readers a failure domain, by the width of their links; the group and packed configurations by them

Change: the three boxes with the widest links of a failure domain stand by as readers; the next one in order begins at once, and an answer waits until it holds something new enough; a box whose own reads fail asks abroad too. Readers count the group and tell it; configurations go packed. Which box reads is the core's decision now (forward/readers.rs).

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod path;
 pub mod peers;
 pub mod placement;
+pub mod readers;
 pub mod routes;
 pub mod select;
 pub mod stall;
--- a/reachtally-core/src/forward/peers.rs
+++ b/reachtally-core/src/forward/peers.rs
@@ -1,6 +1,7 @@
 //! What the other boxes have on the targets, as they last told.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,19 @@
 /// Most boxes that one heard stands for; before the first reports nothing is known.
 const MOST_UNHEARD: f64 = 4.0;
 
+/// A box in the group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its failure domain.
+    pub domain: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its run.
+    pub run: Incarnation,
+    /// Bandwidth of its link, in Mbit/s; 0 if it is not known.
+    pub link_mbps: u32,
+}
+
 /// Requests of a box on one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerLoad {
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -7,6 +7,7 @@
 mod path;
 mod peers;
 mod placement;
+mod readers;
 mod routes;
 mod select;
 mod setup;
--- a/reachtally-protocol/src/lib.rs
+++ b/reachtally-protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod load;
 pub mod news;
+pub mod packed;
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -6,6 +6,8 @@
 use prost::Message as _;
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::fleet::Entry;
+use reachtally_core::forward::peers::Member;
+use reachtally_core::ids::Incarnation;
 
 use crate::FRAME_MAX;
 use crate::codec::Error;
@@ -20,6 +22,8 @@
     pub targets: Cursor,
     /// Offset in the store up to which the asker knows the targets; 0 for none.
     pub targets_end: u64,
+    /// Generation of the group of boxes that the asker knows; 0 for none.
+    pub group_generation: u64,
 }
 
 /// What is new.
@@ -31,7 +35,7 @@
     pub targets_age: Option<Duration>,
     /// Offset in the store up to which the targets are known.
     pub targets_end: u64,
-    /// The configuration as published; empty if the asker's is as new.
+    /// The configuration as published, packed; empty if the asker's is as new.
     pub config: Bytes,
     /// How far the changes of targets go.
     pub targets: Cursor,
@@ -41,6 +45,10 @@
     pub wrote: Vec<Entry>,
     /// Ids among `wrote` whose entries are missing in the store, perhaps through its own fault.
     pub lapsed: Vec<String>,
+    /// Generation of the group that `members` is of; 0 if the asker's is as new.
+    pub group_generation: u64,
+    /// The boxes of the group.
+    pub members: Vec<Member>,
     /// Ids of targets that are gone.
     pub gone: Vec<String>,
 }
@@ -60,6 +68,7 @@
             targets_run: self.targets.run,
             targets_next: self.targets.next,
             targets_end: self.targets_end,
+            group_generation: self.group_generation,
         };
         message.encode_to_vec().into()
     }
@@ -77,6 +86,7 @@
                 next: message.targets_next,
             },
             targets_end: message.targets_end,
+            group_generation: message.group_generation,
         })
     }
 }
@@ -92,6 +102,8 @@
             targets_next: self.targets.next,
             targets_end: self.targets_end,
             lapsed: self.lapsed.clone(),
+            group_generation: self.group_generation,
+            members: self.members.iter().map(encode_member).collect(),
             is_whole: self.is_whole,
             wrote: self.wrote.iter().map(encode_entry).collect(),
             gone: self.gone.clone(),
@@ -107,6 +119,8 @@
         let message = pb::News::decode(bytes).map_err(Error::Decode)?;
         let wrote: Result<Vec<Entry>, Error> =
             message.wrote.into_iter().map(decode_entry).collect();
+        let members: Result<Vec<Member>, Error> =
+            message.members.into_iter().map(decode_member).collect();
         Ok(News {
             // Rounded up, since a smaller age would be a promise that was not given.
             confirmed_age: message
@@ -122,6 +136,8 @@
             },
             targets_end: message.targets_end,
             lapsed: message.lapsed,
+            group_generation: message.group_generation,
+            members: members?,
             is_whole: message.is_whole,
             wrote: wrote?,
             gone: message.gone,
@@ -129,6 +145,24 @@
     }
 }
 
+fn encode_member(member: &Member) -> pb::Member {
+    pb::Member {
+        domain: member.domain.clone(),
+        ip: member.ip.to_string(),
+        run: member.run.0,
+        link_mbps: member.link_mbps,
+    }
+}
+
+fn decode_member(member: pb::Member) -> Result<Member, Error> {
+    Ok(Member {
+        domain: member.domain,
+        ip: member.ip.parse().map_err(|_| Error::Missing("ip"))?,
+        run: Incarnation(member.run),
+        link_mbps: member.link_mbps,
+    })
+}
+
 fn encode_entry(entry: &Entry) -> pb::Target {
     pb::Target {
         run: entry.id.to_string(),
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -6,10 +6,10 @@
 use proptest::prelude::*;
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::fleet::Entry;
-use reachtally_core::forward::peers::{PeerLoad, PeerReport};
+use reachtally_core::forward::peers::{Member, PeerLoad, PeerReport};
 use reachtally_core::ids::Incarnation;
-use reachtally_protocol::load;
 use reachtally_protocol::news::{Ask, News};
+use reachtally_protocol::{load, packed};
 
 fn entry(card: Option<&str>) -> Entry {
     Entry {
@@ -24,16 +24,28 @@
     }
 }
 
+fn member() -> Member {
+    Member {
+        domain: "north".to_owned(),
+        ip: std::net::Ipv4Addr::LOCALHOST.into(),
+        run: Incarnation(5),
+        link_mbps: 20,
+    }
+}
+
 #[test]
 fn questions_and_answers_survive() {
     let ask = Ask {
         targets_end: 812,
+        group_generation: 6,
         config_version: 9,
         targets: Cursor { run: 5, next: 77 },
     };
     assert_eq!(Ask::decode(&ask.encode()).expect("it decodes"), ask);
     let news = News {
         targets_end: 812,
+        group_generation: 7,
+        members: vec![member()],
         lapsed: vec!["i-1".to_owned()],
         confirmed_age: None,
         targets_age: None,
@@ -86,3 +98,24 @@
         let _ = News::decode(bytes.into());
     }
 }
+
+proptest! {
+    #[test]
+    fn a_packed_text_is_unpacked_whole(text in proptest::collection::vec(any::<u8>(), 0..4096)) {
+        let packed = packed::pack(&text).expect("it packs");
+        prop_assert_eq!(&packed::unpack(&packed).expect("it unpacks")[..], &text[..]);
+    }
+
+    #[test]
+    fn nonsense_is_refused_or_unpacked_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        // Some nonsense is a packed text by chance; the configuration's decoder judges that.
+        let _ = packed::unpack(&bytes);
+    }
+}
+
+#[test]
+fn a_text_that_unpacks_without_end_is_refused() {
+    let packed = packed::pack(&vec![0; reachtally_protocol::FRAME_MAX + 1]).expect("it packs");
+    assert!(packed.len() < 1 << 20);
+    assert!(packed::unpack(&packed).is_err());
+}
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -9,18 +9,18 @@
 
 use crate::follow::Dependency;
 use crate::relay::Relay;
-use crate::store::Store;
+use crate::store::{Membership, Store};
 
 /// How long a box stays in the group without a word.
 const MEMBER_TTL: Duration = Duration::from_secs(3);
 /// Time between two words to the group.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
-/// Time before the first word, so that the first count finds all boxes that start together.
-const START_PAUSE: Duration = Duration::from_millis(400);
-/// Least and most joins between two counts of the boxes: a change of the group is mostly one of
-/// several in a row.
-const LEAST_JOINS: u32 = 2;
-const MOST_JOINS: u32 = 60;
+/// Joins with a new generation after which the boxes are counted by one that reads the store: a change
+/// of the group is mostly one of several in a row, and a new box holds its part only once the others
+/// have joined again.
+const JOINS_AT_READER: u32 = 2;
+/// The same for a box that asks another, which should have told it by then.
+const JOINS_BESIDE: u32 = 5;
 
 /// This box's place in the group.
 #[derive(Debug, Default)]
@@ -39,33 +39,25 @@
     }
 }
 
-/// Stay in the group of boxes, and count them.
+/// Stay in the group of boxes, and count them where no other box does.
 pub async fn run<S: Store>(relay: Rc<Relay>, store: S, tenure: Rc<Tenure>) {
     let mut generation = 0;
-    let mut joins = LEAST_JOINS;
-    let mut is_counted = false;
+    let mut behind = 0;
     let mut dependency = Dependency::new("group");
-    // All boxes of a deployment start within some tenths of a second.
-    sleep(START_PAUSE).await;
     while !relay.is_leaving() {
         let began = relay.now();
         match store.join(MEMBER_TTL, generation).await {
             Ok(membership) => {
                 dependency.regained(relay.now());
-                let was_steward = tenure.is_steward(began);
-                let until = began + MEMBER_TTL.saturating_sub(TENURE_MARGIN);
-                tenure
-                    .steward_until
-                    .set(membership.is_steward.then_some(until));
-                if was_steward != membership.is_steward {
-                    log::info!(event = "steward", is_steward = membership.is_steward, generation = membership.generation; "the steward's part changed hands");
-                }
-                joins += 1;
-                is_counted &= membership.generation == generation;
+                keep_tenure(&tenure, membership, began);
                 generation = membership.generation;
-                if joins >= if is_counted { MOST_JOINS } else { LEAST_JOINS } {
-                    joins = 0;
-                    is_counted = count_boxes(&relay, &store).await;
+                behind = match relay.group_generation() < generation {
+                    true => behind + 1,
+                    false => 0,
+                };
+                let is_first = relay.members.borrow().is_empty();
+                if is_first || is_count_due(&relay, behind) {
+                    count_boxes(&relay, &store, generation, is_first).await;
                 }
             }
             Err(err) => dependency.lost(&relay, &err),
@@ -75,19 +67,32 @@
     tenure.steward_until.set(None);
 }
 
-async fn count_boxes<S: Store>(relay: &Relay, store: &S) -> bool {
+fn keep_tenure(tenure: &Tenure, membership: Membership, began: Instant) {
+    let was_steward = tenure.is_steward(began);
+    let until = began + MEMBER_TTL.saturating_sub(TENURE_MARGIN);
+    tenure
+        .steward_until
+        .set(membership.is_steward.then_some(until));
+    if was_steward != membership.is_steward {
+        log::info!(event = "steward", is_steward = membership.is_steward, generation = membership.generation; "the steward's part changed hands");
+    }
+}
+
+/// Whether this box should count the boxes, `behind` joins after their generation changed.
+fn is_count_due(relay: &Relay, behind: u32) -> bool {
+    let joins = match relay.is_direct() {
+        true => JOINS_AT_READER,
+        false => JOINS_BESIDE,
+    };
+    behind >= joins
+}
+
+async fn count_boxes<S: Store>(relay: &Relay, store: &S, generation: u64, is_first: bool) {
     match store.members().await {
-        Ok(members) => {
-            let before = relay.members.replace(members).len();
-            let boxes = relay.members.borrow().len();
-            if before != boxes {
-                log::info!(event = "boxes", boxes = boxes, before = before; "the number of boxes changed");
-            }
-            true
-        }
+        Ok(members) if is_first => relay.set_first_members(members),
+        Ok(members) => relay.set_members(members, generation),
         Err(err) => {
             log::info!(event = "census-failed", why:% = err; "the boxes were not counted");
-            false
         }
     }
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -11,15 +11,15 @@
 use reachtally_core::forward::changes::Changes;
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
 use reachtally_core::forward::freshness::Freshness;
-use reachtally_core::forward::peers::Peers;
+use reachtally_core::forward::peers::{Member, Peers};
 use reachtally_core::forward::routes::Table;
 use reachtally_core::forward::select;
 use reachtally_core::forward::stall::Progress;
 use reachtally_core::forward::tally::Tally;
+use reachtally_protocol::packed;
 use tokio::sync::watch;
 
 use crate::metrics::Times;
-use crate::store::Member;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -69,6 +69,8 @@
     pub peers: RefCell<Peers>,
     /// Boxes in the group.
     pub members: RefCell<Vec<Member>>,
+    /// Generation of the group that these boxes are of.
+    group_generation: Cell<u64>,
     budgets: RefCell<HashMap<Arc<str>, SharedBudget>>,
     held: Cell<Duration>,
     published: RefCell<Bytes>,
@@ -115,6 +117,7 @@
             freshness: Cell::default(),
             peers: RefCell::default(),
             members: RefCell::default(),
+            group_generation: Cell::default(),
             budgets: RefCell::default(),
             held: Cell::new(HELD_ASSUMED),
             published: RefCell::default(),
@@ -153,6 +156,23 @@
     /// # Errors
     /// What is wrong with it; the one held stays.
     pub fn publish(&self, raw: &Bytes) -> Result<(), String> {
+        self.publish_with(raw, || packed::pack(raw))
+    }
+
+    /// The same for a configuration in its packed form, as other boxes pass it on.
+    ///
+    /// # Errors
+    /// What is wrong with it; the one held stays.
+    pub fn publish_packed(&self, packed: &Bytes) -> Result<(), String> {
+        let raw = packed::unpack(packed).map_err(|err| err.to_string())?;
+        self.publish_with(&raw, || Ok(packed.clone()))
+    }
+
+    fn publish_with(
+        &self,
+        raw: &Bytes,
+        packed: impl FnOnce() -> std::io::Result<Bytes>,
+    ) -> Result<(), String> {
         let table = self.wire.config(raw)?;
         let held = self.config().map(|held| held.version);
         if held.is_some_and(|version| version >= table.version) {
@@ -160,21 +180,25 @@
         }
         log::info!(event = "config", version = table.version, held:? = held, routes = table.route_count(); "configuration applied");
         *self.table.borrow_mut() = Some(Arc::new(table));
-        *self.published.borrow_mut() = raw.clone();
+        *self.published.borrow_mut() = packed().map_err(|err| err.to_string())?;
         self.count(|tally| tally.configurations_applied += 1);
         self.touched();
         Ok(())
     }
 
-    /// The configuration in force as it was published.
+    /// The configuration in force as it was published, packed.
     pub fn published(&self) -> Bytes {
         self.published.borrow().clone()
     }
 
     /// Whether this box reads the store itself.
     pub fn set_direct(&self, direct: bool) {
-        self.direct
+        let is_news = self
+            .direct
             .send_if_modified(|held| std::mem::replace(held, direct) != direct);
+        if is_news {
+            log::info!(event = "reads-store", direct = direct; "where the configuration and the targets come from changed");
+        }
     }
 
     /// Wait until this box reads the store itself.
@@ -186,6 +210,37 @@
         }
     }
 
+    /// Whether this box reads the store itself at present.
+    pub fn is_direct(&self) -> bool {
+        *self.direct.borrow()
+    }
+
+    /// Generation of the group that the boxes known are of; 0 before the first count.
+    pub fn group_generation(&self) -> u64 {
+        self.group_generation.get()
+    }
+
+    /// Take over a first count, which may lack boxes that have just started. It only tells whom to ask.
+    pub fn set_first_members(&self, members: Vec<Member>) {
+        if self.members.borrow().is_empty() {
+            self.members.replace(members);
+        }
+    }
+
+    /// Take over the boxes of the group as of `generation`, unless those known are as new.
+    pub fn set_members(&self, members: Vec<Member>, generation: u64) {
+        if generation <= self.group_generation.get() {
+            return;
+        }
+        self.group_generation.set(generation);
+        let before = self.members.replace(members).len();
+        let boxes = self.members.borrow().len();
+        if before != boxes {
+            log::info!(event = "boxes", boxes = boxes, before = before, generation = generation; "the number of boxes changed");
+        }
+        self.touched();
+    }
+
     /// Follow the changes that other boxes must hear of.
     pub fn news(&self) -> watch::Receiver<()> {
         self.news.subscribe()
@@ -224,11 +279,13 @@
         }
     }
 
-    /// Number of boxes, this one included.
+    /// Number of boxes that share the budget. Until a count is whole, many are assumed: a small share is
+    /// the safe side.
     pub fn boxes(&self) -> u32 {
-        match self.members.borrow().len() {
-            0 => BOXES_ASSUMED,
-            count => count as u32,
+        let counted = self.members.borrow().len() as u32;
+        match self.group_generation.get() {
+            0 => counted.max(BOXES_ASSUMED),
+            _ => counted.max(1),
         }
     }
 
@@ -273,7 +330,10 @@
             home: &settings.domain,
             avoid,
             held: self.held.get(),
-            unheard: self.peers.borrow().unheard(self.boxes()),
+            unheard: self
+                .peers
+                .borrow()
+                .unheard(self.members.borrow().len() as u32),
             draw,
         }
     }
--- /dev/null
+++ b/reachtally-relay/src/share/ask.rs
@@ -0,0 +1,219 @@
+//! Questions to other boxes.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use reachtally_core::Instant;
+use reachtally_core::forward::changes::Cursor;
+use reachtally_core::forward::readers::{Origin, View};
+use reachtally_core::ids::Incarnation;
+use reachtally_protocol::news::{Ask, News, frames};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+use crate::relay::Relay;
+use crate::share::{ANSWER_SLACK, ANSWER_WAIT, Link, SOUND_AGE, SOUND_TARGETS_AGE, is_sound};
+use crate::target;
+
+/// How long after the start a source may know no configuration: boxes may start before the first one
+/// is published.
+const FIRST_CONFIGURATION: Duration = Duration::from_secs(4);
+/// How long a source that failed is left alone: longer than the group takes to notice that it is gone.
+const AVOID_SOURCE: Duration = Duration::from_secs(5);
+/// The same while this box does not reach the store either: then the reader is the first to know of its
+/// return, and asking it costs no call.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Least time between two questions, so that a box is not told each of a storm of configurations.
+const ASK_INTERVAL: Duration = Duration::from_millis(60);
+/// Time between two looks while this box reads the store itself.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait at the start for the group of boxes, which tells whom to ask. It is known after one call
+/// to the store, or not at all while the store is away.
+const GROUP_WAIT: Duration = Duration::from_millis(600);
+
+/// A box that is asked.
+struct Source {
+    ip: IpAddr,
+    link: Link,
+    targets: Cursor,
+}
+
+/// A box that was asked in vain, and when.
+type Avoided = (IpAddr, Instant);
+
+/// Ask other boxes, or let this one read the store itself, until the process ends.
+pub async fn ask(relay: Rc<Relay>, port: u16, run: Incarnation) {
+    let mut source: Option<Source> = None;
+    let mut avoid: Vec<Avoided> = Vec::new();
+    let mut is_lost = false;
+    relay.set_direct(false);
+    wait_for_group(&relay).await;
+    loop {
+        drop_expired(&relay, &mut avoid);
+        let Origin::Box(ip) = origin(&relay, run, &avoid) else {
+            relay.set_direct(true);
+            source = None;
+            sleep(LOOK_INTERVAL).await;
+            continue;
+        };
+        let kept = source.take().filter(|source| source.ip == ip);
+        match ask_once(&relay, kept, SocketAddr::new(ip, port)).await {
+            Ok(answered) => {
+                relay.set_direct(false);
+                source = Some(answered);
+                is_lost = false;
+                sleep(ASK_INTERVAL).await;
+            }
+            Err(why) => {
+                note_lost(ip, &why, is_lost);
+                is_lost = true;
+                avoid.push((ip, relay.now()));
+            }
+        }
+    }
+}
+
+async fn wait_for_group(relay: &Relay) {
+    let began = relay.now();
+    while relay.members.borrow().is_empty() && relay.now().since(began) < GROUP_WAIT {
+        sleep(LOOK_INTERVAL / 10).await;
+    }
+}
+
+/// Forget failures that are long enough ago.
+fn drop_expired(relay: &Relay, avoid: &mut Vec<Avoided>) {
+    let now = relay.now();
+    let avoid_for = match relay.store_away.get() {
+        true => ASK_AGAIN,
+        false => AVOID_SOURCE,
+    };
+    avoid.retain(|(_, at)| now.since(*at) < avoid_for);
+}
+
+/// Where to look next; also notes whether this box is the first reader.
+fn origin(relay: &Relay, run: Incarnation, avoid: &[Avoided]) -> Origin {
+    let settings = relay.settings.borrow();
+    let members = relay.members.borrow();
+    let avoid: Vec<IpAddr> = avoid.iter().map(|(ip, _)| *ip).collect();
+    let view = View {
+        members: &members,
+        home: &settings.domain,
+        run,
+        avoid: &avoid,
+        is_sound: is_sound(relay),
+    };
+    relay.is_reader.set(view.is_first());
+    view.origin()
+}
+
+/// The first failure of several in a row is logged as a change of state.
+fn note_lost(from: IpAddr, why: &str, is_lost: bool) {
+    match is_lost {
+        true => {
+            log::debug!(event = "source-lost", from:% = from, why = why; "another box is no source either")
+        }
+        false => {
+            log::info!(event = "source-lost", from:% = from, why = why; "a box is no source any more")
+        }
+    }
+}
+
+async fn ask_once(
+    relay: &Relay,
+    kept: Option<Source>,
+    address: SocketAddr,
+) -> Result<Source, String> {
+    let mut source = match kept {
+        Some(source) => source,
+        None => open(address).await?,
+    };
+    let began = relay.now();
+    let ask = Ask {
+        config_version: relay.config().map_or(0, |table| table.version),
+        targets: source.targets,
+        targets_end: relay.targets_end.get(),
+        group_generation: relay.group_generation(),
+    };
+    let asking = async {
+        source
+            .link
+            .send(ask.encode())
+            .await
+            .map_err(|err| err.to_string())?;
+        match source.link.next().await {
+            Some(Ok(frame)) => News::decode(frame.freeze()).map_err(|err| err.to_string()),
+            Some(Err(err)) => Err(err.to_string()),
+            None => Err("the connection was closed".to_owned()),
+        }
+    };
+    let answered = timeout(ANSWER_WAIT + ANSWER_SLACK, asking).await;
+    let news = answered.map_err(|_| "no answer in time".to_owned())??;
+    let Some(age) = news.confirmed_age else {
+        if began.elapsed() > FIRST_CONFIGURATION {
+            return Err("it knows no configuration".to_owned());
+        }
+        take(relay, &mut source, news)?;
+        return Ok(source);
+    };
+    if age > SOUND_AGE {
+        return Err(format!(
+            "its configuration was confirmed {} ms ago",
+            age.as_millis()
+        ));
+    }
+    let targets_age = news.targets_age.ok_or("it has read no targets")?;
+    if targets_age > SOUND_TARGETS_AGE {
+        return Err(format!(
+            "its targets were read {} ms ago",
+            targets_age.as_millis()
+        ));
+    }
+    let end = news.targets_end;
+    if take(relay, &mut source, news)? {
+        let read = began.elapsed().saturating_sub(targets_age);
+        relay.targets_are_of(Instant::from_elapsed(read), end);
+    }
+    let confirmed = began.elapsed().saturating_sub(age);
+    relay.confirm(Instant::from_elapsed(confirmed));
+    Ok(source)
+}
+
+/// Take in what a box told; yields whether its targets were taken. Those of a box that knows the store's
+/// list only up to an earlier offset are not: they would bring back targets that have left.
+fn take(relay: &Relay, source: &mut Source, news: News) -> Result<bool, String> {
+    if !news.config.is_empty() {
+        relay.publish_packed(&news.config)?;
+    }
+    relay.set_members(news.members, news.group_generation);
+    if news.targets_end < relay.targets_end.get() {
+        log::debug!(event = "source-behind", from:% = source.ip, end = news.targets_end, held = relay.targets_end.get(); "a box's targets are older than those held");
+        return Ok(false);
+    }
+    source.targets = news.targets;
+    if news.is_whole {
+        relay.replace_targets(news.wrote, false);
+    } else {
+        for entry in news.wrote {
+            relay.target_wrote(entry);
+        }
+        for id in news.gone {
+            relay.target_gone(&id, false);
+        }
+    }
+    for id in news.lapsed {
+        relay.target_lapsed(&id);
+    }
+    Ok(true)
+}
+
+async fn open(address: SocketAddr) -> Result<Source, String> {
+    let stream = target::dial(address, ANSWER_SLACK).await?;
+    target::send_at_once(&stream);
+    Ok(Source {
+        ip: address.ip(),
+        link: Framed::new(stream, frames()),
+        targets: Cursor::default(),
+    })
+}
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -1,14 +1,13 @@
 //! The platform's store as the relay uses it, with typed answers.
 
 use std::future::Future;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use reachtally_core::forward::cost::Layers;
 use reachtally_core::forward::fleet::{Engine, Entry};
-use reachtally_core::ids::Incarnation;
+use reachtally_core::forward::peers::Member;
 
 /// Why a call to the store yielded nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,17 +63,6 @@
     pub is_steward: bool,
 }
 
-/// A box in the group.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Member {
-    /// Its failure domain.
-    pub domain: String,
-    /// Its address.
-    pub ip: IpAddr,
-    /// Its run.
-    pub run: Incarnation,
-}
-
 /// The store.
 pub trait Store {
     /// The newest configuration as published, if there is one.
