fix(relay): requests no longer go again and again to engines that can't take them

(2) A list read after the store's return counted as a sign of life of engines that a cut had silenced. (3) Engines behind a cut were found dead one by one, by a request each that waited 0.3 s and then found no second send in the budget, though nothing had arrived anywhere.

Change: the engine of the path itself is blamed and left alone until its entry changes; an earlier run at an address that passed to another is not used; only what a target writes is a sign of life; a silent target has all targets of its failure domain asked at once; a send without a connection costs no second send; a connection may take 150 ms.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -20,6 +20,9 @@
 const FIRST_HOLD: Duration = Duration::from_millis(500);
 /// Hold-off of a target that refused a request because it is full: its load is known anew by then.
 const FULL_HOLD: Duration = Duration::from_millis(150);
+/// How long a target that contradicted its entry is left alone, unless the entry changes before: entries
+/// that lapse do so after three heartbeats of a second or so.
+const CONTRADICTED_HOLD: Duration = Duration::from_secs(4);
 /// Longest hold-off.
 const LONGEST_HOLD: Duration = Duration::from_secs(8);
 /// A target that worked this long since its last failure starts over with the first hold-off.
@@ -50,6 +53,15 @@
 /// entries are read within a second.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(1300);
 
+/// How an entry became known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// It stands in a list, and may have been written long ago.
+    Listed,
+    /// The target wrote it a moment ago.
+    Written,
+}
+
 /// Failures of a target and what was concluded.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
@@ -61,6 +73,10 @@
     dead_since: Option<Instant>,
     /// When it was last seen to take a connection or write its entry.
     alive_at: Option<Instant>,
+    /// Until when it is left alone because it does not hold what its entry says.
+    contradicted_until: Option<Instant>,
+    /// Whether a later run has its address.
+    is_superseded: bool,
 }
 
 impl Health {
@@ -71,7 +87,17 @@
 
     /// Whether the target takes no connections, as far as is known.
     pub fn is_dead(&self) -> bool {
-        self.dead_since.is_some()
+        self.dead_since.is_some() || self.is_superseded
+    }
+
+    /// Whether the target lately turned out not to hold what its entry says.
+    pub fn is_contradicted(&self, now: Instant) -> bool {
+        self.contradicted_until.is_some_and(|until| now < until)
+    }
+
+    /// The target does not hold what its entry says: another run may have taken its address.
+    pub fn contradicted(&mut self, now: Instant) {
+        self.contradicted_until = Some(now + CONTRADICTED_HOLD);
     }
 
     /// The target took no connection.
@@ -153,12 +179,17 @@
 
 impl Fleet {
     /// Take in an entry; a known one is updated. Yields its row and whether it changed.
-    pub fn upsert(&mut self, entry: Entry, now: Instant) -> (EngineKey, bool) {
+    pub fn upsert(&mut self, entry: Entry, evidence: Evidence, now: Instant) -> (EngineKey, bool) {
         if let Some(&key) = self.by_id.get(&entry.id) {
             let engine = &mut self.engines[key];
             let changed = engine.entry != entry || engine.missing_since.is_some();
             engine.missing_since = None;
-            engine.health.wrote(now);
+            if evidence == Evidence::Written {
+                engine.health.wrote(now);
+            }
+            if changed {
+                engine.health.contradicted_until = None;
+            }
             let draining = engine.entry.draining || entry.draining;
             engine.entry = Entry { draining, ..entry };
             return (key, changed);
@@ -176,10 +207,20 @@
             missing_since: None,
         });
         self.by_id.insert(id, key);
-        self.by_address.insert(address, key);
+        let before = self.by_address.insert(address, key);
+        if evidence == Evidence::Written {
+            self.supersede(before);
+        }
         (key, true)
     }
 
+    /// A later run has the address of this target. Its entry stays until it lapses.
+    fn supersede(&mut self, before: Option<EngineKey>) {
+        if let Some(engine) = before.and_then(|key| self.engines.get_mut(key)) {
+            engine.health.is_superseded = true;
+        }
+    }
+
     /// Remove the target `id`; yields what it was.
     pub fn remove(&mut self, id: &str) -> Option<Engine> {
         let key = self.by_id.remove(id)?;
@@ -221,12 +262,11 @@
         self.by_id.keys().cloned().collect()
     }
 
-    /// Targets that take no connections.
+    /// Targets that take no connections, but those whose address is another's by now.
     pub fn dead(&self) -> Vec<EngineKey> {
-        let dead = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| engine.health.is_dead());
+        let dead = self.engines.iter().filter(|(_, engine)| {
+            engine.health.dead_since.is_some() && !engine.health.is_superseded
+        });
         dead.map(|(key, _)| key).collect()
     }
 
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -69,7 +69,7 @@
 enum Trust {
     /// Only engines without a recent failure whose entry is there.
     Sound,
-    /// Any engine that is neither leaving nor dead.
+    /// Any engine that is neither leaving nor dead and holds what its entry says.
     Any,
 }
 
@@ -124,7 +124,8 @@
 
 fn is_usable(key: EngineKey, engine: &Engine, cx: &Circumstance<'_>, trust: Trust) -> bool {
     let health = &engine.health;
-    if engine.entry.draining || health.is_dead() || cx.avoid.contains(&key) {
+    let is_gone = engine.entry.draining || health.is_dead() || health.is_contradicted(cx.now);
+    if is_gone || cx.avoid.contains(&key) {
         return false;
     }
     trust == Trust::Any || (!health.is_held(cx.now) && engine.missing_since.is_none())
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{Entry, Fleet};
+use reachtally_core::forward::fleet::{Entry, Evidence, Fleet};
 
 use super::setup::entry;
 
@@ -19,30 +19,30 @@
         draining: true,
         ..ready.clone()
     };
-    let (key, _) = fleet.upsert(leaving, at(0));
-    fleet.upsert(ready, at(10));
+    let (key, _) = fleet.upsert(leaving, Evidence::Written, at(0));
+    fleet.upsert(ready, Evidence::Written, at(10));
     assert!(fleet.get(key).expect("it is known").entry.draining);
 }
 
 #[test]
 fn a_heartbeat_that_was_on_its_way_does_not_revive_a_dead_target() {
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(0));
     fleet
         .get_mut(key)
         .expect("it is known")
         .health
         .found_dead(at(1_000));
-    fleet.upsert(entry(0, "a", "small", 0..8), at(1_500));
+    fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(1_500));
     assert_eq!(fleet.dead(), vec![key]);
-    fleet.upsert(entry(0, "a", "small", 0..8), at(4_000));
+    fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(4_000));
     assert!(fleet.dead().is_empty());
 }
 
 #[test]
 fn failures_in_a_row_double_the_hold_off_up_to_a_bound() {
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(0));
     let mut now = at(0);
     let mut holds = Vec::new();
     for _ in 0..7 {
@@ -58,7 +58,7 @@
 #[test]
 fn a_full_target_is_held_off_shortly_and_without_doubling() {
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(0));
     for start in [0, 1_000, 2_000, 3_000] {
         let engine = fleet.get_mut(key).expect("it is known");
         engine.health.refused(at(start));
@@ -75,8 +75,8 @@
         id: "next".into(),
         ..first.clone()
     };
-    fleet.upsert(first.clone(), at(0));
-    let (key, _) = fleet.upsert(second, at(1));
+    fleet.upsert(first.clone(), Evidence::Written, at(0));
+    let (key, _) = fleet.upsert(second, Evidence::Written, at(1));
     fleet.remove(&first.id);
     assert_eq!(fleet.at(first.address), Some(key));
 }
@@ -84,12 +84,59 @@
 #[test]
 fn entries_missing_after_an_outage_are_dropped_only_after_a_while() {
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), at(0));
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(0));
     fleet.miss("e0", at(100));
     let patience = Duration::from_millis(1500);
     assert!(fleet.missing(at(1_000), patience).is_empty());
     assert_eq!(fleet.missing(at(1_600), patience), vec!["e0".into()]);
-    fleet.upsert(entry(0, "a", "small", 0..8), at(1_650));
+    fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(1_650));
     assert!(fleet.missing(at(9_000), patience).is_empty());
     assert!(fleet.get(key).is_some());
 }
+
+#[test]
+fn a_list_is_no_sign_of_life() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(0));
+    fleet
+        .get_mut(key)
+        .expect("it is known")
+        .health
+        .found_dead(at(100));
+    fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Listed, at(4_000));
+    assert!(fleet.get(key).expect("it is known").health.is_dead());
+    fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(4_100));
+    assert!(!fleet.get(key).expect("it is known").health.is_dead());
+}
+
+#[test]
+fn a_run_whose_address_has_passed_to_another_is_neither_used_nor_asked() {
+    let mut fleet = Fleet::default();
+    let first = entry(0, "a", "small", 0..8);
+    let second = Entry {
+        id: "next".into(),
+        ..first.clone()
+    };
+    let (old, _) = fleet.upsert(first, Evidence::Written, at(0));
+    let (new, _) = fleet.upsert(second, Evidence::Written, at(10));
+    assert!(fleet.get(old).expect("it is known").health.is_dead());
+    assert!(!fleet.get(new).expect("it is known").health.is_dead());
+    assert!(fleet.dead().is_empty());
+}
+
+#[test]
+fn a_target_that_contradicts_its_entry_is_left_alone_until_that_changes() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(0));
+    let is_contradicted = |fleet: &Fleet, ms| {
+        let engine = fleet.get(key).expect("it is known");
+        engine.health.is_contradicted(at(ms))
+    };
+    let health = &mut fleet.get_mut(key).expect("it is known").health;
+    health.contradicted(at(100));
+    // The same entry again is what it contradicted.
+    fleet.upsert(entry(0, "a", "small", 0..8), Evidence::Written, at(1_000));
+    assert!(is_contradicted(&fleet, 1_001));
+    fleet.upsert(entry(0, "a", "small", 2..9), Evidence::Written, at(2_000));
+    assert!(!is_contradicted(&fleet, 2_001));
+}
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{EngineKey, Entry, Fleet};
+use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::select::{Choice, Circumstance, Need, instance, path};
 
 use super::setup::{SERVICE, entry, fleet, model};
@@ -78,7 +78,7 @@
             draining: true,
             ..fleet.get(key).expect("it is known").entry.clone()
         };
-        fleet.upsert(leaving, Instant::ZERO);
+        fleet.upsert(leaving, Evidence::Written, Instant::ZERO);
     }
     assert!(choose(&fleet, &[]).is_none());
 }
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -4,7 +4,7 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{Card, LayerModel, Layers};
-use reachtally_core::forward::fleet::{EngineKey, Entry, Fleet};
+use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::placement::Host;
 
 /// The service of all engines here.
@@ -60,7 +60,11 @@
     let mut number = 0;
     for (card, count) in cards {
         for _ in 0..*count {
-            let (engine, _) = fleet.upsert(entry(number, domain, card, 0..0), Instant::ZERO);
+            let (engine, _) = fleet.upsert(
+                entry(number, domain, card, 0..0),
+                Evidence::Written,
+                Instant::ZERO,
+            );
             hosts.push(Host {
                 engine,
                 id: format!("e{number:03}").into(),
@@ -79,7 +83,7 @@
     let mut fleet = Fleet::default();
     let keys = entries
         .into_iter()
-        .map(|entry| fleet.upsert(entry, Instant::ZERO).0)
+        .map(|entry| fleet.upsert(entry, Evidence::Written, Instant::ZERO).0)
         .collect();
     (fleet, keys)
 }
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -4,7 +4,7 @@
 
 use hyper::Response;
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::life::{GivenUp, Life, Refusal, State, Unknown};
+use reachtally_core::life::{GivenUp, Life, NeverStarted, Refusal, State, Unknown};
 
 use crate::answer::{self, Body};
 use crate::exchange::Unanswered;
@@ -33,6 +33,9 @@
 pub(crate) struct Attempts {
     state: State,
     records: Vec<SendRecord>,
+    /// Whether the next send costs the budget nothing: it is the first, or the one before, for which the
+    /// budget was asked, reached no target.
+    is_paid: bool,
     /// Sends of which some part may have run.
     ran: u32,
     /// Targets that must not get the request again.
@@ -45,6 +48,7 @@
         Attempts {
             state: State::Admitted(Life::default().admit()),
             records: Vec::new(),
+            is_paid: true,
             ran: 0,
             avoid: Vec::new(),
             is_late: false,
@@ -58,11 +62,12 @@
 
     /// Whether the request may go to one more target: within its own attempts, or within the shared
     /// budget, of which a second send is taken.
-    pub fn may_send(&self, relay: &Relay, call: &Call) -> bool {
+    pub fn may_send(&mut self, relay: &Relay, call: &Call) -> bool {
         if !self.may_run(call) || self.sends() >= MOST_SENDS {
             return false;
         }
-        if self.sends() == 0 || relay.take_second(&call.service_name) {
+        self.is_paid = self.is_paid || relay.take_second(&call.service_name);
+        if self.is_paid {
             return true;
         }
         log::info!(event = "budget", id = &*call.head.id, service = &*call.service_name, boxes = relay.boxes(); "no second send left");
@@ -86,12 +91,21 @@
 
     /// The targets answered, or began to.
     pub fn answered(&mut self) {
+        self.arrived();
         self.ran += 1;
         self.take(State::stream);
     }
 
+    /// The last send reached a target, so what was taken from the budget for it is used up.
+    fn arrived(&mut self) {
+        self.is_paid = false;
+    }
+
     /// The last send yielded no answer; tells whether there is time for another.
     pub fn failed(&mut self, relay: &Relay, call: &Call, why: Unanswered) -> bool {
+        if !matches!(why, Unanswered::NotRun(NeverStarted::ConnectFailed, _)) {
+            self.arrived();
+        }
         match why {
             Unanswered::NotRun(proof, why) => {
                 log::info!(event = "not-run", id = &*call.head.id, why = &*why, send = self.sends(); "a target ran nothing of the request");
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -1,6 +1,7 @@
 //! What requests with one body and requests for streams share of an exchange with a target.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 
 use crate::relay::Relay;
 use crate::serve::Call;
+use crate::target::DialError;
 use crate::wire::{Addition, AnswerHead};
 
 /// Why a send yielded no answer that can be passed on.
@@ -41,6 +43,15 @@
     Ok((engine.entry.address, engine.entry.id.clone()))
 }
 
+/// No connection to a target came about.
+pub(crate) fn not_connected(relay: &Rc<Relay>, key: EngineKey, why: &DialError) -> Unanswered {
+    match why {
+        DialError::Refused(_) => relay.target_dead(key),
+        DialError::Silent => relay.target_silent(key),
+    }
+    Unanswered::NotRun(NeverStarted::ConnectFailed, why.to_string())
+}
+
 /// The request as a target gets it.
 pub(crate) fn request(relay: &Relay, call: &Call, add: &Addition<'_>) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(call.body.clone()));
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -69,6 +69,8 @@
     pub peers: RefCell<Peers>,
     /// Boxes in the group.
     pub members: RefCell<Vec<Member>>,
+    /// When the targets of each failure domain were last asked whether they are there.
+    pub(crate) domains_checked: RefCell<HashMap<Arc<str>, Instant>>,
     /// Generation of the group that these boxes are of.
     group_generation: Cell<u64>,
     budgets: RefCell<HashMap<Arc<str>, SharedBudget>>,
@@ -117,6 +119,7 @@
             freshness: Cell::default(),
             peers: RefCell::default(),
             members: RefCell::default(),
+            domains_checked: RefCell::default(),
             group_generation: Cell::default(),
             budgets: RefCell::default(),
             held: Cell::new(HELD_ASSUMED),
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -196,7 +196,10 @@
         relay.replace_targets(news.wrote, false);
     } else {
         for entry in news.wrote {
-            relay.target_wrote(entry);
+            match news.lapsed.iter().any(|id| **id == *entry.id) {
+                true => relay.target_listed(entry),
+                false => relay.target_wrote(entry),
+            }
         }
         for id in news.gone {
             relay.target_gone(&id, false);
@@ -209,7 +212,8 @@
 }
 
 async fn open(address: SocketAddr) -> Result<Source, String> {
-    let stream = target::dial(address, ANSWER_SLACK).await?;
+    let dialled = target::dial(address, ANSWER_SLACK).await;
+    let stream = dialled.map_err(|err| err.to_string())?;
     target::send_at_once(&stream);
     Ok(Source {
         ip: address.ip(),
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -1,5 +1,6 @@
 //! One send of a request for a stream: which engines, and what comes of it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -127,7 +128,7 @@
     relay: &Rc<Relay>,
     call: &Call,
     pick: &Pick,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     req: Request<Full<Bytes>>,
     attempts: &mut Attempts,
     began: Instant,
@@ -140,9 +141,8 @@
         match tokio::time::timeout_at(relay.clock(until), &mut sending).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(SendError::NotConnected(why))) => {
-                relay.target_dead(key);
                 attempts.avoid.push(key);
-                return Err(Unanswered::NotRun(NeverStarted::ConnectFailed, why));
+                return Err(exchange::not_connected(relay, key, &why));
             }
             Ok(Err(SendError::Broken(why))) => return Err(failed(relay, key, attempts, why)),
             Err(_) if relay.now() >= call.due => return Err(Unanswered::Late),
@@ -179,7 +179,7 @@
     let status = answer.response.status();
     let head = exchange::head_of(relay, key, &answer.response);
     if head.not_run {
-        return Err(not_run(relay, key, &head, status, attempts).await);
+        return Err(not_run(relay, &occupied, &head, status, attempts).await);
     }
     if let Some(why) = exchange::mistrust(call, &head, &answer.response) {
         return Err(failed(relay, key, attempts, why.to_owned()));
@@ -204,30 +204,41 @@
     Unanswered::Lost(why)
 }
 
-/// The engine that is to blame is left alone for a moment, and asked whether it is there at all.
+/// The engine that is to blame is left alone: until its entry changes if it does not hold what that says,
+/// else for a moment, and it is asked whether it is there at all.
 async fn not_run(
     relay: &Relay,
-    key: EngineKey,
+    occupied: &Occupied,
     head: &AnswerHead,
     status: StatusCode,
     attempts: &mut Attempts,
 ) -> Unanswered {
-    let blamed = head
-        .at_fault
-        .and_then(|address| relay.fleet.borrow().at(address));
-    let blamed = blamed.unwrap_or(key);
+    let blamed = blamed(relay, occupied.engines(), head);
     attempts.avoid.push(blamed);
-    relay.target_refused(blamed);
-    relay.dead_of(&[blamed]).await;
-    let address = relay
-        .fleet
-        .borrow()
-        .get(blamed)
-        .map(|engine| engine.entry.address);
+    if head.misdirected {
+        relay.target_contradicted(blamed);
+    } else {
+        relay.target_refused(blamed);
+        relay.dead_of(&[blamed]).await;
+    }
+    let address = address_of(relay, blamed);
     let why = format!("status {} by {address:?}", status.as_u16());
     Unanswered::NotRun(NeverStarted::TargetSaidSo, why)
 }
 
+/// The engine of a path that is to blame for a refusal. Another run may have its address by now, so the
+/// address alone does not tell.
+fn blamed(relay: &Relay, engines: &[EngineKey], head: &AnswerHead) -> EngineKey {
+    let is_at_fault = |key: &&EngineKey| address_of(relay, **key) == head.at_fault;
+    let found = engines.iter().find(is_at_fault);
+    found.copied().unwrap_or(engines[0])
+}
+
+fn address_of(relay: &Relay, key: EngineKey) -> Option<SocketAddr> {
+    let fleet = relay.fleet.borrow();
+    fleet.get(key).map(|engine| engine.entry.address)
+}
+
 /// A failure that an engine answered, whole.
 async fn failure(parts: Parts, body: Incoming) -> Result<Answered, Unanswered> {
     let held = body.collect().await;
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -18,7 +18,7 @@
 
 /// Time for a connection to come about: links take under 10 ms, and a lost opening packet is sent
 /// again only after a second, so a second try elsewhere is better than waiting.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time for a connection that only shows whether a target is there.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
@@ -28,12 +28,33 @@
     dial(address, CHECK_TIMEOUT).await.is_ok()
 }
 
-/// Open a connection within `patience`; the error tells why there is none.
-pub(crate) async fn dial(address: SocketAddr, patience: Duration) -> Result<TcpStream, String> {
+/// Why no connection came about.
+#[derive(Debug)]
+pub enum DialError {
+    /// The other end, or this system, said no.
+    Refused(std::io::Error),
+    /// Nobody said anything: the other end is without power or cut off, or a packet was lost.
+    Silent,
+}
+
+impl std::fmt::Display for DialError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            DialError::Refused(err) => err.fmt(f),
+            DialError::Silent => f.write_str("timed out"),
+        }
+    }
+}
+
+/// Open a connection within `patience`.
+///
+/// # Errors
+/// See [`DialError`].
+pub(crate) async fn dial(address: SocketAddr, patience: Duration) -> Result<TcpStream, DialError> {
     match tokio::time::timeout(patience, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(err)) => Err(err.to_string()),
-        Err(_) => Err("timed out".to_owned()),
+        Ok(Err(err)) => Err(DialError::Refused(err)),
+        Err(_) => Err(DialError::Silent),
     }
 }
 
@@ -48,7 +69,7 @@
 #[derive(Debug)]
 pub enum SendError {
     /// No connection came about; no byte was sent.
-    NotConnected(String),
+    NotConnected(DialError),
     /// The connection broke; the request may have run.
     Broken(String),
 }
@@ -98,7 +119,7 @@
         .handshake(TokioIo::new(stream));
     let (sender, connection) = handshake
         .await
-        .map_err(|err| SendError::NotConnected(err.to_string()))?;
+        .map_err(|err| SendError::NotConnected(DialError::Refused(std::io::Error::other(err))))?;
     let driver = tokio::task::spawn_local(async move {
         if let Err(err) = connection.await {
             log::debug!(event = "target-connection", why:% = err; "a connection to a target broke");
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -1,10 +1,11 @@
 //! What becomes known of targets: their entries, their failures, and whether they are there.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{EngineKey, Entry};
+use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence};
 
 use crate::relay::Relay;
 use crate::target;
@@ -12,6 +13,8 @@
 /// Time for which the answer to whether a target is there holds, so that the streams of one engine
 /// ask once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Least time between two checks of a whole failure domain: a few dozen connections each.
+const DOMAIN_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Part of the drain bound that is kept for requests on their way, and for the time from the loss of an
 /// entry until this box hears of it: 0.4 s between reads, and as much from box to box.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1500);
@@ -19,8 +22,17 @@
 impl Relay {
     /// A target wrote its entry.
     pub fn target_wrote(&self, entry: Entry) {
+        self.target_shown(entry, Evidence::Written);
+    }
+
+    /// A target's entry stands in a list.
+    pub fn target_listed(&self, entry: Entry) {
+        self.target_shown(entry, Evidence::Listed);
+    }
+
+    fn target_shown(&self, entry: Entry, evidence: Evidence) {
         let shown = entry.clone();
-        let (_, changed) = self.fleet.borrow_mut().upsert(entry, self.now());
+        let (_, changed) = self.fleet.borrow_mut().upsert(entry, evidence, self.now());
         if !changed {
             return;
         }
@@ -58,7 +70,7 @@
         let known = self.fleet.borrow().ids();
         let listed: Vec<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
-            self.target_wrote(entry);
+            self.target_listed(entry);
         }
         for id in known.iter().filter(|id| !listed.contains(id)) {
             self.target_gone(id, may_lapse);
@@ -86,7 +98,16 @@
         self.count(|tally| tally.target_failures += 1);
     }
 
-    /// A target refused a request because it is full or does not hold what it should.
+    /// A target does not hold what its entry says, so it is left alone until that changes.
+    pub fn target_contradicted(&self, key: EngineKey) {
+        let now = self.now();
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            log::info!(event = "target-contradicted", target = &*engine.entry.id, address:% = engine.entry.address, layers:? = engine.entry.layers; "a target does not hold what its entry says");
+            engine.health.contradicted(now);
+        }
+    }
+
+    /// A target refused a request because it is full.
     pub fn target_refused(&self, key: EngineKey) {
         let now = self.now();
         if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
@@ -108,6 +129,51 @@
         engine.health.found_dead(now);
     }
 
+    /// A target said nothing when a connection was opened. A packet may have been lost, or the whole failure
+    /// domain may be cut off; so all targets there are asked at once, and none is used until it answered.
+    pub fn target_silent(self: &Rc<Self>, key: EngineKey) {
+        self.target_refused(key);
+        let Some(domain) = self.domain_of(key) else {
+            return;
+        };
+        if !self.may_check(&domain) {
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let targets = relay.targets_in(&domain);
+            let dead = relay.dead_of(&targets).await.len();
+            log::info!(event = "domain-checked", domain = &*domain, targets = targets.len(), dead = dead; "a target was silent, so all of its failure domain were asked");
+        });
+    }
+
+    fn domain_of(&self, key: EngineKey) -> Option<Arc<str>> {
+        let fleet = self.fleet.borrow();
+        fleet.get(key).map(|engine| engine.entry.domain.clone())
+    }
+
+    /// Targets of a failure domain that are not known to be dead.
+    fn targets_in(&self, domain: &str) -> Vec<EngineKey> {
+        let fleet = self.fleet.borrow();
+        let there = fleet
+            .iter()
+            .filter(|(_, engine)| &*engine.entry.domain == domain && !engine.health.is_dead());
+        there.map(|(key, _)| key).collect()
+    }
+
+    /// Whether a failure domain was not asked lately; notes that it is now.
+    fn may_check(&self, domain: &Arc<str>) -> bool {
+        let now = self.now();
+        let mut checked = self.domains_checked.borrow_mut();
+        let is_due = checked
+            .get(domain)
+            .is_none_or(|at| now.since(*at) >= DOMAIN_CHECK_INTERVAL);
+        if is_due {
+            checked.insert(domain.clone(), now);
+        }
+        is_due
+    }
+
     /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
     pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
         let now = self.now();
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -105,8 +105,7 @@
     let answer = match tokio::time::timeout_at(due, sending).await {
         Err(_) => return Err(Unanswered::Late),
         Ok(Err(SendError::NotConnected(why))) => {
-            relay.target_dead(key);
-            return Err(Unanswered::NotRun(NeverStarted::ConnectFailed, why));
+            return Err(exchange::not_connected(relay, key, &why));
         }
         Ok(Err(SendError::Broken(why))) => return Err(failed(relay, key, why)),
         Ok(Ok(answer)) => answer,
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -63,6 +63,9 @@
     pub sealed: bool,
     /// Whether the target says that it ran nothing of the request.
     pub not_run: bool,
+    /// Whether the target named by the request is not there any more, or does not hold the layers that the
+    /// request needs of it.
+    pub misdirected: bool,
     /// The engine of the path that is to blame, if another than the first.
     pub at_fault: Option<SocketAddr>,
     /// Load of the target.
