--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -20,7 +20,7 @@
 pub(super) const FIRST_SLACK: Duration = Duration::from_millis(350);
 /// Weight of a new gap in the running mean of a stream's gaps.
 const GAP_WEIGHT: f64 = 0.2;
-/// Of this many successes, one is logged: by id, so that all boxes log the same ones.
+/// Of this many successes in time, one is logged: by id, so that all boxes log the same ones.
 const SUCCESSES_LOGGED: u64 = 16;
 
 /// A chain at work on a stream.
@@ -77,7 +77,12 @@
         relay.times.first_event.observe(first.as_secs_f64());
         relay.times.longest_gap.observe(self.longest.as_secs_f64());
         relay.times.answer.observe(took.as_secs_f64());
-        if !call.draw.is_multiple_of(SUCCESSES_LOGGED) {
+        let is_late = first > call.route.objective
+            || call
+                .route
+                .gap_objective()
+                .is_some_and(|gap| self.longest > gap);
+        if !is_late && !call.draw.is_multiple_of(SUCCESSES_LOGGED) {
             return;
         }
         let gaps = self.events.saturating_sub(1).max(1);
@@ -86,7 +91,8 @@
             event = "answered", id = &*call.head.id, parts = engines.len(),
             first_ms = ms(first), expected_first_ms = ms(self.expected_first),
             gap_ms = ms(took.saturating_sub(first) / gaps), expected_gap_ms = ms(self.expected_gap),
-            longest_ms = ms(self.longest), events = self.events, took_ms = ms(took);
+            longest_ms = ms(self.longest), events = self.events, took_ms = ms(took), late = is_late,
+            targets = &*engine_names(relay, engines);
             "a stream is whole"
         );
     }
@@ -208,6 +214,13 @@
     }
 }
 
+/// The runs of engines, for the log.
+fn engine_names(relay: &Relay, engines: &[EngineKey]) -> String {
+    let fleet = relay.fleet.borrow();
+    let name = |key: &EngineKey| fleet.get(*key).map_or("gone", |engine| &*engine.entry.id);
+    engines.iter().map(name).collect::<Vec<&str>>().join(",")
+}
+
 /// Engines of a chain without an event since `since`, over any stream, that take no connections.
 pub(super) async fn dead_of_silent(
     relay: &Relay,
