--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -49,6 +49,9 @@
     pub layers: Layers,
 }
 
+/// How long what an engine told of its pace holds: troubles last some seconds, and asking costs little.
+const PACE_LIFE: Duration = Duration::from_millis(2500);
+
 /// An entry that is read this long after its target was found dead was written by a live target:
 /// entries are read within a second.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(1300);
@@ -163,12 +166,34 @@
     pub tokens_elsewhere: f64,
     /// Requests that the target itself last told of, less those of this box.
     pub others_told: f64,
+    /// How much longer it took than it should when this box last asked it, and when that was.
+    pace: Option<(f64, Instant)>,
+    /// The largest such figure that other boxes tell.
+    pub pace_elsewhere: Option<f64>,
     /// Its failures.
     pub health: Health,
     /// Since when its entry is missing though that may be the store's fault.
     pub missing_since: Option<Instant>,
 }
 
+impl Engine {
+    /// The engine told how much longer than it should it takes.
+    pub fn told_pace(&mut self, pace: f64, now: Instant) {
+        self.pace = Some((pace.max(1.0), now));
+    }
+
+    /// What the engine told this box lately.
+    pub fn own_pace(&self, now: Instant) -> Option<f64> {
+        let (pace, at) = self.pace?;
+        (now.since(at) < PACE_LIFE).then_some(pace)
+    }
+
+    /// How much longer than it should the engine takes, as far as is known.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        self.own_pace(now).or(self.pace_elsewhere).unwrap_or(1.0)
+    }
+}
+
 /// All targets known.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -203,6 +228,8 @@
             running_elsewhere: 0.0,
             tokens_elsewhere: 0.0,
             others_told: 0.0,
+            pace: None,
+            pace_elsewhere: None,
             health: Health::default(),
             missing_since: None,
         });
@@ -317,6 +344,7 @@
         for engine in self.engines.values_mut() {
             engine.running_elsewhere = 0.0;
             engine.tokens_elsewhere = 0.0;
+            engine.pace_elsewhere = None;
         }
     }
 
--- a/reachtally-core/src/forward/peers.rs
+++ b/reachtally-core/src/forward/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::forward::fleet::Fleet;
+use crate::forward::fleet::{Engine, Fleet};
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
@@ -30,7 +30,7 @@
 }
 
 /// Requests of a box on one target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PeerLoad {
     /// The run of the target.
     pub target: Arc<str>,
@@ -38,10 +38,12 @@
     pub running: u32,
     /// KV tokens that they need at their end.
     pub tokens: u32,
+    /// How much longer the target takes than it should, if the box asked it lately.
+    pub pace: Option<f64>,
 }
 
 /// What a box tells of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PeerReport {
     /// Its run.
     pub run: Incarnation,
@@ -90,6 +92,8 @@
             };
             engine.running_elsewhere += f64::from(load.running);
             engine.tokens_elsewhere += f64::from(load.tokens);
+            let told = engine.pace_elsewhere.into_iter().chain(load.pace);
+            engine.pace_elsewhere = told.max_by(f64::total_cmp);
         }
     }
 
@@ -101,12 +105,14 @@
 }
 
 /// What this box tells of itself.
-pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet) -> PeerReport {
-    let loads = fleet.iter().filter(|(_, engine)| engine.running > 0);
+pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet, now: Instant) -> PeerReport {
+    let is_told = |engine: &Engine| engine.running > 0 || engine.own_pace(now).is_some();
+    let loads = fleet.iter().filter(|(_, engine)| is_told(engine));
     let loads = loads.map(|(_, engine)| PeerLoad {
         target: engine.entry.id.clone(),
         running: engine.running,
         tokens: engine.tokens as u32,
+        pace: engine.own_pace(now),
     });
     PeerReport {
         run,
--- a/reachtally-core/src/forward/select.rs
+++ b/reachtally-core/src/forward/select.rs
@@ -171,7 +171,7 @@
         let busy = model.reading_slowdown(card, layers, rate) * WAIT_FACTOR;
         let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
         let used = (tokens / (KV_USED * model.kv_tokens(card, layers))).max(places);
-        let busy = busy * pressure(used);
+        let busy = busy * pressure(used) * engine.slowness(cx.now);
         Some(Candidate {
             key,
             engine,
--- a/reachtally-core/tests/core/forward/peers.rs
+++ b/reachtally-core/tests/core/forward/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::fleet::Fleet;
 use reachtally_core::forward::peers::{PeerLoad, PeerReport, Peers, own_report};
 use reachtally_core::ids::Incarnation;
 
@@ -17,6 +18,7 @@
         run: Incarnation(run),
         number,
         loads: vec![PeerLoad {
+            pace: None,
             target: "e0".into(),
             running,
             tokens: running * 100,
@@ -24,6 +26,34 @@
     }
 }
 
+#[test]
+fn a_slow_target_is_told_of_and_looks_as_slow_to_others() {
+    let (mut here, keys) = fleet([entry(0, "a", "small", 0..8)]);
+    let told = own_report(Incarnation(9), 1, &here, at(0));
+    assert!(told.loads.is_empty());
+    here.get_mut(keys[0])
+        .expect("it is known")
+        .told_pace(3.0, at(0));
+    let told = own_report(Incarnation(9), 2, &here, at(100));
+    let (mut there, keys) = fleet([entry(0, "a", "small", 0..8)]);
+    let mut peers = Peers::default();
+    peers.hear(told, at(100));
+    peers.sum_up(&mut there, at(110));
+    let slowness = |fleet: &Fleet, ms| {
+        let engine = fleet.get(keys[0]).expect("it is known");
+        engine.slowness(at(ms))
+    };
+    assert_eq!(slowness(&there, 120), 3.0);
+    // What it was told is forgotten, here by time and there with the report.
+    assert!(
+        own_report(Incarnation(9), 3, &here, at(3_000))
+            .loads
+            .is_empty()
+    );
+    peers.sum_up(&mut there, at(3_000));
+    assert_eq!(slowness(&there, 3_000), 1.0);
+}
+
 #[test]
 fn loads_of_all_boxes_add_up_and_a_newer_report_replaces_an_older() {
     let (mut fleet, keys) = fleet([entry(0, "a", "small", 0..8)]);
@@ -64,7 +94,7 @@
 fn a_box_tells_of_targets_on_which_it_has_requests() {
     let (mut fleet, keys) = fleet([entry(0, "a", "small", 0..8), entry(1, "a", "small", 8..16)]);
     fleet.begin(&keys[..1], 250.0);
-    let report = own_report(Incarnation(9), 4, &fleet);
+    let report = own_report(Incarnation(9), 4, &fleet, at(0));
     assert_eq!(report.loads.len(), 1);
     assert_eq!(report.loads[0].tokens, 250);
 }
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -23,6 +23,7 @@
             target: load.target.to_string(),
             running: load.running,
             tokens: load.tokens,
+            pace_percent: load.pace.map_or(0, |pace| (pace * 100.0).round() as u32),
         };
         // The field's own head takes two bytes.
         length += load.encoded_len() + 2;
@@ -44,6 +45,7 @@
         target: load.target.into(),
         running: load.running,
         tokens: load.tokens,
+        pace: (load.pace_percent > 0).then(|| f64::from(load.pace_percent) / 100.0),
     };
     Ok(PeerReport {
         run: Incarnation(message.run),
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -74,6 +74,7 @@
 #[test]
 fn a_report_keeps_to_one_datagram() {
     let load = |number: u32| PeerLoad {
+        pace: (number % 2 == 1).then_some(2.5),
         target: format!("some-run-of-a-target-{number}").into(),
         running: number,
         tokens: 1000 * number,
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -50,7 +50,12 @@
 }
 
 fn tell(relay: &Relay, socket: &UdpSocket, run: Incarnation, number: u64) {
-    let report = load::encode(&peers::own_report(run, number, &relay.fleet.borrow()));
+    let report = load::encode(&peers::own_report(
+        run,
+        number,
+        &relay.fleet.borrow(),
+        relay.now(),
+    ));
     let Ok(port) = socket.local_addr().map(|address| address.port()) else {
         return;
     };
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod group;
 pub mod listen;
 pub mod metrics;
+pub mod pace;
 mod page;
 pub mod ready;
 pub mod relay;
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -1,7 +1,8 @@
 //! The relay's state, shared by its connections and loops on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use reachtally_core::forward::stall::Progress;
 use reachtally_core::forward::tally::Tally;
 use reachtally_protocol::packed;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::metrics::Times;
 use crate::wire::Wire;
@@ -40,6 +41,21 @@
     pub drain_within: Duration,
 }
 
+/// Engines that may be slow, until somebody takes them.
+#[derive(Debug, Clone, Default)]
+pub struct Suspects {
+    keys: Rc<RefCell<HashSet<EngineKey>>>,
+    arrived: Rc<Notify>,
+}
+
+impl Suspects {
+    /// Wait for engines, and take all of them.
+    pub async fn recv(&mut self) -> Vec<EngineKey> {
+        self.arrived.notified().await;
+        self.keys.borrow_mut().drain().collect()
+    }
+}
+
 /// How far the relay is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -77,6 +93,7 @@
     held: Cell<Duration>,
     published: RefCell<Bytes>,
     direct: watch::Sender<bool>,
+    suspects: Suspects,
     news: watch::Sender<()>,
     /// Whether this box is the one of its failure domain that should read the store.
     pub is_reader: Cell<bool>,
@@ -125,6 +142,7 @@
             held: Cell::new(HELD_ASSUMED),
             published: RefCell::default(),
             direct: watch::Sender::new(true),
+            suspects: Suspects::default(),
             news: watch::Sender::new(()),
             is_reader: Cell::new(true),
             targets_read: Cell::default(),
@@ -244,6 +262,17 @@
         self.touched();
     }
 
+    /// Engines that may be slow: a stream over them is.
+    pub fn suspect(&self, engines: &[EngineKey]) {
+        self.suspects.keys.borrow_mut().extend(engines);
+        self.suspects.arrived.notify_one();
+    }
+
+    /// Engines that may be slow, for the one who asks them.
+    pub fn suspects(&self) -> Suspects {
+        self.suspects.clone()
+    }
+
     /// Follow the changes that other boxes must hear of.
     pub fn news(&self) -> watch::Receiver<()> {
         self.news.subscribe()
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -112,8 +112,11 @@
     Lost,
 }
 
-/// Orders to engines.
+/// Orders to engines, and what they tell of themselves.
 pub trait Orders {
     /// Let an engine hold `layers`, unless another order reaches it in between.
     fn place(&self, engine: &Engine, layers: &Layers) -> impl Future<Output = OrderAnswer>;
+
+    /// How much longer an engine takes than it should, 1 if it is well; `None` if it does not tell.
+    fn pace(&self, engine: &Engine) -> impl Future<Output = Option<f64>>;
 }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -20,6 +20,10 @@
 pub(super) const FIRST_SLACK: Duration = Duration::from_millis(350);
 /// Weight of a new gap in the running mean of a stream's gaps.
 const GAP_WEIGHT: f64 = 0.2;
+/// Gaps between events, in expected ones, from which the engines of a stream are suspected to be slow.
+const SLOW_GAPS: f64 = 2.0;
+/// Least gap that counts: shorter ones are in time for every route, and come at load.
+const LEAST_SLOW: Duration = Duration::from_millis(150);
 /// Of this many successes in time, one is logged: by id, so that all boxes log the same ones.
 const SUCCESSES_LOGGED: u64 = 16;
 
@@ -197,7 +201,11 @@
         let now = relay.now();
         relay.progress.borrow_mut().note(self.engines(), now);
         self.pace.note(now, self.since);
-        let gap = now.since(self.since).as_secs_f64();
+        let gap = now.since(self.since);
+        if gap > LEAST_SLOW && gap > self.pace.expected_gap.mul_f64(SLOW_GAPS) {
+            relay.suspect(self.engines());
+        }
+        let gap = gap.as_secs_f64();
         let mean = self.gap.as_secs_f64();
         self.gap = Duration::from_secs_f64(mean + GAP_WEIGHT * (gap - mean));
         self.since = now;
