--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -1,7 +1,7 @@
 //! The relay's state, shared by its connections and loops on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,9 +18,11 @@
 use reachtally_core::forward::stall::Progress;
 use reachtally_core::forward::tally::Tally;
 use reachtally_protocol::packed;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::metrics::Times;
+use crate::occupied::OpenConnection;
+use crate::suspects::Suspects;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -41,21 +43,6 @@
     pub drain_within: Duration,
 }
 
-/// Engines that may be slow, until somebody takes them.
-#[derive(Debug, Clone, Default)]
-pub struct Suspects {
-    keys: Rc<RefCell<HashSet<EngineKey>>>,
-    arrived: Rc<Notify>,
-}
-
-impl Suspects {
-    /// Wait for engines, and take all of them.
-    pub async fn recv(&mut self) -> Vec<EngineKey> {
-        self.arrived.notified().await;
-        self.keys.borrow_mut().drain().collect()
-    }
-}
-
 /// How far the relay is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -111,7 +98,7 @@
     /// Changes of targets, for other boxes.
     pub changes: RefCell<Changes>,
     stage: watch::Sender<Stage>,
-    open: Cell<usize>,
+    pub(crate) open: Cell<usize>,
     started: tokio::time::Instant,
 }
 
@@ -264,8 +251,7 @@
 
     /// Engines that may be slow: a stream over them is.
     pub fn suspect(&self, engines: &[EngineKey]) {
-        self.suspects.keys.borrow_mut().extend(engines);
-        self.suspects.arrived.notify_one();
+        self.suspects.add(engines);
     }
 
     /// Engines that may be slow, for the one who asks them.
@@ -419,50 +405,7 @@
     }
 
     /// Count a caller's connection while the guard lives.
-    pub fn connection(self: &std::rc::Rc<Self>) -> OpenConnection {
-        self.open.set(self.open.get() + 1);
-        OpenConnection(self.clone())
-    }
-}
-
-/// Counts a caller's connection until it is dropped.
-pub struct OpenConnection(std::rc::Rc<Relay>);
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
-/// Counts a request on its engines until it is dropped.
-pub struct Occupied {
-    relay: std::rc::Rc<Relay>,
-    engines: Vec<EngineKey>,
-    tokens: f64,
-}
-
-impl Occupied {
-    /// Count a request that needs `tokens` on `engines`.
-    pub fn new(relay: &std::rc::Rc<Relay>, engines: Vec<EngineKey>, tokens: f64) -> Self {
-        relay.fleet.borrow_mut().begin(&engines, tokens);
-        Occupied {
-            relay: relay.clone(),
-            engines,
-            tokens,
-        }
-    }
-
-    /// The engines.
-    pub fn engines(&self) -> &[EngineKey] {
-        &self.engines
-    }
-}
-
-impl Drop for Occupied {
-    fn drop(&mut self) {
-        self.relay
-            .fleet
-            .borrow_mut()
-            .end(&self.engines, self.tokens);
+    pub fn connection(self: &Rc<Self>) -> OpenConnection {
+        OpenConnection::new(self)
     }
 }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -11,7 +11,8 @@
 
 use crate::attempts::Attempts;
 use crate::events::Splitter;
-use crate::relay::{Occupied, Relay};
+use crate::occupied::Occupied;
+use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::send;
 use crate::target::Driver;
