--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -33,8 +33,8 @@
 pub(crate) struct Attempts {
     state: State,
     records: Vec<SendRecord>,
-    /// Whether the next send costs the budget nothing: it is the first, or the one before, for which the
-    /// budget was asked, reached no target.
+    /// Whether the next send needs nothing of the budget: the first one, and one in place of a send for
+    /// which no connection came about.
     is_paid: bool,
     /// Sends of which some part may have run.
     ran: u32,
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -32,6 +32,8 @@
 /// Longest wait at the start for the group of boxes, which tells whom to ask. It is known after one call
 /// to the store, or not at all while the store is away.
 const GROUP_WAIT: Duration = Duration::from_millis(600);
+/// Time between two looks meanwhile: a call to the store takes a few ms.
+const GROUP_LOOK: Duration = Duration::from_millis(25);
 
 /// A box that is asked.
 struct Source {
@@ -78,7 +80,7 @@
 async fn wait_for_group(relay: &Relay) {
     let began = relay.now();
     while relay.members.borrow().is_empty() && relay.now().since(began) < GROUP_WAIT {
-        sleep(LOOK_INTERVAL / 10).await;
+        sleep(GROUP_LOOK).await;
     }
 }
 
