--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -11,6 +11,16 @@
     Instant::from_elapsed(Duration::from_millis(ms))
 }
 
+/// An entry, and that of a later run with its address.
+fn two_runs_at_one_address() -> (Entry, Entry) {
+    let first = entry(0, "a", "small", 0..8);
+    let second = Entry {
+        id: "next".into(),
+        ..first.clone()
+    };
+    (first, second)
+}
+
 #[test]
 fn a_target_that_leaves_never_takes_work_again() {
     let mut fleet = Fleet::default();
@@ -70,11 +80,7 @@
 #[test]
 fn an_address_that_passes_to_another_run_names_that_run() {
     let mut fleet = Fleet::default();
-    let first = entry(0, "a", "small", 0..8);
-    let second = Entry {
-        id: "next".into(),
-        ..first.clone()
-    };
+    let (first, second) = two_runs_at_one_address();
     fleet.upsert(first.clone(), Evidence::Written, at(0));
     let (key, _) = fleet.upsert(second, Evidence::Written, at(1));
     fleet.remove(&first.id);
@@ -112,11 +118,7 @@
 #[test]
 fn a_run_whose_address_has_passed_to_another_is_neither_used_nor_asked() {
     let mut fleet = Fleet::default();
-    let first = entry(0, "a", "small", 0..8);
-    let second = Entry {
-        id: "next".into(),
-        ..first.clone()
-    };
+    let (first, second) = two_runs_at_one_address();
     let (old, _) = fleet.upsert(first, Evidence::Written, at(0));
     let (new, _) = fleet.upsert(second, Evidence::Written, at(10));
     assert!(fleet.get(old).expect("it is known").health.is_dead());
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -17,7 +17,7 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(1000);
 /// Most engines asked at a time.
 const MOST_ASKED: usize = 16;
-/// Factor from which an engine counts as slow, and is asked again by itself.
+/// Factor from which an engine's answer is logged.
 const SLOW: f64 = 1.3;
 
 /// Ask suspected engines until the process ends.
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -222,7 +222,7 @@
         relay.target_refused(blamed);
         relay.dead_of(&[blamed]).await;
     }
-    let address = address_of(relay, blamed);
+    let address = relay.address_of(blamed);
     let why = format!("status {} by {address:?}", status.as_u16());
     Unanswered::NotRun(NeverStarted::TargetSaidSo, why)
 }
@@ -230,16 +230,11 @@
 /// The engine of a path that is to blame for a refusal. Another run may have its address by now, so the
 /// address alone does not tell.
 fn blamed(relay: &Relay, engines: &[EngineKey], head: &AnswerHead) -> EngineKey {
-    let is_at_fault = |key: &&EngineKey| address_of(relay, **key) == head.at_fault;
+    let is_at_fault = |key: &&EngineKey| relay.address_of(**key) == head.at_fault;
     let found = engines.iter().find(is_at_fault);
     found.copied().unwrap_or(engines[0])
 }
 
-fn address_of(relay: &Relay, key: EngineKey) -> Option<SocketAddr> {
-    let fleet = relay.fleet.borrow();
-    fleet.get(key).map(|engine| engine.entry.address)
-}
-
 /// A failure that an engine answered, whole.
 async fn failure(parts: Parts, body: Incoming) -> Result<Answered, Unanswered> {
     let held = body.collect().await;
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -1,5 +1,6 @@
 //! What becomes known of targets: their entries, their failures, and whether they are there.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -147,6 +148,12 @@
         });
     }
 
+    /// Where a target listens, if it is known.
+    pub(crate) fn address_of(&self, key: EngineKey) -> Option<SocketAddr> {
+        let fleet = self.fleet.borrow();
+        fleet.get(key).map(|engine| engine.entry.address)
+    }
+
     fn domain_of(&self, key: EngineKey) -> Option<Arc<str>> {
         let fleet = self.fleet.borrow();
         fleet.get(key).map(|engine| engine.entry.domain.clone())
@@ -213,12 +220,7 @@
 
     /// Ask a dead target whether it is back.
     pub async fn ask_dead(&self, key: EngineKey) {
-        let address = self
-            .fleet
-            .borrow()
-            .get(key)
-            .map(|engine| engine.entry.address);
-        let Some(address) = address else {
+        let Some(address) = self.address_of(key) else {
             return;
         };
         if target::is_there(address).await {
