feat: orders carry the generation of the steward's part as fencing token

Cause: a steward that was paused or cut off could still order engines; only the count of orders guarded, and engines forget it with a restart. Engines of the further sites check tokens, and a box that goes on with a refused one misses its duty.

Change: the core's Stewardship hands out a Permit with the token (the generation under which the group gave the part), and nothing orders without one.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -17,4 +17,5 @@
 pub mod routes;
 pub mod select;
 pub mod stall;
+pub mod stewardship;
 pub mod tally;
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -12,3 +12,4 @@
 mod select;
 mod setup;
 mod stall;
+mod stewardship;
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -1,10 +1,11 @@
 //! The group of boxes: who is in it, and who is the steward.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::stewardship::{Stewardship, Token};
 use tokio::time::sleep;
 
 use crate::follow::Dependency;
@@ -22,25 +23,15 @@
 /// The same for a box that asks another, which should have told it by then.
 const JOINS_BESIDE: u32 = 5;
 
-/// This box's place in the group.
-#[derive(Debug, Default)]
-pub struct Tenure {
-    /// Until when it may act as the steward.
-    pub steward_until: Cell<Option<Instant>>,
-}
+/// Taken off the time that the steward's part is held, for clocks that run at different rates and orders
+/// under way. It only saves refused orders: engines that check tokens are safe without it.
+const PART_MARGIN: Duration = Duration::from_millis(700);
 
-/// Taken off a tenure for clocks that run at different rates and orders under way.
-const TENURE_MARGIN: Duration = Duration::from_millis(700);
-
-impl Tenure {
-    /// Whether this box is the steward.
-    pub fn is_steward(&self, now: Instant) -> bool {
-        self.steward_until.get().is_some_and(|until| now < until)
-    }
-}
+/// This box's part, shared by the loops that get it and use it.
+pub type Part = Rc<RefCell<Stewardship>>;
 
 /// Stay in the group of boxes, and count them where no other box does.
-pub async fn run<S: Store>(relay: Rc<Relay>, store: S, tenure: Rc<Tenure>) {
+pub async fn run<S: Store>(relay: Rc<Relay>, store: S, part: Part) {
     let mut generation = 0;
     let mut behind = 0;
     let mut dependency = Dependency::new("group");
@@ -49,7 +40,7 @@
         match store.join(MEMBER_TTL, generation).await {
             Ok(membership) => {
                 dependency.regained(relay.now());
-                keep_tenure(&tenure, membership, began);
+                keep_part(&part, membership, began);
                 generation = membership.generation;
                 behind = match relay.group_generation() < generation {
                     true => behind + 1,
@@ -64,15 +55,17 @@
         }
         sleep(JOIN_INTERVAL).await;
     }
-    tenure.steward_until.set(None);
+    part.borrow_mut().revoke();
 }
 
-fn keep_tenure(tenure: &Tenure, membership: Membership, began: Instant) {
-    let was_steward = tenure.is_steward(began);
-    let until = began + MEMBER_TTL.saturating_sub(TENURE_MARGIN);
-    tenure
-        .steward_until
-        .set(membership.is_steward.then_some(until));
+fn keep_part(part: &Part, membership: Membership, began: Instant) {
+    let mut part = part.borrow_mut();
+    let was_steward = part.permit(began).is_some();
+    let until = began + MEMBER_TTL.saturating_sub(PART_MARGIN);
+    match membership.is_steward {
+        true => part.grant(Token(membership.generation), until),
+        false => part.revoke(),
+    }
     if was_steward != membership.is_steward {
         log::info!(event = "steward", is_steward = membership.is_steward, generation = membership.generation; "the steward's part changed hands");
     }
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -11,7 +11,7 @@
 use reachtally_core::forward::placement::{self, Host, Move};
 use tokio::time::sleep;
 
-use crate::group::Tenure;
+use crate::group::Part;
 use crate::relay::Relay;
 use crate::store::{OrderAnswer, Orders};
 
@@ -34,7 +34,7 @@
 }
 
 /// Look after placement while this box is the steward.
-pub async fn run<O: Orders>(relay: Rc<Relay>, tenure: Rc<Tenure>, orders: O) {
+pub async fn run<O: Orders>(relay: Rc<Relay>, part: Part, orders: O) {
     let mut pending: HashMap<EngineKey, Pending> = HashMap::new();
     let mut known = 0;
     let mut grown_at = relay.now();
@@ -46,14 +46,14 @@
             grown_at = now;
         }
         known = count;
-        if !tenure.is_steward(now) || now.since(grown_at) < SETTLE {
+        if part.borrow().permit(now).is_none() || now.since(grown_at) < SETTLE {
             continue;
         }
         settle_pending(&relay, &mut pending, now);
         for (model, service) in layered(&relay) {
             let hosts = hosts(&relay, &service, &model, &pending);
             let moves = placement::moves(&model, &hosts);
-            give(&relay, &tenure, &orders, &mut pending, moves).await;
+            give(&relay, &part, &orders, &mut pending, moves).await;
         }
     }
 }
@@ -109,7 +109,7 @@
 
 async fn give<O: Orders>(
     relay: &Relay,
-    tenure: &Tenure,
+    part: &Part,
     orders: &O,
     pending: &mut HashMap<EngineKey, Pending>,
     moves: Vec<Move>,
@@ -120,11 +120,17 @@
         let Some(engine) = engine else {
             continue;
         };
-        if pending.contains_key(&placed.engine) || !tenure.is_steward(relay.now()) {
+        if pending.contains_key(&placed.engine) {
             continue;
         }
+        let Some(permit) = part.borrow().permit(relay.now()) else {
+            continue;
+        };
         given.push(async move {
-            let answer = orders.place(&engine, &placed.layers).await;
+            let answer = orders.place(&engine, &placed.layers, permit).await;
+            if answer == OrderAnswer::Superseded && part.borrow_mut().superseded(permit) {
+                log::info!(event = "superseded", target = &*engine.entry.id, token = permit.token().0; "another box is the steward by now");
+            }
             relay.count(|tally| tally.orders_given += 1);
             log::info!(event = "order", target = &*engine.entry.id, layers:? = placed.layers, held:? = engine.entry.layers, answer:? = answer; "an engine was ordered to hold layers");
             (placed, answer)
@@ -134,7 +140,10 @@
         let patience = match answer {
             OrderAnswer::Begun | OrderAnswer::Holds => ORDER_PATIENCE,
             OrderAnswer::Lost => LOST_PATIENCE,
-            OrderAnswer::Conflict | OrderAnswer::Occupied | OrderAnswer::Refused(_) => TICK * 4,
+            OrderAnswer::Conflict
+            | OrderAnswer::Superseded
+            | OrderAnswer::Occupied
+            | OrderAnswer::Refused(_) => TICK * 4,
         };
         let order = Pending {
             layers: placed.layers,
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -8,6 +8,7 @@
 use reachtally_core::forward::cost::Layers;
 use reachtally_core::forward::fleet::{Engine, Entry};
 use reachtally_core::forward::peers::Member;
+use reachtally_core::forward::stewardship::Permit;
 
 /// Why a call to the store yielded nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,7 +58,7 @@
 /// What this box holds in the group of boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Membership {
-    /// Rises with each change of the group.
+    /// Rises with each change of the group, so that it can serve as the fencing token of orders.
     pub generation: u64,
     /// Whether this box holds the steward's part.
     pub is_steward: bool,
@@ -104,6 +105,8 @@
     Holds,
     /// It does not fit the engine's state, or another order came before it.
     Conflict,
+    /// The engine has seen a higher token: another box is the steward by now.
+    Superseded,
     /// The engine is at work on another order, so none was given.
     Occupied,
     /// The engine refused it for another reason.
@@ -114,8 +117,14 @@
 
 /// Orders to engines, and what they tell of themselves.
 pub trait Orders {
-    /// Let an engine hold `layers`, unless another order reaches it in between.
-    fn place(&self, engine: &Engine, layers: &Layers) -> impl Future<Output = OrderAnswer>;
+    /// Let an engine hold `layers`, unless another order reaches it in between, or one with a higher token
+    /// did before.
+    fn place(
+        &self,
+        engine: &Engine,
+        layers: &Layers,
+        permit: Permit,
+    ) -> impl Future<Output = OrderAnswer>;
 
     /// How much longer an engine takes than it should, 1 if it is well; `None` if it does not tell.
     fn pace(&self, engine: &Engine) -> impl Future<Output = Option<f64>>;
