feat(core): repairs count what a move takes, and close gaps at once

Change: a move costs the room in use at the layers it gives up, and its load, beside what is lacking after it; an engine's own first layer counts as a place to begin, so that its range can grow.

--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -1,7 +1,7 @@
 //! Which layers engines are given.
 
 use reachtally_core::forward::cost::LayerModel;
-use reachtally_core::forward::placement::{Host, Move, moves, plan};
+use reachtally_core::forward::placement::{GiveUp, Host, Move, moves, plan};
 
 use super::setup::{hosts, model};
 
@@ -191,3 +191,44 @@
     let hosts = hosts("a", &[("small", 3)]);
     assert_eq!(moves(&model, &hosts), Vec::new());
 }
+
+/// A chain whose last layers nobody holds, and small engines that hold its first ones too.
+fn with_a_gap(running: [f64; 3]) -> Vec<Host> {
+    let mut hosts = hosts("a", &[("large", 1), ("middle", 3), ("small", 3)]);
+    let layers = [0..30, 30..46, 46..60, 60..72, 0..10, 0..10, 0..10];
+    for (host, layers) in hosts.iter_mut().zip(layers) {
+        host.layers = layers;
+        host.running = 60.0;
+    }
+    for (host, running) in hosts[4..].iter_mut().zip(running) {
+        host.running = running;
+    }
+    hosts
+}
+
+#[test]
+fn a_gap_is_closed_at_once_by_the_engine_that_has_least_to_give_up() {
+    for idle in 0..3 {
+        let mut running = [30.0; 3];
+        running[idle] = 0.0;
+        let hosts = with_a_gap(running);
+        let next = moves(&model(), &hosts);
+        let first = next.first().expect("there is a gap");
+        assert_eq!(first.engine, hosts[4 + idle].engine, "{next:?}");
+        assert_eq!(first.layers, 72..80);
+        assert_eq!(first.give_up, GiveUp::Cut);
+    }
+}
+
+#[test]
+fn an_engine_that_adds_to_what_is_held_waits_for_what_passes_it() {
+    let mut hosts = with_a_gap([0.0; 3]);
+    hosts[6].layers = 72..80;
+    // Far too few tokens for the requests that the rest could run.
+    hosts[3].layers = 60..80;
+    let next = moves(&model(), &hosts);
+    assert!(!next.is_empty());
+    for placed in next {
+        assert_eq!(placed.give_up, GiveUp::Wait, "{placed:?}");
+    }
+}
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -71,6 +71,7 @@
                 domain: Arc::from(domain),
                 card: model.cards[*card],
                 layers: 0..0,
+                running: 0.0,
             });
             number += 1;
         }
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -102,6 +102,7 @@
                 domain: engine.entry.domain.clone(),
                 card: *card,
                 layers: ordered.unwrap_or_else(|| engine.entry.layers.clone()),
+                running: f64::from(engine.running) + engine.running_elsewhere,
             })
         })
         .collect()
@@ -127,12 +128,12 @@
             continue;
         };
         given.push(async move {
-            let answer = orders.place(&engine, &placed.layers, permit).await;
+            let answer = orders.place(&engine, &placed, permit).await;
             if answer == OrderAnswer::Superseded && part.borrow_mut().superseded(permit) {
                 log::info!(event = "superseded", target = &*engine.entry.id, token = permit.token().0; "another box is the steward by now");
             }
             relay.count(|tally| tally.orders_given += 1);
-            log::info!(event = "order", target = &*engine.entry.id, layers:? = placed.layers, held:? = engine.entry.layers, answer:? = answer; "an engine was ordered to hold layers");
+            log::info!(event = "order", target = &*engine.entry.id, layers:? = placed.layers, give_up:? = placed.give_up, held:? = engine.entry.layers, answer:? = answer; "an engine was ordered to hold layers");
             (placed, answer)
         });
     }
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use reachtally_core::forward::cost::Layers;
 use reachtally_core::forward::fleet::{Engine, Entry};
 use reachtally_core::forward::peers::Member;
+use reachtally_core::forward::placement::Move;
 use reachtally_core::forward::stewardship::Permit;
 
 /// Why a call to the store yielded nothing.
@@ -117,12 +117,12 @@
 
 /// Orders to engines, and what they tell of themselves.
 pub trait Orders {
-    /// Let an engine hold `layers`, unless another order reaches it in between, or one with a higher token
+    /// Let an engine hold the layers of `placed`, unless another order reaches it in between, or one with a higher token
     /// did before.
     fn place(
         &self,
         engine: &Engine,
-        layers: &Layers,
+        placed: &Move,
         permit: Permit,
     ) -> impl Future<Output = OrderAnswer>;
 
