feat(relay): streams that may run twice go over connections that were kept for a moment

One that breaks, says nothing or carries another request's answer costs that send alone: the engine is not blamed. Requests that may run once have connections of their own.

--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod accept;
 pub mod answer;
 mod attempts;
+mod connections;
 pub mod events;
 mod exchange;
 pub mod follow;
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -20,6 +20,7 @@
 use reachtally_protocol::packed;
 use tokio::sync::watch;
 
+use crate::connections::Connections;
 use crate::metrics::Times;
 use crate::occupied::OpenConnection;
 use crate::suspects::Suspects;
@@ -64,6 +65,8 @@
     pub table: RefCell<Option<Arc<Table>>>,
     /// The targets.
     pub fleet: RefCell<Fleet>,
+    /// Connections to engines that may be used again.
+    pub(crate) connections: Connections,
     /// Progress of engines.
     pub progress: RefCell<Progress>,
     /// How old the configuration may be.
@@ -119,6 +122,7 @@
             wire,
             table: RefCell::default(),
             fleet: RefCell::default(),
+            connections: Connections::default(),
             progress: RefCell::default(),
             freshness: Cell::default(),
             peers: RefCell::default(),
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -15,7 +15,7 @@
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::send;
-use crate::target::Driver;
+use crate::target::Connection;
 
 /// Added to the first look at a chain, which may still have other prompts to read.
 pub(super) const FIRST_SLACK: Duration = Duration::from_millis(350);
@@ -31,8 +31,8 @@
 /// A chain at work on a stream.
 pub(super) struct Running {
     body: Incoming,
-    /// Keeps the connection; dropping it cancels the work.
-    _driver: Driver,
+    /// Dropping it cancels the work; it is kept after a whole answer.
+    connection: Option<Connection>,
     occupied: Occupied,
     /// Expected time between two events, corrected by those that came.
     gap: Duration,
@@ -119,14 +119,14 @@
     /// A chain whose answer's head has come.
     pub fn new(
         body: Incoming,
-        driver: Driver,
+        connection: Connection,
         occupied: Occupied,
         pace: Pace,
         now: Instant,
     ) -> Self {
         let mut running = Running {
             body,
-            _driver: driver,
+            connection: Some(connection),
             occupied,
             gap: pace.expected_gap,
             pace,
@@ -214,11 +214,14 @@
     }
 
     /// The body has ended in order. A part of an event shows that the engine did not mean to.
-    fn ended(&self, relay: &Relay, call: &Call, splitter: &Splitter) -> Stopped {
+    fn ended(&mut self, relay: &Relay, call: &Call, splitter: &Splitter) -> Stopped {
         if splitter.has_part() {
             return Stopped::Broke("it ended within an event".to_owned());
         }
         self.pace.keep(relay, call, self.engines());
+        if let Some(connection) = self.connection.take() {
+            relay.connections.keep(connection);
+        }
         Stopped::Whole
     }
 }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -135,7 +135,17 @@
     began: Instant,
 ) -> Result<Answer, Unanswered> {
     let key = pick.engines[0];
-    let mut sending = std::pin::pin!(target::send(address, req));
+    let kept = match call.route.is_repeatable() {
+        true => relay.connections.take(address),
+        false => None,
+    };
+    let is_reused = kept.is_some();
+    let mut sending = std::pin::pin!(async {
+        match kept {
+            Some(kept) => target::send_again(kept, req).await,
+            None => target::send(address, req).await,
+        }
+    });
     let mut patience = pick.first.mul_f64(stall::SILENCE_GAPS) + FIRST_SLACK;
     loop {
         let until = call.due.min(relay.now() + patience);
@@ -146,11 +156,17 @@
                 return Err(exchange::not_connected(relay, key, &why));
             }
             Ok(Err(SendError::Broken(why))) => return Err(failed(relay, key, attempts, why)),
+            Ok(Err(SendError::Stale(why))) => return Err(Unanswered::Lost(why)),
             Err(_) if relay.now() >= call.due => return Err(Unanswered::Late),
             Err(_) => {}
         }
+        let is_mute = relay.now().since(began) > MUTE_AFTER;
+        if is_reused && is_mute && may_go_elsewhere(relay, call, attempts, &[]) {
+            let why = "a kept connection says nothing".to_owned();
+            return Err(Unanswered::Lost(why));
+        }
         let mut stuck = dead_of_silent(relay, &pick.engines, began).await;
-        if stuck.is_empty() && relay.now().since(began) > MUTE_AFTER {
+        if stuck.is_empty() && is_mute {
             let silent = relay.progress.borrow().silent_since(&pick.engines, began);
             stuck = if silent.len() == pick.engines.len() {
                 silent
@@ -183,7 +199,10 @@
         return Err(not_run(relay, &occupied, &head, status, attempts).await);
     }
     if let Some(why) = exchange::mistrust(call, &head, &answer.response) {
-        return Err(failed(relay, key, attempts, why.to_owned()));
+        return Err(match answer.is_reused {
+            true => Unanswered::Lost(why.to_owned()),
+            false => failed(relay, key, attempts, why.to_owned()),
+        });
     }
     let (mut parts, body) = answer.response.into_parts();
     parts.headers = relay.wire.backward(&parts.headers);
@@ -191,7 +210,7 @@
         return failure(parts, body).await;
     }
     parts.headers.remove(CONTENT_LENGTH);
-    let running = Running::new(body, answer.driver, occupied, pace, relay.now());
+    let running = Running::new(body, answer.connection, occupied, pace, relay.now());
     Ok(Answered::Stream(Box::new((
         Response::from_parts(parts, ()),
         running,
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -1,8 +1,7 @@
 //! One request on one connection to a target.
 //!
-//! Each request has a connection of its own. So nothing of an earlier answer can stand where the next
-//! is due, no forgotten connection is used, and a connection that came about proves that the target
-//! listened. It costs a handshake for each request, which is a small part of what the request is worth.
+//! A request that may not be repeated has a connection of its own. So nothing of an earlier answer can
+//! stand where its own is due, and a connection that came about proves that the target listened.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -72,6 +72,8 @@
     NotConnected(DialError),
     /// The connection broke; the request may have run.
     Broken(String),
+    /// A connection that was kept broke, which says nothing of the target; the request may have run.
+    Stale(String),
 }
 
 /// Drives a connection; dropping it closes the connection, which cancels what runs there.
@@ -84,13 +86,77 @@
     }
 }
 
+/// An open connection to a target. Dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    _driver: Driver,
+}
+
 /// An answer with the connection that carries its body.
 #[derive(Debug)]
 pub struct Answer {
     /// Its head and body.
     pub response: Response<Incoming>,
     /// Keep it as long as the body is read.
-    pub driver: Driver,
+    pub connection: Connection,
+    /// Whether an earlier answer came over the connection.
+    pub is_reused: bool,
+}
+
+impl Connection {
+    /// Open a connection to `address`.
+    ///
+    /// # Errors
+    /// [`SendError::NotConnected`] if none came about in time.
+    pub async fn open(address: SocketAddr) -> Result<Connection, SendError> {
+        let dialled = dial(address, CONNECT_TIMEOUT).await;
+        let stream = dialled.map_err(SendError::NotConnected)?;
+        send_at_once(&stream);
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|err| {
+            SendError::NotConnected(DialError::Refused(std::io::Error::other(err)))
+        })?;
+        let driver = tokio::task::spawn_local(async move {
+            if let Err(err) = connection.await {
+                log::debug!(event = "target-connection", why:% = err; "a connection to a target broke");
+            }
+        });
+        Ok(Connection {
+            address,
+            sender,
+            _driver: Driver(driver),
+        })
+    }
+
+    /// The other end.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the last answer is over and the target has not closed the connection.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Wait until the last answer is over; false if the connection is.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Send a request.
+    ///
+    /// # Errors
+    /// The request, if not a byte of it was sent; else why the connection broke.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Box<TrySendError<Request<Full<Bytes>>>>> {
+        self.sender.try_send_request(req).await.map_err(Box::new)
+    }
 }
 
 /// Send a request to `address` over a new connection.
@@ -98,34 +164,35 @@
 /// # Errors
 /// See [`SendError`].
 pub async fn send(address: SocketAddr, req: Request<Full<Bytes>>) -> Result<Answer, SendError> {
-    let (mut sender, driver) = connect(address).await?;
-    let sent = sender.send_request(req).await;
-    let response = sent.map_err(|err| SendError::Broken(err.to_string()))?;
-    Ok(Answer { response, driver })
+    let mut connection = Connection::open(address).await?;
+    let sent = connection.send(req).await;
+    let response = sent.map_err(|err| SendError::Broken(err.error().to_string()))?;
+    Ok(Answer {
+        response,
+        connection,
+        is_reused: false,
+    })
 }
 
-/// Open a connection to `address`.
+/// Send a request that may run twice over a connection that was kept, or over a new one if it is closed.
 ///
 /// # Errors
-/// [`SendError::NotConnected`] if none came about in time.
-pub async fn connect(
-    address: SocketAddr,
-) -> Result<(http1::SendRequest<Full<Bytes>>, Driver), SendError> {
-    let dialled = dial(address, CONNECT_TIMEOUT).await;
-    let stream = dialled.map_err(SendError::NotConnected)?;
-    send_at_once(&stream);
-    let handshake = http1::Builder::new()
-        .max_buf_size(READ_BUFFER)
-        .handshake(TokioIo::new(stream));
-    let (sender, connection) = handshake
-        .await
-        .map_err(|err| SendError::NotConnected(DialError::Refused(std::io::Error::other(err))))?;
-    let driver = tokio::task::spawn_local(async move {
-        if let Err(err) = connection.await {
-            log::debug!(event = "target-connection", why:% = err; "a connection to a target broke");
-        }
-    });
-    Ok((sender, Driver(driver)))
+/// See [`SendError`].
+pub async fn send_again(
+    mut kept: Connection,
+    req: Request<Full<Bytes>>,
+) -> Result<Answer, SendError> {
+    match kept.send(req).await {
+        Ok(response) => Ok(Answer {
+            response,
+            connection: kept,
+            is_reused: true,
+        }),
+        Err(mut err) => match err.take_message() {
+            Some(req) => send(kept.address, req).await,
+            None => Err(SendError::Stale(err.error().to_string())),
+        },
+    }
 }
 
 /// Most bytes buffered of a target's answer on each connection; a slow caller holds up only its own.
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -15,7 +15,7 @@
 use crate::occupied::Occupied;
 use crate::relay::Relay;
 use crate::serve::Call;
-use crate::target::{self, Driver, SendError};
+use crate::target::{self, Connection, SendError};
 use crate::wire::Addition;
 
 /// Answers up to this size are held whole before they are passed on, so that one which breaks off
@@ -108,7 +108,9 @@
         Ok(Err(SendError::NotConnected(why))) => {
             return Err(exchange::not_connected(relay, key, &why));
         }
-        Ok(Err(SendError::Broken(why))) => return Err(failed(relay, key, why)),
+        Ok(Err(SendError::Broken(why) | SendError::Stale(why))) => {
+            return Err(failed(relay, key, why));
+        }
         Ok(Ok(answer)) => answer,
     };
     let head = exchange::head_of(relay, key, &answer.response);
@@ -119,7 +121,7 @@
     if let Some(why) = exchange::mistrust(call, &head, &answer.response) {
         return Err(failed(relay, key, why.to_owned()));
     }
-    let receiving = receive(relay, answer.response, answer.driver, occupied);
+    let receiving = receive(relay, answer.response, answer.connection, occupied);
     match tokio::time::timeout_at(due, receiving).await {
         Err(_) => Err(Unanswered::Late),
         Ok(received) => received.map_err(|why| failed(relay, key, why)),
@@ -136,7 +138,7 @@
 async fn receive(
     relay: &Relay,
     response: Response<Incoming>,
-    driver: Driver,
+    connection: Connection,
     occupied: Occupied,
 ) -> Result<Response<Body>, String> {
     let (mut parts, body) = response.into_parts();
@@ -144,7 +146,7 @@
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > HELD_BYTES) {
         let passing = body.map_err(move |_| {
-            let _ = (&driver, &occupied);
+            let _ = (&connection, &occupied);
             CutShort
         });
         return Ok(Response::from_parts(parts, Box::pin(passing)));
