feat: the log tells why there is no path, and `reachtally losses` counts what requests were lost to

Cause: a refusal for want of a path said nothing of what was missing, so what binds could only be found with changed code. Change: the core's Shortage counts failure domains by what they lack (a layer nobody holds, unusable engines, no room), logged with refusals and cuts; late answers tell whether the first event was late; the command counts requests of a log by their end and first trouble. select.rs is split by what it decides. No change of any decision; not measured.

--- /dev/null
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -0,0 +1,178 @@
+//! Which engines or which instance a request goes to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::forward::cost::LayerModel;
+use crate::forward::fleet::{Engine, EngineKey, Fleet};
+use crate::forward::path::Path;
+use crate::time::Instant;
+
+mod candidate;
+mod shortage;
+mod ways;
+
+pub use shortage::{Shortage, shortage};
+
+use candidate::Candidate;
+use ways::cheapest;
+
+/// Time that a token takes from one engine to the next within a failure domain, in ms. Links there
+/// take under a millisecond, and the engine's queue adds as much again.
+const HOP_MS: f64 = 0.5;
+/// Time that a token takes more between failure domains, in ms.
+const FAR_HOP_MS: f64 = 2.0;
+/// What another failure domain's chain must be faster by, so that requests stay at home.
+const HOME_BONUS: f64 = 0.9;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Tokens that its answer will probably have.
+    pub answer: f64,
+}
+
+impl Need {
+    /// KV tokens that it holds on average while it runs: its answer grows from nothing. Many requests that
+    /// are at different points of their answers hold the sum of this, not of their ends.
+    pub fn held(&self) -> f64 {
+        self.prompt + self.answer / 2.0
+    }
+}
+
+/// What a choice takes into account beside the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Circumstance<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The failure domain of this box.
+    pub home: &'a str,
+    /// Engines that must not take part.
+    pub avoid: &'a [EngineKey],
+    /// How long requests have lately run.
+    pub held: Duration,
+    /// Boxes for each box that tells its load, this one included.
+    pub unheard: f64,
+    /// A well-spread number of the request, so that boxes which believe the same choose differently.
+    pub draw: u64,
+}
+
+/// A path and what is expected of it.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The path.
+    pub path: Path,
+    /// Expected time of one token.
+    pub token: Duration,
+    /// Expected time until the first token.
+    pub first: Duration,
+}
+
+/// How strict a choice is about the engines' condition.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trust {
+    /// Only engines without a recent failure whose entry is there.
+    Sound,
+    /// Any engine that is neither leaving nor dead and holds what its entry says.
+    Any,
+}
+
+/// The path of the least expected finish, or `None` if the layers are not all held.
+pub fn path(
+    fleet: &Fleet,
+    service: &str,
+    model: &LayerModel,
+    need: Need,
+    cx: &Circumstance<'_>,
+) -> Option<Choice> {
+    path_of(fleet, service, model, need, cx, Trust::Sound)
+        .or_else(|| path_of(fleet, service, model, need, cx, Trust::Any))
+}
+
+fn path_of(
+    fleet: &Fleet,
+    service: &str,
+    model: &LayerModel,
+    need: Need,
+    cx: &Circumstance<'_>,
+    trust: Trust,
+) -> Option<Choice> {
+    let mut by_domain: BTreeMap<&str, Vec<Candidate<'_>>> = BTreeMap::new();
+    for (key, engine) in fleet.of_service(service) {
+        if !is_usable(key, engine, cx, trust) {
+            continue;
+        }
+        let Some(candidate) = Candidate::new(key, engine, model, need, cx) else {
+            continue;
+        };
+        by_domain
+            .entry(&engine.entry.domain)
+            .or_default()
+            .push(candidate);
+    }
+    let within = by_domain.iter().filter_map(|(domain, candidates)| {
+        let found = cheapest(candidates, model, HOP_MS)?;
+        let factor = if *domain == cx.home { HOME_BONUS } else { 1.0 };
+        Some((found.cost * factor, found))
+    });
+    let best = within
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, found)| found);
+    let across = || {
+        let all: Vec<Candidate<'_>> = by_domain.values().flatten().copied().collect();
+        cheapest(&all, model, FAR_HOP_MS)
+    };
+    let found = best.or_else(across)?;
+    found.prove(model)
+}
+
+fn is_usable(key: EngineKey, engine: &Engine, cx: &Circumstance<'_>, trust: Trust) -> bool {
+    let health = &engine.health;
+    let is_gone = engine.entry.draining || health.is_dead() || health.is_contradicted(cx.now);
+    if is_gone || cx.avoid.contains(&key) {
+        return false;
+    }
+    trust == Trust::Any || (!health.is_held(cx.now) && engine.missing_since.is_none())
+}
+
+/// The instance of a plain service with the least work for its slots; the draw breaks ties.
+pub fn instance(
+    fleet: &Fleet,
+    service: &str,
+    most_connections: u32,
+    cx: &Circumstance<'_>,
+) -> Option<EngineKey> {
+    instance_of(fleet, service, most_connections, cx, Trust::Sound)
+        .or_else(|| instance_of(fleet, service, most_connections, cx, Trust::Any))
+}
+
+fn instance_of(
+    fleet: &Fleet,
+    service: &str,
+    most_connections: u32,
+    cx: &Circumstance<'_>,
+    trust: Trust,
+) -> Option<EngineKey> {
+    let work = |engine: &Engine| {
+        let others = engine.running_elsewhere.max(engine.others_told);
+        let running = f64::from(engine.running) + others;
+        running / f64::from(engine.entry.slots.max(1))
+    };
+    let usable: Vec<(EngineKey, &Engine)> = fleet
+        .of_service(service)
+        .filter(|(key, engine)| is_usable(*key, engine, cx, trust))
+        .filter(|(_, engine)| engine.running < most_connections)
+        .collect();
+    let least = usable
+        .iter()
+        .map(|(_, engine)| work(engine))
+        .min_by(f64::total_cmp)?;
+    let near: Vec<EngineKey> = usable
+        .iter()
+        .filter(|(_, engine)| work(engine) <= least + f64::EPSILON)
+        .map(|(key, _)| *key)
+        .collect();
+    near.get(cx.draw as usize % near.len()).copied()
+}
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -4,7 +4,9 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
-use reachtally_core::forward::select::{Choice, Circumstance, Need, instance, path};
+use reachtally_core::forward::select::{
+    Choice, Circumstance, Need, Shortage, instance, path, shortage,
+};
 
 use super::setup::{SERVICE, entry, fleet, model};
 
@@ -246,3 +248,28 @@
     fleet.begin(&keys, each);
     assert!(choose(&fleet, &[]).is_none(), "it is full");
 }
+
+#[test]
+fn a_shortage_tells_for_each_domain_what_it_lacks() {
+    let (mut fleet, keys) = two_domains();
+    let told = |fleet: &Fleet| shortage(fleet, SERVICE, &model(), NEED, &cx(&[]));
+    assert_eq!(told(&fleet), Shortage::default());
+    fleet.begin(&keys[1..2], 59_000.0);
+    let full = Shortage {
+        full: 1,
+        ..Shortage::default()
+    };
+    assert_eq!(told(&fleet), full);
+    let now = Instant::from_elapsed(Duration::from_secs(1));
+    let row = fleet.get_mut(keys[9]).expect("it is known");
+    row.health.found_dead(now);
+    assert_eq!(
+        told(&fleet),
+        Shortage {
+            unusable: 1,
+            ..full
+        }
+    );
+    fleet.remove("e9");
+    assert_eq!(told(&fleet), Shortage { gap: 1, ..full });
+}
--- a/reachtally-journal/src/explain.rs
+++ b/reachtally-journal/src/explain.rs
@@ -1,6 +1,8 @@
 //! Follows one request through the logs of several boxes.
 
-use serde_json::{Map, Value};
+use serde_json::Value;
+
+use crate::line::Line;
 
 /// Lines about targets and dependencies are shown from this long before the request's first line, in
 /// milliseconds: what a box believed then is usually a few seconds old.
@@ -47,22 +49,8 @@
 
 impl std::error::Error for Error {}
 
-struct Line {
-    at: u64,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    fn text(&self, name: &str) -> &str {
-        self.fields
-            .get(name)
-            .and_then(Value::as_str)
-            .unwrap_or_default()
-    }
-
-    fn is_belief(&self) -> bool {
-        BELIEFS.contains(&self.text("event"))
-    }
+fn is_belief(line: &Line) -> bool {
+    BELIEFS.contains(&line.text("event"))
 }
 
 /// The lines that tell of the request `id`, in the order of their time, with the changes of belief of
@@ -76,7 +64,7 @@
     let mut malformed = 0;
     for text in log {
         read += 1;
-        match parse(text) {
+        match Line::parse(text) {
             Some(line) => lines.push(line),
             None => malformed += 1,
         }
@@ -97,20 +85,12 @@
         .collect();
     let during = first.saturating_sub(BEFORE_MS)..=*last;
     let shown = lines.iter().filter(|line| {
-        let is_context = line.is_belief() && boxes.contains(&line.text("box"));
+        let is_context = is_belief(line) && boxes.contains(&line.text("box"));
         own(line) || (is_context && during.contains(&line.at))
     });
     Ok(shown.map(|line| render(line, *first, id)).collect())
 }
 
-/// A line of a log; anything before the first brace, such as a collector's prefix, is skipped.
-fn parse(text: &str) -> Option<Line> {
-    let json = &text[text.find('{')?..];
-    let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
-    let at = fields.get("t")?.as_u64()?;
-    Some(Line { at, fields })
-}
-
 fn render(line: &Line, first: u64, id: &str) -> String {
     let offset = line.at as i64 - first as i64;
     let mark = if line.text("id") == id { '*' } else { ' ' };
--- a/reachtally-journal/src/lib.rs
+++ b/reachtally-journal/src/lib.rs
@@ -7,6 +7,8 @@
 #![deny(missing_docs)]
 
 mod explain;
+mod line;
+mod losses;
 pub mod queue;
 
 use std::io::Write;
@@ -24,6 +26,7 @@
 use crate::queue::Queue;
 
 pub use explain::{Error as ExplainError, explain};
+pub use losses::{Losses, losses};
 
 /// Most time that the end of a process waits for its last lines.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(100);
--- /dev/null
+++ b/reachtally-journal/src/losses.rs
@@ -0,0 +1,80 @@
+//! Counts what requests that were not served in time were lost to.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::line::Line;
+
+/// Events of a request that may make it late or lose it, before it ends.
+const TROUBLES: [&str; 5] = ["no-path", "not-run", "lost", "stage-dead", "broke"];
+
+/// How requests ended that were not served in time, and how many ended so.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Losses {
+    /// Numbers of requests by their end and the first trouble before it.
+    pub counts: BTreeMap<String, usize>,
+}
+
+impl std::fmt::Display for Losses {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut rows: Vec<(&String, &usize)> = self.counts.iter().collect();
+        rows.sort_by(|a, b| b.1.cmp(a.1).then(a.0.cmp(b.0)));
+        let all: usize = self.counts.values().sum();
+        for (label, count) in rows {
+            let share = *count as f64 * 100.0 / all as f64;
+            writeln!(f, "{count:>7}  {share:>5.1}%  {label}")?;
+        }
+        writeln!(f, "{all:>7}  100.0%  requests that were not served in time")
+    }
+}
+
+/// Count how the requests of a log ended that were not served in time, with the first trouble of each.
+/// Requests that were served in time and lines that are no JSON count for nothing.
+pub fn losses<'a>(log: impl IntoIterator<Item = &'a str>) -> Losses {
+    let mut lines: Vec<Line> = log.into_iter().filter_map(Line::parse).collect();
+    lines.sort_by_key(|line| line.at);
+    let mut troubles: HashMap<String, String> = HashMap::new();
+    let mut losses = Losses::default();
+    for line in &lines {
+        let id = line.text("id");
+        if id.is_empty() {
+            continue;
+        }
+        if TROUBLES.contains(&line.text("event")) {
+            let trouble = || trouble(line);
+            troubles.entry(id.to_owned()).or_insert_with(trouble);
+            continue;
+        }
+        let Some(end) = end(line) else {
+            continue;
+        };
+        let label = match troubles.remove(id) {
+            Some(trouble) => format!("{end}, first {trouble}"),
+            None => end,
+        };
+        *losses.counts.entry(label).or_default() += 1;
+    }
+    losses
+}
+
+fn trouble(line: &Line) -> String {
+    match line.text("event") {
+        "no-path" => format!("no path ({})", line.text("lacks")),
+        "not-run" => "turned away by an engine".to_owned(),
+        "lost" => "an answer was lost".to_owned(),
+        "stage-dead" => "an engine of the stream died".to_owned(),
+        _ => "the stream broke off".to_owned(),
+    }
+}
+
+/// How a request ended that was not served in time; `None` for other lines.
+fn end(line: &Line) -> Option<String> {
+    let why = line.text("why");
+    match line.text("event") {
+        "refused" => Some(format!("refused ({why})")),
+        "unknown" => Some(format!("failed ({why})")),
+        "cut" => Some(format!("cut ({why})")),
+        "answered" if line.is_true("first_late") => Some("late with the first event".to_owned()),
+        "answered" if line.is_true("late") => Some("late between events".to_owned()),
+        _ => None,
+    }
+}
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -1,7 +1,7 @@
 //! The decision log.
 
 use reachtally_journal::queue::{QUEUE_BYTES, Queue};
-use reachtally_journal::{ExplainError, explain};
+use reachtally_journal::{ExplainError, explain, losses};
 
 #[test]
 fn a_full_queue_drops_and_counts_and_never_grows() {
@@ -61,3 +61,28 @@
         "no line of 6 names the request (1 were no JSON)"
     );
 }
+
+#[test]
+fn requests_that_were_not_served_in_time_are_counted_by_their_end_and_first_trouble() {
+    let log = [
+        r#"{"t":1,"event":"no-path","id":"r1","lacks":"gap 1, unusable 0, full 2"}"#,
+        r#"{"t":2,"event":"refused","id":"r1","why":"NoTarget"}"#,
+        r#"{"t":5,"event":"broke","id":"r2"}"#,
+        r#"{"t":4,"event":"stage-dead","id":"r2"}"#,
+        r#"{"t":6,"event":"answered","id":"r2","late":true,"first_late":false}"#,
+        r#"{"t":7,"event":"answered","id":"r3","late":true,"first_late":true}"#,
+        r#"{"t":8,"event":"answered","id":"r4","late":false,"first_late":false}"#,
+        r#"{"t":9,"event":"refused","id":"r5","why":"NoTarget"}"#,
+        "not a line of ours",
+    ];
+    let text = losses(log).to_string();
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = [
+        "      1   25.0%  late between events, first an engine of the stream died",
+        "      1   25.0%  late with the first event",
+        "      1   25.0%  refused (NoTarget)",
+        "      1   25.0%  refused (NoTarget), first no path (gap 1, unusable 0, full 2)",
+        "      4  100.0%  requests that were not served in time",
+    ];
+    assert_eq!(lines, expected);
+}
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -82,11 +82,10 @@
         relay.times.first_event.observe(first.as_secs_f64());
         relay.times.longest_gap.observe(self.longest.as_secs_f64());
         relay.times.answer.observe(took.as_secs_f64());
-        let is_late = first > call.route.objective
-            || call
-                .route
-                .gap_objective()
-                .is_some_and(|gap| self.longest > gap);
+        let is_first_late = first > call.route.objective;
+        let gap_objective = call.route.gap_objective();
+        let is_gap_late = gap_objective.is_some_and(|gap| self.longest > gap);
+        let is_late = is_first_late || is_gap_late;
         if !is_late && !call.draw.is_multiple_of(SUCCESSES_LOGGED) {
             return;
         }
@@ -96,7 +95,7 @@
             event = "answered", id = &*call.head.id, parts = engines.len(),
             first_ms = ms(first), expected_first_ms = ms(self.expected_first),
             gap_ms = ms(took.saturating_sub(first) / gaps), expected_gap_ms = ms(self.expected_gap),
-            longest_ms = ms(self.longest), events = self.events, took_ms = ms(took), late = is_late,
+            longest_ms = ms(self.longest), events = self.events, took_ms = ms(took), late = is_late, first_late = is_first_late,
             targets = &*engine_names(relay, engines);
             "a stream is whole"
         );
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -33,7 +33,11 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let last = call.head.last_event;
-    while let Some(pick) = send::choose(relay, &call, &attempts.avoid) {
+    loop {
+        let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
+            send::log_shortage(relay, &call, &attempts.avoid);
+            break;
+        };
         if !attempts.may_send(relay, &call) {
             break;
         }
@@ -131,7 +135,10 @@
             let until = relay.now() + LOOK_FOR;
             match resume(relay, call, attempts, splitter, until).await {
                 Some(other) => Next::Other(Box::new(other)),
-                None => Next::Cut("no other chain took it"),
+                None => {
+                    send::log_shortage(relay, call, &attempts.avoid);
+                    Next::Cut("no other chain took it")
+                }
             }
         }
         Stopped::Dead(engines) => {
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -13,7 +13,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
-use reachtally_core::forward::select::{self, Need};
+use reachtally_core::forward::select::{self, Need, Shortage};
 use reachtally_core::forward::stall;
 use reachtally_core::life::NeverStarted;
 
@@ -82,6 +82,23 @@
     })
 }
 
+/// What keeps the engines from running a request, for the log.
+fn shortage(relay: &Relay, call: &Call, avoid: &[EngineKey]) -> Option<Shortage> {
+    let model = call.service.model.as_ref()?;
+    let settings = relay.settings.borrow();
+    let fleet = relay.fleet.borrow();
+    let cx = relay.circumstance(&settings, avoid, call.draw);
+    let found = select::shortage(&fleet, &call.service_name, model, need(call), &cx);
+    Some(found)
+}
+
+/// Tell in the log why a request is given up or a stream cut for want of a path.
+pub(super) fn log_shortage(relay: &Relay, call: &Call, avoid: &[EngineKey]) {
+    if let Some(lacks) = shortage(relay, call, avoid) {
+        log::info!(event = "no-path", id = &*call.head.id, lacks:% = lacks; "no failure domain can run the request");
+    }
+}
+
 /// Whether the request may run once more, and there is a path without `dead`.
 pub(super) fn may_go_elsewhere(
     relay: &Relay,
--- a/reachtally/src/main.rs
+++ b/reachtally/src/main.rs
@@ -55,6 +55,9 @@
         #[bpaf(positional("ID"))]
         id: String,
     },
+    /// Count what requests that were not served in time were lost to, in logs on standard input
+    #[bpaf(command)]
+    Losses,
     /// Run a query or command, such as "show targets"
     Run {
         /// Query or command
@@ -92,11 +95,11 @@
             render(json, &CommandAnswer::Published(published))
         }
         Action::Explain { id } => {
-            let log = std::io::read_to_string(std::io::stdin())
-                .map_err(|err| Failure::Usage(format!("can't read the log: {err}")))?;
+            let log = read_log()?;
             reachtally_journal::explain(log.lines(), &id)
                 .map_err(|err| Failure::Usage(err.to_string()))
         }
+        Action::Losses => Ok(reachtally_journal::losses(read_log()?.lines()).to_string()),
         Action::Run { command } => {
             reachtally_command::parse(&command)
                 .map_err(|err| Failure::Usage(format!("bad command\n{err}")))?;
@@ -106,6 +109,11 @@
     }
 }
 
+fn read_log() -> Result<String, Failure> {
+    std::io::read_to_string(std::io::stdin())
+        .map_err(|err| Failure::Usage(format!("can't read the log: {err}")))
+}
+
 fn render(json: bool, answer: &CommandAnswer) -> Result<String, Failure> {
     if json {
         let text = serde_json::to_string_pretty(answer);
