fix(relay): all streams over a dead engine leave it, not only the one whose event came last

An engine counted as silent for a stream only if no event had passed it since that stream's own last one, so each stream but the last of a box took the dead engine for sound.

Change: silence counts back from now.

--- a/reachtally-core/src/time.rs
+++ b/reachtally-core/src/time.rs
@@ -29,6 +29,13 @@
     pub fn since(self, earlier: Instant) -> Duration {
         Duration::from_micros(self.micros.saturating_sub(earlier.micros))
     }
+
+    /// The instant `span` earlier, or the start if that lies before it.
+    pub fn before(self, span: Duration) -> Instant {
+        Instant {
+            micros: self.micros.saturating_sub(span.as_micros() as u64),
+        }
+    }
 }
 
 impl Add<Duration> for Instant {
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -188,7 +188,8 @@
         if relay.now() >= call.due {
             return Err(Stopped::Late);
         }
-        let dead = dead_of_silent(relay, self.engines(), self.since).await;
+        let silence = stall::overdue_after(self.gap);
+        let dead = dead_of_silent(relay, self.engines(), silence).await;
         if !dead.is_empty() && send::may_go_elsewhere(relay, call, attempts, &dead) {
             return Err(Stopped::Dead(dead));
         }
@@ -232,12 +233,16 @@
     engines.iter().map(name).collect::<Vec<&str>>().join(",")
 }
 
-/// Engines of a chain without an event since `since`, over any stream, that take no connections.
+/// Engines of a chain without an event for `silence`, over any stream, that take no connections. Counted
+/// from now: what passed an engine after this stream's last event says nothing once it has died. Measured:
+/// counted from that event, one stream of each box left a dead engine, and some fifty stood still there
+/// until their callers gave up.
 pub(super) async fn dead_of_silent(
     relay: &Relay,
     engines: &[EngineKey],
-    since: Instant,
+    silence: Duration,
 ) -> Vec<EngineKey> {
+    let since = relay.now().before(silence);
     let silent = relay.progress.borrow().silent_since(engines, since);
     relay.dead_of(&silent).await
 }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -182,7 +182,7 @@
             let why = "a kept connection says nothing".to_owned();
             return Err(Unanswered::Lost(why));
         }
-        let mut stuck = dead_of_silent(relay, &pick.engines, began).await;
+        let mut stuck = dead_of_silent(relay, &pick.engines, patience).await;
         if stuck.is_empty() && is_mute {
             let silent = relay.progress.borrow().silent_since(&pick.engines, began);
             stuck = if silent.len() == pick.engines.len() {
