--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -70,6 +70,8 @@
 pub struct Health {
     /// No requests before this instant unless nothing else is left.
     pub held_until: Option<Instant>,
+    /// Until when it is taken to have no room, whatever is reckoned.
+    full_until: Option<Instant>,
     hold: Duration,
     failed_at: Option<Instant>,
     /// Since when it takes no connections.
@@ -85,7 +87,12 @@
 impl Health {
     /// Whether the target is held off.
     pub fn is_held(&self, now: Instant) -> bool {
-        self.held_until.is_some_and(|until| now < until)
+        self.held_until.is_some_and(|until| now < until) || self.is_full(now)
+    }
+
+    /// Whether the target refused a request a moment ago.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
     }
 
     /// Whether the target takes no connections, as far as is known.
@@ -131,7 +138,7 @@
 
     /// The target refused a request, which is no failure.
     pub fn refused(&mut self, now: Instant) {
-        self.held_until = self.held_until.max(Some(now + FULL_HOLD));
+        self.full_until = Some(now + FULL_HOLD);
     }
 
     /// Count a failure: each one in a row doubles the hold-off.
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -273,3 +273,19 @@
     fleet.remove("e9");
     assert_eq!(told(&fleet), Shortage { gap: 1, ..full });
 }
+
+#[test]
+fn an_engine_that_has_just_refused_is_not_even_the_last_choice() {
+    let (mut fleet, keys) = two_domains();
+    let refused_at = Instant::from_elapsed(Duration::from_millis(950));
+    for key in [keys[2], keys[9]] {
+        let engine = fleet.get_mut(key).expect("it is known");
+        engine.health.refused(refused_at);
+    }
+    assert!(choose(&fleet, &[]).is_none());
+    let later = Circumstance {
+        now: refused_at + Duration::from_millis(200),
+        ..cx(&[])
+    };
+    assert!(path(&fleet, SERVICE, &model(), NEED, &later).is_some());
+}
