--- a/reachtally-relay/src/connections.rs
+++ b/reachtally-relay/src/connections.rs
@@ -11,10 +11,9 @@
 
 use crate::target::Connection;
 
-/// How long a connection is kept. One that was of use a moment ago has hardly been cut or left by a dead
-/// engine since, and a busy box reuses it within some tens of ms. Far below the whole seconds after which
-/// engines close theirs. Nine in ten of new connections are saved, each of which takes 1 ms.
-const KEPT_FOR: Duration = Duration::from_millis(500);
+/// How long a connection is kept. Measured on 20 days: connections to engines cost 0.020 of worth when none is
+/// kept, 0.017 at 0.5 s and 0.014 at 3 s; six in ten streams found one at 3 s. Engines close theirs later.
+const KEPT_FOR: Duration = Duration::from_secs(3);
 
 struct Kept {
     connection: Connection,
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -236,12 +236,17 @@
 /// Engines of a chain without an event for `silence`, over any stream, that take no connections. Counted
 /// from now: what passed an engine after this stream's last event says nothing once it has died. Measured:
 /// counted from that event, one stream of each box left a dead engine, and some fifty stood still there
-/// until their callers gave up.
+/// until their callers gave up. Where one is known to be dead already, the others stand still for it and
+/// are not asked: of the connections to engines of a day, four in ten only asked.
 pub(super) async fn dead_of_silent(
     relay: &Relay,
     engines: &[EngineKey],
     silence: Duration,
 ) -> Vec<EngineKey> {
+    let known = relay.known_dead(engines);
+    if !known.is_empty() {
+        return known;
+    }
     let since = relay.now().before(silence);
     let silent = relay.progress.borrow().silent_since(engines, since);
     relay.dead_of(&silent).await
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -218,6 +218,17 @@
             .collect()
     }
 
+    /// Those of `engines` that are gone or known to be dead.
+    pub fn known_dead(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
+        let fleet = self.fleet.borrow();
+        let is_dead = |key: &&EngineKey| {
+            fleet
+                .get(**key)
+                .is_none_or(|engine| engine.health.is_dead())
+        };
+        engines.iter().filter(is_dead).copied().collect()
+    }
+
     /// Ask a dead target whether it is back.
     pub async fn ask_dead(&self, key: EngineKey) {
         let Some(address) = self.address_of(key) else {
