--- a/reachtally-core/src/forward/placement/repair.rs
+++ b/reachtally-core/src/forward/placement/repair.rs
@@ -83,13 +83,13 @@
 }
 
 /// Layers for an engine, and what they cost: what is lacking with them and what the change takes, both in
-/// tokens over layers.
+/// KV tokens, summed over layers.
 struct Candidate {
     cost: f64,
     layers: Layers,
 }
 
-/// What a group lacks, and of which room.
+/// The room that a group should have.
 struct Goal<'a> {
     model: &'a LayerModel,
     /// Tokens that each layer should have.
@@ -184,9 +184,9 @@
     options.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))
 }
 
-/// Nothing of the group is of use while nobody holds some layer, so requests that pass what is given up
-/// for it do not hold it up. Measured: waiting for them took 7 to 15 s, in which a failure domain served
-/// nothing.
+/// Take a move into account. A group is of no use while nobody holds some layer, so then requests that pass
+/// what is given up are not waited for. Measured: waiting for them took 7 to 15 s, in which a failure domain
+/// served nothing.
 fn apply(
     model: &LayerModel,
     host: &mut Host,
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -26,10 +26,10 @@
     let mut suspects = relay.suspects();
     loop {
         let mut keys = suspects.recv().await;
-        keys.truncate(MOST_ASKED);
         let now = relay.now();
         asked.retain(|_, at| now.since(*at) < ASK_INTERVAL);
         keys.retain(|key| !asked.contains_key(key) && is_unknown(&relay, *key));
+        keys.truncate(MOST_ASKED);
         asked.extend(keys.iter().map(|key| (*key, now)));
         let asking = keys.into_iter().map(|key| ask(&relay, &orders, key));
         futures::future::join_all(asking).await;
