refactor(core): the shortage of a refused request looks at each engine once

Cause: for the log of each refusal an engine was reckoned anew for every layer that it holds, some ten times, at the moments when boxes are busiest. Change: one pass over the engines fills in the layers of their domains. No change of what is logged: the test of the shortage passes unchanged.

--- a/reachtally-core/src/forward/select/shortage.rs
+++ b/reachtally-core/src/forward/select/shortage.rs
@@ -46,22 +46,23 @@
     need: Need,
     cx: &Circumstance<'_>,
 ) -> Shortage {
-    let mut by_domain: BTreeMap<&str, Vec<(EngineKey, &Engine)>> = BTreeMap::new();
+    let layers = model.layers as usize;
+    let mut by_domain: BTreeMap<&str, Vec<Supply>> = BTreeMap::new();
     for (key, engine) in fleet.of_service(service) {
-        let engines = by_domain.entry(&engine.entry.domain).or_default();
-        engines.push((key, engine));
+        let supplies = by_domain
+            .entry(&engine.entry.domain)
+            .or_insert_with(|| vec![Supply::Gap; layers]);
+        let (first, other) = supply(key, engine, model, need, cx);
+        for layer in engine.entry.layers.clone() {
+            let offered = if layer == 0 { first } else { other };
+            if let Some(best) = supplies.get_mut(layer as usize) {
+                *best = offered.max(*best);
+            }
+        }
     }
     let mut found = Shortage::default();
-    for engines in by_domain.values() {
-        let of_layer = |layer: u32| {
-            let holders = engines
-                .iter()
-                .filter(|(_, engine)| engine.entry.layers.contains(&layer));
-            let supplies =
-                holders.map(|(key, engine)| supply(*key, engine, layer, model, need, cx));
-            supplies.max().unwrap_or(Supply::Gap)
-        };
-        match (0..model.layers).map(of_layer).min() {
+    for supplies in by_domain.values() {
+        match supplies.iter().min() {
             Some(Supply::Gap) => found.gap += 1,
             Some(Supply::Unusable) => found.unusable += 1,
             Some(Supply::Full) => found.full += 1,
@@ -71,19 +72,20 @@
     found
 }
 
+/// How well an engine can run the model's first layer, which takes one of its places, and any other.
 fn supply(
     key: EngineKey,
     engine: &Engine,
-    layer: u32,
     model: &LayerModel,
     need: Need,
     cx: &Circumstance<'_>,
-) -> Supply {
+) -> (Supply, Supply) {
     if !is_usable(key, engine, cx, Trust::Any) {
-        return Supply::Unusable;
+        return (Supply::Unusable, Supply::Unusable);
     }
     match Candidate::new(key, engine, model, need, cx) {
-        Some(candidate) if layer > 0 || candidate.takes_more => Supply::There,
-        _ => Supply::Full,
+        None => (Supply::Full, Supply::Full),
+        Some(candidate) if candidate.takes_more => (Supply::There, Supply::There),
+        Some(_) => (Supply::Full, Supply::There),
     }
 }
