--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -167,10 +167,14 @@
     pub running: u32,
     /// KV tokens that those hold on average while they run.
     pub tokens: f64,
+    /// Prompt tokens of those that wait to be read there.
+    pub reading: f64,
     /// Requests that other boxes have on it, as they last told.
     pub running_elsewhere: f64,
     /// KV tokens that those hold on average while they run.
     pub tokens_elsewhere: f64,
+    /// Prompt tokens of those that wait to be read there.
+    pub reading_elsewhere: f64,
     /// Requests that the target itself last told of, less those of this box.
     pub others_told: f64,
     /// How much longer it took than it should when this box last asked it, and when that was.
@@ -232,8 +236,10 @@
             entry,
             running: 0,
             tokens: 0.0,
+            reading: 0.0,
             running_elsewhere: 0.0,
             tokens_elsewhere: 0.0,
+            reading_elsewhere: 0.0,
             others_told: 0.0,
             pace: None,
             pace_elsewhere: None,
@@ -351,6 +357,7 @@
         for engine in self.engines.values_mut() {
             engine.running_elsewhere = 0.0;
             engine.tokens_elsewhere = 0.0;
+            engine.reading_elsewhere = 0.0;
             engine.pace_elsewhere = None;
         }
     }
@@ -365,6 +372,27 @@
         }
     }
 
+    /// Count a prompt of `tokens` that the engines `keys` of a path read one after the other. It waits at one
+    /// of them at a time, so each counts its part.
+    pub fn begin_reading(&mut self, keys: &[EngineKey], tokens: f64) {
+        let each = tokens / keys.len().max(1) as f64;
+        for key in keys {
+            if let Some(engine) = self.engines.get_mut(*key) {
+                engine.reading += each;
+            }
+        }
+    }
+
+    /// The prompt was read, or its request ended.
+    pub fn end_reading(&mut self, keys: &[EngineKey], tokens: f64) {
+        let each = tokens / keys.len().max(1) as f64;
+        for key in keys {
+            if let Some(engine) = self.engines.get_mut(*key) {
+                engine.reading = (engine.reading - each).max(0.0);
+            }
+        }
+    }
+
     /// The request ended.
     pub fn end(&mut self, keys: &[EngineKey], tokens: f64) {
         for key in keys {
--- /dev/null
+++ b/reachtally-core/src/forward/loads.rs
@@ -0,0 +1,414 @@
+//! What all boxes together have on the targets, as sums.
+//!
+//! Each box tells what it has to one box of its failure domain, the collector. The collectors tell each
+//! other what the boxes that report to them have in all, and answer each report with what all others
+//! have. So what a box sends and gets does not grow with the number of boxes, and every request in the
+//! fleet is known to every box after two reports.
+//!
+//! Every message names targets with what is on them, and stands for itself: one that is lost, late or
+//! doubled leaves what it names as old as it was, and what is old is forgotten. A box that changes its
+//! collector counts twice until its last report to the one before is forgotten.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::forward::fleet::{Engine, Fleet};
+use crate::ids::Incarnation;
+use crate::time::Instant;
+
+/// What was told is forgotten after this long: several reports in a row are lost only with their sender
+/// or its links.
+pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
+/// How long a target on which nothing runs any more is told of, so that others learn it.
+const ENDED_TOLD: Duration = Duration::from_millis(1000);
+/// Targets in one message. With names of a dozen bytes it fits a datagram that is not split on the way.
+pub const TARGETS_TOLD: usize = 46;
+/// Messages that answer a report. A fleet of 190 targets is told in five, so each is known anew after two
+/// reports.
+const ANSWERS: u64 = 3;
+/// Most requests on a target that are believed of one sender; beyond any target's places.
+const MOST_RUNNING: u32 = 100_000;
+/// Most tokens on a target that are believed of one sender; beyond any target's memory.
+const MOST_TOKENS: u32 = 100_000_000;
+/// How long a number of boxes holds though fewer are counted since: a failure domain that is cut off goes
+/// on making use of its share of what all share.
+const COUNT_LIFE: Duration = Duration::from_secs(30);
+
+/// Requests on a target, of one box or of many.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Load {
+    /// Requests that take part there.
+    pub running: u32,
+    /// KV tokens that they hold on average while they run.
+    pub tokens: u32,
+    /// Prompt tokens that wait to be read there.
+    pub reading: u32,
+    /// How much longer the target takes than it should, if a box asked it lately.
+    pub pace: Option<f64>,
+}
+
+impl Load {
+    fn is_nothing(&self) -> bool {
+        *self == Load::default()
+    }
+
+    /// What is beyond reason is cut.
+    fn bounded(self) -> Self {
+        Load {
+            running: self.running.min(MOST_RUNNING),
+            tokens: self.tokens.min(MOST_TOKENS),
+            reading: self.reading.min(MOST_TOKENS),
+            pace: self.pace.filter(|pace| pace.is_finite()),
+        }
+    }
+
+    fn add(&mut self, other: &Load) {
+        self.running = self.running.saturating_add(other.running);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.reading = self.reading.saturating_add(other.reading);
+        let told = self.pace.into_iter().chain(other.pace);
+        self.pace = told.max_by(f64::total_cmp);
+    }
+
+    /// What is left without a part. The slowest pace told stays: it is the target's own.
+    fn without(&self, part: &Load) -> Self {
+        Load {
+            running: self.running.saturating_sub(part.running),
+            tokens: self.tokens.saturating_sub(part.tokens),
+            reading: self.reading.saturating_sub(part.reading),
+            pace: self.pace,
+        }
+    }
+}
+
+/// The load of one target.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetLoad {
+    /// The run of the target.
+    pub target: Arc<str>,
+    /// What is on it.
+    pub load: Load,
+}
+
+/// What a box has on its targets, for its collector.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// Its run.
+    pub run: Incarnation,
+    /// Numbers its reports, so that a late one is not taken for the newest.
+    pub number: u64,
+    /// The targets on which it has something.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// What the boxes that report to one collector have on some targets, for other collectors.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Part {
+    /// The collector's run.
+    pub run: Incarnation,
+    /// Its failure domain.
+    pub domain: String,
+    /// Boxes that report to it.
+    pub boxes: u32,
+    /// What they have.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// What all other boxes have on some targets, for a box that reported.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Others {
+    /// Boxes in all.
+    pub boxes: u32,
+    /// What they have.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// What boxes tell each other of loads.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// From a box to its collector.
+    Report(Report),
+    /// From a collector to another.
+    Part(Part),
+    /// From a collector to a box.
+    Others(Others),
+}
+
+/// Targets with what was last told of each, and when.
+#[derive(Debug, Default)]
+struct Told(HashMap<Arc<str>, (Load, Instant)>);
+
+impl Told {
+    fn hear(&mut self, loads: Vec<TargetLoad>, now: Instant) {
+        let loads = loads.into_iter().map(|told| (told.target, told.load));
+        self.0
+            .extend(loads.map(|(target, load)| (target, (load.bounded(), now))));
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.0.retain(|_, (_, at)| now.since(*at) < REPORT_LIFE);
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Load)> {
+        self.0.iter().map(|(target, (load, _))| (target, load))
+    }
+}
+
+/// A box that reports here.
+#[derive(Debug)]
+struct Reporter {
+    number: u64,
+    heard: Instant,
+    loads: Arc<[TargetLoad]>,
+    /// What of it is in the sums.
+    counted: Arc<[TargetLoad]>,
+}
+
+/// Another collector.
+#[derive(Debug)]
+struct Colleague {
+    ip: IpAddr,
+    domain: String,
+    boxes: u32,
+    heard: Instant,
+    told: Told,
+}
+
+/// Sums up what boxes report, and what other collectors tell.
+#[derive(Debug, Default)]
+pub struct Collector {
+    reporters: HashMap<Incarnation, Reporter>,
+    colleagues: HashMap<Incarnation, Colleague>,
+    /// When something last ran on each target.
+    busy: BTreeMap<Arc<str>, Instant>,
+    /// What those that report here have.
+    own: HashMap<Arc<str>, Load>,
+    /// What all boxes have, by target.
+    all: Vec<TargetLoad>,
+}
+
+impl Collector {
+    /// Take in a box's report.
+    pub fn hear(&mut self, report: Report, now: Instant) {
+        let known = self.reporters.get(&report.run);
+        if known.is_some_and(|known| known.number >= report.number) {
+            return;
+        }
+        let counted = known.map_or_else(|| Arc::from([]), |known| known.counted.clone());
+        let bounded = |told: TargetLoad| TargetLoad {
+            load: told.load.bounded(),
+            ..told
+        };
+        let reporter = Reporter {
+            number: report.number,
+            heard: now,
+            loads: report.loads.into_iter().map(bounded).collect(),
+            counted,
+        };
+        self.reporters.insert(report.run, reporter);
+    }
+
+    /// Take in what another collector at `ip` told.
+    pub fn hear_part(&mut self, part: Part, ip: IpAddr, now: Instant) {
+        let colleague = self.colleagues.entry(part.run).or_insert(Colleague {
+            ip,
+            domain: part.domain,
+            boxes: 0,
+            heard: now,
+            told: Told::default(),
+        });
+        colleague.boxes = part.boxes;
+        colleague.heard = now;
+        colleague.told.hear(part.loads, now);
+    }
+
+    /// Forget what is old, and sum up the rest.
+    pub fn sum_up(&mut self, now: Instant) {
+        let is_new = |heard: Instant| now.since(heard) < REPORT_LIFE;
+        self.reporters.retain(|_, reporter| is_new(reporter.heard));
+        self.colleagues
+            .retain(|_, colleague| is_new(colleague.heard));
+        self.own.clear();
+        for reporter in self.reporters.values_mut() {
+            reporter.counted = reporter.loads.clone();
+            for told in &*reporter.counted {
+                let sum = self.own.entry(told.target.clone()).or_default();
+                sum.add(&told.load);
+            }
+        }
+        let mut all = self.own.clone();
+        for colleague in self.colleagues.values_mut() {
+            colleague.told.forget_old(now);
+            for (target, load) in colleague.told.iter() {
+                all.entry(target.clone()).or_default().add(load);
+            }
+        }
+        let busy = all.iter().filter(|(_, load)| !load.is_nothing());
+        self.busy
+            .extend(busy.map(|(target, _)| (target.clone(), now)));
+        self.busy.retain(|_, at| now.since(*at) < ENDED_TOLD);
+        let load_of = |target: &Arc<str>| all.get(target).copied().unwrap_or_default();
+        let listed = self.busy.keys().map(|target| TargetLoad {
+            target: target.clone(),
+            load: load_of(target),
+        });
+        self.all = listed.collect();
+    }
+
+    /// Boxes that report here.
+    pub fn reporters(&self) -> u32 {
+        self.reporters.len() as u32
+    }
+
+    /// Boxes that report here or to other collectors.
+    pub fn boxes(&self) -> u32 {
+        let elsewhere: u32 = self
+            .colleagues
+            .values()
+            .map(|colleague| colleague.boxes)
+            .fold(0, u32::saturating_add);
+        self.reporters().saturating_add(elsewhere)
+    }
+
+    /// What all boxes but `run` have on these targets of the list.
+    fn without(&self, run: Incarnation, listed: &[TargetLoad]) -> Vec<TargetLoad> {
+        let reporter = self.reporters.get(&run);
+        let counted = reporter.map(|reporter| &*reporter.counted).unwrap_or(&[]);
+        let own: HashMap<&str, &Load> = counted
+            .iter()
+            .map(|told| (&*told.target, &told.load))
+            .collect();
+        let others = |told: &TargetLoad| TargetLoad {
+            target: told.target.clone(),
+            load: match own.get(&*told.target) {
+                Some(part) => told.load.without(part),
+                None => told.load,
+            },
+        };
+        listed.iter().map(others).collect()
+    }
+
+    /// The answers to report `number` of `run`. Reports in a row are answered with different targets.
+    pub fn answers(&self, run: Incarnation, number: u64) -> Vec<Others> {
+        let pages: Vec<&[TargetLoad]> = self.all.chunks(TARGETS_TOLD).collect();
+        let count = pages.len() as u64;
+        let first = number.wrapping_mul(ANSWERS);
+        let chosen: BTreeSet<u64> = (0..ANSWERS)
+            .filter_map(|each| first.wrapping_add(each).checked_rem(count))
+            .collect();
+        let mut answers: Vec<Others> = chosen
+            .into_iter()
+            .map(|page| Others {
+                boxes: self.boxes(),
+                loads: self.without(run, pages[page as usize]),
+            })
+            .collect();
+        if answers.is_empty() {
+            answers.push(self.all_but(run));
+        }
+        answers
+    }
+
+    /// What all boxes but `run` have on all targets.
+    pub fn all_but(&self, run: Incarnation) -> Others {
+        Others {
+            boxes: self.boxes(),
+            loads: self.without(run, &self.all),
+        }
+    }
+
+    /// What those that report here have, for other collectors; nothing if none does.
+    pub fn parts(&self, run: Incarnation, domain: &str) -> Vec<Part> {
+        if self.reporters.is_empty() {
+            return Vec::new();
+        }
+        let own = |told: &TargetLoad| TargetLoad {
+            target: told.target.clone(),
+            load: self.own.get(&told.target).copied().unwrap_or_default(),
+        };
+        let part = |loads: &[TargetLoad]| Part {
+            run,
+            domain: domain.to_owned(),
+            boxes: self.reporters(),
+            loads: loads.iter().map(own).collect(),
+        };
+        match self.all.is_empty() {
+            true => vec![part(&[])],
+            false => self.all.chunks(TARGETS_TOLD).map(part).collect(),
+        }
+    }
+
+    /// Where other collectors have lately told from, by failure domain.
+    pub fn colleagues(&self) -> impl Iterator<Item = (&str, IpAddr)> {
+        let each = self.colleagues.values();
+        each.map(|colleague| (&*colleague.domain, colleague.ip))
+    }
+}
+
+/// What a box knows of the other boxes' requests.
+#[derive(Debug, Default)]
+pub struct Elsewhere {
+    told: Told,
+    /// The number of boxes, and when it was last counted or exceeded.
+    boxes: Option<(u32, Instant)>,
+}
+
+impl Elsewhere {
+    /// Take in what a collector told, and put it on the targets.
+    pub fn hear(&mut self, others: Others, fleet: &mut Fleet, now: Instant) {
+        for told in &others.loads {
+            put(fleet, &told.target, &told.load.bounded());
+        }
+        self.told.hear(others.loads, now);
+        let holds =
+            |(count, at): (u32, Instant)| count > others.boxes && now.since(at) < COUNT_LIFE;
+        if !self.boxes.is_some_and(holds) {
+            self.boxes = Some((others.boxes, now));
+        }
+    }
+
+    /// Forget what is old, also on the targets.
+    pub fn forget_old(&mut self, fleet: &mut Fleet, now: Instant) {
+        self.told.forget_old(now);
+        fleet.clear_elsewhere();
+        for (target, load) in self.told.iter() {
+            put(fleet, target, load);
+        }
+    }
+
+    /// Boxes in all, this one included; `None` before the first count.
+    pub fn boxes(&self) -> Option<u32> {
+        self.boxes.map(|(count, _)| count)
+    }
+}
+
+/// Note on a target what other boxes have there.
+fn put(fleet: &mut Fleet, target: &str, load: &Load) {
+    if let Some(engine) = fleet.find(target).and_then(|key| fleet.get_mut(key)) {
+        engine.running_elsewhere = f64::from(load.running);
+        engine.tokens_elsewhere = f64::from(load.tokens);
+        engine.reading_elsewhere = f64::from(load.reading);
+        engine.pace_elsewhere = load.pace;
+    }
+}
+
+/// What this box has on its targets.
+pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet, now: Instant) -> Report {
+    let load = |engine: &Engine| Load {
+        running: engine.running,
+        tokens: engine.tokens as u32,
+        reading: engine.reading as u32,
+        pace: engine.own_pace(now),
+    };
+    let loads = fleet.iter().map(|(_, engine)| TargetLoad {
+        target: engine.entry.id.clone(),
+        load: load(engine),
+    });
+    Report {
+        run,
+        number,
+        loads: loads.filter(|told| !told.load.is_nothing()).collect(),
+    }
+}
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod cost;
 pub mod fleet;
 pub mod freshness;
+pub mod loads;
 pub mod path;
 pub mod peers;
 pub mod placement;
--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -1,6 +1,7 @@
 //! Which box reads the store for others, and which is asked.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use crate::forward::peers::Member;
@@ -77,18 +78,37 @@
         }
     }
 
+    /// The box to which this one reports what it has on the targets: the first reader of its failure domain
+    /// that is not avoided; `None` if that is this box or there is none.
+    pub fn collector(&self) -> Option<IpAddr> {
+        let home = self.readers(self.home);
+        let first = home
+            .into_iter()
+            .find(|member| !self.avoid.contains(&member.ip))?;
+        (first.run != self.run).then_some(first.ip)
+    }
+
+    /// The first reader of each failure domain but this box.
+    pub fn first_readers(&self) -> Vec<(&'a str, IpAddr)> {
+        let first = |domain| Some((domain, *self.readers(domain).first()?));
+        self.domains()
+            .into_iter()
+            .filter_map(first)
+            .filter(|(_, reader)| reader.run != self.run)
+            .map(|(domain, reader)| (domain, reader.ip))
+            .collect()
+    }
+
+    fn domains(&self) -> BTreeSet<&'a str> {
+        let domains = self.members.iter().map(|member| member.domain.as_str());
+        domains.collect()
+    }
+
     /// The first reader of each other failure domain.
     fn abroad(&self) -> Vec<&'a Member> {
-        let mut domains: Vec<&str> = self
-            .members
-            .iter()
-            .map(|member| member.domain.as_str())
-            .filter(|domain| *domain != self.home)
-            .collect();
-        domains.sort_unstable();
-        domains.dedup();
-        domains
+        self.domains()
             .into_iter()
+            .filter(|domain| *domain != self.home)
             .filter_map(|domain| self.readers(domain).first().copied())
             .collect()
     }
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -46,9 +46,8 @@
         if layers == 0 {
             return None;
         }
-        let running = f64::from(engine.running) + engine.running_elsewhere * cx.unheard;
-        let others = engine.tokens_elsewhere * cx.unheard;
-        let tokens = engine.tokens + others + need.held();
+        let running = f64::from(engine.running) + engine.running_elsewhere;
+        let tokens = engine.tokens + engine.tokens_elsewhere + need.held();
         if tokens > KV_USED * model.kv_tokens(card, layers) {
             return None;
         }
@@ -59,6 +58,7 @@
         let busy = model.reading_slowdown(card, layers, rate) * WAIT_FACTOR;
         let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
         let used = (tokens / (KV_USED * model.kv_tokens(card, layers))).max(places);
+        let to_read = engine.reading + engine.reading_elsewhere + need.prompt;
         let busy = busy * pressure(used) * engine.slowness(cx.now);
         Some(Candidate {
             key,
@@ -66,7 +66,7 @@
             takes_more: running < SLOTS_USED * f64::from(engine.entry.slots),
             bias: 1.0 + SPREAD * chance(cx.draw, key),
             token_ms: busy * model.step_ms(card, layers, batch) / each,
-            read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
+            read_ms: busy * model.read_ms(card, layers, to_read) / each,
         })
     }
 }
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -53,8 +53,6 @@
     pub avoid: &'a [EngineKey],
     /// How long requests have lately run.
     pub held: Duration,
-    /// Boxes for each box that tells its load, this one included.
-    pub unheard: f64,
     /// A well-spread number of the request, so that boxes which believe the same choose differently.
     pub draw: u64,
 }
--- /dev/null
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -0,0 +1,305 @@
+//! What other boxes have on the targets.
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fleet::{Engine, Fleet};
+use reachtally_core::forward::loads::{
+    Collector, Elsewhere, Load, Others, Part, Report, TargetLoad, own_report,
+};
+use reachtally_core::ids::Incarnation;
+
+use super::setup::{entry, fleet};
+
+/// Where messages of another collector come from.
+const ABROAD: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 2, 0, 1));
+
+fn at(ms: u64) -> Instant {
+    Instant::from_elapsed(Duration::from_millis(ms))
+}
+
+fn load_of(target: &str, running: u32) -> TargetLoad {
+    TargetLoad {
+        target: target.into(),
+        load: Load {
+            running,
+            tokens: running * 100,
+            reading: running * 10,
+            pace: None,
+        },
+    }
+}
+
+fn report(run: u64, number: u64, running: u32) -> Report {
+    Report {
+        run: Incarnation(run),
+        number,
+        loads: vec![load_of("e0", running)],
+    }
+}
+
+fn part(run: u64, boxes: u32, running: u32) -> Part {
+    Part {
+        run: Incarnation(run),
+        domain: "south".to_owned(),
+        boxes,
+        loads: vec![load_of("e0", running)],
+    }
+}
+
+/// Requests that box `run` learns of on `target`.
+fn told(collector: &Collector, run: u64, target: &str) -> u32 {
+    let others = collector.all_but(Incarnation(run));
+    let found = others.loads.iter().find(|told| &*told.target == target);
+    found.map_or(0, |told| told.load.running)
+}
+
+/// Let a box hear everything and put it on its targets.
+fn apply(fleet: &mut Fleet, others: Others, heard: Instant, now: Instant) {
+    let mut elsewhere = Elsewhere::default();
+    elsewhere.hear(others, fleet, heard);
+    elsewhere.forget_old(fleet, now);
+}
+
+fn first(fleet: &Fleet) -> &Engine {
+    let key = fleet.find("e0").expect("it is known");
+    fleet.get(key).expect("it is known")
+}
+
+#[test]
+fn a_slow_target_is_told_of_and_looks_as_slow_to_others() {
+    let (mut here, keys) = fleet([entry(0, "a", "small", 0..8)]);
+    let told = own_report(Incarnation(9), 1, &here, at(0));
+    assert!(told.loads.is_empty());
+    here.get_mut(keys[0])
+        .expect("it is known")
+        .told_pace(3.0, at(0));
+    let told = own_report(Incarnation(9), 2, &here, at(100));
+    let (mut there, _) = fleet([entry(0, "a", "small", 0..8)]);
+    let mut collector = Collector::default();
+    collector.hear(told, at(100));
+    collector.sum_up(at(110));
+    let mut elsewhere = Elsewhere::default();
+    elsewhere.hear(collector.all_but(Incarnation(8)), &mut there, at(110));
+    assert_eq!(first(&there).slowness(at(120)), 3.0);
+    // What it was told is forgotten, here by time and there with the report.
+    assert!(
+        own_report(Incarnation(9), 3, &here, at(3_000))
+            .loads
+            .is_empty()
+    );
+    elsewhere.forget_old(&mut there, at(3_000));
+    assert_eq!(first(&there).slowness(at(3_000)), 1.0);
+}
+
+#[test]
+fn loads_of_all_boxes_add_up_and_a_newer_report_replaces_an_older() {
+    let (mut fleet, _) = fleet([entry(0, "a", "small", 0..8)]);
+    let mut collector = Collector::default();
+    collector.hear(report(1, 1, 5), at(0));
+    collector.hear(report(2, 1, 7), at(0));
+    collector.hear(report(1, 2, 6), at(200));
+    collector.hear(report(1, 1, 50), at(210));
+    collector.sum_up(at(220));
+    apply(
+        &mut fleet,
+        collector.all_but(Incarnation(3)),
+        at(220),
+        at(230),
+    );
+    assert_eq!(first(&fleet).running_elsewhere, 13.0);
+    assert_eq!(first(&fleet).tokens_elsewhere, 1300.0);
+    assert_eq!(first(&fleet).reading_elsewhere, 130.0);
+}
+
+#[test]
+fn a_silent_box_is_taken_to_have_nothing() {
+    let mut collector = Collector::default();
+    collector.hear(report(1, 1, 5), at(0));
+    collector.sum_up(at(2_000));
+    assert_eq!(told(&collector, 2, "e0"), 0);
+    assert_eq!(collector.boxes(), 0);
+}
+
+#[test]
+fn a_silent_collector_is_taken_to_have_told_nothing() {
+    let (mut fleet, _) = fleet([entry(0, "a", "small", 0..8)]);
+    let others = Others {
+        boxes: 3,
+        loads: vec![load_of("e0", 5)],
+    };
+    apply(&mut fleet, others.clone(), at(0), at(200));
+    assert_eq!(first(&fleet).running_elsewhere, 5.0);
+    apply(&mut fleet, others, at(0), at(2_000));
+    assert_eq!(first(&fleet).running_elsewhere, 0.0);
+}
+
+#[test]
+fn a_box_hears_of_all_requests_but_its_own_also_before_its_next_report_is_summed_up() {
+    let mut collector = Collector::default();
+    collector.hear(report(1, 1, 5), at(0));
+    collector.hear(report(2, 1, 7), at(0));
+    collector.hear_part(part(9, 4, 20), ABROAD, at(0));
+    collector.sum_up(at(10));
+    assert_eq!(told(&collector, 1, "e0"), 27);
+    assert_eq!(told(&collector, 2, "e0"), 25);
+    collector.hear(report(1, 2, 500), at(20));
+    assert_eq!(told(&collector, 1, "e0"), 27);
+    collector.sum_up(at(30));
+    assert_eq!(told(&collector, 2, "e0"), 520);
+}
+
+#[test]
+fn collectors_tell_each_other_only_what_is_reported_to_them() {
+    let mut collector = Collector::default();
+    assert!(collector.parts(Incarnation(1), "north").is_empty());
+    collector.hear(report(1, 1, 5), at(0));
+    collector.hear_part(part(9, 4, 20), ABROAD, at(0));
+    collector.sum_up(at(10));
+    let parts = collector.parts(Incarnation(1), "north");
+    assert_eq!(parts.len(), 1);
+    assert_eq!(parts[0].boxes, 1);
+    assert_eq!(parts[0].loads, [load_of("e0", 5)]);
+    assert_eq!(collector.boxes(), 5);
+    let colleagues: Vec<_> = collector.colleagues().collect();
+    assert_eq!(colleagues, [("south", ABROAD)]);
+    // A domain that is cut off is forgotten.
+    collector.hear(report(1, 2, 5), at(1_900));
+    collector.sum_up(at(2_000));
+    assert_eq!(told(&collector, 2, "e0"), 5);
+    assert_eq!(collector.boxes(), 1);
+}
+
+#[test]
+fn two_collectors_of_one_domain_add_up() {
+    let mut collector = Collector::default();
+    collector.hear_part(part(8, 2, 20), ABROAD, at(0));
+    collector.hear_part(part(9, 3, 4), ABROAD, at(0));
+    collector.hear_part(part(8, 2, 21), ABROAD, at(100));
+    collector.sum_up(at(110));
+    assert_eq!(told(&collector, 1, "e0"), 25);
+    assert_eq!(collector.boxes(), 5);
+}
+
+#[test]
+fn the_end_of_what_ran_on_a_target_is_told() {
+    let mut collector = Collector::default();
+    collector.hear(report(1, 1, 5), at(0));
+    collector.sum_up(at(0));
+    let ended = Report {
+        loads: Vec::new(),
+        ..report(1, 2, 0)
+    };
+    collector.hear(ended, at(200));
+    collector.sum_up(at(210));
+    let others = collector.all_but(Incarnation(2));
+    assert_eq!(others.loads, [load_of("e0", 0)]);
+    collector.sum_up(at(1_400));
+    assert!(collector.all_but(Incarnation(2)).loads.is_empty());
+}
+
+#[test]
+fn few_reports_tell_a_box_of_every_target() {
+    let mut collector = Collector::default();
+    let targets: Vec<String> = (0..190).map(|number| format!("e{number}")).collect();
+    let loads = targets.iter().map(|target| load_of(target, 3)).collect();
+    collector.hear(
+        Report {
+            loads,
+            ..report(1, 1, 0)
+        },
+        at(0),
+    );
+    collector.sum_up(at(0));
+    let answers = (6..8).flat_map(|number| collector.answers(Incarnation(2), number));
+    let heard: BTreeSet<Arc<str>> = answers
+        .flat_map(|others| others.loads)
+        .map(|told| told.target)
+        .collect();
+    assert_eq!(heard.len(), 190);
+}
+
+#[test]
+fn a_report_is_answered_though_nothing_runs_anywhere() {
+    let mut collector = Collector::default();
+    let idle = Report {
+        loads: Vec::new(),
+        ..report(1, 1, 0)
+    };
+    collector.hear(idle, at(0));
+    let answers = collector.answers(Incarnation(1), 1);
+    assert_eq!(answers.len(), 1);
+    assert_eq!(answers[0].boxes, 1);
+}
+
+#[test]
+fn counts_beyond_reason_do_not_overflow() {
+    let mut collector = Collector::default();
+    for run in 1..5 {
+        let loads = vec![TargetLoad {
+            target: "e0".into(),
+            load: Load {
+                running: u32::MAX,
+                tokens: u32::MAX,
+                reading: u32::MAX,
+                pace: Some(f64::NAN),
+            },
+        }];
+        let told = Part {
+            loads,
+            ..part(run, u32::MAX, 0)
+        };
+        collector.hear_part(told, ABROAD, at(0));
+    }
+    collector.sum_up(at(0));
+    assert_eq!(collector.boxes(), u32::MAX);
+    let others = collector.all_but(Incarnation(9));
+    assert!(others.loads[0].load.running < u32::MAX);
+    assert_eq!(others.loads[0].load.pace, None);
+}
+
+#[test]
+fn the_number_of_boxes_falls_only_after_a_while() {
+    let mut elsewhere = Elsewhere::default();
+    let mut fleet = Fleet::default();
+    assert_eq!(elsewhere.boxes(), None);
+    let count = |boxes| Others {
+        boxes,
+        loads: Vec::new(),
+    };
+    elsewhere.hear(count(295), &mut fleet, at(0));
+    // Cut off from the other domains, this one must not share out what is theirs.
+    elsewhere.hear(count(59), &mut fleet, at(5_000));
+    assert_eq!(elsewhere.boxes(), Some(295));
+    elsewhere.hear(count(300), &mut fleet, at(6_000));
+    assert_eq!(elsewhere.boxes(), Some(300));
+    elsewhere.hear(count(59), &mut fleet, at(40_000));
+    assert_eq!(elsewhere.boxes(), Some(59));
+}
+
+#[test]
+fn a_box_tells_of_targets_on_which_it_has_requests() {
+    let (mut fleet, keys) = fleet([entry(0, "a", "small", 0..8), entry(1, "a", "small", 8..16)]);
+    fleet.begin(&keys[..1], 250.0);
+    let report = own_report(Incarnation(9), 4, &fleet, at(0));
+    assert_eq!(report.loads.len(), 1);
+    assert_eq!(report.loads[0].load.tokens, 250);
+}
+
+#[test]
+fn prompts_that_wait_are_told_until_they_are_read() {
+    let (mut fleet, keys) = fleet([entry(0, "a", "small", 0..8), entry(1, "a", "small", 8..16)]);
+    fleet.begin_reading(&keys, 800.0);
+    let report = own_report(Incarnation(9), 1, &fleet, at(0));
+    let reading: Vec<u32> = report.loads.iter().map(|told| told.load.reading).collect();
+    assert_eq!(reading, [400, 400]);
+    fleet.end_reading(&keys, 800.0);
+    assert!(
+        own_report(Incarnation(9), 2, &fleet, at(0))
+            .loads
+            .is_empty()
+    );
+}
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -21,7 +21,6 @@
         home: "a",
         avoid,
         held: Duration::from_secs(3),
-        unheard: 1.0,
         draw: 0,
     }
 }
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -1,55 +1,134 @@
-//! Load reports between boxes that relay whole requests: one `prost` message in a datagram.
+//! Loads that boxes tell each other: one `prost` message in a datagram.
 
 use bytes::Bytes;
 use prost::Message as _;
-use reachtally_core::forward::peers::{PeerLoad, PeerReport};
+use reachtally_core::forward::loads::{Load, Message, Others, Part, Report, TargetLoad};
 use reachtally_core::ids::Incarnation;
 
-use crate::generated::relay;
+use crate::generated::relay::{self, load_message::Kind};
 
-/// Most bytes of a report; a datagram of this size is not split on usual links.
-pub const REPORT_MAX: usize = 1400;
+/// Most bytes of a message; a datagram of this size is not split on usual links.
+pub const MESSAGE_MAX: usize = 1400;
+/// Bytes kept for the heads of the datagram and of the message within it, which take two to three each.
+const HEADS: usize = 8;
 
-/// Encode a report. Loads that do not fit are left out.
-pub fn encode(report: &PeerReport) -> Bytes {
+/// Why a datagram does not decode.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LoadError {
+    /// It is no message of this kind.
+    Malformed(prost::DecodeError),
+    /// It holds nothing that this version knows.
+    Unknown,
+}
+
+impl std::fmt::Display for LoadError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            LoadError::Malformed(err) => write!(f, "malformed: {err}"),
+            LoadError::Unknown => f.write_str("of a kind that is not known"),
+        }
+    }
+}
+
+/// Encode a message. Loads that do not fit are left out.
+pub fn encode(message: &Message) -> Bytes {
+    let kind = match message {
+        Message::Report(report) => Kind::Report(report_to_wire(report)),
+        Message::Part(part) => Kind::Part(part_to_wire(part)),
+        Message::Others(others) => Kind::Others(others_to_wire(others)),
+    };
+    relay::LoadMessage { kind: Some(kind) }
+        .encode_to_vec()
+        .into()
+}
+
+/// Decode a message.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn decode(bytes: &[u8]) -> Result<Message, LoadError> {
+    let decoded = relay::LoadMessage::decode(bytes).map_err(LoadError::Malformed)?;
+    match decoded.kind.ok_or(LoadError::Unknown)? {
+        Kind::Report(report) => Ok(Message::Report(Report {
+            run: Incarnation(report.run),
+            number: report.number,
+            loads: loads_from_wire(report.loads),
+        })),
+        Kind::Part(part) => Ok(Message::Part(Part {
+            run: Incarnation(part.run),
+            domain: part.domain,
+            boxes: part.boxes,
+            loads: loads_from_wire(part.loads),
+        })),
+        Kind::Others(others) => Ok(Message::Others(Others {
+            boxes: others.boxes,
+            loads: loads_from_wire(others.loads),
+        })),
+    }
+}
+
+fn report_to_wire(report: &Report) -> relay::LoadReport {
     let mut message = relay::LoadReport {
         run: report.run.0,
         number: report.number,
         loads: Vec::new(),
     };
-    let mut length = message.encoded_len();
-    for load in &report.loads {
-        let load = relay::TargetLoad {
-            target: load.target.to_string(),
-            running: load.running,
-            tokens: load.tokens,
-            pace_percent: load.pace.map_or(0, |pace| (pace * 100.0).round() as u32),
-        };
+    message.loads = loads_that_fit(&report.loads, message.encoded_len());
+    message
+}
+
+fn part_to_wire(part: &Part) -> relay::LoadPart {
+    let mut message = relay::LoadPart {
+        run: part.run.0,
+        domain: part.domain.clone(),
+        boxes: part.boxes,
+        loads: Vec::new(),
+    };
+    message.loads = loads_that_fit(&part.loads, message.encoded_len());
+    message
+}
+
+fn others_to_wire(others: &Others) -> relay::LoadOthers {
+    let mut message = relay::LoadOthers {
+        boxes: others.boxes,
+        loads: Vec::new(),
+    };
+    message.loads = loads_that_fit(&others.loads, message.encoded_len());
+    message
+}
+
+/// Loads that fit beside a message of `length` bytes.
+fn loads_that_fit(loads: &[TargetLoad], length: usize) -> Vec<relay::TargetLoad> {
+    let mut length = length + HEADS;
+    let encoded = loads.iter().map(load_to_wire);
+    let fits = |load: &relay::TargetLoad| {
         // The field's own head takes two bytes.
         length += load.encoded_len() + 2;
-        if length > REPORT_MAX {
-            break;
-        }
-        message.loads.push(load);
+        length <= MESSAGE_MAX
+    };
+    encoded.take_while(fits).collect()
+}
+
+fn load_to_wire(told: &TargetLoad) -> relay::TargetLoad {
+    let percent = |pace: f64| (pace * 100.0).round() as u32;
+    relay::TargetLoad {
+        target: told.target.to_string(),
+        running: told.load.running,
+        tokens: told.load.tokens,
+        pace_percent: told.load.pace.map_or(0, percent),
+        reading: told.load.reading,
     }
-    message.encode_to_vec().into()
 }
 
-/// Decode a report.
-///
-/// # Errors
-/// The decoder's.
-pub fn decode(bytes: &[u8]) -> Result<PeerReport, prost::DecodeError> {
-    let message = relay::LoadReport::decode(bytes)?;
-    let load = |load: relay::TargetLoad| PeerLoad {
+fn loads_from_wire(loads: Vec<relay::TargetLoad>) -> Vec<TargetLoad> {
+    let load = |load: relay::TargetLoad| TargetLoad {
         target: load.target.into(),
-        running: load.running,
-        tokens: load.tokens,
-        pace: (load.pace_percent > 0).then(|| f64::from(load.pace_percent) / 100.0),
+        load: Load {
+            running: load.running,
+            tokens: load.tokens,
+            reading: load.reading,
+            pace: (load.pace_percent > 0).then(|| f64::from(load.pace_percent) / 100.0),
+        },
     };
-    Ok(PeerReport {
-        run: Incarnation(message.run),
-        number: message.number,
-        loads: message.loads.into_iter().map(load).collect(),
-    })
+    loads.into_iter().map(load).collect()
 }
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -6,7 +6,10 @@
 use proptest::prelude::*;
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::fleet::Entry;
-use reachtally_core::forward::peers::{Member, PeerLoad, PeerReport};
+use reachtally_core::forward::loads::{
+    Load, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
+};
+use reachtally_core::forward::peers::Member;
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::news::{Ask, News};
 use reachtally_protocol::{load, packed};
@@ -71,24 +74,80 @@
     }
 }
 
-#[test]
-fn a_report_keeps_to_one_datagram() {
-    let load = |number: u32| PeerLoad {
-        pace: (number % 2 == 1).then_some(2.5),
+fn target_load(number: u32) -> TargetLoad {
+    TargetLoad {
         target: format!("some-run-of-a-target-{number}").into(),
-        running: number,
-        tokens: 1000 * number,
-    };
-    let report = PeerReport {
+        load: Load {
+            pace: (number % 2 == 1).then_some(2.5),
+            running: number,
+            tokens: 1000 * number,
+            reading: 10 * number,
+        },
+    }
+}
+
+#[test]
+fn a_message_of_loads_keeps_to_one_datagram() {
+    let loads: Vec<TargetLoad> = (0..500).map(target_load).collect();
+    let report = Message::Report(Report {
         run: Incarnation(3),
         number: 8,
-        loads: (0..500).map(load).collect(),
+        loads: loads.clone(),
+    });
+    let part = Message::Part(Part {
+        run: Incarnation(u64::MAX),
+        domain: "north".to_owned(),
+        boxes: u32::MAX,
+        loads: loads.clone(),
+    });
+    let others = Message::Others(Others {
+        boxes: u32::MAX,
+        loads: loads.clone(),
+    });
+    for message in [report, part, others] {
+        let bytes = load::encode(&message);
+        assert!(bytes.len() <= load::MESSAGE_MAX);
+        let decoded = load::decode(&bytes).expect("it decodes");
+        let kept = match decoded {
+            Message::Report(report) => report.loads,
+            Message::Part(part) => part.loads,
+            Message::Others(others) => others.loads,
+        };
+        assert!(kept.len() > 20);
+        assert_eq!(kept, loads[..kept.len()]);
+    }
+}
+
+#[test]
+fn as_many_targets_as_are_told_at_once_fit_one_datagram() {
+    let load = |number: u32| TargetLoad {
+        target: format!("i-{number:010x}").into(),
+        load: Load {
+            pace: Some(1.5),
+            running: 400,
+            tokens: 200_000,
+            reading: 4_000,
+        },
     };
-    let bytes = load::encode(&report);
-    assert!(bytes.len() <= load::REPORT_MAX);
-    let decoded = load::decode(&bytes).expect("it decodes");
-    assert!(decoded.loads.len() > 20);
-    assert_eq!(decoded.loads, report.loads[..decoded.loads.len()]);
+    let loads: Vec<TargetLoad> = (0..TARGETS_TOLD as u32).map(load).collect();
+    let others = Message::Others(Others { boxes: 2500, loads });
+    let decoded = load::decode(&load::encode(&others)).expect("it decodes");
+    assert_eq!(decoded, others);
+}
+
+#[test]
+fn a_datagram_of_an_unknown_kind_is_refused() {
+    assert_eq!(load::decode(&[]), Err(load::LoadError::Unknown));
+    // A field that a later version may add.
+    assert_eq!(load::decode(&[0x7a, 0]), Err(load::LoadError::Unknown));
+    let truncated = &load::encode(&Message::Others(Others {
+        boxes: 3,
+        loads: vec![target_load(1)],
+    }))[..9];
+    assert!(matches!(
+        load::decode(truncated),
+        Err(load::LoadError::Malformed(_))
+    ));
 }
 
 proptest! {
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -1,14 +1,16 @@
-//! Load reports to and from the other boxes, so that boxes which do not see each other's requests
-//! don't all choose the same engines.
+//! Loads to and from the other boxes, so that boxes which do not see each other's requests don't all choose
+//! the same engines.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
-use reachtally_core::forward::peers;
+use reachtally_core::Instant;
+use reachtally_core::forward::loads::{self, Collector, Message, Others};
+use reachtally_core::forward::readers::View;
 use reachtally_core::ids::Incarnation;
-use reachtally_protocol::load;
+use reachtally_protocol::load::{self, MESSAGE_MAX};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -16,10 +18,19 @@
 
 /// Time between two reports. A request lasts some seconds, so loads change little in between.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Most boxes told each time, so that reports do not grow with the number of boxes.
-const MOST_TOLD: usize = 12;
+/// Time between two sums of what is reported here, since boxes report at different moments. Each takes a
+/// fraction of a millisecond.
+const SUM_INTERVAL: Duration = Duration::from_millis(50);
+/// Reports in a row without an answer after which another collector is chosen: one or two datagrams may
+/// be lost.
+const UNANSWERED: u32 = 3;
+/// How long a collector that did not answer is left alone: longer than the group takes to notice that it
+/// is gone.
+const AVOID_COLLECTOR: Duration = Duration::from_secs(5);
+/// Least time between two log lines on datagrams that do not decode.
+const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Open the socket for reports.
+/// Open the socket for loads.
 ///
 /// # Errors
 /// The system's, if the address is taken.
@@ -31,52 +42,198 @@
 pub async fn run(relay: Rc<Relay>, socket: UdpSocket, run: Incarnation) {
     let mut tick = interval(REPORT_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut number = 0;
-    let mut buf = [0; load::REPORT_MAX];
+    let mut sum_tick = interval(SUM_INTERVAL);
+    sum_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut gossip = match Gossip::new(relay, socket, run) {
+        Ok(gossip) => gossip,
+        Err(err) => {
+            log::error!(event = "report-failed", why:% = err; "loads are not told: the socket has no address");
+            return;
+        }
+    };
+    let mut buf = [0; MESSAGE_MAX];
     loop {
         tokio::select! {
-            _ = tick.tick() => {
-                number += 1;
-                tell(&relay, &socket, run, number);
-                let now = relay.now();
-                relay.peers.borrow_mut().sum_up(&mut relay.fleet.borrow_mut(), now);
-            }
-            received = socket.recv_from(&mut buf) => match received {
-                Ok((length, from)) => hear(&relay, &buf[..length], from),
-                Err(err) => log::debug!(event = "report-failed", why:% = err; "no report was received"),
+            _ = tick.tick() => gossip.tell(),
+            _ = sum_tick.tick(), if gossip.collector.reporters() > 0 => gossip.sum_up(),
+            received = gossip.socket.recv_from(&mut buf) => match received {
+                Ok((length, from)) => gossip.hear(&buf[..length], from.ip()),
+                Err(err) => log::debug!(event = "report-failed", why:% = err; "no message was received"),
             }
         }
     }
 }
 
-fn tell(relay: &Relay, socket: &UdpSocket, run: Incarnation, number: u64) {
-    let report = load::encode(&peers::own_report(
-        run,
-        number,
-        &relay.fleet.borrow(),
-        relay.now(),
-    ));
-    let Ok(port) = socket.local_addr().map(|address| address.port()) else {
-        return;
-    };
-    let members = relay.members.borrow();
-    let others: Vec<_> = members.iter().filter(|member| member.run != run).collect();
-    for member in others.sample(&mut rand::rng(), MOST_TOLD) {
-        // A report that can't be sent now is as good as lost; the next one follows.
-        if let Err(err) = socket.try_send_to(&report, SocketAddr::new(member.ip, port)) {
-            log::debug!(event = "report-failed", to:% = member.ip, why:% = err; "a report was not sent");
+/// Where this box reports to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Target {
+    /// It collects reports itself.
+    Here,
+    Box(IpAddr),
+}
+
+struct Gossip {
+    relay: Rc<Relay>,
+    socket: UdpSocket,
+    port: u16,
+    run: Incarnation,
+    /// Numbers this box's reports.
+    number: u64,
+    collector: Collector,
+    /// Where the last reports went.
+    target: Target,
+    /// Reports there since the last answer.
+    unanswered: u32,
+    avoid: Vec<(IpAddr, Instant)>,
+    malformed_at: Option<Instant>,
+}
+
+impl Gossip {
+    fn new(relay: Rc<Relay>, socket: UdpSocket, run: Incarnation) -> std::io::Result<Self> {
+        let port = socket.local_addr()?.port();
+        Ok(Gossip {
+            relay,
+            socket,
+            port,
+            run,
+            number: 0,
+            collector: Collector::default(),
+            target: Target::Here,
+            unanswered: 0,
+            avoid: Vec::new(),
+            malformed_at: None,
+        })
+    }
+
+    /// Report what this box has, and tell other collectors what is reported here.
+    fn tell(&mut self) {
+        let now = self.relay.now();
+        self.number += 1;
+        self.choose(now);
+        let report = loads::own_report(self.run, self.number, &self.relay.fleet.borrow(), now);
+        match self.target {
+            Target::Here => self.collector.hear(report, now),
+            Target::Box(ip) => {
+                self.unanswered += 1;
+                self.send(ip, &Message::Report(report));
+            }
+        }
+        self.sum_up();
+        let parts = self.parts();
+        for ip in self.colleagues() {
+            for part in &parts {
+                self.send_bytes(ip, part);
+            }
+        }
+        if self.target == Target::Here {
+            self.take(self.collector.all_but(self.run), now);
         }
+        let mut elsewhere = self.relay.elsewhere.borrow_mut();
+        elsewhere.forget_old(&mut self.relay.fleet.borrow_mut(), now);
+    }
+
+    fn sum_up(&mut self) {
+        let now = self.relay.now();
+        self.collector.sum_up(now);
     }
-}
 
-fn hear(relay: &Relay, bytes: &[u8], from: SocketAddr) {
-    match load::decode(bytes) {
-        Ok(report) => {
-            let now = relay.now();
-            relay.peers.borrow_mut().hear(report, now);
+    /// Choose where to report to: the first reader of this failure domain that answers.
+    fn choose(&mut self, now: Instant) {
+        self.avoid
+            .retain(|(_, at)| now.since(*at) < AVOID_COLLECTOR);
+        if let Target::Box(ip) = self.target
+            && self.unanswered >= UNANSWERED
+        {
+            log::info!(event = "collector-lost", from:% = ip; "a box does not answer reports of loads");
+            self.avoid.push((ip, now));
         }
-        Err(err) => {
-            log::info!(event = "report-malformed", from:% = from, why:% = err; "a box's report does not decode");
+        let avoid: Vec<IpAddr> = self.avoid.iter().map(|(ip, _)| *ip).collect();
+        let found = self.view(&avoid, |view| view.collector());
+        let target = found.map_or(Target::Here, Target::Box);
+        if target != self.target {
+            self.target = target;
+            self.unanswered = 0;
+        }
+    }
+
+    /// What the group looks like without boxes that do not answer.
+    fn view<T>(&self, avoid: &[IpAddr], look: impl FnOnce(&View<'_>) -> T) -> T {
+        let settings = self.relay.settings.borrow();
+        let members = self.relay.members.borrow();
+        look(&View {
+            members: &members,
+            home: &settings.domain,
+            run: self.run,
+            avoid,
+            is_sound: true,
+        })
+    }
+
+    fn parts(&self) -> Vec<bytes::Bytes> {
+        let settings = self.relay.settings.borrow();
+        let parts = self.collector.parts(self.run, &settings.domain);
+        let encoded = parts.into_iter().map(Message::Part);
+        encoded.map(|part| load::encode(&part)).collect()
+    }
+
+    /// Other collectors: those that told lately, and the first reader of each failure domain of which none
+    /// did.
+    fn colleagues(&self) -> BTreeSet<IpAddr> {
+        let told: Vec<(&str, IpAddr)> = self.collector.colleagues().collect();
+        let is_silent = |domain: &str| !told.iter().any(|(from, _)| *from == domain);
+        let silent: Vec<IpAddr> = self.view(&[], |view| {
+            let first = view.first_readers();
+            let silent = first.into_iter().filter(|(domain, _)| is_silent(domain));
+            silent.map(|(_, ip)| ip).collect()
+        });
+        told.iter().map(|(_, ip)| *ip).chain(silent).collect()
+    }
+
+    fn send(&self, ip: IpAddr, message: &Message) {
+        self.send_bytes(ip, &load::encode(message));
+    }
+
+    fn send_bytes(&self, ip: IpAddr, message: &[u8]) {
+        let to = SocketAddr::new(ip, self.port);
+        // What can't be sent now is as good as lost; the next one follows.
+        if let Err(err) = self.socket.try_send_to(message, to) {
+            log::debug!(event = "report-failed", to:% = ip, why:% = err; "loads were not sent");
+        }
+    }
+
+    fn hear(&mut self, bytes: &[u8], from: IpAddr) {
+        let now = self.relay.now();
+        match load::decode(bytes) {
+            Ok(Message::Report(report)) => {
+                let (run, number) = (report.run, report.number);
+                self.collector.hear(report, now);
+                for answer in self.collector.answers(run, number) {
+                    self.send(from, &Message::Others(answer));
+                }
+            }
+            Ok(Message::Part(part)) => self.collector.hear_part(part, from, now),
+            Ok(Message::Others(others)) => {
+                if self.target == Target::Box(from) {
+                    self.unanswered = 0;
+                }
+                self.take(others, now);
+            }
+            Err(err) => self.note_malformed(from, &err, now),
+        }
+    }
+
+    /// Take in what all other boxes have.
+    fn take(&self, others: Others, now: Instant) {
+        let mut elsewhere = self.relay.elsewhere.borrow_mut();
+        elsewhere.hear(others, &mut self.relay.fleet.borrow_mut(), now);
+    }
+
+    fn note_malformed(&mut self, from: IpAddr, why: &load::LoadError, now: Instant) {
+        let is_recent = |at: Instant| now.since(at) < MALFORMED_INTERVAL;
+        if self.malformed_at.is_some_and(is_recent) {
+            return;
         }
+        self.malformed_at = Some(now);
+        log::info!(event = "report-malformed", from:% = from, why:% = why; "a box's loads do not decode; more of these are not logged for a minute");
     }
 }
--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -28,16 +28,31 @@
     relay: Rc<Relay>,
     engines: Vec<EngineKey>,
     tokens: f64,
+    /// Tokens of its prompt that are not known to be read yet.
+    reading: f64,
 }
 
 impl Occupied {
-    /// Count a request that holds `tokens` of KV on average on `engines`.
-    pub fn new(relay: &Rc<Relay>, engines: Vec<EngineKey>, tokens: f64) -> Self {
-        relay.fleet.borrow_mut().begin(&engines, tokens);
+    /// Count a request that holds `tokens` of KV on average on `engines`, which read a prompt of `prompt` tokens
+    /// first.
+    pub fn new(relay: &Rc<Relay>, engines: Vec<EngineKey>, tokens: f64, prompt: f64) -> Self {
+        let mut fleet = relay.fleet.borrow_mut();
+        fleet.begin(&engines, tokens);
+        fleet.begin_reading(&engines, prompt);
         Occupied {
             relay: relay.clone(),
             engines,
             tokens,
+            reading: prompt,
+        }
+    }
+
+    /// The prompt was read.
+    pub fn end_reading(&mut self) {
+        let read = std::mem::take(&mut self.reading);
+        if read > 0.0 {
+            let mut fleet = self.relay.fleet.borrow_mut();
+            fleet.end_reading(&self.engines, read);
         }
     }
 
@@ -49,6 +64,7 @@
 
 impl Drop for Occupied {
     fn drop(&mut self) {
+        self.end_reading();
         self.relay
             .fleet
             .borrow_mut()
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -12,7 +12,8 @@
 use reachtally_core::forward::changes::Changes;
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
 use reachtally_core::forward::freshness::Freshness;
-use reachtally_core::forward::peers::{Member, Peers};
+use reachtally_core::forward::loads::Elsewhere;
+use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::routes::Table;
 use reachtally_core::forward::select;
 use reachtally_core::forward::stall::Progress;
@@ -72,7 +73,7 @@
     /// How old the configuration may be.
     pub freshness: Cell<Freshness>,
     /// The other boxes' loads.
-    pub peers: RefCell<Peers>,
+    pub elsewhere: RefCell<Elsewhere>,
     /// Boxes in the group.
     pub members: RefCell<Vec<Member>>,
     /// When the targets of each failure domain were last asked whether they are there.
@@ -125,7 +126,7 @@
             connections: Connections::default(),
             progress: RefCell::default(),
             freshness: Cell::default(),
-            peers: RefCell::default(),
+            elsewhere: RefCell::default(),
             members: RefCell::default(),
             domains_checked: RefCell::default(),
             group_generation: Cell::default(),
@@ -301,14 +302,12 @@
         }
     }
 
-    /// Number of boxes that share the budget. Until a count is whole, many are assumed: a small share is
+    /// Number of boxes that share the budget. Until a count is known, many are assumed: a small share is
     /// the safe side.
     pub fn boxes(&self) -> u32 {
-        let counted = self.members.borrow().len() as u32;
-        match self.group_generation.get() {
-            0 => counted.max(BOXES_ASSUMED),
-            _ => counted.max(1),
-        }
+        let counted = self.elsewhere.borrow().boxes();
+        let members = self.members.borrow().len() as u32;
+        counted.unwrap_or(BOXES_ASSUMED).max(members).max(1)
     }
 
     /// Count a request for a service's budget.
@@ -352,10 +351,6 @@
             home: &settings.domain,
             avoid,
             held: self.held.get(),
-            unheard: self
-                .peers
-                .borrow()
-                .unheard(self.members.borrow().len() as u32),
             draw,
         }
     }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -200,6 +200,7 @@
     /// Bytes of the stream came.
     fn note(&mut self, relay: &Relay) {
         let now = relay.now();
+        self.occupied.end_reading();
         relay.progress.borrow_mut().note(self.engines(), now);
         self.pace.note(now, self.since);
         let gap = now.since(self.since);
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -126,7 +126,7 @@
     attempts.begin(relay, record(relay, call, &pick));
     let (address, run) = exchange::target_of(relay, key)?;
     let need = need(call);
-    let occupied = Occupied::new(relay, pick.engines.clone(), need.held());
+    let occupied = Occupied::new(relay, pick.engines.clone(), need.held(), need.prompt);
     let add = Addition {
         deadline: call.left(relay),
         target_run: &run,
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -92,7 +92,7 @@
     key: EngineKey,
 ) -> Result<Response<Body>, Unanswered> {
     let (address, run) = exchange::target_of(relay, key)?;
-    let occupied = Occupied::new(relay, vec![key], 0.0);
+    let occupied = Occupied::new(relay, vec![key], 0.0, 0.0);
     let add = Addition {
         deadline: call.left(relay),
         target_run: &run,
