feat(relay): only a few boxes of each failure domain are in the group

Change: a box joins only where its failure domain has fewer than three members; boxes with wide links come first. The others are told by those, and by seeds of the settings before the group is known. A box outside of the group reads the store only where nobody at home or abroad answers. Where readers are gone, each box joins with a chance so that about as many as are missing do.

A fault found by a test of the process: a borrow of the settings was held over the wait, and a reload panicked.

--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -1,6 +1,6 @@
 //! The relay as a process of its own.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -123,6 +123,9 @@
     let settings = Settings {
         name: "bench".to_owned(),
         domain: "here".to_owned(),
+        ip: Ipv4Addr::LOCALHOST.into(),
+        link_mbps: 0,
+        seeds: Vec::new(),
         revoke_within: None,
         budget: BudgetBounds {
             ratio: 0.2,
--- a/reachtally-core/tests/core/forward/readers.rs
+++ b/reachtally-core/tests/core/forward/readers.rs
@@ -36,12 +36,75 @@
         members,
         home: "north",
         run: Incarnation(run),
+        ip: ip(run),
+        seeds: &[],
         avoid: &avoid,
         is_sound,
     }
     .origin()
 }
 
+/// The view of a box before anything is known, but for seeds.
+fn first_view<'a>(run: u64, seeds: &'a [IpAddr], avoid: &'a [IpAddr]) -> View<'a> {
+    View {
+        members: &[],
+        home: "north",
+        run: Incarnation(run),
+        ip: ip(run),
+        seeds,
+        avoid,
+        is_sound: false,
+    }
+}
+
+/// The view of a box on a group.
+fn view(members: &[Member], run: u64) -> View<'_> {
+    View {
+        members,
+        ..first_view(run, &[], &[])
+    }
+}
+
+#[test]
+fn before_the_group_is_known_boxes_ask_a_seed_and_seeds_read_the_store() {
+    let seeds = [ip(1), ip(21)];
+    assert_eq!(first_view(7, &seeds, &[]).origin(), Origin::Box(ip(1)));
+    assert_eq!(
+        first_view(7, &seeds, &[ip(1)]).origin(),
+        Origin::Box(ip(21))
+    );
+    assert_eq!(first_view(7, &seeds, &seeds).origin(), Origin::Store);
+    assert_eq!(first_view(21, &seeds, &[]).origin(), Origin::Store);
+    // Seeds may be stale; once the group is known it decides.
+    let group = group(&[("north", 2)]);
+    let knowing = View {
+        members: &group,
+        ..first_view(7, &seeds, &[])
+    };
+    assert_eq!(knowing.origin(), Origin::Box(ip(2)));
+}
+
+#[test]
+fn a_box_outside_of_the_group_reads_the_store_only_where_nobody_answers() {
+    let group = usual();
+    assert_eq!(origin(&group, 50, &[], true), Origin::Box(ip(1)));
+    assert_eq!(origin(&group, 50, &[1, 2, 3], true), Origin::Box(ip(21)));
+    assert_eq!(origin(&group, 50, &[1, 2, 3, 21, 31], true), Origin::Store);
+}
+
+#[test]
+fn a_failure_domain_keeps_as_many_boxes_in_the_group_as_it_needs() {
+    let full = usual();
+    assert!(!view(&full, 5).is_superfluous());
+    assert!(view(&full, 6).is_superfluous());
+    assert!(!view(&full, 50).is_superfluous());
+    assert_eq!(view(&full, 50).chance_to_join(300), 0.0);
+    let few = group(&[("north", 1), ("south", 21), ("west", 31)]);
+    assert_eq!(view(&few, 50).missing_readers(), 2);
+    // Two of a hundred boxes at home.
+    assert_eq!(view(&few, 50).chance_to_join(300), 0.02);
+}
+
 #[test]
 fn the_first_reader_reads_the_store_and_the_others_ask_it() {
     let group = usual();
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -164,6 +164,8 @@
             members: &members,
             home: &settings.domain,
             run: self.run,
+            ip: settings.ip,
+            seeds: &settings.seeds,
             avoid,
             is_sound: true,
         })
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -1,11 +1,13 @@
-//! The group of boxes: who is in it, and who is the steward.
+//! The group of boxes: who is in it, who is the steward, and when this box joins.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::readers::View;
 use reachtally_core::forward::stewardship::{Stewardship, Token};
+use reachtally_core::ids::Incarnation;
 use tokio::time::sleep;
 
 use crate::follow::Dependency;
@@ -23,6 +25,14 @@
 /// The same for a box that asks another, which should have told it by then.
 const JOINS_BESIDE: u32 = 5;
 
+/// Mbit/s times the time that a box with such a link waits before it joins for the first time: 0.3 s with
+/// 200 Mbit/s, 3 s with 20, by when those with wider links are in the group and counted.
+const LINK_DELAY: Duration = Duration::from_secs(60);
+/// Longest such time, about.
+const LONGEST_DELAY: Duration = Duration::from_secs(4);
+/// Different times of boxes with the same link.
+const DELAY_STEPS: u64 = 1024;
+
 /// Taken off the time that the steward's part is held, for clocks that run at different rates and orders
 /// under way. It only saves refused orders: engines that check tokens are safe without it.
 const PART_MARGIN: Duration = Duration::from_millis(700);
@@ -30,37 +40,128 @@
 /// This box's part, shared by the loops that get it and use it.
 pub type Part = Rc<RefCell<Stewardship>>;
 
-/// Stay in the group of boxes, and count them where no other box does.
-pub async fn run<S: Store>(relay: Rc<Relay>, store: S, part: Part) {
-    let mut generation = 0;
-    let mut behind = 0;
-    let mut dependency = Dependency::new("group");
-    while !relay.is_leaving() {
-        let began = relay.now();
-        match store.join(MEMBER_TTL, generation).await {
-            Ok(membership) => {
-                dependency.regained(relay.now());
-                let is_passed_on = keep_part(&part, membership, began);
-                generation = membership.generation;
-                behind = match relay.group_generation() < generation {
-                    true => behind + 1,
-                    false => 0,
-                };
-                let is_first = relay.members.borrow().is_empty();
-                if is_first || is_count_due(&relay, behind) {
-                    count_boxes(&relay, &store, generation, is_first).await;
-                }
-                // The group deals the part to another box only once this one has joined under the new
-                // generation: a second without a steward saved at each change of the group.
-                if is_passed_on {
-                    continue;
-                }
+/// Stay in the group of boxes while this box is needed there, and count its members where no other box does.
+///
+/// A few boxes of each failure domain are in the group. The others cost the store nothing: they are told by
+/// those, and join when some of them are missing.
+pub async fn run<S: Store>(relay: Rc<Relay>, store: S, part: Part, run: Incarnation) {
+    settle(&relay, &store, run).await;
+    let mut joining = Joining {
+        relay,
+        store,
+        part,
+        run,
+        is_in: false,
+        generation: 0,
+        behind: 0,
+        dependency: Dependency::new("group"),
+    };
+    let mut should_join = joining.look(|view| view.missing_readers() > 0);
+    while !joining.relay.is_leaving() {
+        joining.enter(should_join);
+        let is_passed_on = joining.is_in && joining.join().await;
+        // The group deals the part to another box only once this one has joined under the new
+        // generation: a second without a steward saved at each change of the group.
+        if !is_passed_on {
+            sleep(JOIN_INTERVAL).await;
+        }
+        should_join = joining.should_join();
+    }
+    joining.part.borrow_mut().revoke();
+}
+
+/// Wait until boxes with wider links are in the group, and learn of the group.
+async fn settle<S: Store>(relay: &Relay, store: &S, run: Incarnation) {
+    let delay = {
+        let settings = relay.settings.borrow();
+        match settings.seeds.contains(&settings.ip) {
+            true => Duration::ZERO,
+            false => start_delay(settings.link_mbps, run),
+        }
+    };
+    sleep(delay).await;
+    if relay.members.borrow().is_empty() {
+        count_boxes(relay, store, 0, true).await;
+    }
+}
+
+/// How long a box waits before it may join for the first time: the longer the narrower its link, and each
+/// box a different time.
+fn start_delay(link_mbps: u32, run: Incarnation) -> Duration {
+    let usual = LINK_DELAY / link_mbps.max(1);
+    let part = (run.0 % DELAY_STEPS) as f64 / DELAY_STEPS as f64;
+    usual.min(LONGEST_DELAY).mul_f64(0.5 + part)
+}
+
+/// A box's way into the group and out of it.
+struct Joining<S> {
+    relay: Rc<Relay>,
+    store: S,
+    part: Part,
+    run: Incarnation,
+    is_in: bool,
+    generation: u64,
+    /// Joins since the generation changed without a count.
+    behind: u32,
+    dependency: Dependency,
+}
+
+impl<S: Store> Joining<S> {
+    fn look<T>(&self, look: impl FnOnce(&View<'_>) -> T) -> T {
+        let settings = self.relay.settings.borrow();
+        let members = self.relay.members.borrow();
+        look(&View {
+            members: &members,
+            home: &settings.domain,
+            run: self.run,
+            ip: settings.ip,
+            seeds: &settings.seeds,
+            avoid: &[],
+            is_sound: true,
+        })
+    }
+
+    fn should_join(&self) -> bool {
+        let boxes = self.relay.boxes();
+        self.look(|view| match self.is_in {
+            true => !view.is_superfluous(),
+            false => rand::random::<f64>() < view.chance_to_join(boxes),
+        })
+    }
+
+    fn enter(&mut self, is_in: bool) {
+        if self.is_in != is_in {
+            log::info!(event = "group", member = is_in; "whether this box is in the group changed");
+        }
+        self.is_in = is_in;
+        if !is_in {
+            self.part.borrow_mut().revoke();
+        }
+    }
+
+    /// Join the group or stay in it; yields whether this box had the steward's part and has it no more.
+    async fn join(&mut self) -> bool {
+        let began = self.relay.now();
+        let membership = match self.store.join(MEMBER_TTL, self.generation).await {
+            Ok(membership) => membership,
+            Err(err) => {
+                self.dependency.lost(&self.relay, &err);
+                return false;
             }
-            Err(err) => dependency.lost(&relay, &err),
+        };
+        self.dependency.regained(self.relay.now());
+        let is_passed_on = keep_part(&self.part, membership, began);
+        self.generation = membership.generation;
+        self.behind = match self.relay.group_generation() < self.generation {
+            true => self.behind + 1,
+            false => 0,
+        };
+        let is_first = self.relay.members.borrow().is_empty();
+        if is_first || is_count_due(&self.relay, self.behind) {
+            count_boxes(&self.relay, &self.store, self.generation, is_first).await;
         }
-        sleep(JOIN_INTERVAL).await;
+        is_passed_on
     }
-    part.borrow_mut().revoke();
 }
 
 /// Take over what the group says of the steward's part; yields whether this box had it and has it no more.
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,12 @@
     pub name: String,
     /// Its failure domain.
     pub domain: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Bandwidth of its link, in Mbit/s; 0 if it is not known.
+    pub link_mbps: u32,
+    /// Boxes that may be asked before the group is known; they may be gone.
+    pub seeds: Vec<IpAddr>,
     /// Time for which a configuration counts as the newest after it was confirmed; `None` if keys
     /// need not stop working on a box that is cut off.
     pub revoke_within: Option<Duration>,
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -20,6 +20,8 @@
 /// How long after the start a source may know no configuration: boxes may start before the first one
 /// is published.
 const FIRST_CONFIGURATION: Duration = Duration::from_secs(4);
+/// The same for a seed while the group is not known: it may be cut off from the store.
+const FIRST_FROM_SEED: Duration = Duration::from_secs(2);
 /// How long a source that failed is left alone: longer than the group takes to notice that it is gone.
 const AVOID_SOURCE: Duration = Duration::from_secs(5);
 /// The same while this box does not reach the store either: then the reader is the first to know of its
@@ -77,9 +79,11 @@
     }
 }
 
+/// Wait for the group, unless there are others to ask.
 async fn wait_for_group(relay: &Relay) {
     let began = relay.now();
-    while relay.members.borrow().is_empty() && relay.now().since(began) < GROUP_WAIT {
+    let is_alone = relay.settings.borrow().seeds.is_empty();
+    while is_alone && relay.members.borrow().is_empty() && relay.now().since(began) < GROUP_WAIT {
         sleep(GROUP_LOOK).await;
     }
 }
@@ -103,6 +107,8 @@
         members: &members,
         home: &settings.domain,
         run,
+        ip: settings.ip,
+        seeds: &settings.seeds,
         avoid: &avoid,
         is_sound: is_sound(relay),
     };
@@ -153,7 +159,11 @@
     let answered = timeout(ANSWER_WAIT + ANSWER_SLACK, asking).await;
     let news = answered.map_err(|_| "no answer in time".to_owned())??;
     let Some(age) = news.confirmed_age else {
-        if began.elapsed() > FIRST_CONFIGURATION {
+        let patience = match relay.members.borrow().is_empty() {
+            true => FIRST_FROM_SEED,
+            false => FIRST_CONFIGURATION,
+        };
+        if began.elapsed() > patience {
             return Err("it knows no configuration".to_owned());
         }
         take(relay, &mut source, news)?;
