feat(bench): choice, a simulation of boxes that know only what they are told

The shipped choice, reports and sums of loads with 1 to 2,500 boxes before 100 equal engines at the same load.

--- /dev/null
+++ b/reachtally-bench/src/choice/engines.rs
@@ -0,0 +1,141 @@
+//! Engines as the simulation has them, all alike: they read prompts one after the other and refuse what
+//! their KV does not hold.
+
+use reachtally_core::forward::cost::{Card, LayerModel};
+use reachtally_core::forward::fleet::Entry;
+
+/// Failure domains.
+pub const DOMAINS: usize = 5;
+/// Engines for each range of layers in a failure domain.
+const WIDTH: usize = 5;
+/// Ranges that the layers are cut into.
+pub const STAGES: usize = 4;
+/// Layers of each.
+const STAGE_LAYERS: u32 = 20;
+/// The service of all engines.
+pub const SERVICE: &str = "pool";
+/// Their kind of card.
+const CARD: &str = "middle";
+/// Time of a token from one engine to the next, in µs.
+const HOP_US: u64 = 500;
+
+/// The model that is served: 80 layers, with the figures of a mid-size card of the users' first site.
+pub fn model() -> LayerModel {
+    let card = Card {
+        memory_mb: 43_200.0,
+        step_factor: 5.6,
+        read_factor: 2.7,
+    };
+    LayerModel {
+        layers: STAGE_LAYERS * STAGES as u32,
+        layer_mb: 1750.0,
+        kv_token_mb: 0.918,
+        step_ms: 1.02,
+        per_seq_ms: 0.00714,
+        context_ms_per_k: 0.00956,
+        read_per_s: 105_000.0,
+        stride: 3.0,
+        slots: 192,
+        usual_prompt: 774.0,
+        usual_answer: 200.0,
+        cards: [(CARD.to_owned(), card)].into(),
+    }
+}
+
+/// Name of a failure domain.
+pub fn domain(number: usize) -> String {
+    format!("domain-{number}")
+}
+
+/// Entries of all engines.
+pub fn entries() -> Vec<Entry> {
+    let numbers = 0..DOMAINS * STAGES * WIDTH;
+    let entry = |number: usize| {
+        let from = (number / WIDTH % STAGES) as u32 * STAGE_LAYERS;
+        Entry {
+            id: format!("e-{number:08}").into(),
+            service: SERVICE.into(),
+            address: ([10, 0, 0, 1], 1000 + number as u16).into(),
+            domain: domain(number / WIDTH / STAGES).into(),
+            draining: false,
+            slots: 192,
+            card: Some(CARD.into()),
+            layers: from..from + STAGE_LAYERS,
+        }
+    };
+    numbers.map(entry).collect()
+}
+
+/// One engine.
+#[derive(Debug, Clone, Default)]
+pub struct SimEngine {
+    /// Until when it reads the prompts that it has, in µs.
+    busy_until: u64,
+    /// KV tokens in use.
+    held: f64,
+    /// Requests begun.
+    pub begun: u32,
+}
+
+/// A request as engines see it.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Tokens of its answer.
+    pub answer: f64,
+}
+
+impl Load {
+    /// KV tokens that it holds on average.
+    fn held(&self) -> f64 {
+        self.prompt + self.answer / 2.0
+    }
+}
+
+/// When a request that began shows its first event, and when it ends, in µs.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// The first event.
+    pub first: u64,
+    /// The end.
+    pub end: u64,
+}
+
+/// Begin a request on the engines of a path; an engine that has no room refuses.
+pub fn begin(
+    engines: &mut [SimEngine],
+    path: &[usize],
+    load: Load,
+    model: &LayerModel,
+    now: u64,
+) -> Result<Times, usize> {
+    let card = model.cards[CARD];
+    let room = model.kv_tokens(&card, STAGE_LAYERS);
+    let full = |at: &&usize| engines[**at].held + load.held() > room;
+    if let Some(full) = path.iter().find(full) {
+        return Err(*full);
+    }
+    let read_us = model.read_ms(&card, STAGE_LAYERS, load.prompt) * 1000.0;
+    let mut at = now;
+    for number in path {
+        let engine = &mut engines[*number];
+        engine.begun += 1;
+        engine.held += load.held();
+        engine.busy_until = engine.busy_until.max(at + HOP_US) + read_us as u64;
+        at = engine.busy_until;
+    }
+    let step_ms = model.step_ms(&card, STAGE_LAYERS, 1.0) * path.len() as f64;
+    let token_us = step_ms * 1000.0 + (HOP_US * path.len() as u64) as f64;
+    Ok(Times {
+        first: at + token_us as u64,
+        end: at + (token_us * load.answer) as u64,
+    })
+}
+
+/// A request has ended.
+pub fn end(engines: &mut [SimEngine], path: &[usize], load: Load) {
+    for number in path {
+        engines[*number].held -= load.held();
+    }
+}
--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -3,6 +3,7 @@
 //! Each sub-command prints a table, or with `--json` one object. It exits non-zero where a promise
 //! broke, and with `--check` also where a goal is missed.
 
+mod choice;
 mod claims;
 mod control;
 mod drain;
@@ -55,6 +56,9 @@
     /// The relay as a process of its own; started by `relay`
     #[bpaf(command("relay-box"), hide)]
     RelayBox(#[bpaf(external(relay::box_options))] relay::BoxOptions),
+    /// How well boxes that know only what they are told spread requests, against one that knows all
+    #[bpaf(command)]
+    Choice(#[bpaf(external(choice::options))] choice::Options),
     /// Requests that may run once: how many share an append, and that none runs twice
     #[bpaf(command)]
     Claims(#[bpaf(external(claims::options))] claims::Options),
@@ -79,6 +83,7 @@
         Experiment::Recovery(options) => recovery::run(&options),
         Experiment::Relay(options) => relay::run(options).await,
         Experiment::RelayBox(options) => run_box(options),
+        Experiment::Choice(options) => choice::run(&options),
         Experiment::Claims(options) => claims::run(&options),
     };
     match result {
