--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -77,6 +77,11 @@
         readers.iter().any(|member| self.is_here(member))
     }
 
+    /// Whether an earlier run of this box is listed in the group, whose place it should take.
+    pub fn is_listed(&self) -> bool {
+        self.members.iter().any(|member| self.is_here(member))
+    }
+
     /// Whether a box of the group should leave it, since enough others of its failure domain are there.
     pub fn is_superfluous(&self) -> bool {
         let home = self.members_of(self.home);
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -141,6 +141,9 @@
         if self.is_in {
             return !self.look(&members, |view| view.is_superfluous());
         }
+        if self.look(&members, |view| view.is_listed() && !view.is_superfluous()) {
+            return true;
+        }
         let boxes = self.relay.boxes();
         let wanted = self.look(&members, |view| match view.missing_readers() {
             0 => 0.0,
