--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -133,6 +133,7 @@
             window: Duration::from_secs(10),
         },
         grace: Duration::from_secs(8),
+        apply_within: Duration::from_secs(2),
         drain_within: Duration::from_secs(2),
     };
     let relay = Rc::new(Relay::new(settings, Box::new(BenchWire)));
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -6,17 +6,20 @@
 use crate::forward::cost::{LayerModel, WAIT_FACTOR};
 use crate::forward::fleet::{Engine, EngineKey};
 
-/// Part of an engine's KV that requests may hold on average, all together. A little above 1: what enters a
-/// full engine waits there for a moment, what is refused comes back late. Measured on a fleet that its KV
-/// bounds, 20 days each, against requests reckoned with all tokens of their ends and 0.95: served +0.025 at
-/// 0.95, +0.020 at 1, +0.026 at 1.05 and at 1.15; errors 0.003 to 0.004.
-const KV_USED: f64 = 1.05;
+/// Part of an engine's KV that requests may be reckoned to hold on average, all together. Well above 1: the sums
+/// count requests that stand still elsewhere or are still being read, engines refuse by themselves what they
+/// have no room for, and a request that is refused here without being sent comes back late. Measured on one
+/// day each, as a part of the requests served: with 59 boxes 0.806 at 1.05, 0.840 at 1.3 and 0.856 at 1.7; with
+/// 295 boxes 0.927 at 1.3 and 0.929 at 1.7.
+const KV_USED: f64 = 1.7;
 /// Part of an engine's places that is used, since loads are known some hundred ms late.
 const SLOTS_USED: f64 = 0.95;
-/// Part that is used at which an engine's cost grows no more.
+/// Part that is used at which the pressure grows no more.
 const MOST_USED: f64 = 0.97;
-/// Least factor of chance, so that its logarithm is finite.
-const LEAST_CHANCE: f64 = 1e-9;
+/// Largest part by which chance makes an engine look slower. Until loads are told, all boxes see the same
+/// chain as the fastest, and the prompts of half a second wait there one behind the other. Measured with
+/// 85 boxes: at 0.3 the first event came after 500 to 900 ms at load, at 2.5 after 100 ms, at 5 no later.
+const SPREAD: f64 = 5.0;
 
 /// An engine with what a token and the prompt cost on it for each layer.
 #[derive(Debug, Clone, Copy)]
@@ -25,10 +28,13 @@
     pub engine: &'a Engine,
     /// Whether it has a place for a request that is sent to it.
     pub takes_more: bool,
-    /// Factor of chance on its cost.
+    /// Factor by which chance makes it look slower.
     pub bias: f64,
     pub token_ms: f64,
+    /// Time to read the request's own prompt.
     pub read_ms: f64,
+    /// Time until the prompts that wait there are read.
+    pub wait_ms: f64,
 }
 
 impl<'a> Candidate<'a> {
@@ -45,8 +51,9 @@
             return None;
         }
         let running = f64::from(engine.running) + engine.running_elsewhere;
+        let room = model.kv_tokens(card, layers);
         let tokens = engine.tokens + engine.tokens_elsewhere + need.held();
-        if tokens > KV_USED * model.kv_tokens(card, layers) {
+        if need.held() > room || tokens > KV_USED * room {
             return None;
         }
         let each = f64::from(layers);
@@ -55,30 +62,27 @@
         let rate = running / cx.held.as_secs_f64();
         let busy = model.reading_slowdown(card, layers, rate) * WAIT_FACTOR;
         let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
-        let used = (tokens / (KV_USED * model.kv_tokens(card, layers))).max(places);
-        let to_read = engine.reading + engine.reading_elsewhere + need.prompt;
-        // An engine's share of the requests falls with its room.
-        let room = 1.0 - used.min(MOST_USED);
-        let busy = busy / room * engine.slowness(cx.now);
+        let used = (tokens / (KV_USED * room)).max(places);
+        let waiting = engine.reading + engine.reading_elsewhere;
+        let busy = busy * pressure(used) * engine.slowness(cx.now);
         Some(Candidate {
             key,
             engine,
             takes_more: running < SLOTS_USED * f64::from(engine.entry.slots),
-            bias: exponential(cx.draw, key),
+            bias: 1.0 + SPREAD * chance(cx.draw, key),
             token_ms: busy * model.step_ms(card, layers, batch) / each,
-            read_ms: busy * model.read_ms(card, layers, to_read) / each,
+            read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
+            wait_ms: busy * model.read_ms(card, layers, waiting) / each,
         })
     }
 }
 
-/// A factor of chance for a request and an engine, distributed exponentially: of several engines, the one
-/// with the least product of cost and factor is each with a probability in proportion to 1 / cost. Boxes
-/// that believe the same so spread their requests by the room and the speed of the engines, in place of
-/// all taking the one that looked best when loads were last told. Measured with 295 boxes on a day at load,
-/// against factors from 1 to 6, the same day each: first events after their objective 630 to 54, sends
-/// refused by engines 3,620 to 1,682, requests served 0.883 to 0.936.
-fn exponential(draw: u64, key: EngineKey) -> f64 {
-    -chance(draw, key).max(LEAST_CHANCE).ln()
+/// How much an engine's cost grows with the part of it that is used. Loads are known late, so engines that are
+/// nearly full are left to those that find nothing better. With the part's own inverse in place of its root,
+/// requests take to long chains of slow cards, which hold their KV several times as long: measured with 59
+/// boxes on one day, 0.758 of the requests served in place of 0.840.
+fn pressure(used: f64) -> f64 {
+    1.0 / (1.0 - used.min(MOST_USED)).sqrt()
 }
 
 /// A number from 0 to 1 for a request and an engine, by the finalizer of SplitMix64.
--- a/reachtally-core/src/forward/select/ways.rs
+++ b/reachtally-core/src/forward/select/ways.rs
@@ -62,10 +62,12 @@
     ) -> Way {
         let token_ms = candidate.token_ms * layers + hop_ms;
         let read_ms = candidate.read_ms * layers + hop_ms;
+        let wait_ms = candidate.wait_ms * layers;
+        let cost = token_ms * answer + read_ms + wait_ms;
         Way {
-            cost: self.cost + candidate.bias * (token_ms * answer + read_ms),
+            cost: self.cost + candidate.bias * cost,
             token_ms: self.token_ms + token_ms,
-            read_ms: self.read_ms + read_ms,
+            read_ms: self.read_ms + read_ms + wait_ms,
             from,
             last,
         }
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -11,15 +11,9 @@
 use crate::relay::Relay;
 use crate::store::{Feed, Store, StoreError, TargetChange};
 
-/// Longest wait of one read of the configuration. Other boxes rely on this one's reads, and must notice
-/// within a second or so that they fail: a change must be in force everywhere within two.
-const CONFIG_WAIT: Duration = Duration::from_millis(500);
 /// Shortest wait of such a read while the store is slow. What a read confirms is as old as the read is
 /// long, so a slow answer leaves less time to wait.
 const LEAST_CONFIG_WAIT: Duration = Duration::from_millis(50);
-/// Time between two reads of the targets' changes: a leaving target must get nothing after two
-/// seconds or so, and waiting reads would return at every heartbeat of every target.
-const TARGETS_INTERVAL: Duration = Duration::from_millis(400);
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -99,7 +93,7 @@
     let mut next: Option<u64> = None;
     let mut pause = Pause::new();
     let mut dependency = Dependency::new("configuration");
-    let mut wait = CONFIG_WAIT;
+    let mut wait = relay.rhythm().config_wait;
     loop {
         relay.until_direct().await;
         let began = relay.now();
@@ -108,7 +102,7 @@
             Some(offset) => store.config_from(offset, wait).await,
         };
         if read.as_ref().is_ok_and(|feed| feed.items.is_empty()) {
-            wait = next_wait(relay.now().since(began), wait);
+            wait = next_wait(relay.now().since(began), wait, relay.rhythm().config_wait);
         }
         let is_first = next.is_none();
         let taken = read.and_then(|feed| take_config(&relay, feed, began));
@@ -134,9 +128,9 @@
 }
 
 /// How long the next read may wait after one that waited for `wait` in vain and `took` this long.
-fn next_wait(took: Duration, wait: Duration) -> Duration {
+fn next_wait(took: Duration, wait: Duration, longest: Duration) -> Duration {
     let latency = took.saturating_sub(wait);
-    CONFIG_WAIT.saturating_sub(latency).max(LEAST_CONFIG_WAIT)
+    longest.saturating_sub(latency).max(LEAST_CONFIG_WAIT)
 }
 
 /// Put in force what a read that began at `began` yielded; yields where to read on.
@@ -191,7 +185,7 @@
                 continue;
             }
         }
-        sleep(TARGETS_INTERVAL).await;
+        sleep(relay.rhythm().targets_interval).await;
     }
 }
 
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod page;
 pub mod ready;
 pub mod relay;
+pub mod rhythm;
 pub mod serve;
 pub mod share;
 pub mod steward;
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::connections::Connections;
 use crate::metrics::Times;
 use crate::occupied::OpenConnection;
+use crate::rhythm::Rhythm;
 use crate::suspects::Suspects;
 use crate::wire::Wire;
 
@@ -48,6 +49,8 @@
     pub budget: BudgetBounds,
     /// Time between SIGTERM and the end of the process.
     pub grace: Duration,
+    /// Time in which a change of the configuration must be in force.
+    pub apply_within: Duration,
     /// Time after which a target that is leaving must get no requests.
     pub drain_within: Duration,
 }
@@ -156,6 +159,11 @@
         }
     }
 
+    /// How often the store is read, and how old what others tell may be.
+    pub fn rhythm(&self) -> Rhythm {
+        Rhythm::of(&self.settings.borrow())
+    }
+
     /// The time for decisions.
     pub fn now(&self) -> Instant {
         Instant::from_elapsed(self.started.elapsed())
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::Framed;
 
 use crate::relay::Relay;
-use crate::share::{ANSWER_SLACK, ANSWER_WAIT, Link, SOUND_AGE, SOUND_TARGETS_AGE, is_sound};
+use crate::share::{ANSWER_SLACK, ANSWER_WAIT, Link, is_sound};
 use crate::target;
 
 /// How long after the start a source may know no configuration: boxes may start before the first one
@@ -229,7 +229,8 @@
         take(relay, &mut source, news).map_err(AskError::Silent)?;
         return Ok(source);
     };
-    if age > SOUND_AGE {
+    let rhythm = relay.rhythm();
+    if age > rhythm.sound_age {
         return Err(AskError::Stale(format!(
             "its configuration was confirmed {} ms ago",
             age.as_millis()
@@ -237,7 +238,7 @@
     }
     let no_targets = || AskError::Stale("it has read no targets".to_owned());
     let targets_age = news.targets_age.ok_or_else(no_targets)?;
-    if targets_age > SOUND_TARGETS_AGE {
+    if targets_age > rhythm.sound_targets_age {
         return Err(AskError::Stale(format!(
             "its targets were read {} ms ago",
             targets_age.as_millis()
--- a/reachtally-relay/src/share/mod.rs
+++ b/reachtally-relay/src/share/mod.rs
@@ -26,14 +26,6 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(350);
 /// Time for an answer beside that wait; boxes are a millisecond apart.
 const ANSWER_SLACK: Duration = Duration::from_millis(200);
-/// A box whose confirmation is older than this is no good source. Reads of the store wait for half a
-/// second, and each confirms as of its beginning, so ages up to a second are usual. With the wait for
-/// an answer it is 1.6 s until the next reader is asked, less than the two in which a change must be in
-/// force.
-const SOUND_AGE: Duration = Duration::from_millis(1200);
-/// The same for its targets, which are read every 0.4 s.
-const SOUND_TARGETS_AGE: Duration = Duration::from_millis(1500);
-
 /// A connection for questions.
 type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -45,7 +37,8 @@
 /// Whether what this box holds is new enough for others.
 fn is_sound(relay: &Relay) -> bool {
     let now = relay.now();
+    let rhythm = relay.rhythm();
     let age = relay.freshness.get().age(now);
-    age.is_some_and(|age| age <= SOUND_AGE)
-        && is_within(relay.targets_read.get(), now, SOUND_TARGETS_AGE)
+    age.is_some_and(|age| age <= rhythm.sound_age)
+        && is_within(relay.targets_read.get(), now, rhythm.sound_targets_age)
 }
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -16,9 +16,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Least time between two checks of a whole failure domain: a few dozen connections each.
 const DOMAIN_CHECK_INTERVAL: Duration = Duration::from_millis(400);
-/// Part of the drain bound that is kept for requests on their way, and for the time from the loss of an
-/// entry until this box hears of it: 0.4 s between reads, and as much from box to box.
-const DRAIN_MARGIN: Duration = Duration::from_millis(1500);
 
 /// Changed entries of one read that get a log line each. A first list or a new plan changes nearly all of
 /// them: with a line each, two in three lines of a quiet day with 295 boxes were of these.
@@ -103,8 +100,7 @@
 
     /// Forget targets whose entries did not come back in time.
     pub fn drop_missing(&self) {
-        let drain_within = self.settings.borrow().drain_within;
-        let patience = drain_within.saturating_sub(DRAIN_MARGIN);
+        let patience = self.rhythm().missing_patience;
         let missing = self.fleet.borrow().missing(self.now(), patience);
         for id in missing {
             self.forget(&id);
