--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -87,7 +87,7 @@
 
 /// What happens at some time.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Happening {
+enum Event {
     Request,
     Report(usize),
     Sum(usize),
@@ -116,7 +116,7 @@
     model: LayerModel,
     rng: ChaCha8Rng,
     now: u64,
-    due: BinaryHeap<Reverse<(u64, Happening)>>,
+    due: BinaryHeap<Reverse<(u64, Event)>>,
     boxes: Vec<SimBox>,
     engines: Vec<SimEngine>,
     requests: Vec<Request>,
@@ -128,7 +128,7 @@
 pub fn play(count: usize, options: &Options) -> Outcome {
     let mut play = Play::new(count, options);
     let end = WARM_UP_US + u64::from(options.seconds) * 1_000_000;
-    while let Some(Reverse((at, happening))) = play.due.pop() {
+    while let Some(Reverse((at, event))) = play.due.pop() {
         if at >= end {
             break;
         }
@@ -136,7 +136,7 @@
             play.begin_to_count();
         }
         play.now = at;
-        play.handle(happening);
+        play.handle(event);
     }
     play.ended()
 }
@@ -160,41 +160,41 @@
         };
         for number in 0..count {
             let phase = play.rng.random_range(0..REPORT_US);
-            play.schedule(phase, Happening::Report(number));
+            play.schedule(phase, Event::Report(number));
         }
         for collector in 0..count.min(DOMAINS) {
             let phase = play.rng.random_range(0..SUM_US);
-            play.schedule(phase, Happening::Sum(collector));
+            play.schedule(phase, Event::Sum(collector));
         }
-        play.schedule(0, Happening::Request);
+        play.schedule(0, Event::Request);
         play
     }
 
-    fn schedule(&mut self, after: u64, happening: Happening) {
-        self.due.push(Reverse((self.now + after, happening)));
+    fn schedule(&mut self, after: u64, event: Event) {
+        self.due.push(Reverse((self.now + after, event)));
     }
 
     fn clock(&self) -> Instant {
         Instant::from_elapsed(Duration::from_micros(self.now))
     }
 
-    fn handle(&mut self, happening: Happening) {
-        match happening {
-            Happening::Request => self.request(),
-            Happening::Report(number) => self.report(number),
-            Happening::Sum(number) => {
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Request => self.request(),
+            Event::Report(number) => self.report(number),
+            Event::Sum(number) => {
                 let now = self.clock();
                 self.boxes[number].collector.sum_up(now);
-                self.schedule(SUM_US, Happening::Sum(number));
+                self.schedule(SUM_US, Event::Sum(number));
             }
-            Happening::Arrival(place) => self.arrive(place),
-            Happening::First(number) => {
+            Event::Arrival(place) => self.arrive(place),
+            Event::First(number) => {
                 let request = &self.requests[number];
                 let entrance = &mut self.boxes[request.at];
                 let rows = entrance.rows(&request.path);
                 entrance.fleet.end_reading(&rows, request.load.prompt);
             }
-            Happening::End(number) => {
+            Event::End(number) => {
                 let request = &self.requests[number];
                 let entrance = &mut self.boxes[request.at];
                 let rows = entrance.rows(&request.path);
@@ -208,7 +208,7 @@
     /// A request comes to some box, which sends it until engines take it.
     fn request(&mut self) {
         let pause = -self.rng.random::<f64>().max(1e-9).ln() * 1e6 / f64::from(self.options.rate);
-        self.schedule(pause as u64, Happening::Request);
+        self.schedule(pause as u64, Event::Request);
         let at = self.rng.random_range(0..self.boxes.len());
         let load = Load {
             prompt: self.rng.random_range(400.0..1200.0),
@@ -251,14 +251,14 @@
         entrance.fleet.begin_reading(&rows, load.prompt);
         let number = self.requests.len();
         self.requests.push(Request { at, path, load });
-        self.schedule(times.first - self.now, Happening::First(number));
-        self.schedule(times.end - self.now, Happening::End(number));
+        self.schedule(times.first - self.now, Event::First(number));
+        self.schedule(times.end - self.now, Event::End(number));
         Some(times)
     }
 
     /// A box reports to the collector of its failure domain, or to itself; a collector tells the others.
     fn report(&mut self, number: usize) {
-        self.schedule(REPORT_US, Happening::Report(number));
+        self.schedule(REPORT_US, Event::Report(number));
         let now = self.clock();
         let entrance = &mut self.boxes[number];
         entrance.number += 1;
@@ -291,7 +291,7 @@
         self.boxes[to].count(bytes);
         let place = self.post.len();
         self.post.push(Some(Datagram { from, to, message }));
-        self.schedule(DELAY_US, Happening::Arrival(place));
+        self.schedule(DELAY_US, Event::Arrival(place));
     }
 
     fn arrive(&mut self, place: usize) {
--- a/reachtally-core/src/forward/loads.rs
+++ b/reachtally-core/src/forward/loads.rs
@@ -168,7 +168,7 @@
 
 /// Another collector.
 #[derive(Debug)]
-struct Colleague {
+struct PeerCollector {
     ip: IpAddr,
     domain: String,
     boxes: u32,
@@ -180,7 +180,7 @@
 #[derive(Debug, Default)]
 pub struct Collector {
     reporters: HashMap<Incarnation, Reporter>,
-    colleagues: HashMap<Incarnation, Colleague>,
+    peers: HashMap<Incarnation, PeerCollector>,
     /// When something last ran on each target.
     busy: BTreeMap<Arc<str>, Instant>,
     /// What those that report here have.
@@ -212,24 +212,23 @@
 
     /// Take in what another collector at `ip` told.
     pub fn hear_part(&mut self, part: Part, ip: IpAddr, now: Instant) {
-        let colleague = self.colleagues.entry(part.run).or_insert(Colleague {
+        let peer = self.peers.entry(part.run).or_insert(PeerCollector {
             ip,
             domain: part.domain,
             boxes: 0,
             heard: now,
             told: Told::default(),
         });
-        colleague.boxes = part.boxes;
-        colleague.heard = now;
-        colleague.told.hear(part.loads, now);
+        peer.boxes = part.boxes;
+        peer.heard = now;
+        peer.told.hear(part.loads, now);
     }
 
     /// Forget what is old, and sum up the rest.
     pub fn sum_up(&mut self, now: Instant) {
         let is_new = |heard: Instant| now.since(heard) < REPORT_LIFE;
         self.reporters.retain(|_, reporter| is_new(reporter.heard));
-        self.colleagues
-            .retain(|_, colleague| is_new(colleague.heard));
+        self.peers.retain(|_, peer| is_new(peer.heard));
         self.own.clear();
         for reporter in self.reporters.values_mut() {
             reporter.counted = reporter.loads.clone();
@@ -239,9 +238,9 @@
             }
         }
         let mut all = self.own.clone();
-        for colleague in self.colleagues.values_mut() {
-            colleague.told.forget_old(now);
-            for (target, load) in colleague.told.iter() {
+        for peer in self.peers.values_mut() {
+            peer.told.forget_old(now);
+            for (target, load) in peer.told.iter() {
                 all.entry(target.clone()).or_default().add(load);
             }
         }
@@ -265,9 +264,9 @@
     /// Boxes that report here or to other collectors.
     pub fn boxes(&self) -> u32 {
         let elsewhere: u32 = self
-            .colleagues
+            .peers
             .values()
-            .map(|colleague| colleague.boxes)
+            .map(|peer| peer.boxes)
             .fold(0, u32::saturating_add);
         self.reporters().saturating_add(elsewhere)
     }
@@ -341,9 +340,9 @@
     }
 
     /// Where other collectors have lately told from, by failure domain.
-    pub fn colleagues(&self) -> impl Iterator<Item = (&str, IpAddr)> {
-        let each = self.colleagues.values();
-        each.map(|colleague| (&*colleague.domain, colleague.ip))
+    pub fn peers(&self) -> impl Iterator<Item = (&str, IpAddr)> {
+        let each = self.peers.values();
+        each.map(|peer| (&*peer.domain, peer.ip))
     }
 }
 
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -164,8 +164,8 @@
     assert_eq!(parts[0].boxes, 1);
     assert_eq!(parts[0].loads, [load_of("e0", 5)]);
     assert_eq!(collector.boxes(), 5);
-    let colleagues: Vec<_> = collector.colleagues().collect();
-    assert_eq!(colleagues, [("south", ABROAD)]);
+    let peers: Vec<_> = collector.peers().collect();
+    assert_eq!(peers, [("south", ABROAD)]);
     // A domain that is cut off is forgotten.
     collector.hear(report(1, 2, 5), at(1_900));
     collector.sum_up(at(2_000));
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -8,7 +8,6 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::loads::{self, Collector, Message, Others};
-use reachtally_core::forward::readers::View;
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::load::{self, MESSAGE_MAX};
 use tokio::net::UdpSocket;
@@ -120,7 +119,7 @@
         }
         self.sum_up();
         let parts = self.parts();
-        for ip in self.colleagues() {
+        for ip in self.peers() {
             for part in &parts {
                 self.send_bytes(ip, part);
             }
@@ -148,7 +147,7 @@
             self.avoid.push((ip, now));
         }
         let avoid: Vec<IpAddr> = self.avoid.iter().map(|(ip, _)| *ip).collect();
-        let found = self.view(&avoid, |view| view.collector());
+        let found = self.relay.look(self.run, &avoid, |view| view.collector());
         let target = found.map_or(Target::Here, Target::Box);
         if target != self.target {
             self.target = target;
@@ -156,23 +155,6 @@
         }
     }
 
-    /// What the group looks like without boxes that do not answer.
-    fn view<T>(&self, avoid: &[IpAddr], look: impl FnOnce(&View<'_>) -> T) -> T {
-        let settings = self.relay.settings.borrow();
-        let members = self.relay.members.borrow();
-        look(&View {
-            members: &members,
-            home: &settings.domain,
-            run: self.run,
-            ip: settings.ip,
-            seeds: &settings.seeds,
-            avoid,
-            stale: &[],
-            is_young: false,
-            is_sound: true,
-        })
-    }
-
     fn parts(&self) -> Vec<bytes::Bytes> {
         let settings = self.relay.settings.borrow();
         let parts = self.collector.parts(self.run, &settings.domain);
@@ -182,10 +164,10 @@
 
     /// Other collectors: those that told lately, and the first reader of each failure domain of which none
     /// did.
-    fn colleagues(&self) -> BTreeSet<IpAddr> {
-        let told: Vec<(&str, IpAddr)> = self.collector.colleagues().collect();
+    fn peers(&self) -> BTreeSet<IpAddr> {
+        let told: Vec<(&str, IpAddr)> = self.collector.peers().collect();
         let is_silent = |domain: &str| !told.iter().any(|(from, _)| *from == domain);
-        let silent: Vec<IpAddr> = self.view(&[], |view| {
+        let silent: Vec<IpAddr> = self.relay.look(self.run, &[], |view| {
             let first = view.first_readers();
             let silent = first.into_iter().filter(|(domain, _)| is_silent(domain));
             silent.map(|(_, ip)| ip).collect()
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::readers::View;
 use reachtally_core::forward::stewardship::{Stewardship, Token};
 use reachtally_core::ids::Incarnation;
@@ -119,36 +118,20 @@
 }
 
 impl<S: Store> Joining<S> {
-    /// What the group of `members` looks like from here.
-    fn look<T>(&self, members: &[Member], look: impl FnOnce(&View<'_>) -> T) -> T {
-        let settings = self.relay.settings.borrow();
-        look(&View {
-            members,
-            home: &settings.domain,
-            run: self.run,
-            ip: settings.ip,
-            seeds: &settings.seeds,
-            avoid: &[],
-            stale: &[],
-            is_young: false,
-            is_sound: true,
-        })
+    fn look<T>(&self, look: impl FnOnce(&View<'_>) -> T) -> T {
+        self.relay.look(self.run, &[], look)
     }
 
     /// Whether this box should be in the group, given the members known.
     async fn should_join(&self, chance: f64) -> bool {
-        let members = self.relay.members.borrow().clone();
         if self.is_in {
-            return !self.look(&members, |view| view.is_superfluous());
+            return !self.look(|view| view.is_superfluous());
         }
-        if self.look(&members, |view| view.is_listed() && !view.is_superfluous()) {
+        if self.look(|view| view.is_listed() && !view.is_superfluous()) {
             return true;
         }
         let boxes = self.relay.boxes();
-        let wanted = self.look(&members, |view| match view.missing_readers() {
-            0 => 0.0,
-            _ => view.chance_to_join(boxes),
-        });
+        let wanted = self.look(|view| view.chance_to_join(boxes));
         wanted > chance && self.is_missed().await
     }
 
@@ -156,7 +139,10 @@
     /// old, and others may have joined meanwhile.
     async fn is_missed(&self) -> bool {
         match self.store.members().await {
-            Ok(members) => self.look(&members, |view| view.missing_readers() > 0),
+            Ok(members) => {
+                let is_missed = |view: &View<'_>| view.missing_readers() > 0;
+                self.relay.look_at(&members, self.run, &[], is_missed)
+            }
             Err(err) => {
                 log::info!(event = "census-failed", why:% = err; "the members of the group were not read");
                 false
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -15,10 +15,12 @@
 use reachtally_core::forward::freshness::Freshness;
 use reachtally_core::forward::loads::Elsewhere;
 use reachtally_core::forward::peers::Member;
+use reachtally_core::forward::readers::View;
 use reachtally_core::forward::routes::Table;
 use reachtally_core::forward::select;
 use reachtally_core::forward::stall::Progress;
 use reachtally_core::forward::tally::Tally;
+use reachtally_core::ids::Incarnation;
 use reachtally_protocol::packed;
 use tokio::sync::watch;
 
@@ -269,6 +271,39 @@
         self.touched();
     }
 
+    /// Look at the group as run `run` of this box sees it, without the boxes to `avoid`.
+    pub(crate) fn look<T>(
+        &self,
+        run: Incarnation,
+        avoid: &[IpAddr],
+        look: impl FnOnce(&View<'_>) -> T,
+    ) -> T {
+        let members = self.members.borrow();
+        self.look_at(&members, run, avoid, look)
+    }
+
+    /// The same for a list of members that is not the one held.
+    pub(crate) fn look_at<T>(
+        &self,
+        members: &[Member],
+        run: Incarnation,
+        avoid: &[IpAddr],
+        look: impl FnOnce(&View<'_>) -> T,
+    ) -> T {
+        let settings = self.settings.borrow();
+        look(&View {
+            members,
+            home: &settings.domain,
+            run,
+            ip: settings.ip,
+            seeds: &settings.seeds,
+            avoid,
+            stale: &[],
+            is_young: false,
+            is_sound: true,
+        })
+    }
+
     /// Engines that may be slow: a stream over them is.
     pub fn suspect(&self, engines: &[EngineKey]) {
         self.suspects.add(engines);
