--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -133,7 +133,10 @@
         if self.is_sound && self.is_reader() {
             return Origin::Store;
         }
-        let abroad = self.abroad();
+        // A reader that is not told in time is to read itself; measured with eight boxes: asking all readers
+        // abroad first, a change was in force too late.
+        let ranks = if self.is_reader() { 1 } else { READERS };
+        let abroad = self.abroad(ranks);
         let mut others = home.into_iter().chain(abroad);
         match others.find(|member| self.is_usable(member)) {
             Some(reader) => Origin::Box(reader.ip),
@@ -187,13 +190,12 @@
         domains.collect()
     }
 
-    /// The readers of other failure domains, the first of each before the second ones.
-    fn abroad(&self) -> Vec<&'a Member> {
+    /// The first `ranks` readers of other failure domains, the first of each before the second ones.
+    fn abroad(&self, ranks: usize) -> Vec<&'a Member> {
         let domains = self.domains();
         let abroad = domains.into_iter().filter(|domain| *domain != self.home);
         let readers: Vec<Vec<&Member>> = abroad.map(|domain| self.readers(domain)).collect();
-        let ranks = 0..READERS;
-        ranks
+        (0..ranks)
             .flat_map(|rank| {
                 readers
                     .iter()
--- a/reachtally-core/tests/core/forward/readers.rs
+++ b/reachtally-core/tests/core/forward/readers.rs
@@ -153,6 +153,8 @@
     assert_eq!(origin(&more, 50, &[1, 2, 3, 21], true), Origin::Box(ip(31)));
     let avoid = [1, 2, 3, 21, 31];
     assert_eq!(origin(&more, 50, &avoid, true), Origin::Box(ip(22)));
+    // A reader asks only the first ones, and then reads the store.
+    assert_eq!(origin(&more, 2, &avoid, false), Origin::Store);
     assert_eq!(origin(&group, 50, &[1, 2, 3, 21, 31], true), Origin::Store);
 }
 
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -124,7 +124,9 @@
                 self.send_bytes(ip, part);
             }
         }
-        if self.target == Target::Here {
+        // A box without a collector hears only itself, which says nothing of how many others there are.
+        let is_collector = self.relay.look(self.run, &[], |view| view.is_listed());
+        if self.target == Target::Here && is_collector {
             self.take(self.collector.all_but(self.run), now);
         }
         let mut elsewhere = self.relay.elsewhere.borrow_mut();
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -126,6 +126,9 @@
 const LEAST_HELD: f64 = 0.2;
 /// Boxes assumed before the first count: a small share of the budget is the safe side.
 const BOXES_ASSUMED: u32 = 64;
+/// Time after the start for which a smaller count is not believed: others start too, and a collector first
+/// hears only itself.
+const COUNT_SETTLED: Duration = Duration::from_secs(4);
 
 impl Relay {
     /// A relay that knows no configuration and no targets yet.
@@ -357,7 +360,12 @@
     pub fn boxes(&self) -> u32 {
         let counted = self.elsewhere.borrow().boxes();
         let members = self.members.borrow().len() as u32;
-        counted.unwrap_or(BOXES_ASSUMED).max(members).max(1)
+        let is_young = self.now().elapsed() < COUNT_SETTLED;
+        let least = match counted {
+            Some(_) if !is_young => 1,
+            _ => BOXES_ASSUMED,
+        };
+        counted.unwrap_or(least).max(members).max(least)
     }
 
     /// Count a request for a service's budget.
