--- a/reachtally-core/src/forward/loads.rs
+++ b/reachtally-core/src/forward/loads.rs
@@ -271,50 +271,39 @@
         self.reporters().saturating_add(elsewhere)
     }
 
-    /// What all boxes but `run` have on these targets of the list.
-    fn without(&self, run: Incarnation, listed: &[TargetLoad]) -> Vec<TargetLoad> {
+    /// What of the sums is of `run`, by target.
+    fn counted_of(&self, run: Incarnation) -> HashMap<&str, &Load> {
         let reporter = self.reporters.get(&run);
         let counted = reporter.map(|reporter| &*reporter.counted).unwrap_or(&[]);
-        let own: HashMap<&str, &Load> = counted
-            .iter()
-            .map(|told| (&*told.target, &told.load))
-            .collect();
-        let others = |told: &TargetLoad| TargetLoad {
-            target: told.target.clone(),
-            load: match own.get(&*told.target) {
-                Some(part) => told.load.without(part),
-                None => told.load,
-            },
-        };
-        listed.iter().map(others).collect()
+        let by_target = counted.iter().map(|told| (&*told.target, &told.load));
+        by_target.collect()
     }
 
     /// The answers to report `number` of `run`. Reports in a row are answered with different targets.
     pub fn answers(&self, run: Incarnation, number: u64) -> Vec<Others> {
         let pages: Vec<&[TargetLoad]> = self.all.chunks(TARGETS_TOLD).collect();
         let count = pages.len() as u64;
+        if count == 0 {
+            return vec![self.all_but(run)];
+        }
         let first = number.wrapping_mul(ANSWERS);
         let chosen: BTreeSet<u64> = (0..ANSWERS)
-            .filter_map(|each| first.wrapping_add(each).checked_rem(count))
-            .collect();
-        let mut answers: Vec<Others> = chosen
-            .into_iter()
-            .map(|page| Others {
-                boxes: self.boxes(),
-                loads: self.without(run, pages[page as usize]),
-            })
+            .map(|each| first.wrapping_add(each) % count)
             .collect();
-        if answers.is_empty() {
-            answers.push(self.all_but(run));
-        }
-        answers
+        let boxes = self.boxes();
+        let own = self.counted_of(run);
+        let others = |page: u64| Others {
+            boxes,
+            loads: without(pages[page as usize], &own),
+        };
+        chosen.into_iter().map(others).collect()
     }
 
     /// What all boxes but `run` have on all targets.
     pub fn all_but(&self, run: Incarnation) -> Others {
         Others {
             boxes: self.boxes(),
-            loads: self.without(run, &self.all),
+            loads: without(&self.all, &self.counted_of(run)),
         }
     }
 
@@ -346,6 +335,18 @@
     }
 }
 
+/// What is on the listed targets without one box's own part.
+fn without(listed: &[TargetLoad], own: &HashMap<&str, &Load>) -> Vec<TargetLoad> {
+    let others = |told: &TargetLoad| TargetLoad {
+        target: told.target.clone(),
+        load: match own.get(&*told.target) {
+            Some(part) => told.load.without(part),
+            None => told.load,
+        },
+    };
+    listed.iter().map(others).collect()
+}
+
 /// What a box knows of the other boxes' requests.
 #[derive(Debug, Default)]
 pub struct Elsewhere {
--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -77,7 +77,7 @@
         readers.iter().any(|member| self.is_here(member))
     }
 
-    /// Whether an earlier run of this box is listed in the group, whose place it should take.
+    /// Whether the group lists this box, or an earlier run of it whose place it should take.
     pub fn is_listed(&self) -> bool {
         self.members.iter().any(|member| self.is_here(member))
     }
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -70,14 +70,19 @@
     assert_eq!(choice.path.engines(), &keys[0..4]);
 }
 
-#[test]
-fn the_share_of_an_engine_falls_with_its_room() {
-    let (mut fleet, keys) = fleet([
+/// A chain that may begin on either of two equal engines.
+fn two_beginnings() -> (Fleet, Vec<EngineKey>) {
+    fleet([
         entry(0, "a", "middle", 0..20),
         entry(1, "a", "middle", 0..20),
         entry(2, "a", "large", 20..50),
         entry(3, "a", "large", 50..80),
-    ]);
+    ])
+}
+
+#[test]
+fn the_share_of_an_engine_falls_with_its_room() {
+    let (mut fleet, keys) = two_beginnings();
     let share = |fleet: &Fleet| first_engines(fleet, &[])[&keys[0]];
     let even = share(&fleet);
     assert!((450..550).contains(&even), "{even}");
@@ -93,12 +98,7 @@
 
 #[test]
 fn prompts_that_wait_turn_requests_away_and_show_in_the_expected_first_event() {
-    let (mut fleet, keys) = fleet([
-        entry(0, "a", "middle", 0..20),
-        entry(1, "a", "middle", 0..20),
-        entry(2, "a", "large", 20..50),
-        entry(3, "a", "large", 50..80),
-    ]);
+    let (mut fleet, keys) = two_beginnings();
     let expected = |fleet: &Fleet| choose(fleet, &keys[1..2]).expect("there is a path").first;
     let (idle, even) = (expected(&fleet), first_engines(&fleet, &[])[&keys[0]]);
     fleet
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -118,12 +118,7 @@
             }
         }
         self.sum_up();
-        let parts = self.parts();
-        for ip in self.peers() {
-            for part in &parts {
-                self.send_bytes(ip, part);
-            }
-        }
+        self.tell_peers();
         // A box without a collector hears only itself, which says nothing of how many others there are.
         let is_collector = self.relay.look(self.run, &[], |view| view.is_listed());
         if self.target == Target::Here && is_collector {
@@ -133,6 +128,19 @@
         elsewhere.forget_old(&mut self.relay.fleet.borrow_mut(), now);
     }
 
+    /// Tell other collectors what is reported here; most boxes have nothing to tell.
+    fn tell_peers(&self) {
+        let parts = self.parts();
+        if parts.is_empty() {
+            return;
+        }
+        for ip in self.peers() {
+            for part in &parts {
+                self.send_bytes(ip, part);
+            }
+        }
+    }
+
     fn sum_up(&mut self) {
         let now = self.relay.now();
         self.collector.sum_up(now);
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -29,12 +29,12 @@
 /// with 200 Mbit/s, and with 20 as long as it takes until the group has missed earlier runs of those with
 /// wider links and lists the present ones.
 const LINK_DELAY: Duration = Duration::from_secs(100);
-/// Bandwidth of a link that the settings don't tell, in Mbit/s.
-const LINK_ASSUMED: u32 = 200;
 /// Longest such time, about.
 const LONGEST_DELAY: Duration = Duration::from_secs(6);
 /// Least part of that time that a box waits; chance adds up to a half.
 const LEAST_DELAY: f64 = 0.9;
+/// Bandwidth of a link that the settings don't tell, in Mbit/s.
+const LINK_ASSUMED: u32 = 200;
 /// Different times of boxes with the same link.
 const DELAY_STEPS: u64 = 1024;
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -365,7 +365,7 @@
             Some(_) if !is_young => 1,
             _ => BOXES_ASSUMED,
         };
-        counted.unwrap_or(least).max(members).max(least)
+        counted.unwrap_or_default().max(members).max(least)
     }
 
     /// Count a request for a service's budget.
