feat(core): a way costs the price of its room times its duration

Cause: each engine's own time was multiplied by its own pressure, so an engine that is fast stayed cheap though its KV was full; of 99 engines one got 57 times the mean of the arrivals, and all late streams went through it. Change: each engine has a price for its room that rises 64-fold until its KV is full; a way costs the sum of the prices times the duration of the whole chain, and more where it will probably miss the first event's objective or the pauses'. The search follows weights over a few rounds. Prompts that wait for room are part of what is expected.

--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -9,7 +9,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::LayerModel;
 use reachtally_core::forward::loads::{self, Message};
-use reachtally_core::forward::select::Need;
+use reachtally_core::forward::select::{Aim, Need};
 use reachtally_protocol::load;
 
 use crate::choice::Options;
@@ -28,6 +28,11 @@
 const MOST_SENDS: u32 = 5;
 /// Time to the first event that is still in time, in µs.
 const OBJECTIVE_US: u64 = 500_000;
+/// What answers should keep to.
+const AIM: Aim = Aim {
+    first_ms: Some(OBJECTIVE_US as f64 / 1000.0),
+    gap_ms: Some(200.0),
+};
 /// Time before what happens counts, in µs: the fleet fills.
 const WARM_UP_US: u64 = 3_000_000;
 
@@ -229,6 +234,7 @@
         let need = Need {
             prompt: load.prompt,
             answer: load.answer,
+            aim: AIM,
         };
         let draw = self.rng.random();
         let now = self.clock();
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -1,4 +1,4 @@
-//! What a request would cost on one engine.
+//! What a request would take of one engine.
 
 use slotmap::Key;
 
@@ -14,27 +14,29 @@
 const KV_USED: f64 = 1.7;
 /// Part of an engine's places that is used, since loads are known some hundred ms late.
 const SLOTS_USED: f64 = 0.95;
-/// Part that is used at which the pressure grows no more.
-const MOST_USED: f64 = 0.97;
-/// Largest part by which chance makes an engine look slower. Until loads are told, all boxes see the same
-/// chain as the fastest, and the prompts of half a second wait there one behind the other. Measured with
+/// How much dearer the last of an engine's room is than the first.
+const PRICE_GROWTH: f64 = 64.0;
+/// Largest part by which chance makes an engine look dearer. Until loads are told, all boxes see the same
+/// chain as the cheapest, and the prompts of half a second wait there one behind the other. Measured with
 /// 85 boxes: at 0.3 the first event came after 500 to 900 ms at load, at 2.5 after 100 ms, at 5 no later.
 const SPREAD: f64 = 5.0;
 
-/// An engine with what a token and the prompt cost on it for each layer.
+/// An engine with what a request takes of it, and the times for each layer.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Candidate<'a> {
     pub key: EngineKey,
     pub engine: &'a Engine,
     /// Whether it has a place for a request that is sent to it.
     pub takes_more: bool,
-    /// Factor by which chance makes it look slower.
-    pub bias: f64,
+    /// Price of the room that the request holds, for each second, with chance.
+    pub price: f64,
     pub token_ms: f64,
     /// Time to read the request's own prompt.
     pub read_ms: f64,
     /// Time until the prompts that wait there are read.
     pub wait_ms: f64,
+    /// Time until others have left enough room, whatever the number of layers.
+    pub room_ms: f64,
 }
 
 impl<'a> Candidate<'a> {
@@ -60,31 +62,26 @@
         // The requests of a chain are spread over its engines.
         let batch = running * model.share(layers) + 1.0;
         let rate = running / cx.held.as_secs_f64();
-        let busy = model.reading_slowdown(card, layers, rate) * WAIT_FACTOR;
+        let busy =
+            model.reading_slowdown(card, layers, rate) * WAIT_FACTOR * engine.slowness(cx.now);
         let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
-        let used = (tokens / (KV_USED * room)).max(places);
+        let used = (tokens / room).max(places);
         let waiting = engine.reading + engine.reading_elsewhere;
-        let busy = busy * pressure(used) * engine.slowness(cx.now);
+        let lacking = (tokens / room - 1.0).max(0.0);
+        let bias = 1.0 + SPREAD * chance(cx.draw, key);
         Some(Candidate {
             key,
             engine,
             takes_more: running < SLOTS_USED * f64::from(engine.entry.slots),
-            bias: 1.0 + SPREAD * chance(cx.draw, key),
+            price: bias * PRICE_GROWTH.powf(used) * need.held() / room,
             token_ms: busy * model.step_ms(card, layers, batch) / each,
             read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
             wait_ms: busy * model.read_ms(card, layers, waiting) / each,
+            room_ms: lacking * cx.held.as_secs_f64() * 1000.0,
         })
     }
 }
 
-/// How much an engine's cost grows with the part of it that is used. Loads are known late, so engines that are
-/// nearly full are left to those that find nothing better. With the part's own inverse in place of its root,
-/// requests take to long chains of slow cards, which hold their KV several times as long: measured with 59
-/// boxes on one day, 0.758 of the requests served in place of 0.840.
-fn pressure(used: f64) -> f64 {
-    1.0 / (1.0 - used.min(MOST_USED)).sqrt()
-}
-
 /// A number from 0 to 1 for a request and an engine, by the finalizer of SplitMix64.
 fn chance(draw: u64, key: EngineKey) -> f64 {
     let mut mixed = draw ^ key.data().as_ffi().wrapping_mul(0x9E37_79B9_7F4A_7C15);
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -9,22 +9,32 @@
 use crate::time::Instant;
 
 mod candidate;
+mod judge;
 mod shortage;
 mod ways;
 
 pub use shortage::{Shortage, shortage};
 
 use candidate::Candidate;
-use ways::cheapest;
+use judge::best;
 
 /// Time that a token takes from one engine to the next within a failure domain, in ms. Links there
 /// take under a millisecond, and the engine's queue adds as much again.
 const HOP_MS: f64 = 0.5;
 /// Time that a token takes more between failure domains, in ms.
 const FAR_HOP_MS: f64 = 2.0;
-/// What another failure domain's chain must be faster by, so that requests stay at home.
+/// What another failure domain's chain must be cheaper by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
 
+/// Times that an answer should keep to, in ms.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Aim {
+    /// Until its first event.
+    pub first_ms: Option<f64>,
+    /// Between two events.
+    pub gap_ms: Option<f64>,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Need {
@@ -32,6 +42,8 @@
     pub prompt: f64,
     /// Tokens that its answer will probably have.
     pub answer: f64,
+    /// What its answer should keep to.
+    pub aim: Aim,
 }
 
 impl Need {
@@ -77,7 +89,7 @@
     Any,
 }
 
-/// The path of the least expected finish, or `None` if the layers are not all held.
+/// The path that costs least, or `None` if the layers are not all held.
 pub fn path(
     fleet: &Fleet,
     service: &str,
@@ -111,18 +123,18 @@
             .push(candidate);
     }
     let within = by_domain.iter().filter_map(|(domain, candidates)| {
-        let found = cheapest(candidates, model, HOP_MS)?;
+        let (cost, found) = best(candidates, model, HOP_MS, need.aim)?;
         let factor = if *domain == cx.home { HOME_BONUS } else { 1.0 };
-        Some((found.cost * factor, found))
+        Some((cost * factor, found))
     });
-    let best = within
+    let least = within
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, found)| found);
     let across = || {
         let all: Vec<Candidate<'_>> = by_domain.values().flatten().copied().collect();
-        cheapest(&all, model, FAR_HOP_MS)
+        best(&all, model, FAR_HOP_MS, need.aim).map(|(_, found)| found)
     };
-    let found = best.or_else(across)?;
+    let found = least.or_else(across)?;
     found.prove(model)
 }
 
--- a/reachtally-core/src/forward/select/ways.rs
+++ b/reachtally-core/src/forward/select/ways.rs
@@ -7,23 +7,60 @@
 use crate::forward::cost::LayerModel;
 use crate::forward::path::{Part, Path};
 
-/// Parts with their summed times.
+/// How much each part of a way counts.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Weights {
+    /// Of the price.
+    pub price: f64,
+    /// Of the time of a token, in ms.
+    pub token: f64,
+    /// Of the time to the first token, in ms.
+    pub first: f64,
+}
+
+impl Weights {
+    /// Only the price counts, and hops a little.
+    pub const CHEAPEST: Weights = Weights {
+        price: 1.0,
+        token: 1e-9,
+        first: 1e-9,
+    };
+
+    /// Only the duration of a usual request counts.
+    pub fn fastest(model: &LayerModel) -> Self {
+        Weights {
+            price: 0.0,
+            token: model.usual_answer,
+            first: 1.0,
+        }
+    }
+}
+
+/// Parts with their sums.
 #[derive(Debug, Clone)]
 pub(super) struct Found {
     parts: Vec<Part>,
-    /// What it costs a usual request in ms, with chance.
-    pub cost: f64,
-    token_ms: f64,
+    /// Price of the room that it holds, for each second, with chance.
+    pub price: f64,
+    /// Time of a token.
+    pub token_ms: f64,
+    /// Time to read the prompt, with all that waits before it.
     read_ms: f64,
 }
 
 impl Found {
+    /// Time until the first token.
+    pub fn first_ms(&self) -> f64 {
+        self.read_ms + self.token_ms
+    }
+
     pub fn prove(self, model: &LayerModel) -> Option<Choice> {
+        let first = Duration::from_secs_f64(self.first_ms() / 1000.0);
         let path = Path::prove(self.parts, model.layers).ok()?;
         Some(Choice {
             path,
             token: Duration::from_secs_f64(self.token_ms / 1000.0),
-            first: Duration::from_secs_f64((self.read_ms + self.token_ms) / 1000.0),
+            first,
         })
     }
 }
@@ -31,8 +68,9 @@
 /// The cheapest way found to run the layers from the first to some layer.
 #[derive(Debug, Clone, Copy)]
 struct Way {
-    /// What it costs a usual request in ms, with chance.
+    /// What it costs by the weights.
     cost: f64,
+    price: f64,
     token_ms: f64,
     read_ms: f64,
     /// Where its last part begins.
@@ -45,6 +83,7 @@
     /// Before the first layer.
     const START: Way = Way {
         cost: 0.0,
+        price: 0.0,
         token_ms: 0.0,
         read_ms: 0.0,
         from: 0,
@@ -58,28 +97,30 @@
         from: usize,
         layers: f64,
         hop_ms: f64,
-        answer: f64,
+        weights: Weights,
     ) -> Way {
         let token_ms = candidate.token_ms * layers + hop_ms;
-        let read_ms = candidate.read_ms * layers + hop_ms;
-        let wait_ms = candidate.wait_ms * layers;
-        let cost = token_ms * answer + read_ms + wait_ms;
+        let read_ms = (candidate.read_ms + candidate.wait_ms) * layers + candidate.room_ms + hop_ms;
+        let cost =
+            weights.price * candidate.price + weights.token * token_ms + weights.first * read_ms;
         Way {
-            cost: self.cost + candidate.bias * cost,
+            cost: self.cost + cost,
+            price: self.price + candidate.price,
             token_ms: self.token_ms + token_ms,
-            read_ms: self.read_ms + read_ms + wait_ms,
+            read_ms: self.read_ms + read_ms,
             from,
             last,
         }
     }
 }
 
-/// The cheapest way from layer 0 to the last, where each part runs to the end of what its engine
+/// The cheapest way by `weights` from layer 0 to the last, where each part runs to the end of what its engine
 /// holds. `ways[x]` is the cheapest way that has run the layers `0..x`.
 pub(super) fn cheapest(
     candidates: &[Candidate<'_>],
     model: &LayerModel,
     hop_ms: f64,
+    weights: Weights,
 ) -> Option<Found> {
     let end = model.layers as usize;
     let mut ways: Vec<Option<Way>> = vec![None; end + 1];
@@ -94,7 +135,7 @@
                 continue;
             }
             let to = (held.end as usize).min(end);
-            let next = way.step(candidate, at, (to - at) as f64, hop_ms, model.usual_answer);
+            let next = way.step(candidate, at, (to - at) as f64, hop_ms, weights);
             if ways[to].is_none_or(|known| next.cost < known.cost) {
                 ways[to] = Some(next);
             }
@@ -103,7 +144,7 @@
     let whole = ways[end]?;
     Some(Found {
         parts: parts_of(candidates, &ways)?,
-        cost: whole.cost,
+        price: whole.price,
         token_ms: whole.token_ms,
         read_ms: whole.read_ms,
     })
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -429,6 +429,7 @@
                     let need = select::Need {
                         prompt: 1.0,
                         answer: 1.0,
+                        aim: select::Aim::default(),
                     };
                     select::path(&fleet, name, model, need, &cx).is_some()
                 }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -13,7 +13,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
-use reachtally_core::forward::select::{self, Need, Shortage};
+use reachtally_core::forward::select::{self, Aim, Need, Shortage};
 use reachtally_core::forward::stall;
 use reachtally_core::life::NeverStarted;
 
@@ -52,9 +52,15 @@
 fn need(call: &Call) -> Need {
     let most = call.head.most_answer_tokens;
     let answer = call.head.answer_hint.unwrap_or(most);
+    let ms = |time: Duration| time.as_secs_f64() * 1000.0;
+    let aim = Aim {
+        first_ms: Some(ms(call.route.objective)),
+        gap_ms: call.route.gap_objective().map(ms),
+    };
     Need {
         prompt: call.head.prompt_tokens,
         answer: answer.max(1.0),
+        aim,
     }
 }
 
