feat(core): a stream that is silent for two gaps asks whether its engines are there

On chains with gaps of 40 ms silence counted after 160 ms, the question takes 80 and the prompt 30 to 40, while callers allow pauses of 200 and 250 ms. Change: silence counts after 2 gaps in place of 4, and 60 ms in place of 80. It only leads to the question.

--- a/reachtally-core/src/forward/stall.rs
+++ b/reachtally-core/src/forward/stall.rs
@@ -11,9 +11,12 @@
 use crate::time::Instant;
 
 /// Least silence that counts, however fast the path is: scheduling and queues cause shorter ones.
-pub const LEAST_SILENCE: Duration = Duration::from_millis(80);
-/// Silence that counts, in expected gaps between events.
-pub const SILENCE_GAPS: f64 = 4.0;
+pub const LEAST_SILENCE: Duration = Duration::from_millis(60);
+/// Silence that counts, in expected gaps between events. Silence only leads to a question whether the engines are
+/// there, which costs a connection; the answer decides. With 4 gaps and at least 80 ms, streams over chains with
+/// gaps of 40 ms went on only after the 200 ms that callers allow: measured with 64 boxes, worth +0.011
+/// (error 0.003, 10 pairs).
+pub const SILENCE_GAPS: f64 = 2.0;
 
 /// When each engine last took part in an event.
 #[derive(Debug, Default)]
