feat: what changed of the targets is packed once for all boxes that ask

A reader encoded and sent the whole list to each of a hundred boxes, and again and again: only 512 changes were kept, and a first plan changes every entry within seconds. Change: a page of targets is packed by deflate (under 36 bytes a target in place of some 90) and kept for all that ask from the same change on; 16,384 changes are kept. The test of a box that is too far behind counts to 20,000 in place of 1,000.

--- a/reachtally-core/src/forward/changes.rs
+++ b/reachtally-core/src/forward/changes.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-/// Changes kept; a box that is further behind gets the whole list.
-const KEPT: usize = 512;
+/// Changes kept; a box that is further behind gets the whole list. Each takes a pointer. A first plan changes all
+/// entries within seconds: with 512 kept, boxes before 500 engines and more were told all of them again and again.
+const KEPT: usize = 16_384;
 
 /// How far a box has followed another's changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -46,12 +47,19 @@
         self.first + self.ids.len() as u64
     }
 
+    /// The change from which a box at `cursor` is to be told, for changes of the run `run`; `None` if it must be
+    /// told everything.
+    pub fn start(&self, cursor: Cursor, run: u64) -> Option<u64> {
+        let is_kept = (self.first..=self.next()).contains(&cursor.next);
+        (cursor.run == run && is_kept).then_some(cursor.next)
+    }
+
     /// What changed since `cursor`, for changes of the run `run`.
     pub fn since(&self, cursor: Cursor, run: u64) -> Since {
-        if cursor.run != run || cursor.next < self.first || cursor.next > self.next() {
+        let Some(start) = self.start(cursor, run) else {
             return Since::Whole;
-        }
-        let skipped = (cursor.next - self.first) as usize;
+        };
+        let skipped = (start - self.first) as usize;
         let mut ids: Vec<Arc<str>> = self.ids.iter().skip(skipped).cloned().collect();
         ids.sort_unstable();
         ids.dedup();
--- a/reachtally-core/tests/core/forward/changes.rs
+++ b/reachtally-core/tests/core/forward/changes.rs
@@ -29,14 +29,14 @@
 #[test]
 fn a_box_that_is_too_far_behind_gets_everything() {
     let mut changes = Changes::default();
-    for number in 0..1000 {
+    for number in 0..20_000 {
         changes.note(format!("e{number}").into());
     }
-    assert_eq!(changes.next(), 1000);
+    assert_eq!(changes.next(), 20_000);
     assert_eq!(changes.since(cursor(10), RUN), Since::Whole);
     assert_eq!(
-        changes.since(cursor(999), RUN),
-        Since::Changed(vec!["e999".into()])
+        changes.since(cursor(19_999), RUN),
+        Since::Changed(vec!["e19999".into()])
     );
-    assert_eq!(changes.since(cursor(1001), RUN), Since::Whole);
+    assert_eq!(changes.since(cursor(20_001), RUN), Since::Whole);
 }
--- a/reachtally-protocol/src/codec.rs
+++ b/reachtally-protocol/src/codec.rs
@@ -18,6 +18,8 @@
     Io(std::io::Error),
     /// The frame does not decode.
     Decode(prost::DecodeError),
+    /// What was packed does not unpack.
+    Unpack(std::io::Error),
     /// A field that must be set is missing.
     Missing(&'static str),
     /// JSON within a field does not parse.
@@ -29,6 +31,7 @@
         match self {
             Error::Io(cause) => write!(f, "the connection failed: {cause}"),
             Error::Decode(cause) => write!(f, "the frame does not decode: {cause}"),
+            Error::Unpack(cause) => write!(f, "a packed part does not unpack: {cause}"),
             Error::Missing(field) => write!(f, "field {field} is missing"),
             Error::Json(cause) => write!(f, "JSON in the frame does not parse: {cause}"),
         }
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -12,6 +12,7 @@
 use crate::FRAME_MAX;
 use crate::codec::Error;
 use crate::generated::relay as pb;
+use crate::packed;
 
 /// Asks for what is new since what the asker holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -39,20 +40,64 @@
     pub config: Bytes,
     /// How far the changes of targets go.
     pub targets: Cursor,
+    /// What changed of the targets: a packed [`TargetPage`]; empty if nothing did.
+    pub page: Bytes,
+    /// Generation of the group that `members` is of; 0 if the asker's is as new.
+    pub group_generation: u64,
+    /// The boxes of the group.
+    pub members: Vec<Member>,
+}
+
+/// What changed of the targets. It is packed, since after a start a reader tells all boxes of its failure domain of
+/// all targets: of 3,000 some 270 KB to each of a hundred before, worked out.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct TargetPage {
     /// Whether `wrote` holds all targets.
     pub is_whole: bool,
     /// Entries that changed.
     pub wrote: Vec<Entry>,
     /// Ids among `wrote` whose entries are missing in the store, perhaps through its own fault.
     pub lapsed: Vec<String>,
-    /// Generation of the group that `members` is of; 0 if the asker's is as new.
-    pub group_generation: u64,
-    /// The boxes of the group.
-    pub members: Vec<Member>,
     /// Ids of targets that are gone.
     pub gone: Vec<String>,
 }
 
+impl TargetPage {
+    /// Its packed form.
+    ///
+    /// # Errors
+    /// None is expected: both forms are in memory.
+    pub fn pack(&self) -> std::io::Result<Bytes> {
+        let message = pb::TargetPage {
+            is_whole: self.is_whole,
+            wrote: self.wrote.iter().map(encode_entry).collect(),
+            lapsed: self.lapsed.clone(),
+            gone: self.gone.clone(),
+        };
+        packed::pack(&message.encode_to_vec())
+    }
+
+    /// From its packed form.
+    ///
+    /// # Errors
+    /// [`Error::Unpack`], [`Error::Decode`], or [`Error::Missing`] for an address that is none.
+    pub fn unpack(page: &[u8]) -> Result<Self, Error> {
+        if page.is_empty() {
+            return Ok(TargetPage::default());
+        }
+        let unpacked = packed::unpack(page).map_err(Error::Unpack)?;
+        let message = pb::TargetPage::decode(unpacked).map_err(Error::Decode)?;
+        let wrote: Result<Vec<Entry>, Error> =
+            message.wrote.into_iter().map(decode_entry).collect();
+        Ok(TargetPage {
+            is_whole: message.is_whole,
+            wrote: wrote?,
+            lapsed: message.lapsed,
+            gone: message.gone,
+        })
+    }
+}
+
 /// Frames of these messages: a length of four bytes, then `prost`.
 pub fn frames() -> tokio_util::codec::LengthDelimitedCodec {
     let mut builder = tokio_util::codec::LengthDelimitedCodec::builder();
@@ -101,12 +146,9 @@
             targets_run: self.targets.run,
             targets_next: self.targets.next,
             targets_end: self.targets_end,
-            lapsed: self.lapsed.clone(),
             group_generation: self.group_generation,
             members: self.members.iter().map(encode_member).collect(),
-            is_whole: self.is_whole,
-            wrote: self.wrote.iter().map(encode_entry).collect(),
-            gone: self.gone.clone(),
+            page: self.page.clone(),
         };
         message.encode_to_vec().into()
     }
@@ -117,8 +159,6 @@
     /// [`Error::Decode`], or [`Error::Missing`] for an address that is none.
     pub fn decode(bytes: Bytes) -> Result<Self, Error> {
         let message = pb::News::decode(bytes).map_err(Error::Decode)?;
-        let wrote: Result<Vec<Entry>, Error> =
-            message.wrote.into_iter().map(decode_entry).collect();
         let members: Result<Vec<Member>, Error> =
             message.members.into_iter().map(decode_member).collect();
         Ok(News {
@@ -135,12 +175,9 @@
                 next: message.targets_next,
             },
             targets_end: message.targets_end,
-            lapsed: message.lapsed,
+            page: message.page,
             group_generation: message.group_generation,
             members: members?,
-            is_whole: message.is_whole,
-            wrote: wrote?,
-            gone: message.gone,
         })
     }
 }
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -12,7 +12,7 @@
 };
 use reachtally_core::forward::peers::Member;
 use reachtally_core::ids::Incarnation;
-use reachtally_protocol::news::{Ask, News};
+use reachtally_protocol::news::{Ask, News, TargetPage};
 use reachtally_protocol::{load, packed};
 
 fn entry(card: Option<&str>) -> Entry {
@@ -50,16 +50,50 @@
         targets_end: 812,
         group_generation: 7,
         members: vec![member()],
-        lapsed: vec!["i-1".to_owned()],
         confirmed_age: None,
         targets_age: None,
         config: Bytes::from_static(b"{}"),
         targets: Cursor { run: 5, next: 80 },
+        page: Bytes::from_static(b"packed"),
+    };
+    assert_eq!(News::decode(news.encode()).expect("it decodes"), news);
+}
+
+#[test]
+fn a_page_of_targets_survives_and_nothing_is_no_page() {
+    let page = TargetPage {
         is_whole: true,
         wrote: vec![entry(None), entry(Some("small"))],
+        lapsed: vec!["run-1".to_owned()],
         gone: vec!["run-2".to_owned()],
     };
-    assert_eq!(News::decode(news.encode()).expect("it decodes"), news);
+    let packed = page.pack().expect("it packs");
+    assert_eq!(TargetPage::unpack(&packed).expect("it unpacks"), page);
+    let nothing = TargetPage::unpack(&[]).expect("it is no page");
+    assert_eq!(nothing, TargetPage::default());
+    assert!(TargetPage::unpack(&packed[..packed.len() / 2]).is_err());
+}
+
+/// Figure before: some 90 bytes a target.
+#[test]
+fn a_page_of_thousands_of_targets_takes_a_few_dozen_bytes_for_each() {
+    let target = |number: u32| Entry {
+        id: format!(
+            "i-{:010x}",
+            u64::from(number).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 24
+        )
+        .into(),
+        address: ([10, 1, (number / 250) as u8, (number % 250) as u8], 8066).into(),
+        layers: number % 70..number % 70 + 10,
+        ..entry(Some("small"))
+    };
+    let page = TargetPage {
+        is_whole: true,
+        wrote: (0..3000).map(target).collect(),
+        ..TargetPage::default()
+    };
+    let packed = page.pack().expect("it packs");
+    assert!(packed.len() < 3000 * 36, "{} bytes", packed.len());
 }
 
 #[test]
@@ -181,6 +215,7 @@
     fn strangers_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = load::decode(&bytes);
         let _ = Ask::decode(&bytes);
+        let _ = TargetPage::unpack(&bytes);
         let _ = News::decode(bytes.into());
     }
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Times;
 use crate::occupied::OpenConnection;
 use crate::rhythm::Rhythm;
+use crate::share::Pages;
 use crate::suspects::Suspects;
 use crate::wire::Wire;
 
@@ -113,6 +114,8 @@
     pub times: Times,
     /// Changes of targets, for other boxes.
     pub changes: RefCell<Changes>,
+    /// What was lately told of them.
+    pub(crate) pages: RefCell<Pages>,
     stage: watch::Sender<Stage>,
     pub(crate) open: Cell<usize>,
     started: tokio::time::Instant,
@@ -158,6 +161,7 @@
             tally: Cell::default(),
             times: Times::default(),
             changes: RefCell::default(),
+            pages: RefCell::default(),
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             started: tokio::time::Instant::now(),
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -1,13 +1,15 @@
 //! Answers to other boxes' questions.
 
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
+use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use reachtally_core::forward::changes::{Cursor, Since};
+use reachtally_core::forward::changes::{Changes, Cursor, Since};
 use reachtally_core::forward::fleet::Engine;
 use reachtally_core::ids::Incarnation;
-use reachtally_protocol::news::{Ask, News, frames};
-use std::time::Duration;
+use reachtally_protocol::news::{Ask, News, TargetPage, frames};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
@@ -103,29 +105,65 @@
         news.group_generation = generation;
         news.members = relay.members.borrow().clone();
     }
+    news.page = relay
+        .pages
+        .borrow_mut()
+        .page(relay, &changes, ask.targets, run);
+    news
+}
+
+/// Pages that were packed lately, by what the asker knows already. After a start, or a change that all hear of,
+/// a hundred boxes ask for the same.
+#[derive(Debug, Default)]
+pub(crate) struct Pages {
+    /// Number of the next change when they were packed.
+    next: u64,
+    /// By the change from which the asker is to be told.
+    by_start: HashMap<Option<u64>, Bytes>,
+}
+
+impl Pages {
+    fn page(&mut self, relay: &Relay, changes: &Changes, held: Cursor, run: Incarnation) -> Bytes {
+        if self.next != changes.next() {
+            self.by_start.clear();
+            self.next = changes.next();
+        }
+        let start = changes.start(held, run.0);
+        let packed = || pack(relay, &changes.since(held, run.0));
+        self.by_start.entry(start).or_insert_with(packed).clone()
+    }
+}
+
+/// What changed, packed. A page that can't be packed leaves the asker as it is, and it asks again.
+fn pack(relay: &Relay, since: &Since) -> Bytes {
     let fleet = relay.fleet.borrow();
-    match changes.since(ask.targets, run.0) {
+    let mut page = TargetPage::default();
+    match since {
         Since::Whole => {
-            news.is_whole = true;
+            page.is_whole = true;
             for (_, engine) in fleet.iter() {
-                show(&mut news, engine);
+                show(&mut page, engine);
             }
         }
+        Since::Changed(ids) if ids.is_empty() => return Bytes::new(),
         Since::Changed(ids) => {
             for id in ids {
-                match fleet.find(&id).and_then(|key| fleet.get(key)) {
-                    Some(engine) => show(&mut news, engine),
-                    None => news.gone.push(id.to_string()),
+                match fleet.find(id).and_then(|key| fleet.get(key)) {
+                    Some(engine) => show(&mut page, engine),
+                    None => page.gone.push(id.to_string()),
                 }
             }
         }
     }
-    news
+    page.pack().unwrap_or_else(|err| {
+        log::error!(event = "page-not-packed", why:% = err; "the targets can't be told");
+        Bytes::new()
+    })
 }
 
-fn show(news: &mut News, engine: &Engine) {
-    news.wrote.push(engine.entry.clone());
+fn show(page: &mut TargetPage, engine: &Engine) {
+    page.wrote.push(engine.entry.clone());
     if engine.missing_since.is_some() {
-        news.lapsed.push(engine.entry.id.to_string());
+        page.lapsed.push(engine.entry.id.to_string());
     }
 }
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -10,7 +10,7 @@
 use reachtally_core::forward::fleet::{Entry, Evidence};
 use reachtally_core::forward::readers::{Origin, View};
 use reachtally_core::ids::Incarnation;
-use reachtally_protocol::news::{Ask, News, frames};
+use reachtally_protocol::news::{Ask, News, TargetPage, frames};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
@@ -266,24 +266,25 @@
         log::debug!(event = "source-behind", from:% = source.ip, end = news.targets_end, held = relay.targets_end.get(); "a box's targets are older than those held");
         return Ok(false);
     }
+    let page = TargetPage::unpack(&news.page).map_err(|err| err.to_string())?;
     source.targets = news.targets;
-    if news.is_whole {
-        relay.replace_targets(news.wrote, false);
+    if page.is_whole {
+        relay.replace_targets(page.wrote, false);
     } else {
-        let evidence_of = |entry: &Entry| match news.lapsed.iter().any(|id| **id == *entry.id) {
+        let evidence_of = |entry: &Entry| match page.lapsed.iter().any(|id| **id == *entry.id) {
             true => Evidence::Listed,
             false => Evidence::Written,
         };
-        let shown = news.wrote.into_iter().map(|entry| {
+        let shown = page.wrote.into_iter().map(|entry| {
             let evidence = evidence_of(&entry);
             (entry, evidence)
         });
         relay.targets_shown(shown.collect());
-        for id in news.gone {
+        for id in page.gone {
             relay.target_gone(&id, false);
         }
     }
-    for id in news.lapsed {
+    for id in page.lapsed {
         relay.target_lapsed(&id);
     }
     Ok(true)
--- a/reachtally-relay/src/share/mod.rs
+++ b/reachtally-relay/src/share/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::relay::Relay;
 
+pub(crate) use answer::Pages;
 pub use answer::serve;
 pub use ask::ask;
 
