feat(core): engines that nothing lacks add where there is least room

Change: where every layer has that, an empty engine takes the layers whose room grows most by it, relative to what is there. Tests: no_card_of_a_group_that_lacks_nothing_is_left_with_a_single_layer failed before with 2, 3, 4 and 6 spare cards.

--- a/reachtally-core/src/forward/placement/repair.rs
+++ b/reachtally-core/src/forward/placement/repair.rs
@@ -63,6 +63,18 @@
         self.tokens.iter().map(lack).sum()
     }
 
+    /// How much more the group could serve with an engine's room at `layers`: the sum of each layer's relative
+    /// gain, which is larger where there is less.
+    fn gain(&self, model: &LayerModel, host: &Host, layers: &Layers) -> f64 {
+        let tokens = model.kv_tokens(&host.card, layers.len() as u32);
+        let tokens = tokens.min(self.cap);
+        let each = layers.clone().map(|layer| {
+            let held = self.tokens[layer as usize].max(f64::MIN_POSITIVE);
+            (tokens / held).ln_1p()
+        });
+        each.sum()
+    }
+
     /// Whether some layers have the room that is asked for.
     fn suffices(&self, layers: &Layers, goal: f64) -> bool {
         layers
@@ -128,6 +140,22 @@
     }
 }
 
+/// The layers with which an empty engine adds most to a group that lacks nothing. Without it such an engine got the
+/// layer `0..1` alone, and each loss left the fleet smaller: measured with 64 boxes before 99 engines, worth +0.007
+/// (error 0.005, 10 pairs).
+fn most_useful(model: &LayerModel, host: &Host, room: &Room) -> Option<Layers> {
+    let least = LEAST_REQUESTS * model.usual_context();
+    let most = model.most_layers(&host.card, least);
+    let starts = room.starts_beside(&host.layers).into_iter();
+    let ranges = starts.flat_map(|start| {
+        let longest = most.min(model.layers - start);
+        (1..=longest).map(move |count| start..start + count)
+    });
+    let gains = ranges.map(|layers| (room.gain(model, host, &layers), layers));
+    let best = gains.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.len().cmp(&a.1.len())));
+    best.map(|(_, layers)| layers)
+}
+
 /// Give empty engines the layers that lack room most, and move engines whose layers have enough room
 /// without them; any engine, where nobody holds some layer. Moving others would only carry the lack to
 /// another place, while requests pass there.
@@ -141,8 +169,12 @@
         tokens: usual * SPARE_GOAL,
     };
     for host in hosts.iter_mut().filter(|host| host.layers.is_empty()) {
-        if let Some(best) = spare.best_layers(host, &room) {
-            apply(model, host, &mut room, best.layers, &mut moves);
+        let layers = match room.least() >= spare.tokens {
+            true => most_useful(model, host, &room),
+            false => spare.best_layers(host, &room).map(|best| best.layers),
+        };
+        if let Some(layers) = layers {
+            apply(model, host, &mut room, layers, &mut moves);
         }
     }
     let goal = Goal {
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -232,3 +232,36 @@
         assert_eq!(placed.give_up, GiveUp::Wait, "{placed:?}");
     }
 }
+
+/// Figures before: of 99 engines seven were given the layer `0..1` alone, and so were most that came back or were
+/// added later.
+#[test]
+fn no_card_of_a_group_that_lacks_nothing_is_left_with_a_single_layer() {
+    let model = model();
+    for spare in 0..8 {
+        let mut hosts = hosts("e", &[("large", 2), ("small", 33 + spare)]);
+        settle(&model, &mut hosts);
+        let least = hosts.iter().map(|host| host.layers.len()).min();
+        // The last engine of a chain holds what the others leave.
+        assert!(least >= Some(2), "{spare} spare: {least:?}");
+    }
+}
+
+#[test]
+fn an_engine_that_comes_back_to_a_rich_group_adds_to_the_layers_with_least_room() {
+    let model = model();
+    let mut hosts = hosts("e", &[("large", 2), ("small", 36)]);
+    settle(&model, &mut hosts);
+    let last = hosts.len() - 1;
+    let held = std::mem::replace(&mut hosts[last].layers, 0..0);
+    let without = cover(&model, &hosts);
+    let next = moves(&model, &hosts);
+    let back = next
+        .iter()
+        .find(|placed| placed.engine == hosts[last].engine);
+    let layers = back.expect("it is given layers").layers.clone();
+    assert!(layers.len() >= held.len() / 2, "{layers:?} after {held:?}");
+    place(&mut hosts, &next);
+    let scarcest = without.iter().min().expect("there are layers");
+    assert!(cover(&model, &hosts).iter().min() >= Some(scarcest));
+}
