--- a/reachtally-core/src/forward/loads.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -1,166 +1,21 @@
-//! What all boxes together have on the targets, as sums.
-//!
-//! Each box tells what it has to one box of its failure domain, the collector. The collectors tell each
-//! other what the boxes that report to them have in all, and answer each report with what all others
-//! have. So what a box sends and gets does not grow with the number of boxes, and every request in the
-//! fleet is known to every box after two reports.
-//!
-//! Every message names targets with what is on them, and stands for itself: one that is lost, late or
-//! doubled leaves what it names as old as it was, and what is old is forgotten. A box that changes its
-//! collector says so to the one before, where it would else count for as long.
+//! A collector: the sums of what boxes report to it, and of what other collectors tell.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::forward::count::{BoxCount, DomainCount};
-use crate::forward::fleet::{Engine, Fleet};
+use super::told::Told;
+use super::{Load, Others, Part, REPORT_LIFE, Report, TARGETS_TOLD, TargetLoad};
+use crate::forward::count::DomainCount;
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
-/// What was told is forgotten after this long: several reports in a row are lost only with their sender
-/// or its links.
-pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 /// How long a target on which nothing runs any more is told of, so that others learn it.
 const ENDED_TOLD: Duration = Duration::from_millis(1000);
-/// Targets in one message. With names of a dozen bytes, and the numbers of boxes of 13 failure domains, it fits
-/// a datagram that is not split on the way.
-pub const TARGETS_TOLD: usize = 38;
 /// Messages that answer a report. A fleet of 190 targets is told in five, so each is known anew after two
 /// reports.
 const ANSWERS: u64 = 3;
-/// Most requests on a target that are believed of one sender; beyond any target's places.
-const MOST_RUNNING: u32 = 100_000;
-/// Most tokens on a target that are believed of one sender; beyond any target's memory.
-const MOST_TOKENS: u32 = 100_000_000;
-
-/// Requests on a target, of one box or of many.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Load {
-    /// Requests that take part there.
-    pub running: u32,
-    /// KV tokens that they hold on average while they run.
-    pub tokens: u32,
-    /// Prompt tokens that wait to be read there.
-    pub reading: u32,
-    /// How much longer the target takes than it should, if a box asked it lately.
-    pub pace: Option<f64>,
-    /// Boxes that found that it takes no connections.
-    pub silent: u32,
-}
-
-impl Load {
-    fn is_nothing(&self) -> bool {
-        *self == Load::default()
-    }
-
-    /// What is beyond reason is cut.
-    fn bounded(self) -> Self {
-        Load {
-            running: self.running.min(MOST_RUNNING),
-            tokens: self.tokens.min(MOST_TOKENS),
-            reading: self.reading.min(MOST_TOKENS),
-            pace: self.pace.filter(|pace| pace.is_finite()),
-            silent: self.silent.min(MOST_RUNNING),
-        }
-    }
-
-    fn add(&mut self, other: &Load) {
-        self.running = self.running.saturating_add(other.running);
-        self.tokens = self.tokens.saturating_add(other.tokens);
-        self.reading = self.reading.saturating_add(other.reading);
-        let told = self.pace.into_iter().chain(other.pace);
-        self.pace = told.max_by(f64::total_cmp);
-        self.silent = self.silent.saturating_add(other.silent);
-    }
-
-    /// What is left without a part. The slowest pace told stays: it is the target's own.
-    fn without(&self, part: &Load) -> Self {
-        Load {
-            running: self.running.saturating_sub(part.running),
-            tokens: self.tokens.saturating_sub(part.tokens),
-            reading: self.reading.saturating_sub(part.reading),
-            pace: self.pace,
-            silent: self.silent.saturating_sub(part.silent),
-        }
-    }
-}
-
-/// The load of one target.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TargetLoad {
-    /// The run of the target.
-    pub target: Arc<str>,
-    /// What is on it.
-    pub load: Load,
-}
-
-/// What a box has on its targets, for its collector.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Report {
-    /// Its run.
-    pub run: Incarnation,
-    /// Numbers its reports, so that a late one is not taken for the newest.
-    pub number: u64,
-    /// The targets on which it has something.
-    pub loads: Vec<TargetLoad>,
-}
-
-/// What the boxes that report to one collector have on some targets, for other collectors.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Part {
-    /// The collector's run.
-    pub run: Incarnation,
-    /// Its failure domain.
-    pub domain: String,
-    /// Boxes that report to it.
-    pub boxes: u32,
-    /// What they have.
-    pub loads: Vec<TargetLoad>,
-}
-
-/// What all other boxes have on some targets, for a box that reported.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Others {
-    /// Boxes of each failure domain that is heard of; empty where other messages tell it.
-    pub counts: Vec<DomainCount>,
-    /// What they have.
-    pub loads: Vec<TargetLoad>,
-}
-
-/// What boxes tell each other of loads.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Message {
-    /// From a box to its collector.
-    Report(Report),
-    /// From a collector to another.
-    Part(Part),
-    /// From a collector to a box.
-    Others(Others),
-    /// From a box to the collector that it leaves for another: it is not to count there any more.
-    Leave(Incarnation),
-}
-
-/// Targets with what was last told of each, and when.
-#[derive(Debug, Default)]
-struct Told(HashMap<Arc<str>, (Load, Instant)>);
-
-impl Told {
-    fn hear(&mut self, loads: Vec<TargetLoad>, now: Instant) {
-        let loads = loads.into_iter().map(|told| (told.target, told.load));
-        self.0
-            .extend(loads.map(|(target, load)| (target, (load.bounded(), now))));
-    }
-
-    fn forget_old(&mut self, now: Instant) {
-        self.0.retain(|_, (_, at)| now.since(*at) < REPORT_LIFE);
-    }
-
-    fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Load)> {
-        self.0.iter().map(|(target, (load, _))| (target, load))
-    }
-}
 
 /// A box that reports here.
 #[derive(Debug)]
@@ -381,79 +236,3 @@
     };
     listed.iter().map(others).collect()
 }
-
-/// What a box knows of the other boxes' requests.
-#[derive(Debug, Default)]
-pub struct Elsewhere {
-    told: Told,
-    count: BoxCount,
-    /// Failure domains that the last message with counts told of.
-    heard: usize,
-}
-
-impl Elsewhere {
-    /// Take in what a collector told, and put it on the targets.
-    pub fn hear(&mut self, others: Others, fleet: &mut Fleet, now: Instant) {
-        for told in &others.loads {
-            put(fleet, &told.target, &told.load.bounded());
-        }
-        for told in &others.counts {
-            self.count.hear(told, now);
-        }
-        if !others.counts.is_empty() {
-            self.heard = others.counts.len();
-        }
-        self.told.hear(others.loads, now);
-    }
-
-    /// Forget what is old, also on the targets.
-    pub fn forget_old(&mut self, fleet: &mut Fleet, now: Instant) {
-        self.told.forget_old(now);
-        self.count.forget_old(now);
-        fleet.clear_elsewhere();
-        for (target, load) in self.told.iter() {
-            put(fleet, target, load);
-        }
-    }
-
-    /// Failure domains whose requests are in what was told; 0 before the first count.
-    pub fn domains_heard(&self) -> usize {
-        self.heard
-    }
-
-    /// Boxes in all, this one included; `None` before the first count.
-    pub fn boxes(&self) -> Option<u32> {
-        self.count.boxes()
-    }
-}
-
-/// Note on a target what other boxes have there.
-fn put(fleet: &mut Fleet, target: &str, load: &Load) {
-    if let Some(engine) = fleet.find(target).and_then(|key| fleet.get_mut(key)) {
-        engine.running_elsewhere = f64::from(load.running);
-        engine.tokens_elsewhere = f64::from(load.tokens);
-        engine.reading_elsewhere = f64::from(load.reading);
-        engine.pace_elsewhere = load.pace;
-        engine.silent_elsewhere = load.silent;
-    }
-}
-
-/// What this box has on its targets.
-pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet, now: Instant) -> Report {
-    let load = |engine: &Engine| Load {
-        running: engine.running,
-        tokens: engine.tokens as u32,
-        reading: engine.reading as u32,
-        pace: engine.own_pace(now),
-        silent: u32::from(engine.health.is_silent()),
-    };
-    let loads = fleet.iter().map(|(_, engine)| TargetLoad {
-        target: engine.entry.id.clone(),
-        load: load(engine),
-    });
-    Report {
-        run,
-        number,
-        loads: loads.filter(|told| !told.load.is_nothing()).collect(),
-    }
-}
--- /dev/null
+++ b/reachtally-core/src/forward/loads/told.rs
@@ -0,0 +1,27 @@
+//! What was told of targets, with its age.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{Load, REPORT_LIFE, TargetLoad};
+use crate::time::Instant;
+
+/// Targets with what was last told of each, and when.
+#[derive(Debug, Default)]
+pub(super) struct Told(HashMap<Arc<str>, (Load, Instant)>);
+
+impl Told {
+    pub fn hear(&mut self, loads: Vec<TargetLoad>, now: Instant) {
+        let loads = loads.into_iter().map(|told| (told.target, told.load));
+        self.0
+            .extend(loads.map(|(target, load)| (target, (load.bounded(), now))));
+    }
+
+    pub fn forget_old(&mut self, now: Instant) {
+        self.0.retain(|_, (_, at)| now.since(*at) < REPORT_LIFE);
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Load)> {
+        self.0.iter().map(|(target, (load, _))| (target, load))
+    }
+}
