--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod faults;
 mod overhead;
+mod path;
 mod process;
 mod recovery;
 mod relay;
@@ -59,6 +60,9 @@
     /// How well boxes that know only what they are told spread requests, against one that knows all
     #[bpaf(command)]
     Choice(#[bpaf(external(choice::options))] choice::Options),
+    /// What the decisions on the path of a request cost, against the number of engines
+    #[bpaf(command)]
+    Path(#[bpaf(external(path::options))] path::Options),
     /// Requests that may run once: how many share an append, and that none runs twice
     #[bpaf(command)]
     Claims(#[bpaf(external(claims::options))] claims::Options),
@@ -84,6 +88,7 @@
         Experiment::Relay(options) => relay::run(options).await,
         Experiment::RelayBox(options) => run_box(options),
         Experiment::Choice(options) => choice::run(&options),
+        Experiment::Path(options) => path::run(&options),
         Experiment::Claims(options) => claims::run(&options),
     };
     match result {
