fix(core): figures beyond reason stay finite in a choice

A hundred thousand requests told of one engine, or a pace without end, made a price or an expected time infinite; the latter ends the process when it becomes a duration. Test: figures_beyond_reason_neither_panic_nor_attract.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -194,6 +194,8 @@
     pub missing_since: Option<Instant>,
 }
 
+/// Slowest pace that is believed of an engine; beyond it is as good as silent.
+const SLOWEST_PACE: f64 = 1000.0;
 /// Other boxes that must have found a target silent before it counts: one may have lost its own link.
 const LEAST_WITNESSES: u32 = 2;
 
@@ -204,9 +206,11 @@
         self.silent_elsewhere >= LEAST_WITNESSES
     }
 
-    /// The engine told how much longer than it should it takes.
+    /// The engine told how much longer than it should it takes. What is no number tells nothing.
     pub fn told_pace(&mut self, pace: f64, now: Instant) {
-        self.pace = Some((pace.max(1.0), now));
+        if !pace.is_nan() {
+            self.pace = Some((pace.clamp(1.0, SLOWEST_PACE), now));
+        }
     }
 
     /// What the engine told this box lately.
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -24,6 +24,8 @@
 /// the use itself, 6-fold, is better by 0.005 of the worth with 64 boxes where room abounds, and costs 0.05 with 59
 /// boxes where KV binds; 64-fold it costs 0.01 and 0.02.
 const PRICE_POWER: i32 = 3;
+/// Most that the price follows, in parts of an engine's room or places: numbers beyond reason stay finite.
+const MOST_PRICED: f64 = 3.0;
 /// Largest part by which chance makes an engine look dearer. Until loads are told, all boxes see the same
 /// chain as the cheapest, and the prompts of half a second wait there one behind the other. Measured with
 /// 85 boxes: at 0.3 the first event came after 500 to 900 ms at load, at 2.5 after 100 ms, at 5 no later.
@@ -76,6 +78,7 @@
         let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
         let supposed = (held * cx.unheard + need.held()) / room;
         let used = supposed.min(MOST_SUPPOSED).max(tokens / room).max(places);
+        let growth = used.min(MOST_PRICED).powi(PRICE_POWER);
         let waiting = engine.reading + engine.reading_elsewhere;
         let lacking = (tokens / room - 1.0).max(0.0);
         let bias = 1.0 + SPREAD * chance(cx.draw, key);
@@ -83,7 +86,7 @@
             key,
             engine,
             takes_more: running < SLOTS_USED * f64::from(engine.entry.slots),
-            price: bias * PRICE_GROWTH.powf(used.powi(PRICE_POWER)) * need.held() / room,
+            price: bias * PRICE_GROWTH.powf(growth) * need.held() / room,
             token_ms: busy * model.step_ms(card, layers, batch) / each,
             read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
             wait_ms: busy * model.read_ms(card, layers, waiting) / each,
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::cost::LayerModel;
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::select::{
     Aim, Choice, Circumstance, Need, Shortage, instance, path, shortage,
@@ -394,3 +395,39 @@
     assert!(share(1.0) > 400, "{}", share(1.0));
     assert!(share(40.0) < 200, "{}", share(40.0));
 }
+
+#[test]
+fn figures_beyond_reason_neither_panic_nor_attract() {
+    let (mut fleet, keys) = two_beginnings();
+    let engine = fleet.get_mut(keys[0]).expect("it is known");
+    engine.running_elsewhere = 100_000.0;
+    engine.told_pace(f64::INFINITY, Instant::from_elapsed(Duration::from_secs(1)));
+    engine.told_pace(f64::NAN, Instant::from_elapsed(Duration::from_secs(1)));
+    assert_eq!(share(&fleet, keys[0]), 0);
+    // A later stage may run more requests than a first one has places.
+    let engine = fleet.get_mut(keys[2]).expect("it is known");
+    engine.running_elsewhere = 100_000.0;
+    engine.reading_elsewhere = 1e8;
+    assert!(choose(&fleet, &[]).is_some());
+    for empty in [
+        LayerModel::default(),
+        LayerModel {
+            read_per_s: 0.0,
+            slots: 0,
+            usual_answer: 0.0,
+            ..model()
+        },
+    ] {
+        let none = path(&fleet, SERVICE, &empty, NEED, &cx(&[]));
+        assert!(none.is_none() || empty.layers > 0);
+    }
+    let nothing = Need {
+        prompt: 0.0,
+        answer: 0.0,
+        aim: Aim {
+            first_ms: Some(0.0),
+            gap_ms: Some(0.0),
+        },
+    };
+    assert!(path(&fleet, SERVICE, &model(), nothing, &cx(&[])).is_some());
+}
