feat: reachtally crowding, which engines requests crowd on and what was believed of them

Counts late first events by first engine with the expected and the taken time, sends refused for want of room with the KV that was believed, and second sends denied by the boxes counted.

--- a/reachtally-journal/src/lib.rs
+++ b/reachtally-journal/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod crowding;
 mod explain;
 mod line;
 mod losses;
@@ -25,6 +26,7 @@
 
 use crate::queue::Queue;
 
+pub use crowding::{Crowding, Denials, LateFirsts, Refusals, crowding};
 pub use explain::{Error as ExplainError, explain};
 pub use losses::{Losses, losses};
 
--- a/reachtally-journal/src/line.rs
+++ b/reachtally-journal/src/line.rs
@@ -25,6 +25,11 @@
         text.unwrap_or_default()
     }
 
+    /// A field's whole number, if it is there and one.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name).and_then(Value::as_u64)
+    }
+
     /// Whether a field is there and true.
     pub fn is_true(&self, name: &str) -> bool {
         self.fields.get(name) == Some(&Value::Bool(true))
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -1,7 +1,7 @@
 //! The decision log.
 
 use reachtally_journal::queue::{QUEUE_BYTES, Queue};
-use reachtally_journal::{ExplainError, explain, losses};
+use reachtally_journal::{ExplainError, crowding, explain, losses};
 
 #[test]
 fn a_full_queue_drops_and_counts_and_never_grows() {
@@ -86,3 +86,58 @@
     ];
     assert_eq!(lines, expected);
 }
+
+#[test]
+fn engines_that_requests_crowd_on_are_told_with_what_was_believed_of_them() {
+    let late = |expected, took, targets| {
+        format!(
+            r#"{{"t":1,"event":"answered","id":"r","late":true,"first_late":true,"expected_first_ms":{expected},"first_ms":{took},"targets":"{targets}"}}"#
+        )
+    };
+    let refused = |target, here, elsewhere| {
+        format!(
+            r#"{{"t":2,"event":"target-refused","target":"{target}","layers":"0..28","tokens":{here},"tokens_elsewhere":{elsewhere}}}"#
+        )
+    };
+    let log = [
+        late(70, 900, "e1,e2"),
+        late(80, 1500, "e1,e3"),
+        late(90, 700, "e1,e2"),
+        late(40, 600, "e4"),
+        r#"{"t":1,"event":"answered","id":"r","late":false,"first_late":false,"first_ms":9,"targets":"e9"}"#.to_owned(),
+        refused("e2", 2_000, 40_000),
+        refused("e2", 0, 50_000),
+        refused("e5", 9, 1),
+        r#"{"t":3,"event":"budget","id":"r","boxes":295}"#.to_owned(),
+        r#"{"t":3,"event":"budget","id":"r","boxes":295}"#.to_owned(),
+        r#"{"t":3,"event":"budget","id":"r","boxes":64}"#.to_owned(),
+        "not a line of ours".to_owned(),
+    ];
+    let text = crowding(log.iter().map(String::as_str)).to_string();
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = [
+        "4 late first events, by the first engine",
+        "      3   75.0%  e1  expected 80 ms, took 900 ms",
+        "      1   25.0%  e4  expected 40 ms, took 600 ms",
+        "3 sends refused for want of room, by engine",
+        "      2   66.7%  e2  layers 0..28, believed to hold 50000 tokens",
+        "      1   33.3%  e5  layers 0..28, believed to hold 10 tokens",
+        "3 second sends denied, by the boxes counted",
+        "      1  64 boxes",
+        "      2  295 boxes",
+    ];
+    assert_eq!(lines, expected);
+}
+
+#[test]
+fn a_line_without_figures_counts_all_the_same() {
+    let text = crowding(["{}", r#"{"t":1,"event":"target-refused","target":"e1"}"#]).to_string();
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = [
+        "0 late first events, by the first engine",
+        "1 sends refused for want of room, by engine",
+        "      1  100.0%  e1  layers , believed to hold - tokens",
+        "0 second sends denied, by the boxes counted",
+    ];
+    assert_eq!(lines, expected);
+}
--- a/reachtally/src/main.rs
+++ b/reachtally/src/main.rs
@@ -58,6 +58,9 @@
     /// Count what requests that were not served in time were lost to, in logs on standard input
     #[bpaf(command)]
     Losses,
+    /// Show the engines that more requests came to than they had room for, in logs on standard input
+    #[bpaf(command)]
+    Crowding,
     /// Run a query or command, such as "show targets"
     Run {
         /// Query or command
@@ -100,6 +103,7 @@
                 .map_err(|err| Failure::Usage(err.to_string()))
         }
         Action::Losses => Ok(reachtally_journal::losses(read_log()?.lines()).to_string()),
+        Action::Crowding => Ok(reachtally_journal::crowding(read_log()?.lines()).to_string()),
         Action::Run { command } => {
             reachtally_command::parse(&command)
                 .map_err(|err| Failure::Usage(format!("bad command\n{err}")))?;
