--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod changes;
+mod choice_properties;
 mod count;
 mod fleet;
 mod freshness;
