--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -117,12 +117,19 @@
     cx: &Circumstance<'_>,
 ) -> Option<Choice> {
     let cheapest = |trust| cheapest(fleet, service, model, need, cx, trust);
+    // All engines are looked at only where the drawn ones don't do: a search takes the longer the more there are.
+    let drawn = match cheapest(Trust::Drawn) {
+        Some(drawn) if drawn.used < MAY_BE_FULL => return drawn.prove(model),
+        drawn => drawn,
+    };
     let Some(least) = cheapest(Trust::Sound) else {
         return cheapest(Trust::Any)?.prove(model);
     };
-    let has_room = |drawn: &Found| drawn.used < MAY_BE_FULL || least.used >= MAY_BE_FULL;
-    let drawn = cheapest(Trust::Drawn).filter(has_room);
-    drawn.unwrap_or(least).prove(model)
+    let nobody_has_room = least.used >= MAY_BE_FULL;
+    drawn
+        .filter(|_| nobody_has_room)
+        .unwrap_or(least)
+        .prove(model)
 }
 
 /// The way that costs least among the engines that are trusted so far.
