--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -97,7 +97,7 @@
     pub first: Duration,
 }
 
-/// How strict a choice is about the engines' condition.
+/// Which engines a choice looks at, the strictest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trust {
     /// Only those of the sound ones that are drawn for the request, all in one failure domain.
@@ -116,7 +116,7 @@
     need: Need,
     cx: &Circumstance<'_>,
 ) -> Option<Choice> {
-    let cheapest = |trust| cheapest(fleet, service, model, need, cx, trust);
+    let cheapest = |trust| cheapest_way(fleet, service, model, need, cx, trust);
     // All engines are looked at only where the drawn ones don't do: a search takes the longer the more there are.
     let drawn = match cheapest(Trust::Drawn) {
         Some(drawn) if drawn.used < MAY_BE_FULL => return drawn.prove(model),
@@ -133,7 +133,7 @@
 }
 
 /// The way that costs least among the engines that are trusted so far.
-fn cheapest(
+fn cheapest_way(
     fleet: &Fleet,
     service: &str,
     model: &LayerModel,
