--- a/reachtally-journal/src/crowding.rs
+++ b/reachtally-journal/src/crowding.rs
@@ -1,6 +1,7 @@
 //! Which engines more requests came to than they had room for, and what was believed of them.
 
 use std::collections::BTreeMap;
+use std::fmt::{self, Formatter};
 
 use crate::line::Line;
 
@@ -117,33 +118,47 @@
     rows
 }
 
-impl std::fmt::Display for Crowding {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let lates = |of: &LateFirsts| of.requests;
-        let all: usize = self.late_firsts.values().map(lates).sum();
-        writeln!(f, "{all} late first events, by the first engine")?;
-        for (id, of, count, share) in busiest(&self.late_firsts, lates) {
-            let (expected, took) = (shown(&of.expected_ms), shown(&of.took_ms));
-            writeln!(
-                f,
-                "{count:>7}  {share:>5.1}%  {id}  expected {expected} ms, took {took} ms"
-            )?;
-        }
-        let sends = |of: &Refusals| of.sends;
-        let all: usize = self.refusals.values().map(sends).sum();
-        writeln!(f, "{all} sends refused for want of room, by engine")?;
-        for (id, of, count, share) in busiest(&self.refusals, sends) {
-            let (layers, tokens) = (&of.layers, shown(&of.believed_tokens));
-            writeln!(
-                f,
-                "{count:>7}  {share:>5.1}%  {id}  layers {layers}, believed to hold {tokens} tokens"
-            )?;
-        }
-        let all: usize = self.denials.by_boxes.values().sum();
-        writeln!(f, "{all} second sends denied, by the boxes counted")?;
-        for (boxes, count) in &self.denials.by_boxes {
-            writeln!(f, "{count:>7}  {boxes} boxes")?;
-        }
-        Ok(())
+impl fmt::Display for Crowding {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write_late_firsts(f, &self.late_firsts)?;
+        write_refusals(f, &self.refusals)?;
+        write_denials(f, &self.denials)
+    }
+}
+
+fn write_late_firsts(f: &mut Formatter<'_>, late: &BTreeMap<String, LateFirsts>) -> fmt::Result {
+    let requests = |of: &LateFirsts| of.requests;
+    let all: usize = late.values().map(requests).sum();
+    writeln!(f, "{all} late first events, by the first engine")?;
+    for (id, of, count, share) in busiest(late, requests) {
+        let (expected, took) = (shown(&of.expected_ms), shown(&of.took_ms));
+        writeln!(
+            f,
+            "{count:>7}  {share:>5.1}%  {id}  expected {expected} ms, took {took} ms"
+        )?;
+    }
+    Ok(())
+}
+
+fn write_refusals(f: &mut Formatter<'_>, refusals: &BTreeMap<String, Refusals>) -> fmt::Result {
+    let sends = |of: &Refusals| of.sends;
+    let all: usize = refusals.values().map(sends).sum();
+    writeln!(f, "{all} sends refused for want of room, by engine")?;
+    for (id, of, count, share) in busiest(refusals, sends) {
+        let (layers, tokens) = (&of.layers, shown(&of.believed_tokens));
+        writeln!(
+            f,
+            "{count:>7}  {share:>5.1}%  {id}  layers {layers}, believed to hold {tokens} tokens"
+        )?;
+    }
+    Ok(())
+}
+
+fn write_denials(f: &mut Formatter<'_>, denials: &Denials) -> fmt::Result {
+    let all: usize = denials.by_boxes.values().sum();
+    writeln!(f, "{all} second sends denied, by the boxes counted")?;
+    for (boxes, count) in &denials.by_boxes {
+        writeln!(f, "{count:>7}  {boxes} boxes")?;
     }
+    Ok(())
 }
