refactor(core): the sums of a way are one type

Cause: price, use and times stood in Way and in Found with the same comments, and each new sum was copied in five places. Change: both hold Sums, and a way's totals are worked out from them.

--- a/reachtally-core/src/forward/select/judge.rs
+++ b/reachtally-core/src/forward/select/judge.rs
@@ -8,7 +8,7 @@
 
 use super::Aim;
 use super::candidate::Candidate;
-use super::ways::{Found, Reach, Weights, cheapest};
+use super::ways::{Found, Reach, Sums, Weights, cheapest};
 use crate::forward::cost::LayerModel;
 
 /// How many times dearer a way is that surely misses an objective.
@@ -40,13 +40,13 @@
 }
 
 impl Totals {
-    fn of(found: &Found, model: &LayerModel, aim: Aim) -> Self {
+    fn of(sums: &Sums, model: &LayerModel, aim: Aim) -> Self {
         let part = |ms: f64, aim_ms: Option<f64>| aim_ms.map_or(0.0, |aim| ms / aim.max(1.0));
         Totals {
-            price: found.price,
-            duration_ms: found.first_ms() + model.usual_answer * found.token_ms,
-            first_part: part(found.first_ms(), aim.first_ms),
-            gap_part: part(found.token_ms * model.stride.max(1.0), aim.gap_ms),
+            price: sums.price,
+            duration_ms: sums.first_ms() + model.usual_answer * sums.token_ms,
+            first_part: part(sums.first_ms(), aim.first_ms),
+            gap_part: part(sums.token_ms * model.stride.max(1.0), aim.gap_ms),
         }
     }
 
@@ -87,7 +87,7 @@
         let mut weights = start;
         for _ in 0..ROUNDS {
             let found = cheapest(&reach, hop_ms, weights)?;
-            let totals = Totals::of(&found, model, aim);
+            let totals = Totals::of(&found.sums, model, aim);
             let cost = totals.cost();
             weights = totals.weights(model, aim);
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -119,13 +119,13 @@
     let cheapest = |trust| cheapest_way(fleet, service, model, need, cx, trust);
     // All engines are looked at only where the drawn ones don't do: a search takes the longer the more there are.
     let drawn = match cheapest(Trust::Drawn) {
-        Some(drawn) if drawn.used < MAY_BE_FULL => return drawn.prove(model),
+        Some(drawn) if drawn.sums.used < MAY_BE_FULL => return drawn.prove(model),
         drawn => drawn,
     };
     let Some(least) = cheapest(Trust::Sound) else {
         return cheapest(Trust::Any)?.prove(model);
     };
-    let nobody_has_room = least.used >= MAY_BE_FULL;
+    let nobody_has_room = least.sums.used >= MAY_BE_FULL;
     drawn
         .filter(|_| nobody_has_room)
         .unwrap_or(least)
--- a/reachtally-core/src/forward/select/ways.rs
+++ b/reachtally-core/src/forward/select/ways.rs
@@ -36,10 +36,9 @@
     }
 }
 
-/// Parts with their sums.
-#[derive(Debug, Clone)]
-pub(super) struct Found {
-    parts: Vec<Part>,
+/// What the parts of a way come to together.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Sums {
     /// Price of the room that it holds, for each second, with chance.
     pub price: f64,
     /// The largest part of an engine's room that is believed to be in use.
@@ -50,18 +49,27 @@
     read_ms: f64,
 }
 
-impl Found {
+impl Sums {
     /// Time until the first token.
     pub fn first_ms(&self) -> f64 {
         self.read_ms + self.token_ms
     }
+}
+
+/// Parts with their sums.
+#[derive(Debug, Clone)]
+pub(super) struct Found {
+    parts: Vec<Part>,
+    pub sums: Sums,
+}
 
+impl Found {
     pub fn prove(self, model: &LayerModel) -> Option<Choice> {
-        let first = Duration::from_secs_f64(self.first_ms() / 1000.0);
+        let first = Duration::from_secs_f64(self.sums.first_ms() / 1000.0);
         let path = Path::prove(self.parts, model.layers).ok()?;
         Some(Choice {
             path,
-            token: Duration::from_secs_f64(self.token_ms / 1000.0),
+            token: Duration::from_secs_f64(self.sums.token_ms / 1000.0),
             first,
         })
     }
@@ -72,10 +80,7 @@
 struct Way {
     /// What it costs by the weights.
     cost: f64,
-    price: f64,
-    used: f64,
-    token_ms: f64,
-    read_ms: f64,
+    sums: Sums,
     /// Where its last part begins.
     from: usize,
     /// The candidate that runs its last part.
@@ -86,10 +91,12 @@
     /// Before the first layer.
     const START: Way = Way {
         cost: 0.0,
-        price: 0.0,
-        used: 0.0,
-        token_ms: 0.0,
-        read_ms: 0.0,
+        sums: Sums {
+            price: 0.0,
+            used: 0.0,
+            token_ms: 0.0,
+            read_ms: 0.0,
+        },
         from: 0,
         last: usize::MAX,
     };
@@ -109,10 +116,12 @@
             weights.price * candidate.price + weights.token * token_ms + weights.first * read_ms;
         Way {
             cost: self.cost + cost,
-            price: self.price + candidate.price,
-            used: self.used.max(candidate.used),
-            token_ms: self.token_ms + token_ms,
-            read_ms: self.read_ms + read_ms,
+            sums: Sums {
+                price: self.sums.price + candidate.price,
+                used: self.sums.used.max(candidate.used),
+                token_ms: self.sums.token_ms + token_ms,
+                read_ms: self.sums.read_ms + read_ms,
+            },
             from,
             last,
         }
@@ -182,10 +191,7 @@
     let whole = ways[end]?;
     Some(Found {
         parts: parts_of(reach.candidates, &ways)?,
-        price: whole.price,
-        used: whole.used,
-        token_ms: whole.token_ms,
-        read_ms: whole.read_ms,
+        sums: whole.sums,
     })
 }
 
