test(core): one usual request and one circumstance, one list of what an engine holds

Cause: the properties of a choice repeated the request and the circumstance of the other tests of a choice, the heaviest stretch repeated the cards of the shared model, and kept two lists of the same requests. Change: the first two stand in setup, the list says when each begins and ends. No assertion, bound or seed changed; the properties now choose at second 1 in place of 9 and for 1 box in place of 8, which decide alike up to 64 boxes.

--- a/reachtally-core/tests/core/forward/choice_properties.rs
+++ b/reachtally-core/tests/core/forward/choice_properties.rs
@@ -1,23 +1,12 @@
 //! What holds of a choice whatever the fleet and its load.
 
-use std::time::Duration;
-
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
-use reachtally_core::forward::select::{Aim, Circumstance, Need, path};
+use reachtally_core::forward::select::{Circumstance, path};
 
-use super::setup::{SERVICE, entry, fleet, model};
+use super::setup::{NEED, SERVICE, cx, entry, fleet, model};
 
-const NEED: Need = Need {
-    prompt: 800.0,
-    answer: 200.0,
-    aim: Aim {
-        first_ms: Some(500.0),
-        gap_ms: Some(200.0),
-    },
-};
 /// Layers of each engine.
 const EACH: u32 = 20;
 /// Requests that are chosen for with different draws.
@@ -38,15 +27,7 @@
 }
 
 fn choose(fleet: &Fleet, draw: u64) -> Option<Vec<EngineKey>> {
-    let cx = Circumstance {
-        now: Instant::from_elapsed(Duration::from_secs(9)),
-        home: "a",
-        avoid: &[],
-        held: Duration::from_secs(3),
-        boxes: 8,
-        unheard: 1.0,
-        draw,
-    };
+    let cx = Circumstance { draw, ..cx(&[]) };
     let choice = path(fleet, SERVICE, &model(), NEED, &cx)?;
     Some(choice.path.engines())
 }
--- a/reachtally-core/tests/core/forward/heavy.rs
+++ b/reachtally-core/tests/core/forward/heavy.rs
@@ -69,33 +69,38 @@
     }
 }
 
+/// A request that runs or waits at an engine, with its times in ms.
+#[derive(Clone, Copy)]
+struct Hold {
+    begins: f64,
+    ends: f64,
+    tokens: f64,
+}
+
 /// What an engine really holds.
 #[derive(Default, Clone)]
 struct Real {
-    /// Tokens of those that run or wait, with the time at which they end.
-    holds: Vec<(f64, f64)>,
-    /// When those begin that wait for room.
-    begins: Vec<f64>,
+    holds: Vec<Hold>,
     busy_until: f64,
 }
 
 impl Real {
     /// When it has room for `need` tokens, or `None` where as many wait as may.
     fn free_at(&mut self, now: f64, need: f64, room: f64, most_waiting: usize) -> Option<f64> {
-        self.holds.retain(|(until, _)| *until > now);
-        self.begins.retain(|at| *at > now);
-        self.holds.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut held: f64 = self.holds.iter().map(|(_, tokens)| tokens).sum();
+        self.holds.retain(|hold| hold.ends > now);
+        self.holds.sort_by(|a, b| a.ends.total_cmp(&b.ends));
+        let mut held: f64 = self.holds.iter().map(|hold| hold.tokens).sum();
         if held + need <= room {
             return Some(now);
         }
-        if self.begins.len() >= most_waiting {
+        let waiting = self.holds.iter().filter(|hold| hold.begins > now).count();
+        if waiting >= most_waiting {
             return None;
         }
-        for (until, tokens) in &self.holds {
-            held -= tokens;
+        for hold in &self.holds {
+            held -= hold.tokens;
             if held + need <= room {
-                return Some(*until);
+                return Some(hold.ends);
             }
         }
         None
@@ -290,9 +295,11 @@
         self.outcome.in_time += u32::from(first - now as f64 <= OBJECTIVE_MS);
         let end = first + token_ms * need.answer;
         for engine in &path {
-            let real = &mut self.real[*engine];
-            real.holds.push((end, need.held()));
-            real.begins.push(read_at);
+            self.real[*engine].holds.push(Hold {
+                begins: read_at,
+                ends: end,
+                tokens: need.held(),
+            });
         }
         let id = self.running.len();
         self.running.push(Running { at, path, need });
@@ -362,11 +369,10 @@
 /// sends refused; with a half of them drawn 0.969 and 0.096.
 #[test]
 fn where_reports_are_old_the_chains_that_were_cheapest_are_not_overrun() {
-    let model = model(&[
-        ("large", 72_000.0, 2.4, 3.2),
-        ("middle", 43_200.0, 5.6, 2.7),
-        ("small", 21_600.0, 16.0, 8.2),
-    ]);
+    let model = LayerModel {
+        cards: setup::model().cards,
+        ..model(&[])
+    };
     let mut entries = Vec::new();
     for number in 0..3 {
         entries.extend(chain(100 * number, "large", 38));
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -10,30 +10,7 @@
     Aim, Choice, Circumstance, Need, Shortage, instance, path, shortage,
 };
 
-use super::setup::{SERVICE, entry, fleet, model};
-
-const AIM: Aim = Aim {
-    first_ms: Some(500.0),
-    gap_ms: Some(200.0),
-};
-
-const NEED: Need = Need {
-    prompt: 800.0,
-    answer: 200.0,
-    aim: AIM,
-};
-
-fn cx(avoid: &[EngineKey]) -> Circumstance<'_> {
-    Circumstance {
-        now: Instant::from_elapsed(Duration::from_secs(1)),
-        home: "a",
-        avoid,
-        held: Duration::from_secs(3),
-        boxes: 1,
-        unheard: 1.0,
-        draw: 0,
-    }
-}
+use super::setup::{AIM, NEED, SERVICE, cx, entry, fleet, model};
 
 fn choose(fleet: &Fleet, avoid: &[EngineKey]) -> Option<Choice> {
     path(fleet, SERVICE, &model(), NEED, &cx(avoid))
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -1,15 +1,43 @@
 //! A model over three kinds of card and fleets of them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{Card, LayerModel, Layers};
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::placement::Host;
+use reachtally_core::forward::select::{Aim, Circumstance, Need};
 
 /// The service of all engines here.
 pub const SERVICE: &str = "pool";
 
+/// What answers should keep to.
+pub const AIM: Aim = Aim {
+    first_ms: Some(500.0),
+    gap_ms: Some(200.0),
+};
+
+/// A usual request.
+pub const NEED: Need = Need {
+    prompt: 800.0,
+    answer: 200.0,
+    aim: AIM,
+};
+
+/// A box of domain `a` that knows all others.
+pub fn cx(avoid: &[EngineKey]) -> Circumstance<'_> {
+    Circumstance {
+        now: Instant::from_elapsed(Duration::from_secs(1)),
+        home: "a",
+        avoid,
+        held: Duration::from_secs(3),
+        boxes: 1,
+        unheard: 1.0,
+        draw: 0,
+    }
+}
+
 /// A model of 80 layers on a large, a middle and a small card.
 pub fn model() -> LayerModel {
     let card = |memory_mb, step_factor, read_factor| Card {
