--- a/reachtally-journal/src/crowding.rs
+++ b/reachtally-journal/src/crowding.rs
@@ -4,6 +4,7 @@
 use std::fmt::{self, Formatter};
 
 use crate::line::Line;
+use crate::ranking::{ranked, total};
 
 /// Engines that are listed of each kind; the others only count.
 const ENGINES_LISTED: usize = 10;
@@ -102,22 +103,6 @@
     median(figures).map_or("-".to_owned(), |figure| figure.to_string())
 }
 
-/// The entries with the highest counts, each with its share of all in a hundred.
-fn busiest<T>(
-    by_engine: &BTreeMap<String, T>,
-    count: impl Fn(&T) -> usize,
-) -> Vec<(&str, &T, usize, f64)> {
-    let all: usize = by_engine.values().map(&count).sum();
-    let share = |count: usize| count as f64 * 100.0 / all.max(1) as f64;
-    let counted = by_engine.iter().map(|(id, of)| (&**id, of, count(of)));
-    let mut rows: Vec<(&str, &T, usize, f64)> = counted
-        .map(|(id, of, count)| (id, of, count, share(count)))
-        .collect();
-    rows.sort_by(|a, b| b.2.cmp(&a.2).then(a.0.cmp(b.0)));
-    rows.truncate(ENGINES_LISTED);
-    rows
-}
-
 impl fmt::Display for Crowding {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write_late_firsts(f, &self.late_firsts)?;
@@ -128,27 +113,24 @@
 
 fn write_late_firsts(f: &mut Formatter<'_>, late: &BTreeMap<String, LateFirsts>) -> fmt::Result {
     let requests = |of: &LateFirsts| of.requests;
-    let all: usize = late.values().map(requests).sum();
+    let all = total(late, requests);
     writeln!(f, "{all} late first events, by the first engine")?;
-    for (id, of, count, share) in busiest(late, requests) {
-        let (expected, took) = (shown(&of.expected_ms), shown(&of.took_ms));
-        writeln!(
-            f,
-            "{count:>7}  {share:>5.1}%  {id}  expected {expected} ms, took {took} ms"
-        )?;
+    for row in ranked(late, requests).iter().take(ENGINES_LISTED) {
+        let (expected, took) = (shown(&row.of.expected_ms), shown(&row.of.took_ms));
+        writeln!(f, "{row}  expected {expected} ms, took {took} ms")?;
     }
     Ok(())
 }
 
 fn write_refusals(f: &mut Formatter<'_>, refusals: &BTreeMap<String, Refusals>) -> fmt::Result {
     let sends = |of: &Refusals| of.sends;
-    let all: usize = refusals.values().map(sends).sum();
+    let all = total(refusals, sends);
     writeln!(f, "{all} sends refused for want of room, by engine")?;
-    for (id, of, count, share) in busiest(refusals, sends) {
-        let (layers, tokens) = (&of.layers, shown(&of.believed_tokens));
+    for row in ranked(refusals, sends).iter().take(ENGINES_LISTED) {
+        let (layers, tokens) = (&row.of.layers, shown(&row.of.believed_tokens));
         writeln!(
             f,
-            "{count:>7}  {share:>5.1}%  {id}  layers {layers}, believed to hold {tokens} tokens"
+            "{row}  layers {layers}, believed to hold {tokens} tokens"
         )?;
     }
     Ok(())
--- a/reachtally-journal/src/lib.rs
+++ b/reachtally-journal/src/lib.rs
@@ -11,6 +11,7 @@
 mod line;
 mod losses;
 pub mod queue;
+mod ranking;
 
 use std::io::Write;
 use std::os::fd::AsFd;
--- a/reachtally-journal/src/losses.rs
+++ b/reachtally-journal/src/losses.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::line::Line;
+use crate::ranking::{ranked, total};
 
 /// Events of a request that may make it late or lose it, before it ends.
 const TROUBLES: [&str; 5] = ["no-path", "not-run", "lost", "stage-dead", "broke"];
@@ -16,13 +17,10 @@
 
 impl std::fmt::Display for Losses {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let mut rows: Vec<(&String, &usize)> = self.counts.iter().collect();
-        rows.sort_by(|a, b| b.1.cmp(a.1).then(a.0.cmp(b.0)));
-        let all: usize = self.counts.values().sum();
-        for (label, count) in rows {
-            let share = *count as f64 * 100.0 / all as f64;
-            writeln!(f, "{count:>7}  {share:>5.1}%  {label}")?;
+        for row in ranked(&self.counts, |count| *count) {
+            writeln!(f, "{row}")?;
         }
+        let all = total(&self.counts, |count| *count);
         writeln!(f, "{all:>7}  100.0%  requests that were not served in time")
     }
 }
