refactor: one check for a settled count, the group is looked at only where it matters

Cause: the relay compared its age with the same bound twice; each report asked whether this box is listed, though only boxes that report to themselves use the answer; path wrote the simulation's names of domains and the model's number of layers again.

--- a/reachtally-bench/src/path.rs
+++ b/reachtally-bench/src/path.rs
@@ -17,7 +17,7 @@
 use reachtally_core::forward::select::{self, Aim, Circumstance, Need};
 use reachtally_core::ids::Incarnation;
 
-use crate::choice::engines::{CARD, SERVICE, model};
+use crate::choice::engines::{CARD, SERVICE, domain, model};
 use crate::report::{Goal, Report};
 
 /// Numbers of engines.
@@ -100,7 +100,7 @@
     };
     let cx = Circumstance {
         now: Instant::ZERO,
-        home: "domain-0",
+        home: &domain(0),
         avoid: &[],
         held: Duration::from_secs(2),
         boxes: 1,
@@ -113,13 +113,14 @@
 /// Engines of equal cards in chains, with some requests on each.
 fn fleet(engines: usize) -> Fleet {
     let mut fleet = Fleet::default();
+    let layers = model().layers;
     for number in 0..engines {
-        let from = (number as u32 * HELD) % 80;
+        let from = (number as u32 * HELD) % layers;
         let entry = Entry {
             id: format!("e-{number:08}").into(),
             service: SERVICE.into(),
             address: (Ipv4Addr::from(0x0A00_0000 + number as u32), 8066).into(),
-            domain: format!("domain-{}", number / DOMAIN_ENGINES).into(),
+            domain: domain(number / DOMAIN_ENGINES).into(),
             draining: false,
             slots: 192,
             card: Some(CARD.into()),
@@ -133,7 +134,7 @@
 
 /// A collector that 64 boxes report to, which have something on every engine.
 fn collector(fleet: &Fleet) -> Collector {
-    let mut collector = Collector::new("domain-0");
+    let mut collector = Collector::new(&domain(0));
     for run in 0..64 {
         let told = own_report(Incarnation(run + 1), 1, fleet, Instant::ZERO);
         let ip = Ipv4Addr::from(0x0A01_0000 + run as u32);
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -120,15 +120,19 @@
         }
         self.sum_up();
         self.tell_peers();
-        // A box without a collector hears only itself, which says nothing of how many others there are.
-        let is_collector = self.relay.look(self.run, &[], |view| view.is_listed());
-        if self.target == Target::Here && is_collector {
+        if self.target == Target::Here && self.is_collector() {
             self.take(self.collector.all_but(self.run), now);
         }
         let mut elsewhere = self.relay.elsewhere.borrow_mut();
         elsewhere.forget_old(&mut self.relay.fleet.borrow_mut(), now);
     }
 
+    /// Whether others may report here. A box without a collector hears only itself, which says nothing of how
+    /// many others there are.
+    fn is_collector(&self) -> bool {
+        self.relay.look(self.run, &[], |view| view.is_listed())
+    }
+
     /// Tell other collectors what is reported here; most boxes have nothing to tell.
     fn tell_peers(&self) {
         let parts = self.parts();
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -364,20 +364,25 @@
     pub fn boxes(&self) -> u32 {
         let counted = self.elsewhere.borrow().boxes();
         let members = self.members.borrow().len() as u32;
-        let is_young = self.now().elapsed() < COUNT_SETTLED;
+        let is_settled = self.is_count_settled();
         let least = match counted {
-            Some(_) if !is_young => 1,
+            Some(_) if is_settled => 1,
             _ => BOXES_ASSUMED,
         };
         counted.unwrap_or_default().max(members).max(least)
     }
 
+    /// Whether this box has run long enough for what it is told of others to be all of it.
+    fn is_count_settled(&self) -> bool {
+        self.now().elapsed() >= COUNT_SETTLED
+    }
+
     /// What all boxes have on the targets, in parts of what this one is told. Guards the second after all boxes
     /// start, when each knows of its own requests only: with 64 boxes 250 sends were refused then. Measured, with
     /// spare engines in use: worth +0.016 (error 0.007, 10 pairs). Only after the start: later a domain that is not
     /// heard of is cut off, and so are its boxes from the targets here.
     fn unheard(&self) -> f64 {
-        if self.now().elapsed() >= COUNT_SETTLED {
+        if self.is_count_settled() {
             return 1.0;
         }
         let heard = self.elsewhere.borrow().domains_heard();
