feat(relay): metrics tell second sends granted and the boxes believed, counters first

Cause: of the page of a box only its first part was collected during the incident, and histograms filled it: neither sends nor denied second sends could be read. And nothing told how many second sends were granted. Change: counters come first, with second_sends and boxes_believed.

--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -25,6 +25,8 @@
         sends_not_run,
         /// Sends whose answer was lost or spoilt.
         sends_lost,
+        /// Second sends that the budget granted.
+        second_sends,
         /// Second sends that the budget forbade.
         second_sends_denied,
         /// Targets found to take no connections.
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -6,8 +6,10 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::{encode_eof, encode_registry};
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use reachtally_core::forward::tally::Tally;
@@ -63,11 +65,36 @@
     }
 }
 
-/// All metrics as text.
+/// All metrics as text, counters first: the page may be collected only in part, and the histograms take most of it.
 pub fn text(relay: &Relay) -> String {
+    let mut text = String::new();
+    if let Err(err) = encode(&mut text, relay) {
+        log::warn!(event = "metrics-failed", why:% = err; "the metrics were not encoded");
+    }
+    text
+}
+
+fn encode(text: &mut String, relay: &Relay) -> std::fmt::Result {
+    encode_registry(text, &counters(relay))?;
+    encode_registry(text, &times(&relay.times))?;
+    encode_eof(text)
+}
+
+fn counters(relay: &Relay) -> Registry {
     let mut registry = Registry::with_prefix(PREFIX);
     registry.register_collector(Box::new(Snapshot(relay.tally.get())));
-    let times = &relay.times;
+    let boxes = Gauge::<i64>::default();
+    boxes.set(i64::from(relay.boxes()));
+    registry.register(
+        "boxes_believed",
+        "Boxes among which this one shares the budget of second sends",
+        boxes,
+    );
+    registry
+}
+
+fn times(times: &Times) -> Registry {
+    let mut registry = Registry::with_prefix(PREFIX);
     registry.register(
         "first_event_seconds",
         "Time to a stream's first event",
@@ -83,11 +110,7 @@
         "Time to the end of an answer",
         times.answer.clone(),
     );
-    let mut text = String::new();
-    if let Err(err) = prometheus_client::encoding::text::encode(&mut text, &registry) {
-        log::warn!(event = "metrics-failed", why:% = err; "the metrics were not encoded");
-    }
-    text
+    registry
 }
 
 /// Serve the metrics until the process ends.
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -404,9 +404,10 @@
         let taken = self.budget(service, |budget, bounds| {
             budget.take(self.now(), bounds, boxes)
         });
-        if !taken {
-            self.count(|tally| tally.second_sends_denied += 1);
-        }
+        self.count(|tally| match taken {
+            true => tally.second_sends += 1,
+            false => tally.second_sends_denied += 1,
+        });
         taken
     }
 
