feat: a target that starts again under its id is another target, and spoiled entries take out one target only

What keyed by id and does not now: the row of a target (requests running, KV, pace, silence, health, draining, layers, the order that is pending, streams and connections that name it) is of one run; what boxes tell each other of loads names id and run. The start of a run (born) is decoded once in the adapter; the later one wins, an earlier one that is read late changes nothing while the later one goes on writing. A stream on a target that started again leaves it at once: the target takes connections again, so silence alone left the stream standing. An address is the index of the run that wrote it last; one that goes on writing takes it back. Entries: fields missing or of another type, unknown states, no range of layers, starts ahead of time, values and keys that can't be read name no target, also where an earlier one did; the others of the same read hold. Counter entries_spoiled, bounded log lines. A message of loads holds 35 targets in place of 38, since each names its run (3 bytes): 190 targets still take two reports.

--- a/reachtally-bench/src/choice/engines.rs
+++ b/reachtally-bench/src/choice/engines.rs
@@ -54,6 +54,7 @@
         let from = (number / WIDTH % STAGES) as u32 * STAGE_LAYERS;
         Entry {
             id: format!("e-{number:08}").into(),
+            born: None,
             service: SERVICE.into(),
             address: ([10, 0, 0, 1], 1000 + number as u16).into(),
             domain: domain(number / WIDTH / STAGES).into(),
--- a/reachtally-bench/src/path.rs
+++ b/reachtally-bench/src/path.rs
@@ -118,6 +118,7 @@
         let from = (number as u32 * HELD) % layers;
         let entry = Entry {
             id: format!("e-{number:08}").into(),
+            born: None,
             service: SERVICE.into(),
             address: (Ipv4Addr::from(0x0A00_0000 + number as u32), 8066).into(),
             domain: domain(number / DOMAIN_ENGINES).into(),
--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -140,6 +140,7 @@
     relay.publish(&"bench".into())?;
     relay.target_wrote(Entry {
         id: "e1".into(),
+        born: None,
         service: "pool".into(),
         address: options.engine,
         domain: "here".into(),
--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -14,7 +14,7 @@
 mod health;
 
 pub use engine::Engine;
-pub use entry::{Entry, Evidence};
+pub use entry::{Born, Entry, Evidence, RunMark, RunOrder, TargetRun};
 pub use health::Health;
 
 new_key_type! {
@@ -31,37 +31,80 @@
 }
 
 impl Fleet {
-    /// Take in an entry; a known one is updated. Yields its row and whether it changed.
+    /// Take in an entry. Yields the target's row and whether there is something new.
+    ///
+    /// A known run is updated. A target that started again gets a new row, so that nothing of its earlier run decides
+    /// anything: neither what was learned of it nor what still names its row. What an earlier run wrote and is read late
+    /// changes nothing.
     pub fn upsert(&mut self, entry: Entry, evidence: Evidence, now: Instant) -> (EngineKey, bool) {
-        if let Some(&key) = self.by_id.get(&entry.id) {
-            let engine = &mut self.engines[key];
-            let changed = engine.entry != entry || engine.missing_since.is_some();
-            engine.missing_since = None;
-            if evidence == Evidence::Written {
-                engine.health.wrote(now);
-            }
-            if changed {
-                engine.health.entry_changed();
+        let Some(&key) = self.by_id.get(&entry.id) else {
+            return (self.insert(entry, evidence, now), true);
+        };
+        let known = &self.engines[key];
+        match entry.run_since(&known.entry) {
+            RunOrder::Same => (key, self.update(key, entry, evidence, now)),
+            RunOrder::Earlier if known.is_heard(now) => (key, false),
+            RunOrder::Earlier | RunOrder::Later => {
+                self.remove(&entry.id);
+                (self.insert(entry, evidence, now), true)
             }
-            let draining = engine.entry.draining || entry.draining;
-            engine.entry = Entry { draining, ..entry };
-            return (key, changed);
         }
+    }
+
+    /// Add a row for a run that is not known yet.
+    fn insert(&mut self, entry: Entry, evidence: Evidence, now: Instant) -> EngineKey {
         let id = entry.id.clone();
         let address = entry.address;
-        let key = self.engines.insert(Engine::new(entry));
+        let key = self.engines.insert(Engine::new(entry, now));
         self.by_id.insert(id, key);
-        let before = self.by_address.insert(address, key);
-        if evidence == Evidence::Written {
-            self.supersede(before);
+        self.take_address(address, key, evidence, now);
+        key
+    }
+
+    /// Update the row of a known run; yields whether something changed.
+    fn update(&mut self, key: EngineKey, entry: Entry, evidence: Evidence, now: Instant) -> bool {
+        let engine = &mut self.engines[key];
+        engine.heard_at = now;
+        let is_back = evidence == Evidence::Written && engine.health.wrote(now);
+        let entry = Entry {
+            draining: engine.entry.draining || entry.draining,
+            born: entry.born.or(engine.entry.born),
+            ..entry
+        };
+        let was_missing = engine.missing_since.take().is_some();
+        let is_changed = engine.entry != entry;
+        if is_changed || was_missing {
+            engine.health.entry_changed();
         }
-        (key, true)
+        let before = std::mem::replace(&mut engine.entry, entry).address;
+        let address = engine.entry.address;
+        if before != address || is_back {
+            self.release_address(before, key);
+            self.take_address(address, key, evidence, now);
+        }
+        is_changed || was_missing || is_back
     }
 
-    /// A later run has the address of this target. Its entry stays until it lapses.
-    fn supersede(&mut self, before: Option<EngineKey>) {
+    /// A target listens at `address` now. The one that did so before is superseded; its entry stays until it lapses.
+    fn take_address(
+        &mut self,
+        address: SocketAddr,
+        key: EngineKey,
+        evidence: Evidence,
+        now: Instant,
+    ) {
+        let before = self.by_address.insert(address, key);
+        if evidence != Evidence::Written {
+            return;
+        }
         if let Some(engine) = before.and_then(|key| self.engines.get_mut(key)) {
-            engine.health.superseded();
+            engine.health.superseded(now);
+        }
+    }
+
+    fn release_address(&mut self, address: SocketAddr, key: EngineKey) {
+        if self.by_address.get(&address) == Some(&key) {
+            self.by_address.remove(&address);
         }
     }
 
@@ -69,9 +112,7 @@
     pub fn remove(&mut self, id: &str) -> Option<Engine> {
         let key = self.by_id.remove(id)?;
         let engine = self.engines.remove(key)?;
-        if self.by_address.get(&engine.entry.address) == Some(&key) {
-            self.by_address.remove(&engine.entry.address);
-        }
+        self.release_address(engine.entry.address, key);
         Some(engine)
     }
 
@@ -135,6 +176,14 @@
         self.by_id.get(id).copied()
     }
 
+    /// The row of a run; `None` if another run has its id by now, or none. A run that isn't told is the one that is held.
+    pub fn find_run(&self, run: &TargetRun) -> Option<EngineKey> {
+        let key = self.find(&run.id)?;
+        let held = RunMark::from(self.engines.get(key)?.entry.born);
+        let is_told = run.mark != RunMark::default();
+        (!is_told || held == run.mark).then_some(key)
+    }
+
     /// All targets.
     pub fn iter(&self) -> impl Iterator<Item = (EngineKey, &Engine)> {
         self.engines.iter()
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -9,6 +9,10 @@
 const PACE_LIFE: Duration = Duration::from_millis(2500);
 /// Slowest pace that is believed of an engine; beyond it is as good as silent.
 const SLOWEST_PACE: f64 = 1000.0;
+/// How long what a run wrote shields it from entries of earlier runs under its id: longer than the three heartbeats, of
+/// some 1.2 s each, after which the store drops a silent target's entry. Without an end, an entry that tells a start
+/// ahead of time would shut out the target that is there.
+const RUN_SHIELDED: Duration = Duration::from_secs(4);
 /// Other boxes that must have found a target silent before it counts: one may have lost its own link.
 const LEAST_WITNESSES: u32 = 2;
 
@@ -39,13 +43,15 @@
     pub silent_elsewhere: u32,
     /// Its failures.
     pub health: Health,
+    /// When its entry was last read.
+    pub(super) heard_at: Instant,
     /// Since when its entry is missing though that may be the store's fault.
     pub missing_since: Option<Instant>,
 }
 
 impl Engine {
-    /// A target of which nothing but its entry is known.
-    pub(super) fn new(entry: Entry) -> Self {
+    /// A target of which nothing but its entry, read at `now`, is known.
+    pub(super) fn new(entry: Entry, now: Instant) -> Self {
         Engine {
             entry,
             running: 0,
@@ -59,10 +65,16 @@
             pace_elsewhere: None,
             silent_elsewhere: 0,
             health: Health::default(),
+            heard_at: now,
             missing_since: None,
         }
     }
 
+    /// Whether this run's entry was read lately.
+    pub(super) fn is_heard(&self, now: Instant) -> bool {
+        now.since(self.heard_at) < RUN_SHIELDED
+    }
+
     /// Forget what other boxes told.
     pub(super) fn clear_elsewhere(&mut self) {
         self.running_elsewhere = 0.0;
--- a/reachtally-core/src/forward/fleet/entry.rs
+++ b/reachtally-core/src/forward/fleet/entry.rs
@@ -5,11 +5,40 @@
 
 use crate::forward::cost::Layers;
 
+/// When a run of a target started: milliseconds of Unix time, by the target's own clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Born(pub u64);
+
+/// A short form of [`Born`] that tells the runs under one id apart in messages of loads, where each byte counts: two
+/// runs look alike in one of 16,383 cases. 0 stands for a run that doesn't tell its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct RunMark(pub u16);
+
+/// Marks other than 0: as many as two bytes on the wire hold.
+const MARKS: u64 = (1 << 14) - 1;
+
+impl From<Option<Born>> for RunMark {
+    fn from(born: Option<Born>) -> Self {
+        RunMark(born.map_or(0, |born| (born.0 % MARKS) as u16 + 1))
+    }
+}
+
+/// A run of a target: its id, which a later run may have too, and the mark of its start.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetRun {
+    /// The target's id.
+    pub id: Arc<str>,
+    /// Tells its runs apart.
+    pub mark: RunMark,
+}
+
 /// A target as its own entry describes it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
-    /// Identity of this run of the target.
+    /// Identity of the target; a later run may have it again.
     pub id: Arc<str>,
+    /// When this run started, if the target tells.
+    pub born: Option<Born>,
     /// The service it belongs to.
     pub service: Arc<str>,
     /// Where it listens.
@@ -26,6 +55,37 @@
     pub layers: Layers,
 }
 
+impl Entry {
+    /// The run that wrote the entry.
+    pub fn run(&self) -> TargetRun {
+        TargetRun {
+            id: self.id.clone(),
+            mark: self.born.into(),
+        }
+    }
+
+    /// How the run that wrote this entry relates to that of an earlier one under the same id. An entry that doesn't tell
+    /// its run's start is of the run that is known.
+    pub fn run_since(&self, known: &Entry) -> RunOrder {
+        match (known.born, self.born) {
+            (Some(known), Some(told)) if told > known => RunOrder::Later,
+            (Some(known), Some(told)) if told < known => RunOrder::Earlier,
+            _ => RunOrder::Same,
+        }
+    }
+}
+
+/// How two runs under one id relate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunOrder {
+    /// The target started again.
+    Later,
+    /// They are one run, as far as is known.
+    Same,
+    /// It was told late.
+    Earlier,
+}
+
 /// How an entry became known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
--- a/reachtally-core/src/forward/fleet/health.rs
+++ b/reachtally-core/src/forward/fleet/health.rs
@@ -35,8 +35,8 @@
     alive_at: Option<Instant>,
     /// Until when it is left alone because it does not hold what its entry says.
     contradicted_until: Option<Instant>,
-    /// Whether a later run has its address.
-    is_superseded: bool,
+    /// Since when another target has its address.
+    superseded_at: Option<Instant>,
 }
 
 impl Health {
@@ -52,12 +52,12 @@
 
     /// Whether the target takes no connections, as far as is known.
     pub fn is_dead(&self) -> bool {
-        self.dead_since.is_some() || self.is_superseded
+        self.dead_since.is_some() || self.superseded_at.is_some()
     }
 
     /// Whether this box found that the target takes no connections.
     pub fn is_silent(&self) -> bool {
-        self.dead_since.is_some() && !self.is_superseded
+        self.dead_since.is_some() && self.superseded_at.is_none()
     }
 
     /// Whether the target lately turned out not to hold what its entry says.
@@ -81,14 +81,14 @@
         self.alive_at = Some(now);
     }
 
-    /// The target wrote its entry.
-    pub(super) fn wrote(&mut self, now: Instant) {
-        if self
-            .dead_since
-            .is_none_or(|at| now.since(at) > HEARTBEAT_DELAY)
-        {
+    /// The target wrote its entry; yields whether it is back at an address that another claimed. Only a live target goes
+    /// on writing, so the claim was wrong.
+    pub(super) fn wrote(&mut self, now: Instant) -> bool {
+        let is_later = |at: Instant| now.since(at) > HEARTBEAT_DELAY;
+        if self.dead_since.is_none_or(is_later) {
             self.found_alive(now);
         }
+        self.superseded_at.take_if(|at| is_later(*at)).is_some()
     }
 
     /// Its entry changed: what it contradicted before says nothing of that.
@@ -96,9 +96,9 @@
         self.contradicted_until = None;
     }
 
-    /// A later run has its address.
-    pub(super) fn superseded(&mut self) {
-        self.is_superseded = true;
+    /// Another target has its address.
+    pub(super) fn superseded(&mut self, now: Instant) {
+        self.superseded_at.get_or_insert(now);
     }
 
     /// When the target was last seen alive.
--- a/reachtally-core/src/forward/loads/collector.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -8,6 +8,7 @@
 use super::told::Told;
 use super::{Load, Others, Part, REPORT_LIFE, Report, TARGETS_TOLD, TargetLoad};
 use crate::forward::count::DomainCount;
+use crate::forward::fleet::TargetRun;
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
@@ -46,9 +47,9 @@
     reporters: HashMap<Incarnation, Reporter>,
     peers: HashMap<Incarnation, PeerCollector>,
     /// When something last ran on each target.
-    busy: BTreeMap<Arc<str>, Instant>,
+    busy: BTreeMap<TargetRun, Instant>,
     /// What those that report here have.
-    own: HashMap<Arc<str>, Load>,
+    own: HashMap<TargetRun, Load>,
     /// What all boxes have, by target.
     all: Vec<TargetLoad>,
 }
@@ -130,7 +131,7 @@
         self.busy
             .extend(busy.map(|(target, _)| (target.clone(), now)));
         self.busy.retain(|_, at| now.since(*at) < ENDED_TOLD);
-        let load_of = |target: &Arc<str>| all.get(target).copied().unwrap_or_default();
+        let load_of = |target: &TargetRun| all.get(target).copied().unwrap_or_default();
         let listed = self.busy.keys().map(|target| TargetLoad {
             target: target.clone(),
             load: load_of(target),
@@ -162,10 +163,10 @@
     }
 
     /// What of the sums is of `run`, by target.
-    fn counted_of(&self, run: Incarnation) -> HashMap<&str, &Load> {
+    fn counted_of(&self, run: Incarnation) -> HashMap<&TargetRun, &Load> {
         let reporter = self.reporters.get(&run);
         let counted = reporter.map(|reporter| &*reporter.counted).unwrap_or(&[]);
-        let by_target = counted.iter().map(|told| (&*told.target, &told.load));
+        let by_target = counted.iter().map(|told| (&told.target, &told.load));
         by_target.collect()
     }
 
@@ -229,10 +230,10 @@
 }
 
 /// What is on the listed targets without one box's own part.
-fn without(listed: &[TargetLoad], own: &HashMap<&str, &Load>) -> Vec<TargetLoad> {
+fn without(listed: &[TargetLoad], own: &HashMap<&TargetRun, &Load>) -> Vec<TargetLoad> {
     let others = |told: &TargetLoad| TargetLoad {
         target: told.target.clone(),
-        load: match own.get(&*told.target) {
+        load: match own.get(&told.target) {
             Some(part) => told.load.without(part),
             None => told.load,
         },
--- a/reachtally-core/src/forward/loads/elsewhere.rs
+++ b/reachtally-core/src/forward/loads/elsewhere.rs
@@ -3,7 +3,7 @@
 use super::told::Told;
 use super::{Load, Others, Report, TargetLoad};
 use crate::forward::count::BoxCount;
-use crate::forward::fleet::{Engine, Fleet};
+use crate::forward::fleet::{Engine, Fleet, TargetRun};
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
@@ -53,8 +53,8 @@
 }
 
 /// Note on a target what other boxes have there.
-fn put(fleet: &mut Fleet, target: &str, load: &Load) {
-    if let Some(engine) = fleet.find(target).and_then(|key| fleet.get_mut(key)) {
+fn put(fleet: &mut Fleet, target: &TargetRun, load: &Load) {
+    if let Some(engine) = fleet.find_run(target).and_then(|key| fleet.get_mut(key)) {
         engine.running_elsewhere = f64::from(load.running);
         engine.tokens_elsewhere = f64::from(load.tokens);
         engine.reading_elsewhere = f64::from(load.reading);
@@ -73,7 +73,7 @@
         silent: u32::from(engine.health.is_silent()),
     };
     let loads = fleet.iter().map(|(_, engine)| TargetLoad {
-        target: engine.entry.id.clone(),
+        target: engine.entry.run(),
         load: load(engine),
     });
     Report {
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -9,10 +9,10 @@
 //! doubled leaves what it names as old as it was, and what is old is forgotten. A box that changes its
 //! collector says so to the one before, where it would else count for as long.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::forward::count::DomainCount;
+use crate::forward::fleet::TargetRun;
 use crate::ids::Incarnation;
 
 mod collector;
@@ -27,7 +27,7 @@
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 /// Targets in one message. With names of a dozen bytes, and the numbers of boxes of 13 failure domains, it fits
 /// a datagram that is not split on the way.
-pub const TARGETS_TOLD: usize = 38;
+pub const TARGETS_TOLD: usize = 35;
 /// Most requests on a target that are believed of one sender; beyond any target's places.
 const MOST_RUNNING: u32 = 100_000;
 /// Most tokens on a target that are believed of one sender; beyond any target's memory.
@@ -89,7 +89,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct TargetLoad {
     /// The run of the target.
-    pub target: Arc<str>,
+    pub target: TargetRun,
     /// What is on it.
     pub load: Load,
 }
--- a/reachtally-core/src/forward/loads/told.rs
+++ b/reachtally-core/src/forward/loads/told.rs
@@ -1,14 +1,14 @@
 //! What was told of targets, with its age.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 
 use super::{Load, REPORT_LIFE, TargetLoad};
+use crate::forward::fleet::TargetRun;
 use crate::time::Instant;
 
 /// Targets with what was last told of each, and when.
 #[derive(Debug, Default)]
-pub(super) struct Told(HashMap<Arc<str>, (Load, Instant)>);
+pub(super) struct Told(HashMap<TargetRun, (Load, Instant)>);
 
 impl Told {
     pub fn hear(&mut self, loads: Vec<TargetLoad>, now: Instant) {
@@ -21,7 +21,7 @@
         self.0.retain(|_, (_, at)| now.since(*at) < REPORT_LIFE);
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Load)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&TargetRun, &Load)> {
         self.0.iter().map(|(target, (load, _))| (target, load))
     }
 }
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -31,6 +31,8 @@
         second_sends_denied,
         /// Targets found to take no connections.
         targets_found_dead,
+        /// Entries of targets that another writer spoiled.
+        entries_spoiled,
         /// Failures of targets that led to a hold-off.
         target_failures,
         /// Configurations put in force.
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{Entry, Evidence, Fleet};
+use reachtally_core::forward::fleet::{Born, Entry, Evidence, Fleet};
 
 use super::setup::entry;
 
@@ -142,3 +142,136 @@
     fleet.upsert(entry(0, "a", "small", 2..9), Evidence::Written, at(2_000));
     assert!(!is_contradicted(&fleet, 2_001));
 }
+
+/// The entry of a run that started at `born`.
+fn run(born: u64) -> Entry {
+    Entry {
+        born: Some(Born(born)),
+        ..entry(0, "a", "small", 0..8)
+    }
+}
+
+#[test]
+fn nothing_of_the_earlier_run_is_left_where_a_target_starts_again_under_its_id() {
+    let mut fleet = Fleet::default();
+    let leaving = Entry {
+        draining: true,
+        ..run(1_000)
+    };
+    let (before, _) = fleet.upsert(leaving, Evidence::Written, at(0));
+    fleet.begin(&[before], 700.0);
+    fleet.begin_reading(&[before], 500.0);
+    let engine = fleet.get_mut(before).expect("it is known");
+    engine.told_pace(8.0, at(0));
+    engine.silent_elsewhere = 5;
+    engine.health.found_dead(at(10));
+    engine.health.contradicted(at(10));
+    fleet.failed(before, at(10));
+    let empty = Entry {
+        layers: 0..0,
+        ..run(2_000)
+    };
+    let (after, is_news) = fleet.upsert(empty, Evidence::Listed, at(20));
+    assert!(is_news && after != before);
+    assert!(fleet.get(before).is_none());
+    assert_eq!(fleet.find("e0"), Some(after));
+    let engine = fleet.get(after).expect("it is known");
+    assert!(!engine.entry.draining && engine.entry.layers.is_empty());
+    assert_eq!(
+        (engine.running, engine.tokens, engine.reading),
+        (0, 0.0, 0.0)
+    );
+    assert_eq!(engine.slowness(at(20)), 1.0);
+    let health = &engine.health;
+    assert!(!health.is_dead() && !health.is_held(at(20)) && !health.is_contradicted(at(20)));
+    assert!(!engine.is_silent_elsewhere());
+    // What ends now ran on the earlier run.
+    fleet.end_reading(&[before], 500.0);
+    fleet.end(&[before], 700.0);
+    fleet.failed(before, at(30));
+    assert!(
+        !fleet
+            .get(after)
+            .expect("it is known")
+            .health
+            .is_held(at(30))
+    );
+}
+
+#[test]
+fn what_an_earlier_run_wrote_and_is_read_late_changes_nothing() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(run(2_000), Evidence::Written, at(0));
+    for evidence in [Evidence::Written, Evidence::Listed] {
+        let late = Entry {
+            layers: 3..9,
+            ..run(1_000)
+        };
+        assert_eq!(fleet.upsert(late, evidence, at(3_000)), (key, false));
+    }
+    assert_eq!(fleet.get(key).expect("it is known").entry, run(2_000));
+}
+
+#[test]
+fn an_entry_that_tells_a_start_ahead_of_time_does_not_shut_out_the_run_that_goes_on_writing() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(run(1_000), Evidence::Written, at(0));
+    let (ahead, _) = fleet.upsert(run(90_000), Evidence::Written, at(500));
+    fleet.upsert(run(1_000), Evidence::Written, at(1_200));
+    assert!(fleet.get(ahead).is_some());
+    fleet.upsert(run(1_000), Evidence::Written, at(4_800));
+    let key = fleet.find("e0").expect("it is known");
+    assert_eq!(fleet.get(key).expect("it is known").entry, run(1_000));
+}
+
+#[test]
+fn an_entry_without_a_start_is_of_the_run_that_is_known() {
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(run(2_000), Evidence::Written, at(0));
+    let told = entry(0, "a", "small", 2..9);
+    assert_eq!(fleet.upsert(told, Evidence::Written, at(10)), (key, true));
+    let held = &fleet.get(key).expect("it is known").entry;
+    assert_eq!((held.born, held.layers.clone()), (Some(Born(2_000)), 2..9));
+}
+
+#[test]
+fn a_target_whose_address_changes_is_known_at_the_new_one_only() {
+    let mut fleet = Fleet::default();
+    let first = entry(0, "a", "small", 0..8);
+    let moved = Entry {
+        address: ([10, 9, 9, 9], 80).into(),
+        ..first.clone()
+    };
+    let (key, _) = fleet.upsert(first.clone(), Evidence::Written, at(0));
+    fleet.upsert(moved.clone(), Evidence::Written, at(10));
+    assert_eq!(fleet.at(moved.address), Some(key));
+    assert_eq!(fleet.at(first.address), None);
+    // Another target comes to the address that it left.
+    let other = Entry {
+        id: "other".into(),
+        ..first
+    };
+    fleet.upsert(other, Evidence::Written, at(20));
+    assert!(!fleet.get(key).expect("it is known").health.is_dead());
+}
+
+#[test]
+fn a_target_that_goes_on_writing_is_back_though_another_claimed_its_address() {
+    let mut fleet = Fleet::default();
+    let (first, second) = two_runs_at_one_address();
+    let (key, _) = fleet.upsert(first.clone(), Evidence::Written, at(0));
+    fleet.upsert(second, Evidence::Written, at(10));
+    let is_dead = |fleet: &Fleet| fleet.get(key).expect("it is known").health.is_dead();
+    // A heartbeat that was on its way proves nothing.
+    assert_eq!(
+        fleet.upsert(first.clone(), Evidence::Written, at(900)),
+        (key, false)
+    );
+    assert!(is_dead(&fleet));
+    assert_eq!(
+        fleet.upsert(first.clone(), Evidence::Written, at(2_100)),
+        (key, true)
+    );
+    assert!(!is_dead(&fleet));
+    assert_eq!(fleet.at(first.address), Some(key));
+}
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -7,7 +7,7 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::count::DomainCount;
-use reachtally_core::forward::fleet::{Engine, Fleet};
+use reachtally_core::forward::fleet::{Born, Engine, Entry, Evidence, Fleet, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
     Collector, Elsewhere, Load, Others, Part, Report, TargetLoad, own_report,
 };
@@ -22,9 +22,17 @@
     Instant::from_elapsed(Duration::from_millis(ms))
 }
 
+/// A run that does not tell its start.
+fn run_of(target: &str) -> TargetRun {
+    TargetRun {
+        id: target.into(),
+        mark: RunMark::default(),
+    }
+}
+
 fn load_of(target: &str, running: u32) -> TargetLoad {
     TargetLoad {
-        target: target.into(),
+        target: run_of(target),
         load: Load {
             running,
             tokens: running * 100,
@@ -74,7 +82,7 @@
 /// Requests that box `run` learns of on `target`.
 fn told(collector: &Collector, run: u64, target: &str) -> u32 {
     let others = collector.all_but(Incarnation(run));
-    let found = others.loads.iter().find(|told| &*told.target == target);
+    let found = others.loads.iter().find(|told| &*told.target.id == target);
     found.map_or(0, |told| told.load.running)
 }
 
@@ -252,7 +260,7 @@
     let answers = (6..8).flat_map(|number| collector.answers(Incarnation(2), number));
     let heard: BTreeSet<Arc<str>> = answers
         .flat_map(|others| others.loads)
-        .map(|told| told.target)
+        .map(|told| told.target.id)
         .collect();
     assert_eq!(heard.len(), 190);
 }
@@ -275,7 +283,7 @@
     let mut collector = Collector::new("north");
     for run in 1..5 {
         let loads = vec![TargetLoad {
-            target: "e0".into(),
+            target: run_of("e0"),
             load: Load {
                 running: u32::MAX,
                 tokens: u32::MAX,
@@ -348,3 +356,36 @@
     let told = own_report(Incarnation(1), 2, &here, at(2_000));
     assert!(told.loads.is_empty());
 }
+
+/// An entry of the engine e0 that started at `born`.
+fn born(born: u64) -> Entry {
+    Entry {
+        born: Some(Born(born)),
+        ..entry(0, "north", "small", 0..8)
+    }
+}
+
+#[test]
+fn loads_on_two_runs_under_one_id_are_not_summed_and_those_of_the_earlier_run_count_for_nothing() {
+    let mut collector = Collector::new("north");
+    for (box_run, (start, running)) in (1..).zip([(1_000, 40), (2_000, 3), (2_000, 4)]) {
+        let told = TargetLoad {
+            target: born(start).run(),
+            ..load_of("e0", running)
+        };
+        let report = Report {
+            loads: vec![told],
+            ..report(box_run, 1, 0)
+        };
+        collector.hear(report, ip(box_run), at(0));
+    }
+    collector.sum_up(at(0));
+    let mut fleet = Fleet::default();
+    let (key, _) = fleet.upsert(born(2_000), Evidence::Written, at(0));
+    let mut elsewhere = Elsewhere::default();
+    elsewhere.hear(collector.all_but(Incarnation(9)), &mut fleet, at(0));
+    let running = |fleet: &Fleet| fleet.get(key).map(|engine| engine.running_elsewhere);
+    assert_eq!(running(&fleet), Some(7.0));
+    elsewhere.forget_old(&mut fleet, at(100));
+    assert_eq!(running(&fleet), Some(7.0));
+}
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -70,6 +70,7 @@
 pub fn entry(number: u16, domain: &str, card: &str, layers: Layers) -> Entry {
     Entry {
         id: format!("e{number}").into(),
+        born: None,
         service: SERVICE.into(),
         address: ([10, 0, 0, 1], 1000 + number).into(),
         domain: domain.into(),
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::count::DomainCount;
+use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::loads::{Load, Message, Others, Part, Report, TargetLoad};
 use reachtally_core::ids::Incarnation;
 
@@ -131,7 +132,8 @@
 fn load_to_wire(told: &TargetLoad) -> relay::TargetLoad {
     let percent = |pace: f64| (pace * 100.0).round() as u32;
     relay::TargetLoad {
-        target: told.target.to_string(),
+        target: told.target.id.to_string(),
+        run_mark: u32::from(told.target.mark.0),
         running: told.load.running,
         tokens: told.load.tokens,
         pace_percent: told.load.pace.map_or(0, percent),
@@ -142,7 +144,11 @@
 
 fn loads_from_wire(loads: Vec<relay::TargetLoad>) -> Vec<TargetLoad> {
     let load = |load: relay::TargetLoad| TargetLoad {
-        target: load.target.into(),
+        target: TargetRun {
+            id: load.target.into(),
+            // A mark of more than it may have is of no run that is known.
+            mark: RunMark(u16::try_from(load.run_mark).unwrap_or(u16::MAX)),
+        },
         load: Load {
             running: load.running,
             tokens: load.tokens,
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::changes::Cursor;
-use reachtally_core::forward::fleet::Entry;
+use reachtally_core::forward::fleet::{Born, Entry};
 use reachtally_core::forward::peers::Member;
 use reachtally_core::ids::Incarnation;
 
@@ -202,7 +202,8 @@
 
 fn encode_entry(entry: &Entry) -> pb::Target {
     pb::Target {
-        run: entry.id.to_string(),
+        id: entry.id.to_string(),
+        born: entry.born.map_or(0, |born| born.0),
         service: entry.service.to_string(),
         address: entry.address.to_string(),
         domain: entry.domain.to_string(),
@@ -217,7 +218,8 @@
 fn decode_entry(target: pb::Target) -> Result<Entry, Error> {
     let address = target.address.parse();
     Ok(Entry {
-        id: target.run.into(),
+        id: target.id.into(),
+        born: (target.born > 0).then_some(Born(target.born)),
         service: target.service.into(),
         address: address.map_err(|_| Error::Missing("address"))?,
         domain: target.domain.into(),
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::count::DomainCount;
-use reachtally_core::forward::fleet::Entry;
+use reachtally_core::forward::fleet::{Entry, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
     Load, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
 };
@@ -18,6 +18,7 @@
 fn entry(card: Option<&str>) -> Entry {
     Entry {
         id: "run-1".into(),
+        born: None,
         service: "pool".into(),
         address: ([10, 1, 2, 3], 8080).into(),
         domain: "north".into(),
@@ -109,9 +110,17 @@
     }
 }
 
+/// A run with the longest mark.
+fn run(id: String) -> TargetRun {
+    TargetRun {
+        id: id.into(),
+        mark: RunMark((1 << 14) - 1),
+    }
+}
+
 fn target_load(number: u32) -> TargetLoad {
     TargetLoad {
-        target: format!("some-run-of-a-target-{number}").into(),
+        target: run(format!("some-run-of-a-target-{number}")),
         load: Load {
             pace: (number % 2 == 1).then_some(2.5),
             silent: number,
@@ -176,7 +185,7 @@
 #[test]
 fn as_many_targets_as_are_told_at_once_fit_one_datagram() {
     let load = |number: u32| TargetLoad {
-        target: format!("i-{number:010x}").into(),
+        target: run(format!("i-{number:010x}")),
         load: Load {
             pace: Some(1.5),
             silent: 2,
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -199,7 +199,17 @@
     let feed = store.targets().await?;
     // Another box may have told of later changes while this read was under way.
     if feed.next >= relay.targets_end.get() {
-        relay.replace_targets(feed.items, may_lapse);
+        let mut entries = Vec::new();
+        let mut spoiled = Vec::new();
+        for item in feed.items {
+            match item {
+                TargetChange::Wrote(entry) => entries.push(entry),
+                TargetChange::Spoiled(entry) => spoiled.push(entry),
+                TargetChange::Gone(id) => relay.target_gone(&id, may_lapse),
+            }
+        }
+        relay.targets_spoiled(&spoiled);
+        relay.replace_targets(entries, may_lapse);
         relay.targets_are_of(began, feed.next);
     }
     Ok(())
@@ -219,6 +229,7 @@
     }
     // Of what a target wrote and then dropped, or the other way round, the last counts.
     let mut wrote = Vec::new();
+    let mut spoiled = Vec::new();
     for change in feed.items {
         match change {
             TargetChange::Wrote(entry) => wrote.push((entry, Evidence::Written)),
@@ -226,9 +237,15 @@
                 relay.targets_shown(std::mem::take(&mut wrote));
                 relay.target_gone(&id, may_lapse);
             }
+            TargetChange::Spoiled(entry) => {
+                relay.targets_shown(std::mem::take(&mut wrote));
+                relay.forget(&entry.id);
+                spoiled.push(entry);
+            }
         }
     }
     relay.targets_shown(wrote);
+    relay.note_spoiled(&spoiled);
     relay.targets_are_of(began, feed.next);
     Ok(())
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -99,6 +99,8 @@
     direct: watch::Sender<bool>,
     suspects: Suspects,
     news: watch::Sender<()>,
+    /// Rows of targets that were last found to have started again.
+    pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
     /// Whether this box is the one of its failure domain that should read the store.
     pub is_reader: Cell<bool>,
     /// When the read of the targets began that what is held goes back to.
@@ -154,6 +156,7 @@
             direct: watch::Sender::new(true),
             suspects: Suspects::default(),
             news: watch::Sender::new(()),
+            runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
             targets_read: Cell::default(),
             targets_end: Cell::default(),
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -53,6 +53,17 @@
     Wrote(Entry),
     /// A target's entry is gone.
     Gone(Arc<str>),
+    /// Another writer spoiled a target's entry: it names no target to use.
+    Spoiled(SpoiledEntry),
+}
+
+/// An entry that does not decode.
+#[derive(Debug, Clone)]
+pub struct SpoiledEntry {
+    /// Its target's id.
+    pub id: Arc<str>,
+    /// What is wrong with it.
+    pub why: String,
 }
 
 /// What this box holds in the group of boxes.
@@ -76,8 +87,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Feed<Bytes>, StoreError>>;
 
-    /// All targets' entries.
-    fn targets(&self) -> impl Future<Output = Result<Feed<Entry>, StoreError>>;
+    /// All targets' entries; none is told to be gone.
+    fn targets(&self) -> impl Future<Output = Result<Feed<TargetChange>, StoreError>>;
 
     /// Changes to the list of targets from `offset` on, without waiting.
     fn targets_from(
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -8,6 +8,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::stall::Gaps;
+use tokio::sync::watch;
 
 use crate::attempts::Attempts;
 use crate::events::Splitter;
@@ -39,6 +40,8 @@
     since: Instant,
     /// When to look at the engines if no event comes.
     look_at: Instant,
+    /// Tells of targets that started again.
+    runs_ended: watch::Receiver<Vec<EngineKey>>,
 }
 
 /// What was expected of a chain, and what it did.
@@ -119,6 +122,7 @@
         connection: Connection,
         occupied: Occupied,
         pace: Pace,
+        runs_ended: watch::Receiver<Vec<EngineKey>>,
         now: Instant,
     ) -> Self {
         let mut running = Running {
@@ -129,6 +133,7 @@
             pace,
             since: now,
             look_at: now,
+            runs_ended,
         };
         running.wait_from(now);
         running
@@ -155,9 +160,18 @@
     ) -> Result<Bytes, Stopped> {
         loop {
             let until = relay.clock(call.due.min(self.look_at));
-            let Ok(frame) = tokio::time::timeout_at(until, self.body.frame()).await else {
-                self.look(relay, call, attempts).await?;
-                continue;
+            let frame = tokio::select! {
+                biased;
+                frame = self.body.frame() => frame,
+                // The sender lives as long as the relay. A stream whose engine started again gets no more of it.
+                Ok(()) = self.runs_ended.changed() => {
+                    self.leave_ended(relay, call, attempts)?;
+                    continue;
+                }
+                () = tokio::time::sleep_until(until) => {
+                    self.look(relay, call, attempts).await?;
+                    continue;
+                }
             };
             let Some(frame) = frame else {
                 return Err(self.ended(relay, call, splitter));
@@ -176,6 +190,22 @@
         }
     }
 
+    /// Targets started again: leave them at once if this stream ran there and can go on elsewhere.
+    fn leave_ended(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        attempts: &Attempts,
+    ) -> Result<(), Stopped> {
+        let ended = self.runs_ended.borrow_and_update().clone();
+        let engines = self.engines().iter().copied();
+        let lost: Vec<EngineKey> = engines.filter(|key| ended.contains(key)).collect();
+        if !lost.is_empty() && send::may_go_elsewhere(relay, call, attempts, &lost) {
+            return Err(Stopped::Dead(lost));
+        }
+        Ok(())
+    }
+
     /// No event came in time: is the final answer due, or are engines dead?
     async fn look(
         &mut self,
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -7,8 +7,10 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence};
+use tokio::sync::watch;
 
 use crate::relay::Relay;
+use crate::store::SpoiledEntry;
 use crate::target;
 
 /// Time for which the answer to whether a target is there holds, so that the streams of one engine
@@ -33,9 +35,13 @@
     /// Entries that were read together.
     pub fn targets_shown(&self, shown: Vec<Shown>) {
         let mut changed = Vec::new();
+        let mut ended = Vec::new();
         for (entry, evidence) in shown {
             let id = entry.id.clone();
-            let (key, is_news) = self.fleet.borrow_mut().upsert(entry, evidence, self.now());
+            let mut fleet = self.fleet.borrow_mut();
+            let before = fleet.find(&id);
+            let (key, is_news) = fleet.upsert(entry, evidence, self.now());
+            ended.extend(before.filter(|before| *before != key));
             if is_news {
                 self.changes.borrow_mut().note(id);
                 changed.push(key);
@@ -46,6 +52,34 @@
         }
         self.log_changed(&changed);
         self.touched();
+        if !ended.is_empty() {
+            log::info!(event = "targets-started-again", targets = ended.len(); "targets started again under their ids, and hold nothing of before");
+            self.runs_ended.send_replace(ended);
+        }
+    }
+
+    /// Follow the rows of targets whose runs are known to have ended, since they started again.
+    pub(crate) fn runs_ended(&self) -> watch::Receiver<Vec<EngineKey>> {
+        self.runs_ended.subscribe()
+    }
+
+    /// Entries of one list that another writer spoiled: they name no targets, also where earlier ones did.
+    pub fn targets_spoiled(&self, spoiled: &[SpoiledEntry]) {
+        for entry in spoiled {
+            self.forget(&entry.id);
+        }
+        self.note_spoiled(spoiled);
+    }
+
+    /// Count and log spoiled entries of one read.
+    pub(crate) fn note_spoiled(&self, spoiled: &[SpoiledEntry]) {
+        self.count(|tally| tally.entries_spoiled += spoiled.len() as u64);
+        for entry in spoiled.iter().take(MOST_ENTRY_LINES) {
+            log::warn!(event = "entry-spoiled", target = &*entry.id, why = &*entry.why; "an entry names no target: another writer spoiled it");
+        }
+        if spoiled.len() > MOST_ENTRY_LINES {
+            log::warn!(event = "entries-spoiled", entries = spoiled.len(); "more entries of one read are spoiled than are logged each");
+        }
     }
 
     fn log_changed(&self, changed: &[EngineKey]) {
@@ -80,7 +114,8 @@
         }
     }
 
-    fn forget(&self, id: &str) {
+    /// A target is not there any more.
+    pub(crate) fn forget(&self, id: &str) {
         if self.fleet.borrow_mut().remove(id).is_some() {
             self.changes.borrow_mut().note(Arc::from(id));
             self.touched();
