fix: a failure domain that was not heard of keeps its share of the budget

Boxes that start again in a domain that is cut off heard of their own domain only and took the share of all others (59 believed where 177 are, in the test), and so did all boxes of a domain that is cut off for longer than thirty seconds. Change: the settings tell how many failure domains there are; one that is not heard of counts like the largest.

--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -123,6 +123,7 @@
     let settings = Settings {
         name: "bench".to_owned(),
         domain: "here".to_owned(),
+        domains: 1,
         ip: Ipv4Addr::LOCALHOST.into(),
         link_mbps: 0,
         seeds: Vec::new(),
--- a/reachtally-core/src/forward/count.rs
+++ b/reachtally-core/src/forward/count.rs
@@ -1,7 +1,8 @@
 //! How many boxes there are, by failure domain, as far as a box is told.
 //!
 //! Too small a number is the dangerous side: every box takes a share of what all share. So a domain that is not
-//! heard of any more keeps its boxes for a while, and a number that falls is believed only once it has held.
+//! heard of any more keeps its boxes for a while, a number that falls is believed only once it has held, and a domain
+//! that is there but was not heard of counts like the largest.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -61,9 +62,15 @@
         self.0.retain(|_, held| now.since(held.heard) < DOMAIN_LIFE);
     }
 
-    /// Boxes in all; `None` before the first count.
-    pub fn boxes(&self) -> Option<u32> {
-        let counts = self.0.values().map(|held| held.boxes);
-        (!self.0.is_empty()).then(|| counts.fold(0, u32::saturating_add))
+    /// Boxes in all `domains` failure domains that there are, 0 if that is not known; `None` before the first count.
+    ///
+    /// Guards the shared budget where boxes start again in a domain that is cut off, or one is cut off for longer than
+    /// it counts: they would take the share of all others.
+    pub fn boxes(&self, domains: usize) -> Option<u32> {
+        let counts = || self.0.values().map(|held| held.boxes);
+        let largest = counts().max()?;
+        let unheard = domains.saturating_sub(self.0.len()) as u32;
+        let heard = counts().fold(0, u32::saturating_add);
+        Some(heard.saturating_add(unheard.saturating_mul(largest)))
     }
 }
--- a/reachtally-core/src/forward/loads/elsewhere.rs
+++ b/reachtally-core/src/forward/loads/elsewhere.rs
@@ -46,9 +46,9 @@
         self.heard
     }
 
-    /// Boxes in all, this one included; `None` before the first count.
-    pub fn boxes(&self) -> Option<u32> {
-        self.count.boxes()
+    /// Boxes in all `domains` failure domains, this one included; `None` before the first count. See [`BoxCount::boxes`].
+    pub fn boxes(&self, domains: usize) -> Option<u32> {
+        self.count.boxes(domains)
     }
 }
 
--- a/reachtally-core/tests/core/forward/count.rs
+++ b/reachtally-core/tests/core/forward/count.rs
@@ -23,18 +23,39 @@
 #[test]
 fn a_domain_that_is_not_heard_of_keeps_its_boxes_for_a_while() {
     let mut count = BoxCount::default();
-    assert_eq!(count.boxes(), None);
+    assert_eq!(count.boxes(0), None);
     count.hear(&told("north", 100), at(0));
     count.hear(&told("south", 195), at(0));
     // Cut off, the north must not share out what is the south's.
     for ms in (0..29_000).step_by(200) {
         count.hear(&told("north", 100), at(ms));
         count.forget_old(at(ms));
-        assert_eq!(count.boxes(), Some(295), "after {ms} ms");
+        assert_eq!(count.boxes(0), Some(295), "after {ms} ms");
     }
     count.hear(&told("north", 100), at(40_000));
     count.forget_old(at(40_000));
-    assert_eq!(count.boxes(), Some(100));
+    assert_eq!(count.boxes(0), Some(100));
+}
+
+/// All boxes of the north start again while it is cut off from two other domains.
+#[test]
+fn domains_that_were_never_heard_of_count_like_the_largest() {
+    let mut count = BoxCount::default();
+    assert_eq!(count.boxes(3), None);
+    count.hear(&told("north", 59), at(0));
+    assert_eq!(count.boxes(3), Some(177));
+    count.hear(&told("south", 30), at(200));
+    assert_eq!(count.boxes(3), Some(148));
+    count.hear(&told("west", 7), at(400));
+    assert_eq!(count.boxes(3), Some(96));
+    // More domains are heard of than the settings tell.
+    assert_eq!(count.boxes(2), Some(96));
+    // Cut off for long, the north still leaves the others their share.
+    for ms in (400..50_000).step_by(200) {
+        count.hear(&told("north", 59), at(ms));
+        count.forget_old(at(ms));
+        assert!(count.boxes(3) >= Some(96), "after {ms} ms");
+    }
 }
 
 #[test]
@@ -43,14 +64,14 @@
     count.hear(&told("north", 64), at(0));
     // A collector that was just chosen is not reported to by all yet.
     count.hear(&told("north", 3), at(200));
-    assert_eq!(count.boxes(), Some(64));
+    assert_eq!(count.boxes(0), Some(64));
     count.hear(&told("north", 64), at(800));
     count.hear(&told("north", 125), at(1_000));
-    assert_eq!(count.boxes(), Some(125));
+    assert_eq!(count.boxes(0), Some(125));
     for ms in (1_200..4_200).step_by(200) {
         count.hear(&told("north", 64), at(ms));
     }
-    assert_eq!(count.boxes(), Some(64));
+    assert_eq!(count.boxes(0), Some(64));
 }
 
 /// Boxes of one domain that report to one of them, which may change.
@@ -107,7 +128,7 @@
 
     fn believed(&self) -> Vec<u32> {
         let each = self.elsewhere.iter();
-        each.map(|elsewhere| elsewhere.boxes().unwrap_or_default())
+        each.map(|elsewhere| elsewhere.boxes(0).unwrap_or_default())
             .collect()
     }
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -39,6 +39,8 @@
     pub name: String,
     /// Its failure domain.
     pub domain: String,
+    /// Failure domains that there are, 0 if that is not known.
+    pub domains: usize,
     /// Its address.
     pub ip: IpAddr,
     /// Bandwidth of its link, in Mbit/s; 0 if it is not known.
@@ -365,7 +367,8 @@
     /// Number of boxes that share the budget. Until a count is known, many are assumed: a small share is
     /// the safe side.
     pub fn boxes(&self) -> u32 {
-        let counted = self.elsewhere.borrow().boxes();
+        let domains = self.settings.borrow().domains;
+        let counted = self.elsewhere.borrow().boxes(domains);
         let members = self.members.borrow().len() as u32;
         let is_settled = self.is_count_settled();
         let least = match counted {
