refactor(relay): the configuration, the life cycle and the second sends are parts of their own

The shared state was one bag of some thirty cells. Three parts now have a module, their invariants and the only functions that change them: the configuration in force with its age, how far the box is in its life, and the budgets of second sends. Behaviour and tests stay, but for names.

--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -152,8 +152,8 @@
 
     /// Log what each send was decided by.
     pub fn log(&self, relay: &Relay, call: &Call) {
-        let version = relay.config().map_or(0, |table| table.version);
-        let age = relay.freshness.get().age(relay.now()).unwrap_or_default();
+        let version = relay.configuration.version();
+        let age = relay.configuration.age(relay.now()).unwrap_or_default();
         log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = version, confirmed_ms = age.as_millis() as u64, prompt = call.head.prompt_tokens as u64; "a request that did not go well");
         for (number, record) in self.records.iter().enumerate() {
             log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.running_elsewhere as u64, expected_ms = record.expected_first.as_millis() as u64; "it was sent");
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -112,7 +112,7 @@
                 dependency.regained(relay.now());
                 pause.reset();
                 next = Some(offset);
-                if is_first && relay.config().is_none() {
+                if is_first && relay.configuration.table().is_none() {
                     sleep(FIRST_PAUSE).await;
                 }
             }
@@ -138,8 +138,8 @@
     for raw in &feed.items {
         relay.publish(raw).map_err(StoreError::Malformed)?;
     }
-    if relay.config().is_some() {
-        relay.confirm(began);
+    if relay.configuration.table().is_some() {
+        relay.configuration.confirm(began);
     }
     Ok(feed.next)
 }
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -63,7 +63,7 @@
     };
     // At the start every box that is missed joins, later each with its chance.
     let mut chance = 0.0;
-    while !joining.relay.is_leaving() {
+    while !joining.relay.lifecycle.is_leaving() {
         let should_join = joining.should_join(chance).await;
         chance = rand::random();
         joining.enter(should_join);
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -18,7 +18,8 @@
 
 use crate::accept;
 use crate::answer::{Body, CutShort};
-use crate::relay::{Relay, Stage};
+use crate::lifecycle::Stage;
+use crate::relay::Relay;
 use crate::serve;
 use crate::target;
 
@@ -63,7 +64,7 @@
 async fn connection(relay: Rc<Relay>, stream: TcpStream) {
     let _open = relay.connection();
     target::send_at_once(&stream);
-    let limits = relay.config().and_then(|table| table.limits);
+    let limits = relay.configuration.table().and_then(|table| table.limits);
     let header_bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes);
     let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| limits.header_timeout);
     let idle_timeout = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_SLACK;
@@ -83,9 +84,9 @@
         .max_buf_size(header_bytes.max(LEAST_BUFFER))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    let mut stage = relay.stage();
+    let mut stage = relay.lifecycle.stage();
     // A connection that came late gets its refusal, which closes it.
-    let mut closing = relay.is_closing();
+    let mut closing = relay.lifecycle.is_closing();
     loop {
         let (phase, since) = watch.phase.get();
         let due = match phase {
--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -12,14 +12,14 @@
 impl OpenConnection {
     /// Count a connection.
     pub fn new(relay: &Rc<Relay>) -> Self {
-        relay.open.set(relay.open.get() + 1);
+        relay.lifecycle.opened();
         OpenConnection(relay.clone())
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.0.lifecycle.closed();
     }
 }
 
--- a/reachtally-relay/src/ready.rs
+++ b/reachtally-relay/src/ready.rs
@@ -13,7 +13,7 @@
 
 /// Whether the box should get new connections.
 pub fn is_ready(relay: &Relay) -> bool {
-    !relay.is_leaving() && relay.is_fresh() && relay.can_serve()
+    !relay.lifecycle.is_leaving() && relay.is_fresh() && relay.can_serve()
 }
 
 /// Answer the balancer on `path` until the process ends.
@@ -34,8 +34,8 @@
     }
     let ready = is_ready(relay);
     if was_ready.replace(ready) != ready {
-        let version = relay.config().map(|table| table.version);
-        log::info!(event = "ready", ready = ready, leaving = relay.is_leaving(), fresh = relay.is_fresh(), version:? = version; "readiness changed");
+        let version = relay.configuration.table().map(|table| table.version);
+        log::info!(event = "ready", ready = ready, leaving = relay.lifecycle.is_leaving(), fresh = relay.is_fresh(), version:? = version; "readiness changed");
     }
     match ready {
         true => answer::plain(StatusCode::OK, "ready"),
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -9,14 +9,12 @@
 
 use bytes::Bytes;
 use reachtally_core::Instant;
-use reachtally_core::forward::budget::{BudgetBounds, SharedBudget};
+use reachtally_core::forward::budget::BudgetBounds;
 use reachtally_core::forward::changes::Changes;
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
-use reachtally_core::forward::freshness::Freshness;
 use reachtally_core::forward::loads::Elsewhere;
 use reachtally_core::forward::peers::{self, Member};
 use reachtally_core::forward::readers::View;
-use reachtally_core::forward::routes::Table;
 use reachtally_core::forward::select;
 use reachtally_core::forward::stall::Progress;
 use reachtally_core::forward::tally::Tally;
@@ -24,10 +22,13 @@
 use reachtally_protocol::packed;
 use tokio::sync::watch;
 
+use crate::configuration::Configuration;
 use crate::connections::Connections;
+use crate::lifecycle::Lifecycle;
 use crate::metrics::Times;
 use crate::occupied::OpenConnection;
 use crate::rhythm::Rhythm;
+use crate::second_sends::SecondSends;
 use crate::share::Pages;
 use crate::suspects::Suspects;
 use crate::wire::Wire;
@@ -60,17 +61,6 @@
     pub drain_within: Duration,
 }
 
-/// How far the relay is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stage {
-    /// It takes requests.
-    Serving,
-    /// It is not ready any more, and still takes what comes.
-    Leaving,
-    /// Its connections close after the answers that are under way.
-    Closing,
-}
-
 /// The shared state.
 pub struct Relay {
     /// See [`Settings`].
@@ -78,15 +68,15 @@
     /// Encodes and decodes heads.
     pub wire: Box<dyn Wire>,
     /// The configuration in force.
-    pub table: RefCell<Option<Arc<Table>>>,
+    pub configuration: Configuration,
+    /// How far this box is in its life.
+    pub lifecycle: Lifecycle,
     /// The targets.
     pub fleet: RefCell<Fleet>,
     /// Connections to engines that may be used again.
     pub(crate) connections: Connections,
     /// Progress of engines.
     pub progress: RefCell<Progress>,
-    /// How old the configuration may be.
-    pub freshness: Cell<Freshness>,
     /// The other boxes' loads.
     pub elsewhere: RefCell<Elsewhere>,
     /// Boxes in the group.
@@ -95,9 +85,8 @@
     pub(crate) domains_checked: RefCell<HashMap<Arc<str>, Instant>>,
     /// Generation of the group that these boxes are of.
     group_generation: Cell<u64>,
-    budgets: RefCell<HashMap<Arc<str>, SharedBudget>>,
+    second_sends: SecondSends,
     held: Cell<Duration>,
-    published: RefCell<Bytes>,
     direct: watch::Sender<bool>,
     suspects: Suspects,
     news: watch::Sender<()>,
@@ -120,8 +109,6 @@
     pub changes: RefCell<Changes>,
     /// What was lately told of them.
     pub(crate) pages: RefCell<Pages>,
-    stage: watch::Sender<Stage>,
-    pub(crate) open: Cell<usize>,
     started: tokio::time::Instant,
 }
 
@@ -143,18 +130,17 @@
         Relay {
             settings: RefCell::new(settings),
             wire,
-            table: RefCell::default(),
+            configuration: Configuration::default(),
+            lifecycle: Lifecycle::default(),
             fleet: RefCell::default(),
             connections: Connections::default(),
             progress: RefCell::default(),
-            freshness: Cell::default(),
             elsewhere: RefCell::default(),
             members: RefCell::default(),
             domains_checked: RefCell::default(),
             group_generation: Cell::default(),
-            budgets: RefCell::default(),
+            second_sends: SecondSends::default(),
             held: Cell::new(HELD_ASSUMED),
-            published: RefCell::default(),
             direct: watch::Sender::new(true),
             suspects: Suspects::default(),
             news: watch::Sender::new(()),
@@ -167,8 +153,6 @@
             times: Times::default(),
             changes: RefCell::default(),
             pages: RefCell::default(),
-            stage: watch::Sender::new(Stage::Serving),
-            open: Cell::new(0),
             started: tokio::time::Instant::now(),
         }
     }
@@ -188,11 +172,6 @@
         self.started + at.elapsed()
     }
 
-    /// The configuration in force.
-    pub fn config(&self) -> Option<Arc<Table>> {
-        self.table.borrow().clone()
-    }
-
     /// Put a configuration in force as it was published, unless the one held is as new.
     ///
     /// # Errors
@@ -216,23 +195,13 @@
         packed: impl FnOnce() -> std::io::Result<Bytes>,
     ) -> Result<(), String> {
         let table = self.wire.config(raw)?;
-        let held = self.config().map(|held| held.version);
-        if held.is_some_and(|version| version >= table.version) {
-            return Ok(());
+        if self.configuration.replace(table, packed)? {
+            self.count(|tally| tally.configurations_applied += 1);
+            self.touched();
         }
-        log::info!(event = "config", version = table.version, held:? = held, routes = table.route_count(); "configuration applied");
-        *self.table.borrow_mut() = Some(Arc::new(table));
-        *self.published.borrow_mut() = packed().map_err(|err| err.to_string())?;
-        self.count(|tally| tally.configurations_applied += 1);
-        self.touched();
         Ok(())
     }
 
-    /// The configuration in force as it was published, packed.
-    pub fn published(&self) -> Bytes {
-        self.published.borrow().clone()
-    }
-
     /// Whether this box reads the store itself.
     pub fn set_direct(&self, direct: bool) {
         let is_news = self
@@ -342,13 +311,6 @@
         self.tally.set(tally);
     }
 
-    /// Note that a read which began at `began` showed no newer configuration.
-    pub fn confirm(&self, began: Instant) {
-        let mut freshness = self.freshness.get();
-        freshness.confirm(began);
-        self.freshness.set(freshness);
-    }
-
     /// Note that the targets are those of a read which began at `began` and went up to `end`.
     pub fn targets_are_of(&self, began: Instant, end: u64) {
         self.targets_read
@@ -358,10 +320,8 @@
 
     /// Whether keyed requests may be judged by the configuration held.
     pub fn is_fresh(&self) -> bool {
-        match self.settings.borrow().revoke_within {
-            Some(within) => self.freshness.get().holds(self.now(), within),
-            None => true,
-        }
+        let within = self.settings.borrow().revoke_within;
+        self.configuration.is_fresh(self.now(), within)
     }
 
     /// Number of boxes that share the budget. Until a count is known, many are assumed: a small share is
@@ -401,15 +361,15 @@
 
     /// Count a request for a service's budget.
     pub fn count_first(&self, service: &Arc<str>) {
-        self.budget(service, |budget, bounds| budget.first(self.now(), bounds));
+        let bounds = self.settings.borrow().budget;
+        self.second_sends.first(service, self.now(), &bounds);
     }
 
     /// Take a second send from a service's budget.
     pub fn take_second(&self, service: &Arc<str>) -> bool {
+        let bounds = self.settings.borrow().budget;
         let boxes = self.boxes();
-        let taken = self.budget(service, |budget, bounds| {
-            budget.take(self.now(), bounds, boxes)
-        });
+        let taken = self.second_sends.take(service, self.now(), &bounds, boxes);
         self.count(|tally| match taken {
             true => tally.second_sends += 1,
             false => tally.second_sends_denied += 1,
@@ -417,19 +377,6 @@
         taken
     }
 
-    /// Use a service's budget, within its bounds.
-    fn budget<T>(
-        &self,
-        service: &Arc<str>,
-        spend: impl FnOnce(&mut SharedBudget, &BudgetBounds) -> T,
-    ) -> T {
-        let bounds = self.settings.borrow().budget;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone());
-        let budget = budget.or_insert_with(|| SharedBudget::of_box(Instant::ZERO));
-        spend(budget, &bounds)
-    }
-
     /// Note how long a request ran on its engines.
     pub fn note_held(&self, held: Duration) {
         let mean = self.held.get().as_secs_f64();
@@ -457,7 +404,7 @@
 
     /// Whether some target could take a request now.
     pub fn can_serve(&self) -> bool {
-        let Some(table) = self.config() else {
+        let Some(table) = self.configuration.table() else {
             return false;
         };
         let settings = self.settings.borrow();
@@ -479,31 +426,6 @@
             })
     }
 
-    /// Follow the stage of the relay's life.
-    pub fn stage(&self) -> watch::Receiver<Stage> {
-        self.stage.subscribe()
-    }
-
-    /// Go to a later stage.
-    pub fn enter(&self, stage: Stage) {
-        self.stage.send_replace(stage);
-    }
-
-    /// Whether the relay is stopping.
-    pub fn is_leaving(&self) -> bool {
-        *self.stage.borrow() != Stage::Serving
-    }
-
-    /// Whether the relay takes no more requests.
-    pub fn is_closing(&self) -> bool {
-        *self.stage.borrow() == Stage::Closing
-    }
-
-    /// Number of open connections of callers.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-
     /// Count a caller's connection while the guard lives.
     pub fn connection(self: &Rc<Self>) -> OpenConnection {
         OpenConnection::new(self)
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -66,7 +66,7 @@
         Ok(call) => forward(&relay, call).await,
         Err(response) => response,
     };
-    if relay.is_leaving() {
+    if relay.lifecycle.is_leaving() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -98,19 +98,16 @@
         let end = Life::<Received>::default().refuse_not_run(refusal);
         answer::given_up(&GivenUp::NotRun(end), waits, draw)
     };
-    let Some(table) = relay.config() else {
+    let Some(table) = relay.configuration.table() else {
         return Err(refuse(Refusal::Paused));
     };
-    if relay.is_closing() {
+    if relay.lifecycle.is_closing() {
         return Err(refuse(Refusal::Stopping));
     }
     let judged = judge(&table, &parts).ok_or_else(|| bad_request("no host"))?;
     if judged.needs_fresh() && !relay.is_fresh() {
-        let age = relay
-            .freshness
-            .get()
-            .age(arrived)
-            .map(|age| age.as_millis() as u64);
+        let age = relay.configuration.age(arrived);
+        let age = age.map(|age| age.as_millis() as u64);
         log::info!(event = "refused", id = &*head.id, why = "stale", version = table.version, age_ms:? = age; "the configuration was not confirmed in time");
         return Err(refuse(Refusal::Paused));
     }
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -59,7 +59,7 @@
 async fn answer(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
     let mut changed = relay.news();
     let waiting = async {
-        while relay.config().is_some() && !is_sound(relay) {
+        while relay.configuration.table().is_some() && !is_sound(relay) {
             sleep(SOUND_LOOK).await;
         }
         while !is_news(relay, ask, run) && changed.changed().await.is_ok() {}
@@ -70,7 +70,7 @@
 }
 
 fn is_news(relay: &Relay, ask: &Ask, run: Incarnation) -> bool {
-    let version = relay.config().map_or(0, |table| table.version);
+    let version = relay.configuration.version();
     let targets = Cursor {
         run: run.0,
         next: relay.changes.borrow().next(),
@@ -82,14 +82,14 @@
 }
 
 fn news(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
-    let version = relay.config().map_or(0, |table| table.version);
+    let version = relay.configuration.version();
     let is_newer = version > ask.config_version;
     let changes = relay.changes.borrow();
     let mut news = News {
-        confirmed_age: relay.freshness.get().age(relay.now()),
+        confirmed_age: relay.configuration.age(relay.now()),
         targets_age: relay.targets_read.get().map(|at| relay.now().since(at)),
         config: if is_newer {
-            relay.published()
+            relay.configuration.published()
         } else {
             Default::default()
         },
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -197,7 +197,7 @@
     };
     let began = relay.now();
     let ask = Ask {
-        config_version: relay.config().map_or(0, |table| table.version),
+        config_version: relay.configuration.version(),
         targets: source.targets,
         targets_end: relay.targets_end.get(),
         group_generation: relay.group_generation(),
@@ -251,7 +251,9 @@
         relay.targets_are_of(Instant::from_elapsed(read), end);
     }
     let confirmed = began.elapsed().saturating_sub(age);
-    relay.confirm(Instant::from_elapsed(confirmed));
+    relay
+        .configuration
+        .confirm(Instant::from_elapsed(confirmed));
     Ok(source)
 }
 
--- a/reachtally-relay/src/share/mod.rs
+++ b/reachtally-relay/src/share/mod.rs
@@ -39,7 +39,7 @@
 fn is_sound(relay: &Relay) -> bool {
     let now = relay.now();
     let rhythm = relay.rhythm();
-    let age = relay.freshness.get().age(now);
+    let age = relay.configuration.age(now);
     age.is_some_and(|age| age <= rhythm.sound_age)
         && is_within(relay.targets_read.get(), now, rhythm.sound_targets_age)
 }
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -60,7 +60,7 @@
 
 /// Services whose engines hold layers.
 fn layered(relay: &Relay) -> Vec<(Arc<LayerModel>, Arc<str>)> {
-    let Some(table) = relay.config() else {
+    let Some(table) = relay.configuration.table() else {
         return Vec::new();
     };
     let services = table.services.iter();
