fix(core): a target that goes on writing takes its address back, and of two runs the later one has it

Now the next heartbeat but one takes it back, and where both tell their start the later run has the address at once. The line of a changed entry tells the start.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -82,10 +82,13 @@
             self.release_address(before, key);
             self.take_address(address, key, evidence, now);
         }
+        let is_back = is_back && !self.engines[key].health.is_superseded();
         is_changed || was_missing || is_back
     }
 
-    /// A target listens at `address` now. The one that did so before is superseded; its entry stays until it lapses.
+    /// A target listens at `address`. Of two that claim it, the run that started later has it, as far as they tell, else the one
+    /// that wrote last. The other is superseded; its entry stays until it lapses. Guards a run that started behind a cut:
+    /// an entry of the run before it that is written late would take it out of use.
     fn take_address(
         &mut self,
         address: SocketAddr,
@@ -93,11 +96,19 @@
         evidence: Evidence,
         now: Instant,
     ) {
-        let before = self.by_address.insert(address, key);
-        if evidence != Evidence::Written {
-            return;
+        let holder = self.by_address.get(&address).copied();
+        let other = holder.and_then(|holder| self.engines.get(holder));
+        let order = other.map(|other| self.engines[key].entry.run_since(&other.entry));
+        let superseded = match order {
+            Some(RunOrder::Earlier) => Some(key),
+            Some(RunOrder::Later) => holder,
+            Some(RunOrder::Same) => holder.filter(|_| evidence == Evidence::Written),
+            None => None,
+        };
+        if superseded != Some(key) {
+            self.by_address.insert(address, key);
         }
-        if let Some(engine) = before.and_then(|key| self.engines.get_mut(key)) {
+        if let Some(engine) = superseded.and_then(|key| self.engines.get_mut(key)) {
             engine.health.superseded(now);
         }
     }
--- a/reachtally-core/src/forward/fleet/entry.rs
+++ b/reachtally-core/src/forward/fleet/entry.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// How the run that wrote this entry relates to that of an earlier one under the same id. An entry that doesn't tell
-    /// its run's start is of the run that is known.
+    /// How the run that wrote this entry relates to that of a known one with the same id or address. Where one doesn't tell
+    /// its start they count as one run.
     pub fn run_since(&self, known: &Entry) -> RunOrder {
         match (known.born, self.born) {
             (Some(known), Some(told)) if told > known => RunOrder::Later,
@@ -75,7 +75,7 @@
     }
 }
 
-/// How two runs under one id relate.
+/// How two runs with one id or address relate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunOrder {
     /// The target started again.
--- a/reachtally-core/src/forward/fleet/health.rs
+++ b/reachtally-core/src/forward/fleet/health.rs
@@ -101,6 +101,11 @@
         self.superseded_at.get_or_insert(now);
     }
 
+    /// Whether another target has its address.
+    pub(super) fn is_superseded(&self) -> bool {
+        self.superseded_at.is_some()
+    }
+
     /// When the target was last seen alive.
     pub fn alive_at(&self) -> Option<Instant> {
         self.alive_at
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -275,3 +275,27 @@
     assert!(!is_dead(&fleet));
     assert_eq!(fleet.at(first.address), Some(key));
 }
+
+/// A run crashed behind a cut and started again there under another id. Once the cut has healed, what the earlier run had
+/// written is done late.
+#[test]
+fn an_entry_of_an_earlier_run_that_is_written_late_does_not_take_the_address_of_the_later_one() {
+    for evidence in [Evidence::Written, Evidence::Listed] {
+        let mut fleet = Fleet::default();
+        let later = Entry {
+            id: "later".into(),
+            ..run(2_000)
+        };
+        let (new, _) = fleet.upsert(later.clone(), Evidence::Written, at(0));
+        let (old, _) = fleet.upsert(run(1_000), evidence, at(10));
+        let is_dead = |fleet: &Fleet, key| fleet.get(key).expect("it is known").health.is_dead();
+        assert!(is_dead(&fleet, old) && !is_dead(&fleet, new));
+        assert_eq!(fleet.at(later.address), Some(new));
+        assert!(fleet.dead().is_empty());
+        // Nor if it is written again and again.
+        for ms in [1_500, 3_000, 4_500] {
+            assert_eq!(fleet.upsert(run(1_000), evidence, at(ms)), (old, false));
+            assert!(is_dead(&fleet, old) && !is_dead(&fleet, new));
+        }
+    }
+}
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -93,7 +93,7 @@
             return;
         }
         for entry in entries {
-            log::info!(event = "target", target = &*entry.id, address:% = entry.address, draining = entry.draining, layers:? = entry.layers; "a target's entry changed");
+            log::info!(event = "target", target = &*entry.id, address:% = entry.address, born = entry.born.map_or(0, |born| born.0), draining = entry.draining, layers:? = entry.layers; "a target's entry changed");
         }
     }
 
