fix(core): messages of loads hold 38 targets again where no run tells its start

Cause: each told target names its run since targets may start again under their ids, so 35 were told in a message in place of 38, also where no run tells a start and the mark takes no byte. 190 targets then take six messages in place of five, and are known later. Change: 38 where no run tells its start, 35 where some do.

--- a/reachtally-core/src/forward/loads/collector.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use super::told::Told;
-use super::{Load, Others, Part, REPORT_LIFE, Report, TARGETS_TOLD, TargetLoad};
+use super::{
+    Load, MARKED_TARGETS_TOLD, Others, Part, REPORT_LIFE, Report, TARGETS_TOLD, TargetLoad,
+};
 use crate::forward::count::DomainCount;
-use crate::forward::fleet::TargetRun;
+use crate::forward::fleet::{RunMark, TargetRun};
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
@@ -172,7 +174,7 @@
 
     /// The answers to report `number` of `run`. Reports in a row are answered with different targets.
     pub fn answers(&self, run: Incarnation, number: u64) -> Vec<Others> {
-        let pages: Vec<&[TargetLoad]> = self.all.chunks(TARGETS_TOLD).collect();
+        let pages: Vec<&[TargetLoad]> = self.all.chunks(self.told_at_once()).collect();
         let count = pages.len() as u64;
         if count == 0 {
             return vec![self.all_but(run)];
@@ -193,6 +195,15 @@
         answers
     }
 
+    /// Targets that fit one message.
+    fn told_at_once(&self) -> usize {
+        let is_marked = |told: &TargetLoad| told.target.mark != RunMark::default();
+        match self.all.iter().any(is_marked) {
+            true => MARKED_TARGETS_TOLD,
+            false => TARGETS_TOLD,
+        }
+    }
+
     /// What all boxes but `run` have on all targets.
     pub fn all_but(&self, run: Incarnation) -> Others {
         Others {
@@ -218,7 +229,7 @@
         };
         match self.all.is_empty() {
             true => vec![part(&[])],
-            false => self.all.chunks(TARGETS_TOLD).map(part).collect(),
+            false => self.all.chunks(self.told_at_once()).map(part).collect(),
         }
     }
 
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -26,8 +26,11 @@
 /// or its links.
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 /// Targets in one message. With names of a dozen bytes, and the numbers of boxes of 13 failure domains, it fits
-/// a datagram that is not split on the way.
-pub const TARGETS_TOLD: usize = 35;
+/// a datagram that is not split on the way. Where 190 targets take six messages in place of five, they are known later:
+/// measured with 295 boxes, with 35 told at once, worth -0.012 (error 0.003, 5 pairs).
+pub const TARGETS_TOLD: usize = 38;
+/// The same where the targets' runs tell their starts: a mark takes three bytes.
+pub const MARKED_TARGETS_TOLD: usize = 35;
 /// Most requests on a target that are believed of one sender; beyond any target's places.
 const MOST_RUNNING: u32 = 100_000;
 /// Most tokens on a target that are believed of one sender; beyond any target's memory.
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -8,7 +8,7 @@
 use reachtally_core::forward::count::DomainCount;
 use reachtally_core::forward::fleet::{Entry, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
-    Load, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
+    Load, MARKED_TARGETS_TOLD, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
 };
 use reachtally_core::forward::peers::Member;
 use reachtally_core::ids::Incarnation;
@@ -184,8 +184,8 @@
 
 #[test]
 fn as_many_targets_as_are_told_at_once_fit_one_datagram() {
-    let load = |number: u32| TargetLoad {
-        target: run(format!("i-{number:010x}")),
+    let load = |target: TargetRun| TargetLoad {
+        target,
         load: Load {
             pace: Some(1.5),
             silent: 2,
@@ -194,14 +194,22 @@
             reading: 4_000,
         },
     };
-    let loads: Vec<TargetLoad> = (0..TARGETS_TOLD as u32).map(load).collect();
-    // In the size of two years there are thirteen failure domains.
-    let others = Message::Others(Others {
-        counts: counts(13),
-        loads,
-    });
-    let decoded = load::decode(&load::encode(&others)).expect("it decodes");
-    assert_eq!(decoded, others);
+    let marked = |number: usize| run(format!("i-{number:010x}"));
+    let unmarked = |number: usize| TargetRun {
+        mark: RunMark::default(),
+        ..marked(number)
+    };
+    let marked: Vec<TargetLoad> = (0..MARKED_TARGETS_TOLD).map(marked).map(load).collect();
+    let unmarked: Vec<TargetLoad> = (0..TARGETS_TOLD).map(unmarked).map(load).collect();
+    for loads in [marked, unmarked] {
+        // In the size of two years there are thirteen failure domains.
+        let others = Message::Others(Others {
+            counts: counts(13),
+            loads,
+        });
+        let decoded = load::decode(&load::encode(&others)).expect("it decodes");
+        assert_eq!(decoded, others);
+    }
 }
 
 #[test]
