refactor: runs are compared in one place, and a read of entries copies nothing twice

The tests' entries of runs, instances and whole entries stand once each; their assertions are as they were.

--- a/reachtally-core/src/forward/fleet/entry.rs
+++ b/reachtally-core/src/forward/fleet/entry.rs
@@ -67,11 +67,7 @@
     /// How the run that wrote this entry relates to that of a known one with the same id or address. Where one doesn't tell
     /// its start they count as one run.
     pub fn run_since(&self, known: &Entry) -> RunOrder {
-        match (known.born, self.born) {
-            (Some(known), Some(told)) if told > known => RunOrder::Later,
-            (Some(known), Some(told)) if told < known => RunOrder::Earlier,
-            _ => RunOrder::Same,
-        }
+        RunOrder::of(self.born, known.born)
     }
 }
 
@@ -86,6 +82,18 @@
     Earlier,
 }
 
+impl RunOrder {
+    /// How the run that tells the start `told` relates to one that started at `known`. Where one isn't told they count as
+    /// one run.
+    pub fn of(told: Option<Born>, known: Option<Born>) -> Self {
+        match (told, known) {
+            (Some(told), Some(known)) if told > known => RunOrder::Later,
+            (Some(told), Some(known)) if told < known => RunOrder::Earlier,
+            _ => RunOrder::Same,
+        }
+    }
+}
+
 /// How an entry became known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -5,7 +5,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{Born, Entry, Evidence, Fleet};
 
-use super::setup::entry;
+use super::setup::{entry, run_entry};
 
 fn at(ms: u64) -> Instant {
     Instant::from_elapsed(Duration::from_millis(ms))
@@ -143,20 +143,12 @@
     assert!(!is_contradicted(&fleet, 2_001));
 }
 
-/// The entry of a run that started at `born`.
-fn run(born: u64) -> Entry {
-    Entry {
-        born: Some(Born(born)),
-        ..entry(0, "a", "small", 0..8)
-    }
-}
-
 #[test]
 fn nothing_of_the_earlier_run_is_left_where_a_target_starts_again_under_its_id() {
     let mut fleet = Fleet::default();
     let leaving = Entry {
         draining: true,
-        ..run(1_000)
+        ..run_entry(1_000)
     };
     let (before, _) = fleet.upsert(leaving, Evidence::Written, at(0));
     fleet.begin(&[before], 700.0);
@@ -169,7 +161,7 @@
     fleet.failed(before, at(10));
     let empty = Entry {
         layers: 0..0,
-        ..run(2_000)
+        ..run_entry(2_000)
     };
     let (after, is_news) = fleet.upsert(empty, Evidence::Listed, at(20));
     assert!(is_news && after != before);
@@ -201,33 +193,33 @@
 #[test]
 fn what_an_earlier_run_wrote_and_is_read_late_changes_nothing() {
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(run(2_000), Evidence::Written, at(0));
+    let (key, _) = fleet.upsert(run_entry(2_000), Evidence::Written, at(0));
     for evidence in [Evidence::Written, Evidence::Listed] {
         let late = Entry {
             layers: 3..9,
-            ..run(1_000)
+            ..run_entry(1_000)
         };
         assert_eq!(fleet.upsert(late, evidence, at(3_000)), (key, false));
     }
-    assert_eq!(fleet.get(key).expect("it is known").entry, run(2_000));
+    assert_eq!(fleet.get(key).expect("it is known").entry, run_entry(2_000));
 }
 
 #[test]
 fn an_entry_that_tells_a_start_ahead_of_time_does_not_shut_out_the_run_that_goes_on_writing() {
     let mut fleet = Fleet::default();
-    fleet.upsert(run(1_000), Evidence::Written, at(0));
-    let (ahead, _) = fleet.upsert(run(90_000), Evidence::Written, at(500));
-    fleet.upsert(run(1_000), Evidence::Written, at(1_200));
+    fleet.upsert(run_entry(1_000), Evidence::Written, at(0));
+    let (ahead, _) = fleet.upsert(run_entry(90_000), Evidence::Written, at(500));
+    fleet.upsert(run_entry(1_000), Evidence::Written, at(1_200));
     assert!(fleet.get(ahead).is_some());
-    fleet.upsert(run(1_000), Evidence::Written, at(4_800));
+    fleet.upsert(run_entry(1_000), Evidence::Written, at(4_800));
     let key = fleet.find("e0").expect("it is known");
-    assert_eq!(fleet.get(key).expect("it is known").entry, run(1_000));
+    assert_eq!(fleet.get(key).expect("it is known").entry, run_entry(1_000));
 }
 
 #[test]
 fn an_entry_without_a_start_is_of_the_run_that_is_known() {
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(run(2_000), Evidence::Written, at(0));
+    let (key, _) = fleet.upsert(run_entry(2_000), Evidence::Written, at(0));
     let told = entry(0, "a", "small", 2..9);
     assert_eq!(fleet.upsert(told, Evidence::Written, at(10)), (key, true));
     let held = &fleet.get(key).expect("it is known").entry;
@@ -284,17 +276,20 @@
         let mut fleet = Fleet::default();
         let later = Entry {
             id: "later".into(),
-            ..run(2_000)
+            ..run_entry(2_000)
         };
         let (new, _) = fleet.upsert(later.clone(), Evidence::Written, at(0));
-        let (old, _) = fleet.upsert(run(1_000), evidence, at(10));
+        let (old, _) = fleet.upsert(run_entry(1_000), evidence, at(10));
         let is_dead = |fleet: &Fleet, key| fleet.get(key).expect("it is known").health.is_dead();
         assert!(is_dead(&fleet, old) && !is_dead(&fleet, new));
         assert_eq!(fleet.at(later.address), Some(new));
         assert!(fleet.dead().is_empty());
         // Nor if it is written again and again.
         for ms in [1_500, 3_000, 4_500] {
-            assert_eq!(fleet.upsert(run(1_000), evidence, at(ms)), (old, false));
+            assert_eq!(
+                fleet.upsert(run_entry(1_000), evidence, at(ms)),
+                (old, false)
+            );
             assert!(is_dead(&fleet, old) && !is_dead(&fleet, new));
         }
     }
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -7,13 +7,13 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::count::DomainCount;
-use reachtally_core::forward::fleet::{Born, Engine, Entry, Evidence, Fleet, RunMark, TargetRun};
+use reachtally_core::forward::fleet::{Engine, Evidence, Fleet, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
     Collector, Elsewhere, Load, Others, Part, Report, TargetLoad, own_report,
 };
 use reachtally_core::ids::Incarnation;
 
-use super::setup::{entry, fleet};
+use super::setup::{entry, fleet, run_entry};
 
 /// Where messages of another collector come from.
 const ABROAD: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 2, 0, 1));
@@ -357,20 +357,12 @@
     assert!(told.loads.is_empty());
 }
 
-/// An entry of the engine e0 that started at `born`.
-fn born(born: u64) -> Entry {
-    Entry {
-        born: Some(Born(born)),
-        ..entry(0, "north", "small", 0..8)
-    }
-}
-
 #[test]
 fn loads_on_two_runs_under_one_id_are_not_summed_and_those_of_the_earlier_run_count_for_nothing() {
     let mut collector = Collector::new("north");
     for (box_run, (start, running)) in (1..).zip([(1_000, 40), (2_000, 3), (2_000, 4)]) {
         let told = TargetLoad {
-            target: born(start).run(),
+            target: run_entry(start).run(),
             ..load_of("e0", running)
         };
         let report = Report {
@@ -381,7 +373,7 @@
     }
     collector.sum_up(at(0));
     let mut fleet = Fleet::default();
-    let (key, _) = fleet.upsert(born(2_000), Evidence::Written, at(0));
+    let (key, _) = fleet.upsert(run_entry(2_000), Evidence::Written, at(0));
     let mut elsewhere = Elsewhere::default();
     elsewhere.hear(collector.all_but(Incarnation(9)), &mut fleet, at(0));
     let running = |fleet: &Fleet| fleet.get(key).map(|engine| engine.running_elsewhere);
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -5,7 +5,7 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{Card, LayerModel, Layers};
-use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
+use reachtally_core::forward::fleet::{Born, EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::placement::Host;
 use reachtally_core::forward::select::{Aim, Circumstance, Need};
 
@@ -81,6 +81,14 @@
     }
 }
 
+/// The entry of a run of the engine `e0` that started at `born`.
+pub fn run_entry(born: u64) -> Entry {
+    Entry {
+        born: Some(Born(born)),
+        ..entry(0, "north", "small", 0..8)
+    }
+}
+
 /// Empty engines of one domain: how many of each card.
 pub fn hosts(domain: &str, cards: &[(&str, u16)]) -> Vec<Host> {
     let model = model();
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -204,11 +204,14 @@
         for item in feed.items {
             match item {
                 TargetChange::Wrote(entry) => entries.push(entry),
-                TargetChange::Spoiled(entry) => spoiled.push(entry),
+                TargetChange::Spoiled(entry) => {
+                    relay.forget(&entry.id);
+                    spoiled.push(entry);
+                }
                 TargetChange::Gone(id) => relay.target_gone(&id, may_lapse),
             }
         }
-        relay.targets_spoiled(&spoiled);
+        relay.note_spoiled(&spoiled);
         relay.replace_targets(entries, may_lapse);
         relay.targets_are_of(began, feed.next);
     }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -122,9 +122,9 @@
         connection: Connection,
         occupied: Occupied,
         pace: Pace,
-        runs_ended: watch::Receiver<Vec<EngineKey>>,
-        now: Instant,
+        relay: &Relay,
     ) -> Self {
+        let now = relay.now();
         let mut running = Running {
             body,
             connection: Some(connection),
@@ -133,7 +133,7 @@
             pace,
             since: now,
             look_at: now,
-            runs_ended,
+            runs_ended: relay.runs_ended(),
         };
         running.wait_from(now);
         running
@@ -191,15 +191,12 @@
     }
 
     /// Targets started again: leave them at once if this stream ran there and can go on elsewhere.
-    fn leave_ended(
-        &mut self,
-        relay: &Relay,
-        call: &Call,
-        attempts: &Attempts,
-    ) -> Result<(), Stopped> {
-        let ended = self.runs_ended.borrow_and_update().clone();
-        let engines = self.engines().iter().copied();
-        let lost: Vec<EngineKey> = engines.filter(|key| ended.contains(key)).collect();
+    fn leave_ended(&self, relay: &Relay, call: &Call, attempts: &Attempts) -> Result<(), Stopped> {
+        let lost: Vec<EngineKey> = {
+            let ended = self.runs_ended.borrow();
+            let engines = self.engines().iter().copied();
+            engines.filter(|key| ended.contains(key)).collect()
+        };
         if !lost.is_empty() && send::may_go_elsewhere(relay, call, attempts, &lost) {
             return Err(Stopped::Dead(lost));
         }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -233,14 +233,7 @@
         return failure(parts, body).await;
     }
     parts.headers.remove(CONTENT_LENGTH);
-    let running = Running::new(
-        body,
-        answer.connection,
-        occupied,
-        pace,
-        relay.runs_ended(),
-        relay.now(),
-    );
+    let running = Running::new(body, answer.connection, occupied, pace, relay);
     Ok(Answered::Stream(Box::new((
         Response::from_parts(parts, ()),
         running,
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -63,14 +63,6 @@
         self.runs_ended.subscribe()
     }
 
-    /// Entries of one list that another writer spoiled: they name no targets, also where earlier ones did.
-    pub fn targets_spoiled(&self, spoiled: &[SpoiledEntry]) {
-        for entry in spoiled {
-            self.forget(&entry.id);
-        }
-        self.note_spoiled(spoiled);
-    }
-
     /// Count and log spoiled entries of one read.
     pub(crate) fn note_spoiled(&self, spoiled: &[SpoiledEntry]) {
         self.count(|tally| tally.entries_spoiled += spoiled.len() as u64);
