--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -12,10 +12,12 @@
 mod engine;
 mod entry;
 mod health;
+mod notice;
 
 pub use engine::Engine;
 pub use entry::{Born, Entry, Evidence, RunMark, RunOrder, TargetRun};
 pub use health::Health;
+pub use notice::Notice;
 
 new_key_type! {
     /// Row of a target in a [`Fleet`].
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Entry, Health};
+use super::{Entry, Health, Notice};
 use crate::time::Instant;
 
 /// How long what an engine told of its pace holds: troubles last some seconds, and asking costs little.
@@ -43,6 +43,8 @@
     pub silent_elsewhere: u32,
     /// Its failures.
     pub health: Health,
+    /// What it asked of this box.
+    pub notice: Notice,
     /// When its entry was last read.
     pub(super) heard_at: Instant,
     /// Since when its entry is missing though that may be the store's fault.
@@ -65,6 +67,7 @@
             pace_elsewhere: None,
             silent_elsewhere: 0,
             health: Health::default(),
+            notice: Notice::default(),
             heard_at: now,
             missing_since: None,
         }
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -23,6 +23,10 @@
         sends,
         /// Sends that came back with the proof that nothing ran.
         sends_not_run,
+        /// Sends to a target within a time in which it wanted none.
+        sends_in_rest,
+        /// Answers that asked for such a time.
+        rests_asked,
         /// Sends whose answer was lost or spoilt.
         sends_lost,
         /// Second sends that the budget granted.
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -82,9 +82,10 @@
         }
     }
 
-    /// A send begins.
-    pub fn begin(&mut self, relay: &Relay, record: SendRecord) {
+    /// A send to the target `key` begins.
+    pub fn begin(&mut self, relay: &Relay, key: EngineKey, record: SendRecord) {
         relay.count(|tally| tally.sends += 1);
+        relay.count_in_rest(key);
         self.records.push(record);
         self.take(State::dispatch);
     }
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -79,6 +79,10 @@
         let others = (load.running + load.waiting).saturating_sub(engine.running);
         engine.others_told = f64::from(others);
     }
+    drop(fleet);
+    if let Some(rest) = head.rest {
+        relay.target_rests(key, rest);
+    }
     head
 }
 
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -129,7 +129,7 @@
     attempts: &mut Attempts,
 ) -> Result<Answered, Unanswered> {
     let key = pick.engines[0];
-    attempts.begin(relay, record(relay, call, &pick));
+    attempts.begin(relay, key, record(relay, call, &pick));
     let (address, run) = exchange::target_of(relay, key)?;
     let need = need(call);
     let occupied = Occupied::new(relay, pick.engines.clone(), need.held(), need.prompt);
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence};
+use reachtally_core::forward::fleet::{Engine, EngineKey, Entry, Evidence};
 use tokio::sync::watch;
 
 use crate::relay::Relay;
@@ -163,6 +163,25 @@
         }
     }
 
+    /// A target wants nothing from this box for `rest`.
+    pub fn target_rests(&self, key: EngineKey, rest: Duration) {
+        let until = self.now() + rest;
+        self.count(|tally| tally.rests_asked += 1);
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            log::info!(event = "target-rests", target = &*engine.entry.id, rest_ms = rest.as_millis() as u64, running = engine.running; "a target wants nothing from this box for a time");
+            engine.notice.rest(until);
+        }
+    }
+
+    /// Count a send to a target that wants none at present.
+    pub(crate) fn count_in_rest(&self, key: EngineKey) {
+        let fleet = self.fleet.borrow();
+        let is_resting = |engine: &Engine| engine.notice.rests_until(self.now()).is_some();
+        if fleet.get(key).is_some_and(is_resting) {
+            self.count(|tally| tally.sends_in_rest += 1);
+        }
+    }
+
     /// A target took no connection.
     pub fn target_dead(&self, key: EngineKey) {
         let now = self.now();
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -30,7 +30,7 @@
         if !attempts.may_send(relay, call) {
             break;
         }
-        attempts.begin(relay, record(relay, call, key));
+        attempts.begin(relay, key, record(relay, call, key));
         attempts.avoid.push(key);
         match send(relay, call, key).await {
             Ok(response) => {
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -70,6 +70,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Load of the target.
     pub load: Option<Load>,
+    /// How long the target wants nothing from this box, if it says so.
+    pub rest: Option<Duration>,
 }
 
 /// Why a request's head can't be taken.
