feat: a target that says in an answer that it leaves gets nothing more from this box

Cause: leaving was known from the entry alone, half a second to a second later, not at all while the store is away, and forgotten with the row: an older copy of the entry said ready again. Change: what a target says of itself in any answer (whole, a stream's head, one that turns away, a report, an answer to an order) is decoded in one place and kept as the run's notice, also after its row went; the same holds for an entry that said so. The steward counts the run as going, and an engine whose report says that it leaves or wants rest gets no order.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -129,7 +129,11 @@
     pub fn remove(&mut self, id: &str, now: Instant) -> Option<Engine> {
         let key = self.by_id.remove(id)?;
         let engine = self.engines.remove(key)?;
-        self.notices.keep(engine.entry.run(), engine.notice, now);
+        let mut notice = engine.notice;
+        if engine.entry.draining {
+            notice.leave();
+        }
+        self.notices.keep(engine.entry.run(), notice, now);
         self.release_address(engine.entry.address, key);
         Some(engine)
     }
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether the run said that it leaves, in its entry or in an answer to this box.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.notice.is_leaving()
+    }
+
     /// Whether this run's entry was read lately.
     pub(super) fn is_heard(&self, now: Instant) -> bool {
         now.since(self.heard_at) < RUN_SHIELDED
--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -2,14 +2,19 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::{RunMark, TargetRun};
 use crate::time::Instant;
 
 /// Runs without a row whose notices are kept at most. It bounds the memory where a fleet is replaced again and again: some
-/// 100 bytes each, and far more than can ask for rest and lose their rows within the time that they asked for.
+/// 100 bytes each, and far more than leave or ask for rest within the time for which that is kept.
 const MOST_KEPT: usize = 4096;
 
+/// How long a run without a row is remembered to be leaving: far longer than targets that leave go on serving, and than the
+/// copies are old from which a store may come back with an entry that says otherwise.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
+
 /// What a run asked of this box. Guards targets that turn requests away: where the time that they ask for is not
 /// heeded, each gets up to five more sends of a box within a second of it, and the refused ones use up the second sends of
 /// all boxes (counted from the logs of four days with such targets: 303 times with more than two sends, none with it). It holds for as long as the run lives, whatever becomes of the run's entry.
@@ -17,6 +22,8 @@
 pub struct Notice {
     /// Until when it wants nothing from this box.
     rest_until: Option<Instant>,
+    /// Whether it said that it leaves, for good.
+    is_leaving: bool,
 }
 
 impl Notice {
@@ -25,6 +32,16 @@
         self.rest_until = self.rest_until.max(Some(until));
     }
 
+    /// The run leaves: it wants nothing more from this box, ever.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Whether the run said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Until when the run wants nothing from this box, if that is not over.
     pub fn rests_until(&self, now: Instant) -> Option<Instant> {
         self.rest_until.filter(|until| now < *until)
@@ -41,26 +58,37 @@
 struct Kept {
     mark: RunMark,
     notice: Notice,
+    /// When it is over.
+    until: Instant,
 }
 
 /// Notices of runs that have no row at present, by the ids of their targets.
 ///
-/// Guards a run whose entry goes and comes back: the list is read anew without it, its entry is spoiled, or it
-/// lapses. Its new row would start with a clean notice, and the box would send to a target that wants rest.
+/// Guards a run whose entry goes and comes back: the list is read anew without it, its entry is spoiled, it
+/// lapses, or the store comes back from an older copy. Its new row would start with a clean notice, and the box would send to
+/// a target that wants rest, or that leaves.
 #[derive(Debug, Default)]
 pub(super) struct Notices(HashMap<Arc<str>, Kept>);
 
 impl Notices {
     /// Keep the notice of a run whose row goes.
     pub fn keep(&mut self, run: TargetRun, notice: Notice, now: Instant) {
-        if !notice.is_resting(now) {
+        let until = match notice.is_leaving {
+            true => Some(now + LEAVING_KEPT),
+            false => notice.rests_until(now),
+        };
+        let Some(until) = until else {
             return;
-        }
+        };
         if self.0.len() >= MOST_KEPT {
             self.make_place(now);
         }
-        let mark = run.mark;
-        self.0.insert(run.id, Kept { mark, notice });
+        let kept = Kept {
+            mark: run.mark,
+            notice,
+            until,
+        };
+        self.0.insert(run.id, kept);
     }
 
     /// Change the notice of a run that has no row.
@@ -79,11 +107,11 @@
 
     /// Drop what is over; where nothing is, the one that is over first.
     fn make_place(&mut self, now: Instant) {
-        self.0.retain(|_, kept| kept.notice.is_resting(now));
+        self.0.retain(|_, kept| now < kept.until);
         if self.0.len() < MOST_KEPT {
             return;
         }
-        let soonest = self.0.iter().min_by_key(|(_, kept)| kept.notice.rest_until);
+        let soonest = self.0.iter().min_by_key(|(_, kept)| kept.until);
         if let Some(id) = soonest.map(|(id, _)| id.clone()) {
             self.0.remove(&id);
         }
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -171,7 +171,7 @@
 
 fn is_usable(key: EngineKey, engine: &Engine, cx: &Circumstance<'_>, trust: Trust) -> bool {
     let health = &engine.health;
-    let is_gone = engine.entry.draining || health.is_dead() || health.is_contradicted(cx.now);
+    let is_gone = engine.is_leaving() || health.is_dead() || health.is_contradicted(cx.now);
     // Asked again at once, a full engine would refuse again, and each refused send is taken from the shared
     // budget. Measured after a death: 370 of 400 sends in 2 s were refused so, and 280 others denied.
     if is_gone || health.is_full(cx.now) || cx.avoid.contains(&key) {
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -93,9 +93,7 @@
         engine.others_told = f64::from(others);
     }
     drop(fleet);
-    if let Some(rest) = head.rest {
-        relay.target_rests(&from.run, rest);
-    }
+    relay.target_said(&from.run, head.said);
     head
 }
 
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -11,7 +11,7 @@
 use reachtally_core::forward::fleet::{Engine, EngineKey};
 
 use crate::relay::Relay;
-use crate::store::Orders;
+use crate::store::{Orders, Told};
 
 /// Least time between two questions to an engine. Each takes a little of its time.
 const ASK_INTERVAL: Duration = Duration::from_millis(1000);
@@ -41,7 +41,8 @@
     let fleet = relay.fleet.borrow();
     let is_known =
         |engine: &Engine| engine.pace_elsewhere.is_some() || engine.own_pace(relay.now()).is_some();
-    let is_asked = |engine: &Engine| !is_known(engine) && !engine.notice.is_resting(relay.now());
+    let wants_none = |engine: &Engine| engine.is_leaving() || engine.notice.is_resting(relay.now());
+    let is_asked = |engine: &Engine| !is_known(engine) && !wants_none(engine);
     fleet.get(key).is_some_and(is_asked)
 }
 
@@ -49,7 +50,9 @@
     let Some(engine) = relay.fleet.borrow().get(key).cloned() else {
         return;
     };
-    let Some(pace) = orders.pace(&engine).await else {
+    let Told { answer, said } = orders.pace(&engine).await;
+    relay.target_said(&engine.entry.run(), said);
+    let Some(pace) = answer else {
         return;
     };
     if pace >= SLOW {
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -13,7 +13,7 @@
 
 use crate::group::Part;
 use crate::relay::Relay;
-use crate::store::{OrderAnswer, Orders};
+use crate::store::{OrderAnswer, Orders, Told};
 
 /// Time between two looks at the engines.
 const TICK: Duration = Duration::from_millis(250);
@@ -88,7 +88,7 @@
 ) -> Vec<Host> {
     let fleet = relay.fleet.borrow();
     let usable = |engine: &Engine| {
-        !engine.entry.draining && engine.missing_since.is_none() && !engine.health.is_dead()
+        !engine.is_leaving() && engine.missing_since.is_none() && !engine.health.is_dead()
     };
     fleet
         .of_service(service)
@@ -121,14 +121,16 @@
         let Some(engine) = engine else {
             continue;
         };
-        if pending.contains_key(&placed.engine) || engine.notice.is_resting(relay.now()) {
+        let wants_none = engine.is_leaving() || engine.notice.is_resting(relay.now());
+        if pending.contains_key(&placed.engine) || wants_none {
             continue;
         }
         let Some(permit) = part.borrow().permit(relay.now()) else {
             continue;
         };
         given.push(async move {
-            let answer = orders.place(&engine, &placed, permit).await;
+            let Told { answer, said } = orders.place(&engine, &placed, permit).await;
+            relay.target_said(&engine.entry.run(), said);
             if answer == OrderAnswer::Superseded && part.borrow_mut().superseded(permit) {
                 log::info!(event = "superseded", target = &*engine.entry.id, token = permit.token().0; "another box is the steward by now");
             }
@@ -144,6 +146,7 @@
             OrderAnswer::Conflict
             | OrderAnswer::Superseded
             | OrderAnswer::Occupied
+            | OrderAnswer::Unwilling
             | OrderAnswer::Refused(_) => TICK * 4,
         };
         let order = Pending {
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -10,6 +10,8 @@
 use reachtally_core::forward::placement::Move;
 use reachtally_core::forward::stewardship::Permit;
 
+use crate::wire::Statement;
+
 /// Why a call to the store yielded nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreError {
@@ -120,12 +122,23 @@
     Superseded,
     /// The engine is at work on another order, so none was given.
     Occupied,
+    /// The engine leaves, or wants rest, so none was given.
+    Unwilling,
     /// The engine refused it for another reason.
     Refused(u16),
     /// No answer; it may be carried out, also later.
     Lost,
 }
 
+/// What came of a question or an order, and what the engine said of itself meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told<T> {
+    /// What came of it.
+    pub answer: T,
+    /// What the engine said of itself.
+    pub said: Statement,
+}
+
 /// Orders to engines, and what they tell of themselves.
 pub trait Orders {
     /// Let an engine hold the layers of `placed`, unless another order reaches it in between, or one with a higher token
@@ -135,8 +148,8 @@
         engine: &Engine,
         placed: &Move,
         permit: Permit,
-    ) -> impl Future<Output = OrderAnswer>;
+    ) -> impl Future<Output = Told<OrderAnswer>>;
 
     /// How much longer an engine takes than it should, 1 if it is well; `None` if it does not tell.
-    fn pace(&self, engine: &Engine) -> impl Future<Output = Option<f64>>;
+    fn pace(&self, engine: &Engine) -> impl Future<Output = Told<Option<f64>>>;
 }
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -12,6 +12,7 @@
 use crate::relay::Relay;
 use crate::store::SpoiledEntry;
 use crate::target;
+use crate::wire::Statement;
 
 /// Time for which the answer to whether a target is there holds, so that the streams of one engine
 /// ask once.
@@ -163,8 +164,30 @@
         }
     }
 
+    /// Keep what a target says of itself in an answer.
+    pub fn target_said(&self, run: &TargetRun, said: Statement) {
+        if let Some(rest) = said.rest {
+            self.target_rests(run, rest);
+        }
+        if said.is_leaving {
+            self.target_leaves(run);
+        }
+    }
+
+    /// A target leaves: it gets nothing more from this box, whatever its entry says.
+    fn target_leaves(&self, run: &TargetRun) {
+        let mut is_news = false;
+        self.fleet.borrow_mut().note(run, self.now(), |notice| {
+            is_news = !notice.is_leaving();
+            notice.leave();
+        });
+        if is_news {
+            log::info!(event = "target-leaves", target = &*run.id; "a target said in an answer that it leaves");
+        }
+    }
+
     /// A target wants nothing from this box for `rest`.
-    pub fn target_rests(&self, run: &TargetRun, rest: Duration) {
+    fn target_rests(&self, run: &TargetRun, rest: Duration) {
         let now = self.now();
         self.count(|tally| tally.rests_asked += 1);
         log::info!(event = "target-rests", target = &*run.id, rest_ms = rest.as_millis() as u64; "a target wants nothing from this box for a time");
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -54,6 +54,22 @@
     pub slots: u32,
 }
 
+/// What a target says of itself in an answer, whatever that is an answer to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Statement {
+    /// How long it wants nothing from this box, if it says so.
+    pub rest: Option<Duration>,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
+}
+
+impl Statement {
+    /// Whether an order or a question that can wait should not be sent to it.
+    pub fn wants_none(&self) -> bool {
+        self.is_leaving || self.rest.is_some()
+    }
+}
+
 /// An answer's head, decoded.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
@@ -70,8 +86,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Load of the target.
     pub load: Option<Load>,
-    /// How long the target wants nothing from this box, if it says so.
-    pub rest: Option<Duration>,
+    /// What the target says of itself.
+    pub said: Statement,
 }
 
 /// Why a request's head can't be taken.
