fix: a store that comes back from an older copy is followed at once, and what is held by offset says nothing across eras

Cause: positions and generations were compared as numbers. After a return the table of targets stood still until offsets had passed the old end, or read on in silence where they had caught up; the group's generation and the steward's token fell; boxes of before looked newer than all others. Change: the era of the store's answers is decoded in its client; a position, a generation and a token are ordered types that include it. On a higher one the list is read anew at once and compared with what is held, which is newer: a run whose entry went is back only once it writes, one that is missing in the copy has time to write again, and a read confirms no configuration until the operator wrote or had time to. Boxes tell each other the era and its age, and a newer configuration however old its confirmation is. Late answers of an earlier era change nothing; an era that falls counts as one more.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -220,6 +220,12 @@
             .filter(move |(_, engine)| &*engine.entry.service == service)
     }
 
+    /// Whether a run was known and its entry went. Only a live target goes on writing; that it is listed is no sign of life, where
+    /// the list may be an older copy.
+    pub fn is_gone(&self, run: &TargetRun) -> bool {
+        self.notices.has(run)
+    }
+
     /// Note what a run asks of this box, whether it has a row or not: its entry may have gone while it was at work.
     pub fn note(&mut self, run: &TargetRun, now: Instant, change: impl FnOnce(&mut Notice)) {
         let row = self.find_run(run).and_then(|key| self.engines.get_mut(key));
--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -11,9 +11,9 @@
 /// 100 bytes each, and far more than leave or ask for rest within the time for which that is kept.
 const MOST_KEPT: usize = 4096;
 
-/// How long a run without a row is remembered to be leaving: far longer than targets that leave go on serving, and than the
-/// copies are old from which a store may come back with an entry that says otherwise.
-const LEAVING_KEPT: Duration = Duration::from_secs(600);
+/// How long a run without a row is remembered: far longer than targets that leave go on serving, and than the copies are old
+/// from which a store may come back with an entry that says otherwise.
+const KEPT_FOR: Duration = Duration::from_secs(600);
 
 /// What a run asked of this box. Guards targets that turn requests away: where the time that they ask for is not
 /// heeded, each gets up to five more sends of a box within a second of it, and the refused ones use up the second sends of
@@ -62,7 +62,14 @@
     until: Instant,
 }
 
-/// Notices of runs that have no row at present, by the ids of their targets.
+impl Kept {
+    /// Which goes first where there are too many: those that say nothing, then those that are over first.
+    fn order(&self) -> (bool, Option<Instant>, Instant) {
+        (self.notice.is_leaving, self.notice.rest_until, self.until)
+    }
+}
+
+/// Notices of runs that had a row and lost it, by the ids of their targets.
 ///
 /// Guards a run whose entry goes and comes back: the list is read anew without it, its entry is spoiled, it
 /// lapses, or the store comes back from an older copy. Its new row would start with a clean notice, and the box would send to
@@ -73,24 +80,24 @@
 impl Notices {
     /// Keep the notice of a run whose row goes.
     pub fn keep(&mut self, run: TargetRun, notice: Notice, now: Instant) {
-        let until = match notice.is_leaving {
-            true => Some(now + LEAVING_KEPT),
-            false => notice.rests_until(now),
-        };
-        let Some(until) = until else {
-            return;
-        };
         if self.0.len() >= MOST_KEPT {
             self.make_place(now);
         }
+        let usual = now + KEPT_FOR;
         let kept = Kept {
             mark: run.mark,
             notice,
-            until,
+            until: notice.rest_until.map_or(usual, |rest| rest.max(usual)),
         };
         self.0.insert(run.id, kept);
     }
 
+    /// Whether a run had a row and lost it.
+    pub fn has(&self, run: &TargetRun) -> bool {
+        let kept = self.0.get(&run.id);
+        kept.is_some_and(|kept| run.mark.is_same(kept.mark))
+    }
+
     /// Change the notice of a run that has no row.
     pub fn change(&mut self, run: &TargetRun, now: Instant, change: impl FnOnce(&mut Notice)) {
         let mut notice = self.take(run);
@@ -105,13 +112,13 @@
         own.map_or_else(Notice::default, |kept| kept.notice)
     }
 
-    /// Drop what is over; where nothing is, the one that is over first.
+    /// Drop what is over; where nothing is, the first by [`Kept::order`].
     fn make_place(&mut self, now: Instant) {
         self.0.retain(|_, kept| now < kept.until);
         if self.0.len() < MOST_KEPT {
             return;
         }
-        let soonest = self.0.iter().min_by_key(|(_, kept)| kept.until);
+        let soonest = self.0.iter().min_by_key(|(_, kept)| kept.order());
         if let Some(id) = soonest.map(|(id, _)| id.clone()) {
             self.0.remove(&id);
         }
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -9,6 +9,7 @@
 pub mod changes;
 pub mod cost;
 pub mod count;
+pub mod era;
 pub mod fleet;
 pub mod freshness;
 pub mod loads;
--- a/reachtally-core/src/forward/stewardship.rs
+++ b/reachtally-core/src/forward/stewardship.rs
@@ -3,12 +3,13 @@
 //! A box that was replaced may not know it yet: it was paused, or cut off from the store. Engines that
 //! check tokens refuse what carries a lower one than they have seen, so its orders change nothing.
 
+use crate::forward::era::Generation;
 use crate::time::Instant;
 
-/// Rises with each change of the group that deals the steward's part, so that a later steward's token is
-/// higher than any of an earlier one.
+/// Rises with each change of the group that deals the steward's part and with each return of the store from a copy, so that
+/// a later steward's token is higher than any of an earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Token(pub u64);
+pub struct Token(pub Generation);
 
 /// The right to give an order, with the token that it must carry. Only a [`Stewardship`] that holds the
 /// part hands one out.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod choice_properties;
 mod count;
+mod era;
 mod fleet;
 mod freshness;
 mod heavy;
--- a/reachtally-core/tests/core/forward/stewardship.rs
+++ b/reachtally-core/tests/core/forward/stewardship.rs
@@ -3,8 +3,14 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::era::{Era, Generation};
 use reachtally_core::forward::stewardship::{Stewardship, Token};
 
+fn token(number: u64) -> Token {
+    let era = Era(1);
+    Token(Generation { era, number })
+}
+
 fn at(seconds: u64) -> Instant {
     Instant::from_elapsed(Duration::from_secs(seconds))
 }
@@ -13,16 +19,16 @@
 fn a_part_that_was_granted_permits_orders_until_it_lapses() {
     let mut part = Stewardship::default();
     assert_eq!(part.permit(at(1)), None);
-    part.grant(Token(7), at(3));
+    part.grant(token(7), at(3));
     let permit = part.permit(at(2)).expect("it is held");
-    assert_eq!(permit.token(), Token(7));
+    assert_eq!(permit.token(), token(7));
     assert_eq!(part.permit(at(3)), None);
 }
 
 #[test]
 fn a_part_that_was_taken_away_permits_nothing() {
     let mut part = Stewardship::default();
-    part.grant(Token(7), at(3));
+    part.grant(token(7), at(3));
     part.revoke();
     assert_eq!(part.permit(at(1)), None);
 }
@@ -30,26 +36,26 @@
 #[test]
 fn a_refused_token_permits_nothing_until_a_newer_one_is_granted() {
     let mut part = Stewardship::default();
-    part.grant(Token(7), at(3));
+    part.grant(token(7), at(3));
     let permit = part.permit(at(1)).expect("it is held");
     assert!(part.superseded(permit), "the first refusal is news");
     assert!(!part.superseded(permit), "the second one is none");
     assert_eq!(part.permit(at(1)), None);
-    part.grant(Token(7), at(9));
+    part.grant(token(7), at(9));
     assert_eq!(part.permit(at(2)), None, "the same token again");
-    part.grant(Token(8), at(9));
+    part.grant(token(8), at(9));
     assert_eq!(
         part.permit(at(2)).map(|permit| permit.token()),
-        Some(Token(8))
+        Some(token(8))
     );
 }
 
 #[test]
 fn a_late_refusal_of_an_older_token_does_not_end_a_newer_part() {
     let mut part = Stewardship::default();
-    part.grant(Token(7), at(3));
+    part.grant(token(7), at(3));
     let old = part.permit(at(1)).expect("it is held");
-    part.grant(Token(8), at(9));
+    part.grant(token(8), at(9));
     part.superseded(old);
     assert!(part.permit(at(2)).is_some());
 }
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::changes::Cursor;
+use reachtally_core::forward::era::{Era, Generation, Position};
 use reachtally_core::forward::fleet::{Born, Entry};
 use reachtally_core::forward::peers::Member;
 use reachtally_core::ids::Incarnation;
@@ -21,10 +22,10 @@
     pub config_version: u64,
     /// How far the asker has followed the answerer's changes of targets.
     pub targets: Cursor,
-    /// Offset in the store up to which the asker knows the targets; 0 for none.
-    pub targets_end: u64,
-    /// Generation of the group of boxes that the asker knows; 0 for none.
-    pub group_generation: u64,
+    /// Position in the store up to which the asker knows the targets; the least for none.
+    pub targets_end: Position,
+    /// Generation of the group of boxes that the asker knows; the least for none.
+    pub group_generation: Generation,
 }
 
 /// What is new.
@@ -34,16 +35,20 @@
     pub confirmed_age: Option<Duration>,
     /// Age of the last read of the targets.
     pub targets_age: Option<Duration>,
-    /// Offset in the store up to which the targets are known.
-    pub targets_end: u64,
+    /// Position in the store up to which the targets are known.
+    pub targets_end: Position,
+    /// The store's era, if the answerer knows it.
+    pub era: Option<Era>,
+    /// How long ago the store came back into it from a copy, if the answerer knows of it.
+    pub era_age: Option<Duration>,
     /// The configuration as published, packed; empty if the asker's is as new.
     pub config: Bytes,
     /// How far the changes of targets go.
     pub targets: Cursor,
     /// What changed of the targets: a packed [`TargetPage`]; empty if nothing did.
     pub page: Bytes,
-    /// Generation of the group that `members` is of; 0 if the asker's is as new.
-    pub group_generation: u64,
+    /// Generation of the group that `members` is of; the least if the asker's is as new.
+    pub group_generation: Generation,
     /// The boxes of the group.
     pub members: Vec<Member>,
 }
@@ -112,8 +117,10 @@
             config_version: self.config_version,
             targets_run: self.targets.run,
             targets_next: self.targets.next,
-            targets_end: self.targets_end,
-            group_generation: self.group_generation,
+            targets_end: self.targets_end.offset,
+            targets_era: self.targets_end.era.0,
+            group_generation: self.group_generation.number,
+            group_era: self.group_generation.era.0,
         };
         message.encode_to_vec().into()
     }
@@ -130,8 +137,8 @@
                 run: message.targets_run,
                 next: message.targets_next,
             },
-            targets_end: message.targets_end,
-            group_generation: message.group_generation,
+            targets_end: position(message.targets_era, message.targets_end),
+            group_generation: generation(message.group_era, message.group_generation),
         })
     }
 }
@@ -145,8 +152,12 @@
             targets_age_ms: self.targets_age.map(|age| age.as_millis() as u64),
             targets_run: self.targets.run,
             targets_next: self.targets.next,
-            targets_end: self.targets_end,
-            group_generation: self.group_generation,
+            targets_end: self.targets_end.offset,
+            targets_era: self.targets_end.era.0,
+            era: self.era.map(|era| era.0),
+            era_age_ms: self.era_age.map(|age| age.as_millis() as u64),
+            group_generation: self.group_generation.number,
+            group_era: self.group_generation.era.0,
             members: self.members.iter().map(encode_member).collect(),
             page: self.page.clone(),
         };
@@ -174,14 +185,26 @@
                 run: message.targets_run,
                 next: message.targets_next,
             },
-            targets_end: message.targets_end,
+            targets_end: position(message.targets_era, message.targets_end),
+            era: message.era.map(Era),
+            era_age: message.era_age_ms.map(Duration::from_millis),
             page: message.page,
-            group_generation: message.group_generation,
+            group_generation: generation(message.group_era, message.group_generation),
             members: members?,
         })
     }
 }
 
+fn position(era: u64, offset: u64) -> Position {
+    let era = Era(era);
+    Position { era, offset }
+}
+
+fn generation(era: u64, number: u64) -> Generation {
+    let era = Era(era);
+    Generation { era, number }
+}
+
 fn encode_member(member: &Member) -> pb::Member {
     pb::Member {
         domain: member.domain.clone(),
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::count::DomainCount;
+use reachtally_core::forward::era::{Era, Generation, Position};
 use reachtally_core::forward::fleet::{Entry, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
     Load, MARKED_TARGETS_TOLD, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
@@ -41,15 +42,29 @@
 #[test]
 fn questions_and_answers_survive() {
     let ask = Ask {
-        targets_end: 812,
-        group_generation: 6,
+        targets_end: Position {
+            era: Era(3),
+            offset: 812,
+        },
+        group_generation: Generation {
+            era: Era(2),
+            number: 6,
+        },
         config_version: 9,
         targets: Cursor { run: 5, next: 77 },
     };
     assert_eq!(Ask::decode(&ask.encode()).expect("it decodes"), ask);
     let news = News {
-        targets_end: 812,
-        group_generation: 7,
+        targets_end: Position {
+            era: Era(3),
+            offset: 812,
+        },
+        era: Some(Era(4)),
+        era_age: Some(Duration::from_millis(90)),
+        group_generation: Generation {
+            era: Era(2),
+            number: 7,
+        },
         members: vec![member()],
         confirmed_age: None,
         targets_age: None,
--- a/reachtally-relay/src/follow.rs
+++ b/reachtally-relay/src/follow.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use reachtally_core::Instant;
+use reachtally_core::forward::era::{Position, REWRITTEN_WITHIN};
 use reachtally_core::forward::fleet::Evidence;
 use tokio::time::sleep;
 
 use crate::relay::Relay;
-use crate::store::{Feed, Store, StoreError, TargetChange};
+use crate::store::{Feed, Offset, Store, StoreError, TargetChange};
 
 /// Shortest wait of such a read while the store is slow. What a read confirms is as old as the read is
 /// long, so a slow answer leaves less time to wait.
@@ -90,7 +91,7 @@
 
 /// Keep the configuration like the store's, while this box reads the store itself.
 pub async fn config<S: Store>(relay: Rc<Relay>, store: S) {
-    let mut next: Option<u64> = None;
+    let mut next: Option<Position> = None;
     let mut pause = Pause::new();
     let mut dependency = Dependency::new("configuration");
     let mut wait = relay.rhythm().config_wait;
@@ -99,23 +100,24 @@
         let began = relay.now();
         let read = match next {
             None => store.config().await,
-            Some(offset) => store.config_from(offset, wait).await,
+            Some(from) => store.config_from(Offset(from.offset), wait).await,
         };
         if read.as_ref().is_ok_and(|feed| feed.items.is_empty()) {
             wait = next_wait(relay.now().since(began), wait, relay.rhythm().config_wait);
         }
         let is_first = next.is_none();
-        let taken = read.and_then(|feed| take_config(&relay, feed, began));
+        let taken = read.and_then(|feed| take_config(&relay, feed, next, began));
         relay.store_away.set(taken.is_err());
         match taken {
-            Ok(offset) => {
+            Ok(position) => {
                 dependency.regained(relay.now());
                 pause.reset();
-                next = Some(offset);
+                next = Some(position);
                 if is_first && relay.configuration.table().is_none() {
                     sleep(FIRST_PAUSE).await;
                 }
             }
+            Err(StoreError::EraChanged) => next = None,
             Err(err) => {
                 dependency.lost(&relay, &err);
                 if matches!(err, StoreError::Gone | StoreError::Malformed(_)) {
@@ -133,15 +135,30 @@
     longest.saturating_sub(latency).max(LEAST_CONFIG_WAIT)
 }
 
-/// Put in force what a read that began at `began` yielded; yields where to read on.
-fn take_config(relay: &Relay, feed: Feed<Bytes>, began: Instant) -> Result<u64, StoreError> {
+/// Put in force what a read from `from` on, which began at `began`, yielded; yields where to read on.
+fn take_config(
+    relay: &Relay,
+    feed: Feed<Bytes>,
+    from: Option<Position>,
+    began: Instant,
+) -> Result<Position, StoreError> {
+    let era = relay.era_of(feed.era, began)?;
+    if from.is_some_and(|from| from.era != era) {
+        return Err(StoreError::EraChanged);
+    }
     for raw in &feed.items {
         relay.publish(raw).map_err(StoreError::Malformed)?;
     }
-    if relay.configuration.table().is_some() {
+    if from.is_some() && !feed.items.is_empty() {
+        relay.note_configured(era);
+    }
+    if relay.configuration.table().is_some() && !relay.may_lack_configuration() {
         relay.configuration.confirm(began);
     }
-    Ok(feed.next)
+    Ok(Position {
+        era,
+        offset: feed.next.0,
+    })
 }
 
 /// Keep the targets like the store's, while this box reads the store itself.
@@ -150,6 +167,8 @@
     let mut pause = Pause::new();
     let mut dependency = Dependency::new("targets");
     let mut back_at: Option<Instant> = None;
+    // When the list is compared with the store's again, after its return from a copy.
+    let mut check_at: Option<Instant> = None;
     let mut failures = 0;
     loop {
         relay.until_direct().await;
@@ -164,19 +183,28 @@
         needs_list |= relay.targets_read.get().is_none_or(is_long_ago);
         let is_back = |at: Instant| began.since(at) < LAPSE_WINDOW;
         let may_lapse = dependency.is_lost() || back_at.is_some_and(is_back);
+        needs_list |= check_at.take_if(|at| *at <= began).is_some();
         let read = match needs_list {
             true => list_targets(&relay, &store, began, may_lapse).await,
             false => read_targets(&relay, &store, began, may_lapse).await,
         };
         let now = relay.now();
         match read {
-            Ok(()) => {
+            Ok(read) => {
                 if dependency.regained(now) {
                     back_at = Some(now);
                 }
                 failures = 0;
                 needs_list = false;
                 pause.reset();
+                if read == Taken::Copy {
+                    check_at = Some(now + REWRITTEN_WITHIN);
+                    continue;
+                }
+            }
+            Err(StoreError::EraChanged) => {
+                needs_list = true;
+                continue;
             }
             Err(err) => {
                 dependency.lost(&relay, &err);
@@ -189,33 +217,58 @@
     }
 }
 
+/// What a read of the targets was good for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    /// Its entries.
+    Entries,
+    /// Only what is not known better: the store came back from a copy that is older than what is held.
+    Copy,
+    /// Nothing, since later changes are known.
+    Nothing,
+}
+
 /// Take over the store's list of targets by a read that began at `began`.
 async fn list_targets<S: Store>(
     relay: &Relay,
     store: &S,
     began: Instant,
     may_lapse: bool,
-) -> Result<(), StoreError> {
+) -> Result<Taken, StoreError> {
     let feed = store.targets().await?;
+    let held = relay.targets_end.get();
+    let end = Position {
+        era: relay.era_of(feed.era, began)?,
+        offset: feed.next.0,
+    };
     // Another box may have told of later changes while this read was under way.
-    if feed.next >= relay.targets_end.get() {
-        let mut entries = Vec::new();
-        let mut spoiled = Vec::new();
-        for item in feed.items {
-            match item {
-                TargetChange::Wrote(entry) => entries.push(entry),
-                TargetChange::Spoiled(entry) => {
-                    relay.forget(&entry.id);
-                    spoiled.push(entry);
-                }
-                TargetChange::Gone(id) => relay.target_gone(&id, may_lapse),
+    if end < held {
+        return Ok(Taken::Nothing);
+    }
+    let mut entries = Vec::new();
+    let mut spoiled = Vec::new();
+    for item in feed.items {
+        match item {
+            TargetChange::Wrote(entry) if relay.fleet.borrow().is_gone(&entry.run()) => {}
+            TargetChange::Wrote(entry) => entries.push(entry),
+            TargetChange::Spoiled(entry) => {
+                relay.forget(&entry.id);
+                spoiled.push(entry);
             }
+            TargetChange::Gone(id) => relay.target_gone(&id, may_lapse),
         }
-        relay.note_spoiled(&spoiled);
-        relay.replace_targets(entries, may_lapse);
-        relay.targets_are_of(began, feed.next);
     }
-    Ok(())
+    relay.note_spoiled(&spoiled);
+    let is_copy = held.era != end.era && held != Position::default();
+    match is_copy {
+        true => relay.compare_targets(entries),
+        false => relay.replace_targets(entries, may_lapse),
+    }
+    relay.targets_are_of(began, end);
+    Ok(match is_copy {
+        true => Taken::Copy,
+        false => Taken::Entries,
+    })
 }
 
 /// Take over the changes since the offset up to which the targets are known, by a read that began at
@@ -225,10 +278,18 @@
     store: &S,
     began: Instant,
     may_lapse: bool,
-) -> Result<(), StoreError> {
-    let feed = store.targets_from(relay.targets_end.get()).await?;
-    if feed.next < relay.targets_end.get() {
-        return Ok(());
+) -> Result<Taken, StoreError> {
+    let from = relay.targets_end.get();
+    let feed = store.targets_from(Offset(from.offset)).await?;
+    let end = Position {
+        era: relay.era_of(feed.era, began)?,
+        offset: feed.next.0,
+    };
+    if end.era != from.era {
+        return Err(StoreError::EraChanged);
+    }
+    if end < relay.targets_end.get() {
+        return Ok(Taken::Nothing);
     }
     // Of what a target wrote and then dropped, or the other way round, the last counts.
     let mut wrote = Vec::new();
@@ -249,8 +310,8 @@
     }
     relay.targets_shown(wrote);
     relay.note_spoiled(&spoiled);
-    relay.targets_are_of(began, feed.next);
-    Ok(())
+    relay.targets_are_of(began, end);
+    Ok(Taken::Entries)
 }
 
 /// Drop targets whose entries stay away, until the process ends.
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::era::Generation;
 use reachtally_core::forward::readers::View;
 use reachtally_core::forward::stewardship::{Stewardship, Token};
 use reachtally_core::ids::Incarnation;
@@ -12,7 +13,7 @@
 
 use crate::follow::Dependency;
 use crate::relay::Relay;
-use crate::store::{Membership, Store};
+use crate::store::Store;
 
 /// How long a box stays in the group without a word.
 const MEMBER_TTL: Duration = Duration::from_secs(3);
@@ -57,7 +58,7 @@
         part,
         run,
         is_in: false,
-        generation: 0,
+        generation: Generation::default(),
         behind: 0,
         dependency: Dependency::new("group"),
     };
@@ -88,7 +89,7 @@
     };
     sleep(delay).await;
     if relay.members.borrow().is_empty() {
-        count_boxes(relay, store, 0, true).await;
+        count_boxes(relay, store, Generation::default(), true).await;
     }
 }
 
@@ -111,7 +112,7 @@
     part: Part,
     run: Incarnation,
     is_in: bool,
-    generation: u64,
+    generation: Generation,
     /// Joins since the generation changed without a count.
     behind: u32,
     dependency: Dependency,
@@ -160,19 +161,34 @@
         }
     }
 
+    /// The last generation heard of; 0 where the store is in another era than that was of.
+    fn heard(&self) -> u64 {
+        match self.generation.era == self.relay.eras.get().held() {
+            true => self.generation.number,
+            false => 0,
+        }
+    }
+
     /// Join the group or stay in it; yields whether this box had the steward's part and has it no more.
     async fn join(&mut self) -> bool {
         let began = self.relay.now();
-        let membership = match self.store.join(MEMBER_TTL, self.generation).await {
-            Ok(membership) => membership,
+        let heard = self.heard();
+        let joined = self.store.join(MEMBER_TTL, heard).await;
+        let dated = joined.and_then(|joined| Ok((joined, self.relay.era_of(joined.era, began)?)));
+        let (membership, era) = match dated {
+            Ok(dated) => dated,
             Err(err) => {
                 self.dependency.lost(&self.relay, &err);
                 return false;
             }
         };
         self.dependency.regained(self.relay.now());
-        let is_passed_on = keep_part(&self.part, membership, began);
-        self.generation = membership.generation;
+        let generation = Generation {
+            era,
+            number: membership.generation,
+        };
+        let is_passed_on = keep_part(&self.part, membership.is_steward, generation, began);
+        self.generation = generation;
         self.behind = match self.relay.group_generation() < self.generation {
             true => self.behind + 1,
             false => 0,
@@ -186,18 +202,18 @@
 }
 
 /// Take over what the group says of the steward's part; yields whether this box had it and has it no more.
-fn keep_part(part: &Part, membership: Membership, began: Instant) -> bool {
+fn keep_part(part: &Part, is_steward: bool, generation: Generation, began: Instant) -> bool {
     let mut part = part.borrow_mut();
     let was_steward = part.permit(began).is_some();
     let until = began + MEMBER_TTL.saturating_sub(PART_MARGIN);
-    match membership.is_steward {
-        true => part.grant(Token(membership.generation), until),
+    match is_steward {
+        true => part.grant(Token(generation), until),
         false => part.revoke(),
     }
-    if was_steward != membership.is_steward {
-        log::info!(event = "steward", is_steward = membership.is_steward, generation = membership.generation; "the steward's part changed hands");
+    if was_steward != is_steward {
+        log::info!(event = "steward", is_steward = is_steward, generation = generation.number, era = generation.era.0; "the steward's part changed hands");
     }
-    was_steward && !membership.is_steward
+    was_steward && !is_steward
 }
 
 /// Whether this box should count the boxes, `behind` joins after their generation changed.
@@ -209,7 +225,7 @@
     behind >= joins
 }
 
-async fn count_boxes<S: Store>(relay: &Relay, store: &S, generation: u64, is_first: bool) {
+async fn count_boxes<S: Store>(relay: &Relay, store: &S, generation: Generation, is_first: bool) {
     match store.members().await {
         Ok(members) if is_first => relay.set_first_members(members),
         Ok(members) => relay.set_members(members, generation),
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::budget::BudgetBounds;
 use reachtally_core::forward::changes::Changes;
+use reachtally_core::forward::era::{Era, Eras, Generation, Position};
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
 use reachtally_core::forward::loads::Elsewhere;
 use reachtally_core::forward::peers::{self, Member};
@@ -84,7 +85,7 @@
     /// When the targets of each failure domain were last asked whether they are there.
     pub(crate) domains_checked: RefCell<HashMap<Arc<str>, Instant>>,
     /// Generation of the group that these boxes are of.
-    group_generation: Cell<u64>,
+    group_generation: Cell<Generation>,
     second_sends: SecondSends,
     held: Cell<Duration>,
     direct: watch::Sender<bool>,
@@ -96,9 +97,13 @@
     pub is_reader: Cell<bool>,
     /// When the read of the targets began that what is held goes back to.
     pub targets_read: Cell<Option<Instant>>,
-    /// Offset in the store up to which the targets are known; it never falls, so that neither an answer
-    /// of the store nor another box sets them back. 0 before the first.
-    pub targets_end: Cell<u64>,
+    /// Position in the store up to which the targets are known; it never falls, so that neither an answer
+    /// of the store nor another box sets them back. The least before the first.
+    pub targets_end: Cell<Position>,
+    /// The store's era, and when it came back from a copy.
+    pub eras: Cell<Eras>,
+    /// The last era in which the operator was seen to write a configuration.
+    pub(crate) configured_in: Cell<Option<Era>>,
     /// Whether this box's own reads of the store fail.
     pub store_away: Cell<bool>,
     /// What is counted.
@@ -148,6 +153,8 @@
             is_reader: Cell::new(true),
             targets_read: Cell::default(),
             targets_end: Cell::default(),
+            eras: Cell::default(),
+            configured_in: Cell::default(),
             store_away: Cell::default(),
             tally: Cell::default(),
             times: Times::default(),
@@ -226,8 +233,8 @@
         *self.direct.borrow()
     }
 
-    /// Generation of the group that the boxes known are of; 0 before the first count.
-    pub fn group_generation(&self) -> u64 {
+    /// Generation of the group that the boxes known are of; the least before the first count.
+    pub fn group_generation(&self) -> Generation {
         self.group_generation.get()
     }
 
@@ -239,7 +246,7 @@
     }
 
     /// Take over the boxes of the group as of `generation`, unless those known are as new.
-    pub fn set_members(&self, members: Vec<Member>, generation: u64) {
+    pub fn set_members(&self, members: Vec<Member>, generation: Generation) {
         if generation <= self.group_generation.get() {
             return;
         }
@@ -247,7 +254,7 @@
         let before = self.members.replace(members).len();
         let boxes = self.members.borrow().len();
         if before != boxes {
-            log::info!(event = "boxes", boxes = boxes, before = before, generation = generation; "the number of boxes changed");
+            log::info!(event = "boxes", boxes = boxes, before = before, generation = generation.number, era = generation.era.0; "the number of boxes changed");
         }
         self.touched();
     }
@@ -312,7 +319,7 @@
     }
 
     /// Note that the targets are those of a read which began at `began` and went up to `end`.
-    pub fn targets_are_of(&self, began: Instant, end: u64) {
+    pub fn targets_are_of(&self, began: Instant, end: Position) {
         self.targets_read
             .set(self.targets_read.get().max(Some(began)));
         self.targets_end.set(self.targets_end.get().max(end));
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -84,6 +84,7 @@
 fn news(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
     let version = relay.configuration.version();
     let is_newer = version > ask.config_version;
+    let eras = relay.eras.get();
     let changes = relay.changes.borrow();
     let mut news = News {
         confirmed_age: relay.configuration.age(relay.now()),
@@ -98,6 +99,8 @@
             next: changes.next(),
         },
         targets_end: relay.targets_end.get(),
+        era: eras.known(),
+        era_age: eras.changed_at().map(|at| relay.now().since(at)),
         ..News::default()
     };
     let generation = relay.group_generation();
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -217,6 +217,15 @@
     let answered = timeout(ANSWER_WAIT + ANSWER_SLACK, asking).await;
     let answered = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
     let news = answered.map_err(AskError::Silent)?;
+    if let Some(era) = news.era {
+        relay.hear_era(era, news.era_age);
+    }
+    // However old what it tells is, a newer configuration goes before an older one.
+    if !news.config.is_empty() {
+        relay
+            .publish_packed(&news.config)
+            .map_err(AskError::Silent)?;
+    }
     let Some(age) = news.confirmed_age else {
         let patience = match relay.members.borrow().is_empty() {
             true => FIRST_FROM_SEED,
@@ -260,12 +269,9 @@
 /// Take in what a box told; yields whether its targets were taken. Those of a box that knows the store's
 /// list only up to an earlier offset are not: they would bring back targets that have left.
 fn take(relay: &Relay, source: &mut Source, news: News) -> Result<bool, String> {
-    if !news.config.is_empty() {
-        relay.publish_packed(&news.config)?;
-    }
     relay.set_members(news.members, news.group_generation);
     if news.targets_end < relay.targets_end.get() {
-        log::debug!(event = "source-behind", from:% = source.ip, end = news.targets_end, held = relay.targets_end.get(); "a box's targets are older than those held");
+        log::debug!(event = "source-behind", from:% = source.ip, end:? = news.targets_end, held:? = relay.targets_end.get(); "a box's targets are older than those held");
         return Ok(false);
     }
     let page = TargetPage::unpack(&news.page).map_err(|err| err.to_string())?;
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -132,7 +132,7 @@
             let Told { answer, said } = orders.place(&engine, &placed, permit).await;
             relay.target_said(&engine.entry.run(), said);
             if answer == OrderAnswer::Superseded && part.borrow_mut().superseded(permit) {
-                log::info!(event = "superseded", target = &*engine.entry.id, token = permit.token().0; "another box is the steward by now");
+                log::info!(event = "superseded", target = &*engine.entry.id, token:? = permit.token(); "another box is the steward by now");
             }
             relay.count(|tally| tally.orders_given += 1);
             log::info!(event = "order", target = &*engine.entry.id, layers:? = placed.layers, give_up:? = placed.give_up, held:? = engine.entry.layers, answer:? = answer; "an engine was ordered to hold layers");
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use reachtally_core::forward::era::Era;
 use reachtally_core::forward::fleet::{Engine, Entry};
 use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::placement::Move;
@@ -25,6 +26,10 @@
     Lost,
     /// The answer does not decode.
     Malformed(String),
+    /// The answer is of an earlier era of the store, and came late.
+    Outdated,
+    /// The store came back from a copy: what was asked for by offset is of an earlier era.
+    EraChanged,
 }
 
 impl std::fmt::Display for StoreError {
@@ -35,17 +40,25 @@
             StoreError::Unreachable => f.write_str("no connection"),
             StoreError::Lost => f.write_str("no answer in time"),
             StoreError::Malformed(why) => write!(f, "malformed answer: {why}"),
+            StoreError::Outdated => f.write_str("a late answer of an earlier era"),
+            StoreError::EraChanged => f.write_str("the store came back from a copy"),
         }
     }
 }
 
+/// A number of a record, which says nothing without the era that it is of: it has no order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Offset(pub u64);
+
 /// What a read yields.
 #[derive(Debug, Clone)]
 pub struct Feed<T> {
     /// Its records, oldest first.
     pub items: Vec<T>,
-    /// Offset to read from next.
-    pub next: u64,
+    /// Where to read on.
+    pub next: Offset,
+    /// The era that the answer names.
+    pub era: Option<Era>,
 }
 
 /// A change to the list of targets.
@@ -71,8 +84,10 @@
 /// What this box holds in the group of boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Membership {
-    /// Rises with each change of the group, so that it can serve as the fencing token of orders.
+    /// Rises with each change of the group, within an era.
     pub generation: u64,
+    /// The era that the answer names.
+    pub era: Option<Era>,
     /// Whether this box holds the steward's part.
     pub is_steward: bool,
 }
@@ -85,7 +100,7 @@
     /// Configurations from `offset` on; waits up to `wait` for the first.
     fn config_from(
         &self,
-        offset: u64,
+        offset: Offset,
         wait: Duration,
     ) -> impl Future<Output = Result<Feed<Bytes>, StoreError>>;
 
@@ -95,7 +110,7 @@
     /// Changes to the list of targets from `offset` on, without waiting.
     fn targets_from(
         &self,
-        offset: u64,
+        offset: Offset,
     ) -> impl Future<Output = Result<Feed<TargetChange>, StoreError>>;
 
     /// Join the group of boxes, or stay in it, for `ttl`.
--- a/reachtally-relay/src/targets.rs
+++ b/reachtally-relay/src/targets.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, TargetRun};
+use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, RunOrder, TargetRun};
 use tokio::sync::watch;
 
 use crate::relay::Relay;
@@ -126,6 +126,33 @@
         }
     }
 
+    /// Compare what is held with a list that may be older. Known runs stay as they are until they write again, but for those that
+    /// leave: no run takes that back.
+    pub(crate) fn compare_targets(&self, listed: Vec<Entry>) {
+        let shown = listed
+            .into_iter()
+            .filter_map(|entry| self.newer_than_held(entry));
+        let shown: Vec<Shown> = shown.map(|entry| (entry, Evidence::Listed)).collect();
+        self.targets_shown(shown);
+    }
+
+    /// The part of an entry of unknown age that is newer than what is held.
+    fn newer_than_held(&self, entry: Entry) -> Option<Entry> {
+        let fleet = self.fleet.borrow();
+        let held = fleet.find(&entry.id).and_then(|key| fleet.get(key));
+        let Some(held) = held else {
+            return Some(entry);
+        };
+        match entry.run_since(&held.entry) {
+            RunOrder::Later => Some(entry),
+            RunOrder::Same if entry.draining => Some(Entry {
+                draining: true,
+                ..held.entry.clone()
+            }),
+            RunOrder::Same | RunOrder::Earlier => None,
+        }
+    }
+
     /// Forget targets whose entries did not come back in time.
     pub fn drop_missing(&self) {
         let patience = self.rhythm().missing_patience;
