--- a/reachtally-spec/src/claims.rs
+++ b/reachtally-spec/src/claims.rs
@@ -39,6 +39,8 @@
     pub crashes: u8,
     /// Waits for a claim that pass.
     pub timeouts: u8,
+    /// Returns of the log from a copy that lacks its last record.
+    pub returns: u8,
 }
 
 /// Boxes in the model.
@@ -63,6 +65,8 @@
     Crash(usize),
     /// A box's wait for its claim passes.
     Timeout(usize),
+    /// The log comes back from a copy that lacks its last record.
+    Return,
     /// Only with [`Broken::ReleaseAfterDispatch`]: the box releases what it sent.
     Release(usize),
 }
@@ -336,6 +340,9 @@
                 actions.push(Action::Release(at));
             }
         }
+        if self.left.returns > 0 && !self.log.is_empty() {
+            actions.push(Action::Return);
+        }
         for (number, message) in self.net.iter().enumerate() {
             actions.push(Action::Deliver(number));
             if self.left.losses > 0 {
@@ -376,6 +383,10 @@
                 self.boxes[at].now = self.boxes[at].now + limits().claim_wait;
                 self.settle(at);
             }
+            Action::Return => {
+                self.left.returns -= 1;
+                self.log.pop();
+            }
             Action::Release(at) => {
                 self.left.doubles -= 1;
                 self.release(at);
--- a/reachtally-spec/tests/spec/main.rs
+++ b/reachtally-spec/tests/spec/main.rs
@@ -29,6 +29,7 @@
         doubles: 0,
         crashes: 0,
         timeouts: 0,
+        returns: 0,
     }
 }
 
@@ -78,6 +79,17 @@
     });
 }
 
+#[test]
+fn claims_hold_when_the_log_comes_back_from_a_copy() {
+    let budgets = claims::Budgets {
+        returns: 1,
+        ..claim_budgets()
+    };
+    assert_holds("claims, a return from a copy", || {
+        claims::Claims::new(budgets, None)
+    });
+}
+
 #[test]
 fn a_takeover_is_found() {
     let broken = Some(claims::Broken::TakeoverAllowed);
