refactor(relay): the loops that follow the store are modules of their own, one for each table

Change: what the loop of the targets keeps between two reads is a type with one function for each step; the loops of the configuration, of absent targets, pauses and dependencies stand apart.

--- /dev/null
+++ b/reachtally-relay/src/follow/mod.rs
@@ -0,0 +1,12 @@
+//! Loops that keep the tables like the store: configuration and targets.
+
+mod absent;
+mod config;
+mod dependency;
+mod pause;
+mod targets;
+
+pub use absent::{targets_dead, targets_missing};
+pub use config::config;
+pub(crate) use dependency::Dependency;
+pub use targets::targets;
