fix(relay): an entry that lapses just after the store's return from a copy has time to come back

Cause: whether a missing entry may be the store's fault was known from failed reads alone; a return may pass between two reads.

--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -81,14 +81,20 @@
         let is_long_ago = |at: Instant| began.since(at) > LONGEST_GAP;
         self.needs_list |= relay.targets_read.get().is_none_or(is_long_ago);
         self.needs_list |= self.check_at.take_if(|at| *at <= began).is_some();
-        let is_back = |at: Instant| began.since(at) < LAPSE_WINDOW;
-        let may_lapse = self.dependency.is_lost() || self.back_at.is_some_and(is_back);
+        let may_lapse = self.may_lapse(relay, began);
         match self.needs_list {
             true => list_targets(relay, store, began, may_lapse).await,
             false => read_targets(relay, store, began, may_lapse).await,
         }
     }
 
+    /// Whether an entry that is gone may be so through the store's fault: it is away, or was until a moment ago.
+    fn may_lapse(&self, relay: &Relay, now: Instant) -> bool {
+        let is_back = |at: Instant| now.since(at) < LAPSE_WINDOW;
+        let has_returned = relay.eras.get().is_back_since(LAPSE_WINDOW, now);
+        self.dependency.is_lost() || self.back_at.is_some_and(is_back) || has_returned
+    }
+
     fn judge(&mut self, relay: &Relay, read: Result<Taken, StoreError>) -> Next {
         let now = relay.now();
         match read {
