--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -186,6 +186,7 @@
     }
 }
 
+/// Ask a box once, over the connection `kept` or a new one, and take in what it tells.
 async fn ask_once(
     relay: &Relay,
     kept: Option<Source>,
@@ -196,74 +197,98 @@
         None => open(address).await.map_err(AskError::Silent)?,
     };
     let began = relay.now();
+    let answering = timeout(ANSWER_WAIT + ANSWER_SLACK, exchange(relay, &mut source));
+    let answered = answering.await;
+    let answered = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    let news = answered.map_err(AskError::Silent)?;
+    take_whatever_its_age(relay, &news).map_err(AskError::Silent)?;
+    match ages(relay, &news, began)? {
+        None => {
+            take(relay, &mut source, news).map_err(AskError::Silent)?;
+        }
+        Some(ages) => {
+            let end = news.targets_end;
+            if take(relay, &mut source, news).map_err(AskError::Silent)? {
+                relay.targets_are_of(before(began, ages.targets), end);
+            }
+            let confirmed = before(began, ages.configuration);
+            relay.configuration.confirm(confirmed);
+        }
+    }
+    Ok(source)
+}
+
+/// The moment `age` before `began`, but not before this box started.
+fn before(began: Instant, age: Duration) -> Instant {
+    Instant::from_elapsed(began.elapsed().saturating_sub(age))
+}
+
+/// Send a question and read the answer.
+async fn exchange(relay: &Relay, source: &mut Source) -> Result<News, String> {
     let ask = Ask {
         config_version: relay.configuration.version(),
         targets: source.targets,
         targets_end: relay.targets_end.get(),
         group_generation: relay.group_generation(),
     };
-    let asking = async {
-        source
-            .link
-            .send(ask.encode())
-            .await
-            .map_err(|err| err.to_string())?;
-        match source.link.next().await {
-            Some(Ok(frame)) => News::decode(frame.freeze()).map_err(|err| err.to_string()),
-            Some(Err(err)) => Err(err.to_string()),
-            None => Err("the connection was closed".to_owned()),
-        }
-    };
-    let answered = timeout(ANSWER_WAIT + ANSWER_SLACK, asking).await;
-    let answered = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-    let news = answered.map_err(AskError::Silent)?;
+    let sent = source.link.send(ask.encode()).await;
+    sent.map_err(|err| err.to_string())?;
+    match source.link.next().await {
+        Some(Ok(frame)) => News::decode(frame.freeze()).map_err(|err| err.to_string()),
+        Some(Err(err)) => Err(err.to_string()),
+        None => Err("the connection was closed".to_owned()),
+    }
+}
+
+/// Take in what counts however old the rest is: the store's era, and a configuration that is newer than the one held.
+fn take_whatever_its_age(relay: &Relay, news: &News) -> Result<(), String> {
     if let Some(era) = news.era {
         relay.hear_era(era, news.era_age);
     }
-    // However old what it tells is, a newer configuration goes before an older one.
     if !news.config.is_empty() {
-        relay
-            .publish_packed(&news.config)
-            .map_err(AskError::Silent)?;
+        relay.publish_packed(&news.config)?;
     }
-    let Some(age) = news.confirmed_age else {
+    Ok(())
+}
+
+/// How old what a box tells was when it was asked.
+struct Ages {
+    /// The confirmation of its configuration.
+    configuration: Duration,
+    /// The read of its targets.
+    targets: Duration,
+}
+
+/// How old it is; `None` while the first configuration may still be to come.
+fn ages(relay: &Relay, news: &News, asked: Instant) -> Result<Option<Ages>, AskError> {
+    let Some(configuration) = news.confirmed_age else {
         let patience = match relay.members.borrow().is_empty() {
             true => FIRST_FROM_SEED,
             false => FIRST_CONFIGURATION,
         };
-        if began.elapsed() > patience {
+        if asked.elapsed() > patience {
             let why = "it knows no configuration".to_owned();
             return Err(AskError::Stale(why));
         }
-        take(relay, &mut source, news).map_err(AskError::Silent)?;
-        return Ok(source);
+        return Ok(None);
     };
     let rhythm = relay.rhythm();
-    if age > rhythm.sound_age {
-        return Err(AskError::Stale(format!(
-            "its configuration was confirmed {} ms ago",
-            age.as_millis()
-        )));
+    if configuration > rhythm.sound_age {
+        let ms = configuration.as_millis();
+        let why = format!("its configuration was confirmed {ms} ms ago");
+        return Err(AskError::Stale(why));
     }
     let no_targets = || AskError::Stale("it has read no targets".to_owned());
-    let targets_age = news.targets_age.ok_or_else(no_targets)?;
-    if targets_age > rhythm.sound_targets_age {
-        return Err(AskError::Stale(format!(
-            "its targets were read {} ms ago",
-            targets_age.as_millis()
-        )));
-    }
-    let end = news.targets_end;
-    let is_taken = take(relay, &mut source, news).map_err(AskError::Silent)?;
-    if is_taken {
-        let read = began.elapsed().saturating_sub(targets_age);
-        relay.targets_are_of(Instant::from_elapsed(read), end);
+    let targets = news.targets_age.ok_or_else(no_targets)?;
+    if targets > rhythm.sound_targets_age {
+        let ms = targets.as_millis();
+        let why = format!("its targets were read {ms} ms ago");
+        return Err(AskError::Stale(why));
     }
-    let confirmed = began.elapsed().saturating_sub(age);
-    relay
-        .configuration
-        .confirm(Instant::from_elapsed(confirmed));
-    Ok(source)
+    Ok(Some(Ages {
+        configuration,
+        targets,
+    }))
 }
 
 /// Take in what a box told; yields whether its targets were taken. Those of a box that knows the store's
--- /dev/null
+++ b/reachtally-relay/src/targets/answers.rs
@@ -0,0 +1,82 @@
+//! What targets answer, and how they fail.
+
+use std::time::Duration;
+
+use reachtally_core::forward::fleet::{EngineKey, TargetRun};
+
+use crate::relay::Relay;
+use crate::wire::Statement;
+
+impl Relay {
+    /// Count a failure of a target.
+    pub fn target_failed(&self, key: EngineKey, why: &str) {
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(engine) = fleet.get(key) else {
+            return;
+        };
+        log::info!(event = "target-failed", target = &*engine.entry.id, address:% = engine.entry.address, why = why; "hold off a target");
+        fleet.failed(key, self.now());
+        self.count(|tally| tally.target_failures += 1);
+    }
+
+    /// A target does not hold what its entry says, so it is left alone until that changes.
+    pub fn target_contradicted(&self, key: EngineKey) {
+        let now = self.now();
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            log::info!(event = "target-contradicted", target = &*engine.entry.id, address:% = engine.entry.address, layers:? = engine.entry.layers; "a target does not hold what its entry says");
+            engine.health.contradicted(now);
+        }
+    }
+
+    /// A target refused a request because it is full.
+    pub fn target_refused(&self, key: EngineKey) {
+        let now = self.now();
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            log::info!(event = "target-refused", target = &*engine.entry.id, layers:? = engine.entry.layers, running = engine.running, elsewhere = engine.running_elsewhere as u64, tokens = engine.tokens as u64, tokens_elsewhere = engine.tokens_elsewhere as u64; "a target has no room");
+            engine.health.refused(now);
+        }
+    }
+
+    /// Keep what a target says of itself in an answer.
+    pub fn target_said(&self, run: &TargetRun, said: Statement) {
+        if let Some(rest) = said.rest {
+            self.target_rests(run, rest);
+        }
+        if said.is_leaving {
+            self.target_leaves(run);
+        }
+    }
+
+    /// A target leaves: it gets nothing more from this box, whatever its entry says.
+    fn target_leaves(&self, run: &TargetRun) {
+        let mut is_news = false;
+        self.fleet.borrow_mut().note(run, self.now(), |notice| {
+            is_news = !notice.is_leaving();
+            notice.leave();
+        });
+        if is_news {
+            log::info!(event = "target-leaves", target = &*run.id; "a target said in an answer that it leaves");
+        }
+    }
+
+    /// A target wants nothing from this box for `rest`.
+    fn target_rests(&self, run: &TargetRun, rest: Duration) {
+        let now = self.now();
+        self.count(|tally| tally.rests_asked += 1);
+        log::info!(event = "target-rests", target = &*run.id, rest_ms = rest.as_millis() as u64; "a target wants nothing from this box for a time");
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.note(run, now, |notice| notice.rest(now + rest));
+    }
+
+    /// Count a send to a target that wants none at present.
+    pub(crate) fn count_in_rest(&self, key: EngineKey) {
+        let fleet = self.fleet.borrow();
+        let now = self.now();
+        if fleet
+            .get(key)
+            .is_some_and(|engine| engine.notice.is_resting(now))
+        {
+            self.count(|tally| tally.sends_in_rest += 1);
+        }
+    }
+}
--- /dev/null
+++ b/reachtally-relay/src/targets/presence.rs
@@ -0,0 +1,150 @@
+//! Whether targets take connections.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fleet::EngineKey;
+
+use crate::relay::Relay;
+use crate::target;
+
+/// Time for which the answer to whether a target is there holds, so that the streams of one engine
+/// ask once.
+const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Least time between two checks of a whole failure domain: a few dozen connections each.
+const DOMAIN_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+impl Relay {
+    /// A target took no connection.
+    pub fn target_dead(&self, key: EngineKey) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(engine) = fleet.get_mut(key) else {
+            return;
+        };
+        if !engine.health.is_dead() {
+            log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address; "a target takes no connections");
+            self.count(|tally| tally.targets_found_dead += 1);
+        }
+        engine.health.found_dead(now);
+    }
+
+    /// A target said nothing when a connection was opened. A packet may have been lost, or the whole failure
+    /// domain may be cut off; so all targets there are asked at once, and none is used until it answered.
+    pub fn target_silent(self: &Rc<Self>, key: EngineKey) {
+        self.target_refused(key);
+        let Some(domain) = self.domain_of(key) else {
+            return;
+        };
+        if !self.may_check(&domain) {
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let targets = relay.targets_in(&domain);
+            let dead = relay.dead_of(&targets).await.len();
+            log::info!(event = "domain-checked", domain = &*domain, targets = targets.len(), dead = dead; "a target was silent, so all of its failure domain were asked");
+        });
+    }
+
+    /// Where a target listens, if it is known.
+    pub(crate) fn address_of(&self, key: EngineKey) -> Option<SocketAddr> {
+        let fleet = self.fleet.borrow();
+        fleet.get(key).map(|engine| engine.entry.address)
+    }
+
+    fn domain_of(&self, key: EngineKey) -> Option<Arc<str>> {
+        let fleet = self.fleet.borrow();
+        fleet.get(key).map(|engine| engine.entry.domain.clone())
+    }
+
+    /// Targets of a failure domain that are not known to be dead.
+    fn targets_in(&self, domain: &str) -> Vec<EngineKey> {
+        let fleet = self.fleet.borrow();
+        let there = fleet
+            .iter()
+            .filter(|(_, engine)| &*engine.entry.domain == domain && !engine.health.is_dead());
+        there.map(|(key, _)| key).collect()
+    }
+
+    /// Whether a failure domain was not asked lately; notes that it is now.
+    fn may_check(&self, domain: &Arc<str>) -> bool {
+        let now = self.now();
+        let mut checked = self.domains_checked.borrow_mut();
+        let is_due = checked
+            .get(domain)
+            .is_none_or(|at| now.since(*at) >= DOMAIN_CHECK_INTERVAL);
+        if is_due {
+            checked.insert(domain.clone(), now);
+        }
+        is_due
+    }
+
+    /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
+    pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
+        let now = self.now();
+        let checks = engines.iter().map(|key| async move {
+            let known = self
+                .fleet
+                .borrow()
+                .get(*key)
+                .map(|engine| (engine.entry.address, engine.health));
+            let Some((address, health)) = known else {
+                return Some(*key);
+            };
+            let is_recent = |at: Instant| now.since(at) < CHECK_INTERVAL;
+            if health.is_dead() {
+                return Some(*key);
+            }
+            if health.alive_at().is_some_and(is_recent) {
+                return None;
+            }
+            match target::is_there(address).await {
+                true => {
+                    self.target_there(*key);
+                    None
+                }
+                false => {
+                    self.target_dead(*key);
+                    Some(*key)
+                }
+            }
+        });
+        futures::future::join_all(checks)
+            .await
+            .into_iter()
+            .flatten()
+            .collect()
+    }
+
+    /// Those of `engines` that are gone or known to be dead, here or by several other boxes.
+    pub fn known_dead(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
+        let fleet = self.fleet.borrow();
+        let is_dead = |key: &&EngineKey| {
+            fleet
+                .get(**key)
+                .is_none_or(|engine| engine.health.is_dead() || engine.is_silent_elsewhere())
+        };
+        engines.iter().filter(is_dead).copied().collect()
+    }
+
+    /// Ask a dead target whether it is back.
+    pub async fn ask_dead(&self, key: EngineKey) {
+        let Some(address) = self.address_of(key) else {
+            return;
+        };
+        if target::is_there(address).await {
+            log::info!(event = "target-back", address:% = address; "a dead target takes connections again");
+            self.target_there(key);
+        }
+    }
+
+    fn target_there(&self, key: EngineKey) {
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            engine.health.found_alive(self.now());
+        }
+    }
+}
