--- a/reachtally-relay/src/eras.rs
+++ b/reachtally-relay/src/eras.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::era::{CONFIGURED_WITHIN, Era, Outdated};
+use reachtally_core::forward::era::{CONFIGURED_WITHIN, Era, Outdated, Position};
 
 use crate::relay::Relay;
-use crate::store::StoreError;
+use crate::store::{Feed, StoreError};
 
 impl Relay {
     /// The era of an answer of the store to a call that began at `began`.
@@ -27,6 +27,21 @@
         })
     }
 
+    /// Where to read on after a read that began at `began`.
+    ///
+    /// # Errors
+    /// [`StoreError::Outdated`] for a late answer of an earlier era.
+    pub(crate) fn position_after<T>(
+        &self,
+        feed: &Feed<T>,
+        began: Instant,
+    ) -> Result<Position, StoreError> {
+        Ok(Position {
+            era: self.era_of(feed.era, began)?,
+            offset: feed.next.0,
+        })
+    }
+
     /// Another box tells of the store's era, and how long ago the store came back into it, if it did.
     pub(crate) fn hear_era(&self, told: Era, age: Option<Duration>) {
         let mut eras = self.eras.get();
--- a/reachtally-relay/src/follow/config.rs
+++ b/reachtally-relay/src/follow/config.rs
@@ -74,21 +74,18 @@
     from: Option<Position>,
     began: Instant,
 ) -> Result<Position, StoreError> {
-    let era = relay.era_of(feed.era, began)?;
-    if from.is_some_and(|from| from.era != era) {
+    let next = relay.position_after(&feed, began)?;
+    if from.is_some_and(|from| from.era != next.era) {
         return Err(StoreError::EraChanged);
     }
     for raw in &feed.items {
         relay.publish(raw).map_err(StoreError::Malformed)?;
     }
     if from.is_some() && !feed.items.is_empty() {
-        relay.note_configured(era);
+        relay.note_configured(next.era);
     }
     if relay.configuration.table().is_some() && !relay.may_lack_configuration() {
         relay.configuration.confirm(began);
     }
-    Ok(Position {
-        era,
-        offset: feed.next.0,
-    })
+    Ok(next)
 }
--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -149,10 +149,7 @@
 ) -> Result<Taken, StoreError> {
     let feed = store.targets().await?;
     let held = relay.targets_end.get();
-    let end = Position {
-        era: relay.era_of(feed.era, began)?,
-        offset: feed.next.0,
-    };
+    let end = relay.position_after(&feed, began)?;
     // Another box may have told of later changes while this read was under way.
     if end < held {
         return Ok(Taken::Nothing);
@@ -193,10 +190,7 @@
 ) -> Result<Taken, StoreError> {
     let from = relay.targets_end.get();
     let feed = store.targets_from(Offset(from.offset)).await?;
-    let end = Position {
-        era: relay.era_of(feed.era, began)?,
-        offset: feed.next.0,
-    };
+    let end = relay.position_after(&feed, began)?;
     if end.era != from.era {
         return Err(StoreError::EraChanged);
     }
