--- a/reachtally-core/src/forward/era.rs
+++ b/reachtally-core/src/forward/era.rs
@@ -7,8 +7,7 @@
 
 use crate::time::Instant;
 
-/// How long after the store's return what is missing in its copy may still be written again, by the operator and by
-/// targets: longer than the three heartbeats, of some 1.2 s each, after which a silent target's entry goes.
+/// How long after the store's return targets whose entries its copy lacks may still write them again: longer than the three heartbeats, of some 1.2 s each, after which a silent target's entry goes.
 pub const REWRITTEN_WITHIN: Duration = Duration::from_secs(4);
 /// How long the operator may take to write the configuration again that the copy lacks: as long as entries that lapsed take
 /// to come back.
--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -11,13 +11,15 @@
 /// 100 bytes each, and far more than leave or ask for rest within the time for which that is kept.
 const MOST_KEPT: usize = 4096;
 
-/// How long a run without a row is remembered: far longer than targets that leave go on serving, and than the copies are old
+/// How long a run without a row is remembered, at least: far longer than targets that leave go on serving, and than the copies are old
 /// from which a store may come back with an entry that says otherwise.
 const KEPT_FOR: Duration = Duration::from_secs(600);
 
-/// What a run asked of this box. Guards targets that turn requests away: where the time that they ask for is not
-/// heeded, each gets up to five more sends of a box within a second of it, and the refused ones use up the second sends of
-/// all boxes (counted from the logs of four days with such targets: 303 times with more than two sends, none with it). It holds for as long as the run lives, whatever becomes of the run's entry.
+/// What a run asked of this box. It holds for as long as the run lives, whatever becomes of the run's entry.
+///
+/// Guards targets that turn requests away: where the time that they ask for is not heeded, each gets up to five more sends of
+/// a box within a second, and the refused ones use up the second sends of all boxes. Counted from the logs of 36 days with such
+/// targets, on three fleets: 1,077 times more than two sends without it, none with it; worth +0.022 (error 0.005, 36 pairs).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Notice {
     /// Until when it wants nothing from this box.
