fix(daemon): after a return of the log from an older copy no key is taken until the claim window has passed

Change: pages tell how often the log has come back. A daemon that learns of it refuses what waits for a claim, reads the claims anew and takes keys again only once the window has passed since a record that the first one appends, so that a daemon that starts later waits too.

--- a/reachtally-core/src/claim.rs
+++ b/reachtally-core/src/claim.rs
@@ -83,6 +83,12 @@
         /// How.
         outcome: Recorded,
     },
+    /// The log has come back from an older copy: claims that were taken since are gone, and any key of before this record
+    /// may be one of theirs.
+    Returned {
+        /// How often it has.
+        returns: u64,
+    },
 }
 
 /// One record of the claim stream.
@@ -149,6 +155,7 @@
             Entry::Claim { key, digest } => self.claim(by, at_ms, key, *digest),
             Entry::Release { key } => self.release(by, key),
             Entry::Outcome { key, outcome } => self.end(by, key, outcome),
+            Entry::Returned { .. } => Folded::Nothing,
         }
     }
 
@@ -218,6 +225,7 @@
                 .by_key
                 .get(key)
                 .is_none_or(|claim| claim.owner != by || claim.outcome.is_some()),
+            Entry::Returned { .. } => false,
         }
     }
 }
@@ -309,6 +317,11 @@
         self.by_key.get(key).cloned().unwrap_or_default()
     }
 
+    /// All requests that wait for any key.
+    pub fn requests(&self) -> Vec<RequestKey> {
+        self.by_key.values().flatten().copied().collect()
+    }
+
     /// Take all requests that wait for `key`.
     pub fn take(&mut self, key: &ClaimKey) -> Vec<RequestKey> {
         self.by_key.remove(key).unwrap_or_default()
--- a/reachtally-core/src/event.rs
+++ b/reachtally-core/src/event.rs
@@ -113,6 +113,8 @@
     ClaimsRead(Vec<Read<ClaimRecord>>),
     /// Records of the claim stream were lost before they were read.
     ClaimsGap,
+    /// The log has come back from an older copy: claims may be gone that another daemon has acted on.
+    ClaimsReturned,
     /// Every claim of the claim window is known.
     ClaimsCaughtUp,
     /// Configuration records were read, in order.
--- a/reachtally-core/src/systems/claims.rs
+++ b/reachtally-core/src/systems/claims.rs
@@ -96,6 +96,15 @@
     }
 }
 
+/// The log has come back from an older copy. No key is taken until every claim of the window is known again, and what waits for a
+/// claim of its own is refused: the first claim of a key in the log may not be the first that was acted on.
+pub fn returned(world: &mut World, out: &mut Effects) {
+    world.claims_ready = false;
+    for request in world.waiting.requests() {
+        wait_over(world, request, out);
+    }
+}
+
 fn react(world: &mut World, folded: Folded, now: Instant, out: &mut Effects) {
     match folded {
         Folded::Owned(key) => owned(world, &key, now, out),
--- a/reachtally-core/src/world.rs
+++ b/reachtally-core/src/world.rs
@@ -284,6 +284,7 @@
             Event::Appended { seq, confirmed } => systems::claims::appended(self, seq, confirmed),
             Event::ClaimsRead(records) => systems::claims::read(self, &records, now, out),
             Event::ClaimsGap => self.claims_ready = false,
+            Event::ClaimsReturned => systems::claims::returned(self, out),
             Event::ClaimsCaughtUp => self.claims_ready = true,
             Event::ConfigRead(records) => systems::configure::read(self, &records, now, out),
             Event::Revalidated(nonce) => systems::gossip::revalidated(self, nonce),
--- a/reachtally-daemon/src/follow.rs
+++ b/reachtally-daemon/src/follow.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use reachtally_core::Event;
+use reachtally_core::claim::{ClaimRecord, Entry};
 use reachtally_core::event::Read;
 use reachtally_core::fold::{Config, Operation};
 use reachtally_core::lease::DomainRecord;
 use reachtally_core::systems::gossip::PeerConfig;
+use reachtally_core::{Event, Incarnation};
 use reachtally_log::{
     CLAIMS_STREAM, CONFIG_STREAM, DOMAINS_STREAM, LiveList, Log, Page, Record, SNAPSHOTS_STREAM,
 };
@@ -152,6 +153,10 @@
     /// The log's time of the first record read, unless that was the stream's very first.
     since_ms: Option<u64>,
     newest_ms: u64,
+    /// How often the log has come back from an older copy, as the last page told.
+    returns: u64,
+    /// Returns whose record was read, and when the log took it. Claims of before that may be gone.
+    marked: Option<(u64, u64)>,
 }
 
 impl Coverage {
@@ -175,15 +180,40 @@
     /// Whether every claim of the last `window` was read. A key claimed in a record that retention
     /// dropped earlier would look free.
     fn is_whole(&self, page: &Page, window: Duration) -> bool {
-        let at_end = self.next >= page.end;
         let covered = |since_ms| self.newest_ms - since_ms >= window.as_millis() as u64;
-        at_end && self.since_ms.is_none_or(covered)
+        let marked_ms = self.marked.map(|(_, at_ms)| at_ms);
+        self.is_at_end(page)
+            && !self.lacks_mark()
+            && self.since_ms.max(marked_ms).is_none_or(covered)
+    }
+
+    fn is_at_end(&self, page: &Page) -> bool {
+        self.next >= page.end
+    }
+
+    /// Whether the log has come back from an older copy and no record says when.
+    fn lacks_mark(&self) -> bool {
+        self.returns > self.marked.map_or(0, |(returns, _)| returns)
+    }
+
+    /// Note the records that tell of returns.
+    fn mark(&mut self, records: &[Read<ClaimRecord>]) {
+        for read in records {
+            for entry in &read.record.entries {
+                if let Entry::Returned { returns } = *entry {
+                    self.marked = self.marked.max(Some((returns, read.at_ms)));
+                }
+            }
+        }
     }
 }
 
 /// Feed the claim stream to the actor until it is gone. Requests with a key are only taken while every
 /// claim of the last `window` is known.
-pub async fn claims<L: Log>(log: L, handle: Handle, window: Duration) {
+///
+/// After a return of the log from an older copy that is so only once the window has passed since then: the daemon run `by`
+/// appends when that was, unless another did.
+pub async fn claims<L: Log>(log: L, handle: Handle, window: Duration, by: Incarnation) {
     let mut coverage = Coverage::default();
     let mut whole = false;
     // The first read waits for nothing, so that an empty stream is known at once.
@@ -195,10 +225,21 @@
     loop {
         let page = log.read(CLAIMS_STREAM, coverage.next, wait_ms).await;
         seen.saw(page.is_ok());
-        let Ok(page) = page else {
+        let Ok(mut page) = page else {
             sleep(RETRY_WAIT).await;
             continue;
         };
+        if page.returns > coverage.returns {
+            warn!(returns = page.returns, held = coverage.returns; "the log came back from an older copy; its claims are read anew");
+            whole = false;
+            tell(&handle, Event::ClaimsReturned);
+            coverage = Coverage {
+                returns: page.returns,
+                ..Coverage::default()
+            };
+            wait_ms = 0;
+            continue;
+        }
         wait_ms = READ_WAIT_MS;
         if coverage.has_gap(&page) {
             warn!(next = coverage.next, first = page.first; "claim records are gone");
@@ -206,8 +247,13 @@
             tell(&handle, Event::ClaimsGap);
         }
         coverage.read(&page);
+        let records = readable(std::mem::take(&mut page.records));
+        coverage.mark(&records);
+        if coverage.is_at_end(&page) && coverage.lacks_mark() {
+            append_mark(&log, coverage.returns, by).await;
+        }
         let now_whole = coverage.is_whole(&page, window);
-        if !tell(&handle, Event::ClaimsRead(readable(page.records))) {
+        if !tell(&handle, Event::ClaimsRead(records)) {
             return;
         }
         if now_whole && !whole {
@@ -217,6 +263,18 @@
     }
 }
 
+/// Append when the log came back. A lost answer is no harm: the record is read, or appended once more.
+async fn append_mark<L: Log>(log: &L, returns: u64, by: Incarnation) {
+    let record = ClaimRecord {
+        by,
+        entries: vec![Entry::Returned { returns }],
+    };
+    let data = serde_json::to_value(record).expect("numbers and texts");
+    if let Err(err) = log.append(CLAIMS_STREAM, data).await {
+        warn!(returns, why:? = err; "the record of the log's return was not confirmed");
+    }
+}
+
 fn next_offset(page: &Page, next: u64) -> u64 {
     let read = page.records.last().map(|record| record.offset + 1);
     read.unwrap_or(next.max(page.first))
--- a/reachtally-daemon/src/run.rs
+++ b/reachtally-daemon/src/run.rs
@@ -120,7 +120,12 @@
         tokio::spawn(actor.run()),
         tokio::spawn(follow::config(platform.clone(), handle.clone(), reader)),
         tokio::spawn(follow::domains(platform.clone(), handle.clone())),
-        tokio::spawn(follow::claims(platform.clone(), handle.clone(), window)),
+        tokio::spawn(follow::claims(
+            platform.clone(),
+            handle.clone(),
+            window,
+            identity.incarnation,
+        )),
         tokio::spawn(follow::list(platform, handle.clone())),
         tokio::spawn(metrics::report(statsd, counters)),
     ];
--- a/reachtally-daemon/tests/daemon/follow.rs
+++ b/reachtally-daemon/tests/daemon/follow.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use reachtally_core::Event;
 use reachtally_core::claim::ClaimRecord;
+use reachtally_core::{Event, Incarnation};
 use reachtally_daemon::actor::Message;
 use reachtally_daemon::follow;
 use reachtally_log::memory::{MemoryLog, Options};
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 const WINDOW: Duration = Duration::from_secs(10);
+const RUN: Incarnation = Incarnation(1);
 
 fn log(keep_records: usize) -> MemoryLog {
     MemoryLog::new(Options {
@@ -25,7 +26,7 @@
 
 async fn append(log: &MemoryLog) {
     let record = ClaimRecord {
-        by: reachtally_core::Incarnation(1),
+        by: RUN,
         entries: Vec::new(),
     };
     let data = serde_json::to_value(record).expect("it serializes");
@@ -40,7 +41,7 @@
     while let Ok(message) = rx.try_recv() {
         match message {
             Message::Event(Event::ClaimsCaughtUp) => word = Some(true),
-            Message::Event(Event::ClaimsGap) => word = Some(false),
+            Message::Event(Event::ClaimsGap | Event::ClaimsReturned) => word = Some(false),
             _ => {}
         }
     }
@@ -52,7 +53,7 @@
     let log = log(1000);
     append(&log).await;
     let (tx, mut rx) = mpsc::unbounded_channel();
-    tokio::spawn(follow::claims(log, tx, WINDOW));
+    tokio::spawn(follow::claims(log, tx, WINDOW, RUN));
     sleep(Duration::from_secs(1)).await;
     assert_eq!(last_word(&mut rx), Some(true));
 }
@@ -64,7 +65,7 @@
         append(&log).await;
     }
     let (tx, mut rx) = mpsc::unbounded_channel();
-    tokio::spawn(follow::claims(log.clone(), tx, WINDOW));
+    tokio::spawn(follow::claims(log.clone(), tx, WINDOW, RUN));
     sleep(Duration::from_secs(1)).await;
     assert_eq!(last_word(&mut rx), Some(false));
     sleep(WINDOW / 2).await;
@@ -105,7 +106,7 @@
     };
     append(&reached.log).await;
     let (tx, mut rx) = mpsc::unbounded_channel();
-    tokio::spawn(follow::claims(reached.clone(), tx, WINDOW));
+    tokio::spawn(follow::claims(reached.clone(), tx, WINDOW, RUN));
     sleep(Duration::from_secs(1)).await;
     assert_eq!(last_word(&mut rx), Some(true));
     reached.cut.store(true, Ordering::SeqCst);
@@ -118,3 +119,52 @@
     sleep(Duration::from_secs(1)).await;
     assert_eq!(last_word(&mut rx), Some(false));
 }
+
+/// Claims of the lost seconds are unknown to all, so that no key is taken until they are as old as the window.
+#[tokio::test(start_paused = true)]
+async fn after_a_return_from_a_copy_the_window_passes_before_keys_are_taken_again() {
+    let log = log(1000);
+    append(&log).await;
+    append(&log).await;
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    tokio::spawn(follow::claims(log.clone(), tx, WINDOW, RUN));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(last_word(&mut rx), Some(true));
+    log.restore(CLAIMS_STREAM, 1);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(last_word(&mut rx), Some(false));
+    // A daemon that starts now is told by the record that the first one left.
+    let (tx, mut fresh) = mpsc::unbounded_channel();
+    tokio::spawn(follow::claims(log.clone(), tx, WINDOW, Incarnation(2)));
+    sleep(WINDOW / 2).await;
+    append(&log).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(
+        (last_word(&mut rx), last_word(&mut fresh)),
+        (None, Some(false))
+    );
+    sleep(WINDOW).await;
+    append(&log).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(
+        (last_word(&mut rx), last_word(&mut fresh)),
+        (Some(true), Some(true))
+    );
+}
+
+/// All daemons start after the return: nobody saw it.
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_starts_after_a_return_that_nobody_saw_waits_too() {
+    let log = log(1000);
+    append(&log).await;
+    append(&log).await;
+    log.restore(CLAIMS_STREAM, 1);
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    tokio::spawn(follow::claims(log.clone(), tx, WINDOW, RUN));
+    sleep(WINDOW / 2).await;
+    assert_eq!(last_word(&mut rx), Some(false));
+    sleep(WINDOW).await;
+    append(&log).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(last_word(&mut rx), Some(true));
+}
--- a/reachtally-log/src/lib.rs
+++ b/reachtally-log/src/lib.rs
@@ -44,6 +44,9 @@
     pub end: u64,
     /// Records from the offset asked for on.
     pub records: Vec<Record>,
+    /// How often the log has come back from an older copy. Offsets of before say nothing then.
+    #[serde(default)]
+    pub returns: u64,
 }
 
 /// Why an append was not confirmed.
--- a/reachtally-log/src/memory.rs
+++ b/reachtally-log/src/memory.rs
@@ -56,6 +56,7 @@
 
 #[derive(Debug)]
 struct Inner {
+    returns: u64,
     options: Options,
     faults: Faults,
     streams: BTreeMap<String, Stream>,
@@ -76,6 +77,7 @@
     pub fn new(options: Options) -> Self {
         let now = Instant::now();
         let inner = Inner {
+            returns: 0,
             options,
             faults: Faults::default(),
             streams: BTreeMap::new(),
@@ -118,13 +120,28 @@
         Ok(offset)
     }
 
+    /// Come back from a copy that lacks the last `lost` records of a stream.
+    pub fn restore(&self, stream: &str, lost: usize) {
+        let mut inner = self.lock();
+        inner.returns += 1;
+        if let Some(stream) = inner.streams.get_mut(stream) {
+            let left = stream.records.len().saturating_sub(lost);
+            stream.records.truncate(left);
+        }
+        drop(inner);
+        self.grown.notify_waiters();
+    }
+
     fn page(&self, stream: &str, from: u64) -> Result<Page, Unavailable> {
         let inner = self.lock();
         if inner.faults.down {
             return Err(Unavailable);
         }
         let Some(stream) = inner.streams.get(stream) else {
-            return Ok(Page::default());
+            return Ok(Page {
+                returns: inner.returns,
+                ..Page::default()
+            });
         };
         let skip = from.saturating_sub(stream.first) as usize;
         let records = stream.records.iter().skip(skip);
@@ -132,6 +149,7 @@
             first: stream.first,
             end: stream.end(),
             records: records.take(inner.options.page_records).cloned().collect(),
+            returns: inner.returns,
         })
     }
 
--- a/reachtally-spec/src/claims.rs
+++ b/reachtally-spec/src/claims.rs
@@ -24,6 +24,8 @@
     TakeoverAllowed,
     /// An owner releases its key after it has sent the request.
     ReleaseAfterDispatch,
+    /// Boxes go on reading a log that came back from a copy as if nothing had been lost.
+    ReturnUnnoticed,
 }
 
 /// How many faults of each kind may happen.
@@ -106,6 +108,8 @@
     effects: Effects,
     now: Instant,
     read: usize,
+    /// Returns of the log that it knows of.
+    returns: u8,
     asks: u8,
 }
 
@@ -117,6 +121,8 @@
     runs: Vec<Asked>,
     ends: BTreeMap<Asked, &'static str>,
     left: Budgets,
+    /// How often the log has come back from a copy.
+    returns: u8,
     incarnations: u64,
     broken: Option<Broken>,
 }
@@ -139,6 +145,7 @@
             runs: Vec::new(),
             ends: BTreeMap::new(),
             left: budgets,
+            returns: 0,
             incarnations: 0,
             broken,
         };
@@ -161,10 +168,18 @@
             effects,
             now: Instant::ZERO,
             read: 0,
+            returns: 0,
             asks,
         }
     }
 
+    /// A box reads a page of a log that has come back from a copy since its last one.
+    fn learn_of_return(&mut self, at: usize) {
+        self.boxes[at].returns = self.returns;
+        self.boxes[at].read = 0;
+        self.tell(at, self.incarnation(at), Event::ClaimsReturned);
+    }
+
     fn incarnation(&self, at: usize) -> Incarnation {
         self.boxes[at].world.incarnation
     }
@@ -279,6 +294,9 @@
     }
 
     fn read(&mut self, at: usize) {
+        if self.boxes[at].returns < self.returns && self.broken != Some(Broken::ReturnUnnoticed) {
+            return self.learn_of_return(at);
+        }
         let offset = self.boxes[at].read;
         self.boxes[at].read += 1;
         let mut record = self.log[offset].clone();
@@ -296,6 +314,10 @@
     fn crash(&mut self, at: usize) {
         let asks = self.boxes[at].asks;
         self.boxes[at] = self.new_box(asks);
+        if self.returns > 0 {
+            // Its first page tells of the return, before the window since then has passed.
+            self.learn_of_return(at);
+        }
     }
 
     fn has_sent(&self, at: usize) -> bool {
@@ -326,7 +348,9 @@
             if self.boxes[at].asks > 0 {
                 actions.push(Action::Ask(at));
             }
-            if self.boxes[at].read < self.log.len() {
+            let is_behind = self.boxes[at].returns < self.returns
+                && self.broken != Some(Broken::ReturnUnnoticed);
+            if is_behind || self.boxes[at].read < self.log.len() {
                 actions.push(Action::Read(at));
             }
             if self.left.crashes > 0 {
@@ -385,6 +409,7 @@
             }
             Action::Return => {
                 self.left.returns -= 1;
+                self.returns += 1;
                 self.log.pop();
             }
             Action::Release(at) => {
@@ -399,8 +424,8 @@
         for entrybox in &self.boxes {
             let world = entrybox.world.decision_state();
             text += &format!(
-                "{world:?}{:?}{}{}",
-                entrybox.now, entrybox.read, entrybox.asks
+                "{world:?}{:?}{}{}{}",
+                entrybox.now, entrybox.read, entrybox.returns, entrybox.asks
             );
         }
         let mut net: Vec<String> = self.net.iter().map(|m| format!("{m:?}")).collect();
--- a/reachtally-spec/tests/spec/main.rs
+++ b/reachtally-spec/tests/spec/main.rs
@@ -90,6 +90,28 @@
     });
 }
 
+#[test]
+fn claims_hold_when_the_log_comes_back_from_a_copy_around_a_death() {
+    let budgets = claims::Budgets {
+        returns: 1,
+        crashes: 1,
+        ..claim_budgets()
+    };
+    assert_holds("claims, a return from a copy and a death", || {
+        claims::Claims::new(budgets, None)
+    });
+}
+
+#[test]
+fn a_return_that_goes_unnoticed_is_found() {
+    let budgets = claims::Budgets {
+        returns: 1,
+        ..claim_budgets()
+    };
+    let broken = Some(claims::Broken::ReturnUnnoticed);
+    assert_found("return unnoticed", || claims::Claims::new(budgets, broken));
+}
+
 #[test]
 fn a_takeover_is_found() {
     let broken = Some(claims::Broken::TakeoverAllowed);
