feat(core): a path that lacks only engines which want rest is told apart in the log

Cause: a request that was refused because all first engines want rest was logged as one without room. Change: the shortage that a no-path line tells has one number more. No decision changes. Figures: one test; the line tells it for each failure domain.

--- a/reachtally-core/src/forward/select/shortage.rs
+++ b/reachtally-core/src/forward/select/shortage.rs
@@ -16,6 +16,8 @@
     pub unusable: u32,
     /// Some layer is held only by engines that have no room.
     pub full: u32,
+    /// The first layer is held only by engines that want rest, or have no room.
+    pub resting: u32,
 }
 
 impl std::fmt::Display for Shortage {
@@ -24,8 +26,12 @@
             gap,
             unusable,
             full,
+            resting,
         } = self;
-        write!(f, "gap {gap}, unusable {unusable}, full {full}")
+        write!(
+            f,
+            "gap {gap}, unusable {unusable}, full {full}, resting {resting}"
+        )
     }
 }
 
@@ -35,6 +41,7 @@
     Gap,
     Unusable,
     Full,
+    Resting,
     There,
 }
 
@@ -66,6 +73,7 @@
             Some(Supply::Gap) => found.gap += 1,
             Some(Supply::Unusable) => found.unusable += 1,
             Some(Supply::Full) => found.full += 1,
+            Some(Supply::Resting) => found.resting += 1,
             Some(Supply::There) | None => {}
         }
     }
@@ -86,6 +94,7 @@
     match Candidate::new(key, engine, model, need, cx) {
         None => (Supply::Full, Supply::Full),
         Some(candidate) if candidate.takes_more => (Supply::There, Supply::There),
+        Some(_) if engine.notice.is_resting(cx.now) => (Supply::Resting, Supply::There),
         Some(_) => (Supply::Full, Supply::There),
     }
 }
--- a/reachtally-core/tests/core/forward/notice.rs
+++ b/reachtally-core/tests/core/forward/notice.rs
@@ -4,7 +4,9 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet, TargetRun};
-use reachtally_core::forward::select::{Circumstance, instance, path, served_after_rest};
+use reachtally_core::forward::select::{
+    Circumstance, Shortage, instance, path, served_after_rest, shortage,
+};
 
 use super::setup::{NEED, SERVICE, cx, entry, fleet, model, run_entry};
 
@@ -165,3 +167,18 @@
     // Where it can be served at once, rest is not the reason.
     assert_eq!(served_after_rest(&fleet, SERVICE, at(0), |_| true), None);
 }
+
+#[test]
+fn a_path_that_lacks_only_engines_that_rest_is_told_apart_from_one_without_room() {
+    let (mut fleet, _) = fleet([
+        entry(0, "a", "large", 0..40),
+        entry(1, "a", "large", 40..80),
+    ]);
+    ask_for_rest(&mut fleet, &entry(0, "a", "large", 0..40).run(), at(9_000));
+    let found = shortage(&fleet, SERVICE, &model(), NEED, &cx(&[]));
+    let resting = Shortage {
+        resting: 1,
+        ..Shortage::default()
+    };
+    assert_eq!(found, resting);
+}
