fix(relay): a chain that answers a resumed stream with a failure counts among the request's runs

Cause: a stream whose chain was found dead went on to another engine; where that answered with a failure, the run was not counted, the first chain was waited for again, and once it stopped again the stream went to a third engine. Change: the failure is counted as an answer.

--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -187,6 +187,8 @@
                 return Some(answer.1);
             }
             Ok(Answered::Failure(response)) => {
+                // The request ran there, so that it counts: the chain that is waited for again may stop once more.
+                attempts.answered();
                 log::info!(event = "not-resumed", id = &*call.head.id, status = response.status().as_u16(); "another chain answered with a failure");
                 return None;
             }
