--- a/reachtally-core/src/forward/era.rs
+++ b/reachtally-core/src/forward/era.rs
@@ -102,10 +102,7 @@
     pub fn hear(&mut self, told: Era, since: Option<Instant>) -> bool {
         let is_news = self.held.is_none_or(|held| told > held);
         if is_news {
-            self.changed_at = match self.held {
-                Some(_) => since,
-                None => None,
-            };
+            self.changed_at = self.held.and(since);
             self.held = Some(told);
         }
         is_news
--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -130,7 +130,7 @@
         let key = self.by_id.remove(id)?;
         let engine = self.engines.remove(key)?;
         let mut notice = engine.notice;
-        if engine.entry.draining {
+        if engine.is_leaving() {
             notice.leave();
         }
         self.notices.keep(engine.entry.run(), notice, now);
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -78,6 +78,11 @@
         self.entry.draining || self.notice.is_leaving()
     }
 
+    /// Whether the run wants nothing from this box at present: it leaves, or wants rest.
+    pub fn wants_none(&self, now: Instant) -> bool {
+        self.is_leaving() || self.notice.is_resting(now)
+    }
+
     /// Whether this run's entry was read lately.
     pub(super) fn is_heard(&self, now: Instant) -> bool {
         now.since(self.heard_at) < RUN_SHIELDED
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -41,8 +41,7 @@
     let fleet = relay.fleet.borrow();
     let is_known =
         |engine: &Engine| engine.pace_elsewhere.is_some() || engine.own_pace(relay.now()).is_some();
-    let wants_none = |engine: &Engine| engine.is_leaving() || engine.notice.is_resting(relay.now());
-    let is_asked = |engine: &Engine| !is_known(engine) && !wants_none(engine);
+    let is_asked = |engine: &Engine| !is_known(engine) && !engine.wants_none(relay.now());
     fleet.get(key).is_some_and(is_asked)
 }
 
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -121,8 +121,7 @@
         let Some(engine) = engine else {
             continue;
         };
-        let wants_none = engine.is_leaving() || engine.notice.is_resting(relay.now());
-        if pending.contains_key(&placed.engine) || wants_none {
+        if pending.contains_key(&placed.engine) || engine.wants_none(relay.now()) {
             continue;
         }
         let Some(permit) = part.borrow().permit(relay.now()) else {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -82,14 +82,23 @@
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
     let cx = relay.circumstance(&settings, tried, call.draw);
-    let most = (call.service.max_connections / relay.boxes()).max(1);
-    select::instance(&fleet, &call.service_name, most, &cx)
+    select::instance(
+        &fleet,
+        &call.service_name,
+        most_connections(relay, call),
+        &cx,
+    )
+}
+
+/// This box's part of the connections that an instance takes.
+fn most_connections(relay: &Relay, call: &Call) -> u32 {
+    (call.service.max_connections / relay.boxes()).max(1)
 }
 
 /// How long it will be until instances that want rest can serve the request.
 fn rest(relay: &Relay, call: &Call) -> Option<Duration> {
     relay.rest(&call.service_name, call.draw, |fleet, cx| {
-        let most = (call.service.max_connections / relay.boxes()).max(1);
+        let most = most_connections(relay, call);
         select::instance(fleet, &call.service_name, most, cx).is_some()
     })
 }
