feat(relay): lines of a failed request tell its fingerprint, and how far the engines had come

No line told whether two attempts were the same request, nor whether an engine had begun it when it ended.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod cost;
 pub mod count;
 pub mod era;
+pub mod fingerprint;
 pub mod fleet;
 pub mod freshness;
 pub mod loads;
--- /dev/null
+++ b/reachtally-core/tests/core/forward/fingerprint.rs
@@ -0,0 +1,76 @@
+//! What makes two requests the same one.
+
+use reachtally_core::forward::fingerprint::{Fingerprint, Identity};
+
+const REQUEST: Identity<'static> = Identity {
+    method: "POST",
+    host: "shop.example",
+    path: "/chat/report?a=1",
+    account: Some("acme"),
+    body: b"{}",
+};
+
+#[test]
+fn it_is_the_same_on_all_boxes_and_versions() {
+    let told = Fingerprint::of(&REQUEST).to_string();
+    insta::assert_snapshot!(told, @"a94fbc0cd83c789758dea94b1ca73c7a");
+}
+
+#[test]
+fn the_case_of_the_host_does_not_count() {
+    let shouted = Identity {
+        host: "SHOP.example",
+        ..REQUEST
+    };
+    assert_eq!(Fingerprint::of(&shouted), Fingerprint::of(&REQUEST));
+}
+
+#[test]
+fn all_else_counts() {
+    let others = [
+        Identity {
+            method: "GET",
+            ..REQUEST
+        },
+        Identity {
+            host: "other.example",
+            ..REQUEST
+        },
+        Identity {
+            path: "/chat/report?a=2",
+            ..REQUEST
+        },
+        Identity {
+            account: Some("other"),
+            ..REQUEST
+        },
+        Identity {
+            account: None,
+            ..REQUEST
+        },
+        Identity {
+            account: Some(""),
+            ..REQUEST
+        },
+        Identity {
+            body: b"",
+            ..REQUEST
+        },
+        // What moves from one field to the next.
+        Identity {
+            account: Some("acme{"),
+            body: b"}",
+            ..REQUEST
+        },
+        Identity {
+            host: "shop.example/",
+            path: "chat/report?a=1",
+            ..REQUEST
+        },
+    ];
+    let mut told: Vec<Fingerprint> = others.iter().map(Fingerprint::of).collect();
+    told.push(Fingerprint::of(&REQUEST));
+    told.sort();
+    told.dedup();
+    assert_eq!(told.len(), others.len() + 1);
+}
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -5,6 +5,7 @@
 mod choice_properties;
 mod count;
 mod era;
+mod fingerprint;
 mod fleet;
 mod freshness;
 mod heavy;
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -155,7 +155,7 @@
     pub fn log(&self, relay: &Relay, call: &Call) {
         let version = relay.configuration.version();
         let age = relay.configuration.age(relay.now()).unwrap_or_default();
-        log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = version, confirmed_ms = age.as_millis() as u64, prompt = call.head.prompt_tokens as u64; "a request that did not go well");
+        log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = version, confirmed_ms = age.as_millis() as u64, prompt = call.head.prompt_tokens as u64, fingerprint:% = call.fingerprint(); "a request that did not go well");
         for (number, record) in self.records.iter().enumerate() {
             log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.running_elsewhere as u64, expected_ms = record.expected_first.as_millis() as u64; "it was sent");
         }
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -12,6 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use reachtally_core::Instant;
+use reachtally_core::forward::fingerprint::{Fingerprint, Identity};
 use reachtally_core::forward::routes::{
     Account, CallerLimits, Denied, Route, Service, Shape, Table,
 };
@@ -54,6 +55,21 @@
 }
 
 impl Call {
+    /// What makes this request and its caller's next attempt the same one.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Identity {
+            method: self.parts.method.as_str(),
+            host: host(&self.parts).unwrap_or_default(),
+            path: self
+                .parts
+                .uri
+                .path_and_query()
+                .map_or("/", |path| path.as_str()),
+            account: self.account.as_deref(),
+            body: &self.body,
+        })
+    }
+
     /// What the caller has left of its time.
     pub fn left(&self, relay: &Relay) -> Duration {
         self.deadline.since(relay.now())
@@ -140,6 +156,13 @@
     })
 }
 
+/// The host that a request names.
+fn host(parts: &Parts) -> Option<&str> {
+    let by_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let by_uri = parts.uri.authority().map(|authority| authority.as_str());
+    by_uri.or(by_header)
+}
+
 /// The route of a request, if there is one.
 struct Judged {
     route: Option<Arc<Route>>,
@@ -148,9 +171,7 @@
 
 /// `None` if the request names no host.
 fn judge(table: &Table, parts: &Parts) -> Option<Judged> {
-    let by_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let by_uri = parts.uri.authority().map(|authority| authority.as_str());
-    let host = by_uri.or(by_header)?;
+    let host = host(parts)?;
     Some(Judged {
         route: table.find(host, parts.uri.path()).cloned(),
         has_keys: table.has_keys(),
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -144,6 +144,16 @@
         self.occupied.engines()
     }
 
+    /// Events that the chain has yielded.
+    pub fn events(&self) -> u32 {
+        self.pace.events
+    }
+
+    /// The runs of its engines, for the log.
+    pub fn names(&self, relay: &Relay) -> String {
+        engine_names(relay, self.engines())
+    }
+
     /// Begin to wait for an event, with time for other prompts that the engines read first.
     pub fn wait_from(&mut self, now: Instant) {
         self.since = now;
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -127,7 +127,7 @@
         Stopped::Whole => Next::Done,
         Stopped::Late => Next::Cut("it took as long as it may"),
         Stopped::Broke(why) => {
-            log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(); "a stream broke off");
+            log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(), events = running.events(), targets = &*running.names(relay), fingerprint:% = call.fingerprint(); "a stream broke off");
             let dead = relay.dead_of(running.engines()).await;
             match dead.is_empty() {
                 true => attempts.avoid.extend(running.engines().first()),
