fix(relay): a request that engines ended under gets no more of them, at any box

What callers saw: over a tenth of all streams were not served for half a minute at a time, while one request was sent to engines again and again though three had ended under it.

Cause: an end was charged to the engine alone. What a request had done was known within one attempt, and its caller's next one, at any box, began anew: each attempt cost as many engines as its route has attempts.

Now each end of a run is kept by the request's fingerprint. It counts where the run had begun the request and yielded nothing (two such ends stop it), or where that can't be told, for plain services (three). An end is one that a refused connection proves: a connection that was reset or cut blames nobody. A whole answer acquits of the ends before it. Boxes tell each other at once, by way of the collectors, and by pages for those that start; a merge of ends by run, so that boxes which see one end count it once. The table and the messages are bounded, and no account can push out another's.

--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -324,6 +324,8 @@
                 entrance.collector.hear_part(part, ip(from), now);
             }
             Message::Leave(run) => entrance.collector.leave(run),
+            // No target ends under a request here.
+            Message::Suspects(_) => {}
             Message::Others(others) => {
                 entrance.elsewhere.hear(others, &mut entrance.fleet, now);
             }
--- a/reachtally-core/src/forward/loads/collector.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -233,6 +233,11 @@
         }
     }
 
+    /// Boxes that report here.
+    pub fn reporters_ips(&self) -> impl Iterator<Item = IpAddr> {
+        self.reporters.values().map(|reporter| reporter.ip)
+    }
+
     /// Where other collectors have lately told from, by failure domain.
     pub fn peers(&self) -> impl Iterator<Item = (&str, IpAddr)> {
         let each = self.peers.values();
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::forward::count::DomainCount;
 use crate::forward::fleet::TargetRun;
+use crate::forward::quarantine::Told;
 use crate::ids::Incarnation;
 
 mod collector;
@@ -130,7 +131,7 @@
     pub loads: Vec<TargetLoad>,
 }
 
-/// What boxes tell each other of loads.
+/// What boxes tell each other in datagrams.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
     /// From a box to its collector.
@@ -141,4 +142,6 @@
     Others(Others),
     /// From a box to the collector that it leaves for another: it is not to count there any more.
     Leave(Incarnation),
+    /// Between a box and its collector, and between collectors: requests under which runs of targets ended.
+    Suspects(Vec<Told>),
 }
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -17,6 +17,7 @@
 pub mod path;
 pub mod peers;
 pub mod placement;
+pub mod quarantine;
 pub mod readers;
 pub mod routes;
 pub mod select;
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -35,6 +35,10 @@
         second_sends_denied,
         /// Targets found to take no connections.
         targets_found_dead,
+        /// Ends of targets under requests, each that this box saw first.
+        ends_under_requests,
+        /// Requests refused because targets that began to run them ended.
+        requests_quarantined,
         /// Entries of targets that another writer spoiled.
         entries_spoiled,
         /// Failures of targets that led to a hold-off.
--- a/reachtally-core/src/life.rs
+++ b/reachtally-core/src/life.rs
@@ -53,6 +53,8 @@
     Deadline,
     /// A target refused it before it started, and no other is left to try.
     NeverStarted,
+    /// Engines that began to run it ended, one after the other.
+    Quarantined,
 }
 
 /// The proven statement that no target ran any of the request.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -13,6 +13,7 @@
 mod notice;
 mod path;
 mod placement;
+mod quarantine;
 mod readers;
 mod routes;
 mod select;
--- /dev/null
+++ b/reachtally-core/tests/core/forward/quarantine.rs
@@ -0,0 +1,255 @@
+//! Which requests get no more targets, and what boxes tell each other of them.
+
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fingerprint::Fingerprint;
+use reachtally_core::forward::fleet::{RunMark, TargetRun};
+use reachtally_core::forward::quarantine::{
+    AccountDigest, CASE_LIFE, CASES_TOLD, ENDS_KEPT, End, MOST_CASES, MOST_CASES_OF_ACCOUNT,
+    Origin, Quarantine, RunDigest, Told, Verdict,
+};
+
+const ACCOUNT: AccountDigest = AccountDigest(7);
+const REQUEST: Fingerprint = Fingerprint([1; 16]);
+
+fn at(secs: u64) -> Instant {
+    Instant::from_elapsed(Duration::from_secs(secs))
+}
+
+fn begun(run: u32) -> End {
+    End {
+        run: RunDigest(run),
+        had_begun: true,
+        is_acquitted: false,
+    }
+}
+
+fn unknown(run: u32) -> End {
+    End {
+        had_begun: false,
+        ..begun(run)
+    }
+}
+
+/// A table in which these ends were seen at time 0.
+fn seen(ends: &[End]) -> Quarantine {
+    let mut table = Quarantine::default();
+    for end in ends {
+        table.run_ended(REQUEST, ACCOUNT, *end, at(0));
+    }
+    table
+}
+
+fn request(number: usize) -> Fingerprint {
+    let mut bytes = [9; 16];
+    bytes[..8].copy_from_slice(&(number as u64).to_be_bytes());
+    Fingerprint(bytes)
+}
+
+fn exchange(from: &Quarantine, to: &mut Quarantine, now: Instant) -> bool {
+    let told = from.changes(Origin::Any, now);
+    let news: Vec<bool> = told.iter().map(|told| to.hear(told, now)).collect();
+    news.contains(&true)
+}
+
+#[test]
+fn one_end_may_be_chance() {
+    assert_eq!(Quarantine::default().verdict(REQUEST), Verdict::Clear);
+    assert_eq!(seen(&[begun(1)]).verdict(REQUEST), Verdict::Suspected);
+    assert_eq!(seen(&[unknown(1)]).verdict(REQUEST), Verdict::Suspected);
+}
+
+#[test]
+fn two_runs_that_had_begun_it_are_enough() {
+    let table = seen(&[begun(1), begun(2)]);
+    assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
+    assert_eq!(table.verdict(request(2)), Verdict::Clear);
+}
+
+#[test]
+fn three_are_needed_where_it_may_only_have_waited() {
+    let two = seen(&[unknown(1), unknown(2)]);
+    assert_eq!(two.verdict(REQUEST), Verdict::Suspected);
+    let mixed = seen(&[unknown(1), begun(2)]);
+    assert_eq!(mixed.verdict(REQUEST), Verdict::Suspected);
+    let three = seen(&[unknown(1), unknown(2), unknown(3)]);
+    assert_eq!(three.verdict(REQUEST), Verdict::Quarantined);
+}
+
+#[test]
+fn one_run_counts_once_however_many_saw_it_end() {
+    let table = seen(&[begun(1), begun(1), unknown(1)]);
+    assert_eq!(table.verdict(REQUEST), Verdict::Suspected);
+}
+
+#[test]
+fn a_whole_answer_acquits_of_the_ends_before_it_alone() {
+    let mut table = seen(&[begun(1), begun(2)]);
+    assert!(table.acquit(REQUEST, at(1)));
+    assert_eq!(table.verdict(REQUEST), Verdict::Clear);
+    assert!(!table.acquit(REQUEST, at(2)));
+    table.run_ended(REQUEST, ACCOUNT, begun(3), at(3));
+    assert_eq!(table.verdict(REQUEST), Verdict::Suspected);
+    table.run_ended(REQUEST, ACCOUNT, begun(4), at(3));
+    assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
+}
+
+#[test]
+fn boxes_that_each_saw_one_end_know_both() {
+    let (mut north, mut south) = (seen(&[begun(1)]), seen(&[begun(2)]));
+    assert!(exchange(&north, &mut south, at(0)));
+    assert!(exchange(&south, &mut north, at(0)));
+    for table in [&north, &south] {
+        assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
+    }
+    assert!(!exchange(&north, &mut south, at(0)));
+}
+
+#[test]
+fn what_is_told_late_takes_no_acquittal_back() {
+    let mut north = seen(&[begun(1), begun(2)]);
+    let late = north.changes(Origin::Any, at(0));
+    let mut south = Quarantine::default();
+    south.hear(&late[0], at(0));
+    north.acquit(REQUEST, at(0));
+    assert!(exchange(&north, &mut south, at(0)));
+    assert!(!south.hear(&late[0], at(0)));
+    assert_eq!(south.verdict(REQUEST), Verdict::Clear);
+}
+
+#[test]
+fn what_a_box_only_heard_is_no_change_of_its_own() {
+    let mut south = Quarantine::default();
+    exchange(&seen(&[begun(1)]), &mut south, at(0));
+    assert!(south.changes(Origin::Own, at(0)).is_empty());
+    assert_eq!(south.changes(Origin::Any, at(0)).len(), 1);
+}
+
+#[test]
+fn changes_are_told_for_a_moment_and_all_page_by_page() {
+    let mut table = Quarantine::default();
+    for number in 0..2 * CASES_TOLD + 1 {
+        table.run_ended(request(number), ACCOUNT, begun(1), at(0));
+    }
+    assert_eq!(table.changes(Origin::Own, at(1)).len(), CASES_TOLD);
+    assert!(table.changes(Origin::Own, at(3)).is_empty());
+    let mut told: Vec<Fingerprint> = (0..3)
+        .flat_map(|number| table.page(number, at(3)))
+        .map(|told| told.fingerprint)
+        .collect();
+    told.sort();
+    told.dedup();
+    assert_eq!(told.len(), 2 * CASES_TOLD + 1);
+    assert_eq!(table.page(3, at(3)), table.page(0, at(3)));
+}
+
+#[test]
+fn a_case_ends_everywhere_at_the_same_time_however_often_it_is_told() {
+    let mut north = seen(&[begun(1), begun(2)]);
+    let mut south = Quarantine::default();
+    let life = CASE_LIFE.as_secs();
+    for now in [0, life / 2, life - 1] {
+        for told in north.page(0, at(now)) {
+            south.hear(&told, at(now));
+        }
+        for told in south.page(0, at(now)) {
+            north.hear(&told, at(now));
+        }
+    }
+    for mut table in [north, south] {
+        table.forget_old(at(life - 1));
+        assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
+        table.forget_old(at(life));
+        assert!(table.is_empty());
+    }
+}
+
+#[test]
+fn what_is_refused_lately_stays() {
+    let mut table = seen(&[begun(1), begun(2)]);
+    let life = CASE_LIFE.as_secs();
+    table.refused(REQUEST, at(life - 1));
+    table.forget_old(at(life + 100));
+    assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
+}
+
+#[test]
+fn an_account_cannot_push_out_the_others() {
+    let mut table = seen(&[begun(1), begun(2)]);
+    let flooding = AccountDigest(8);
+    for number in 0..10 * MOST_CASES {
+        table.run_ended(request(number), flooding, begun(3), at(1));
+        assert!(table.len() <= 1 + MOST_CASES_OF_ACCOUNT);
+    }
+    assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
+}
+
+#[test]
+fn a_flood_by_many_accounts_is_bounded_and_leaves_those_that_are_stopped() {
+    let mut table = Quarantine::default();
+    for number in 0..10 * MOST_CASES {
+        let account = AccountDigest((number % 100) as u32);
+        table.run_ended(request(number), account, begun(3), at(1));
+        assert!(table.len() <= MOST_CASES);
+        if number == 0 {
+            table.run_ended(request(0), account, begun(4), at(1));
+        }
+    }
+    assert_eq!(table.verdict(request(0)), Verdict::Quarantined);
+}
+
+#[test]
+fn many_ends_of_one_request_are_bounded_and_settle() {
+    let mut tables = [Quarantine::default(), Quarantine::default()];
+    for run in 0..100 {
+        let table = &mut tables[run as usize % 2];
+        table.run_ended(REQUEST, ACCOUNT, begun(run), at(0));
+        table.acquit(REQUEST, at(0));
+    }
+    let [mut north, mut south] = tables;
+    let mut rounds = 0;
+    while exchange(&north, &mut south, at(0)) | exchange(&south, &mut north, at(0)) {
+        rounds += 1;
+        assert!(rounds < 3);
+    }
+    assert_eq!(north.page(0, at(0)), south.page(0, at(0)));
+    assert_eq!(north.page(0, at(0))[0].ends.len(), ENDS_KEPT);
+}
+
+#[test]
+fn a_message_without_ends_or_life_is_nothing() {
+    let mut table = Quarantine::default();
+    let told = Told {
+        fingerprint: REQUEST,
+        account: ACCOUNT,
+        life: CASE_LIFE,
+        ends: Vec::new(),
+    };
+    assert!(!table.hear(&told, at(0)));
+    let over = Told {
+        life: Duration::ZERO,
+        ends: vec![begun(1)],
+        ..told.clone()
+    };
+    assert!(!table.hear(&over, at(0)));
+    assert!(table.is_empty());
+    // A life beyond reason is cut.
+    let long = Told {
+        life: Duration::MAX,
+        ..over
+    };
+    table.hear(&long, at(0));
+    table.forget_old(at(CASE_LIFE.as_secs()));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn runs_under_one_id_are_told_apart() {
+    let run = |mark| TargetRun {
+        id: "e-1".into(),
+        mark: RunMark(mark),
+    };
+    assert_ne!(RunDigest::from(&run(1)), RunDigest::from(&run(2)));
+    assert_eq!(RunDigest::from(&run(1)), RunDigest::from(&run(1)));
+}
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -228,6 +228,11 @@
             "never-started",
             "every target refused the request before it started",
         ),
+        Refusal::Quarantined => (
+            Status::UnprocessableEntity,
+            "quarantined",
+            "engines that began to run the request ended, one after the other",
+        ),
     }
 }
 
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -1,10 +1,14 @@
 //! Loads that boxes tell each other: one `prost` message in a datagram.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::count::DomainCount;
+use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::loads::{Load, Message, Others, Part, Report, TargetLoad};
+use reachtally_core::forward::quarantine::{AccountDigest, End, RunDigest, Told};
 use reachtally_core::ids::Incarnation;
 
 use crate::generated::relay::{self, load_message::Kind};
@@ -21,12 +25,15 @@
     Malformed(prost::DecodeError),
     /// It holds nothing that this version knows.
     Unknown,
+    /// A fingerprint in it has this many bytes.
+    Fingerprint(usize),
 }
 
 impl std::fmt::Display for LoadError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             LoadError::Malformed(err) => write!(f, "malformed: {err}"),
+            LoadError::Fingerprint(bytes) => write!(f, "a fingerprint of {bytes} bytes"),
             LoadError::Unknown => f.write_str("of a kind that is not known"),
         }
     }
@@ -38,6 +45,7 @@
         Message::Report(report) => Kind::Report(report_to_wire(report)),
         Message::Part(part) => Kind::Part(part_to_wire(part)),
         Message::Others(others) => Kind::Others(others_to_wire(others)),
+        Message::Suspects(told) => Kind::Suspects(suspects_to_wire(told)),
         Message::Leave(run) => Kind::Leave(relay::LoadLeave { run: run.0 }),
     };
     relay::LoadMessage { kind: Some(kind) }
@@ -64,6 +72,7 @@
             loads: loads_from_wire(part.loads),
         })),
         Kind::Leave(leave) => Ok(Message::Leave(Incarnation(leave.run))),
+        Kind::Suspects(suspects) => suspects_from_wire(suspects).map(Message::Suspects),
         Kind::Others(others) => Ok(Message::Others(Others {
             counts: counts_from_wire(others.counts),
             loads: loads_from_wire(others.loads),
@@ -129,6 +138,47 @@
     encoded.take_while(fits).collect()
 }
 
+fn suspects_to_wire(told: &[Told]) -> relay::Suspects {
+    let end = |end: &End| relay::RunEnd {
+        run: end.run.0,
+        had_begun: end.had_begun,
+        is_acquitted: end.is_acquitted,
+    };
+    let suspect = |told: &Told| relay::Suspect {
+        fingerprint: Bytes::copy_from_slice(&told.fingerprint.0),
+        account: told.account.0,
+        life_s: told.life.as_secs() as u32,
+        ends: told.ends.iter().map(end).collect(),
+    };
+    relay::Suspects {
+        suspects: told.iter().map(suspect).collect(),
+    }
+}
+
+fn suspects_from_wire(message: relay::Suspects) -> Result<Vec<Told>, LoadError> {
+    message
+        .suspects
+        .into_iter()
+        .map(suspect_from_wire)
+        .collect()
+}
+
+fn suspect_from_wire(suspect: relay::Suspect) -> Result<Told, LoadError> {
+    let end = |end: relay::RunEnd| End {
+        run: RunDigest(end.run),
+        had_begun: end.had_begun,
+        is_acquitted: end.is_acquitted,
+    };
+    let bytes = suspect.fingerprint.as_ref().try_into();
+    let bytes = bytes.map_err(|_| LoadError::Fingerprint(suspect.fingerprint.len()))?;
+    Ok(Told {
+        fingerprint: Fingerprint(bytes),
+        account: AccountDigest(suspect.account),
+        life: Duration::from_secs(u64::from(suspect.life_s)),
+        ends: suspect.ends.into_iter().map(end).collect(),
+    })
+}
+
 fn load_to_wire(told: &TargetLoad) -> relay::TargetLoad {
     let percent = |pace: f64| (pace * 100.0).round() as u32;
     relay::TargetLoad {
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -7,11 +7,15 @@
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::count::DomainCount;
 use reachtally_core::forward::era::{Era, Generation, Position};
+use reachtally_core::forward::fingerprint::{FINGERPRINT_BYTES, Fingerprint};
 use reachtally_core::forward::fleet::{Entry, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
     Load, MARKED_TARGETS_TOLD, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
 };
 use reachtally_core::forward::peers::Member;
+use reachtally_core::forward::quarantine::{
+    AccountDigest, CASE_LIFE, CASES_TOLD, ENDS_KEPT, End, RunDigest, Told,
+};
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::news::{Ask, News, TargetPage};
 use reachtally_protocol::{load, packed};
@@ -190,7 +194,7 @@
                 assert_eq!(others.counts, counts(13));
                 others.loads
             }
-            Message::Leave(_) => panic!("it holds loads"),
+            Message::Leave(_) | Message::Suspects(_) => panic!("it holds loads"),
         };
         assert!(kept.len() > 20);
         assert_eq!(kept, loads[..kept.len()]);
@@ -227,6 +231,35 @@
     }
 }
 
+fn suspect(number: u8) -> Told {
+    let end = |run: usize| End {
+        run: RunDigest(u32::MAX - run as u32),
+        had_begun: true,
+        is_acquitted: run.is_multiple_of(2),
+    };
+    Told {
+        fingerprint: Fingerprint([number; FINGERPRINT_BYTES]),
+        account: AccountDigest(u32::MAX),
+        life: CASE_LIFE,
+        ends: (0..ENDS_KEPT).map(end).collect(),
+    }
+}
+
+#[test]
+fn as_many_suspects_as_are_told_at_once_fit_one_datagram() {
+    let told: Vec<Told> = (0..CASES_TOLD as u8).map(suspect).collect();
+    let bytes = load::encode(&Message::Suspects(told.clone()));
+    assert!(bytes.len() <= load::MESSAGE_MAX, "{}", bytes.len());
+    assert_eq!(load::decode(&bytes), Ok(Message::Suspects(told)));
+}
+
+#[test]
+fn a_fingerprint_of_another_length_is_refused() {
+    // Kind 5 of a datagram, a suspect with a fingerprint of two bytes.
+    let bytes = [0x2a, 6, 0x0a, 4, 0x0a, 2, 7, 7];
+    assert_eq!(load::decode(&bytes), Err(load::LoadError::Fingerprint(2)));
+}
+
 #[test]
 fn a_datagram_of_an_unknown_kind_is_refused() {
     assert_eq!(load::decode(&[]), Err(load::LoadError::Unknown));
--- a/reachtally-relay/src/answer.rs
+++ b/reachtally-relay/src/answer.rs
@@ -79,6 +79,8 @@
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, &text);
     let base = match not_run.refusal() {
         Refusal::Stopping | Refusal::Paused => ELSEWHERE,
+        // Whoever came back would be refused again.
+        Refusal::Quarantined => left,
         _ => left.mul_f64(RETURN_SHARE).min(LATEST_RETURN),
     };
     let spread = (draw % 1000) as f64 / 1000.0;
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -41,6 +41,7 @@
     /// Targets that must not get the request again.
     pub avoid: Vec<EngineKey>,
     is_late: bool,
+    is_quarantined: bool,
 }
 
 impl Attempts {
@@ -52,6 +53,7 @@
             ran: 0,
             avoid: Vec::new(),
             is_late: false,
+            is_quarantined: false,
         }
     }
 
@@ -66,6 +68,11 @@
         if !self.may_run(call) || self.sends() >= MOST_SENDS {
             return false;
         }
+        // Also between two sends: the first may have shown it, or another box.
+        if relay.is_quarantined(call) {
+            self.is_quarantined = true;
+            return false;
+        }
         self.is_paid = self.is_paid || relay.take_second(&call.service_name);
         if self.is_paid {
             return true;
@@ -133,6 +140,7 @@
             false => Unknown::AnswerLost,
         };
         let refusal = match self.records.is_empty() {
+            _ if self.is_quarantined => Refusal::Quarantined,
             true => Refusal::NoTarget,
             false => Refusal::NeverStarted,
         };
@@ -140,7 +148,10 @@
         let left = call.left(relay);
         match &end {
             GivenUp::NotRun(not_run) => {
-                relay.count(|tally| tally.requests_refused += 1);
+                relay.count(|tally| {
+                    tally.requests_refused += 1;
+                    tally.requests_quarantined += u64::from(self.is_quarantined);
+                });
                 log::info!(event = "refused", id = &*call.head.id, why:? = not_run.refusal(), sends = self.records.len(), left_ms = left.as_millis() as u64, rest_ms:? = rest.map(|rest| rest.as_millis() as u64); "the request did not run and is given up");
             }
             GivenUp::Unknown(unknown) => {
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod occupied;
 pub mod pace;
 mod page;
+mod quarantine;
 pub mod ready;
 pub mod relay;
 pub mod rhythm;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -90,6 +90,13 @@
         "Boxes among which this one shares the budget of second sends",
         boxes,
     );
+    let suspects = Gauge::<i64>::default();
+    suspects.set(i64::try_from(relay.suspects_known()).unwrap_or(i64::MAX));
+    registry.register(
+        "suspects",
+        "Requests remembered because targets ended under them",
+        suspects,
+    );
     registry
 }
 
--- /dev/null
+++ b/reachtally-relay/src/quarantine.rs
@@ -0,0 +1,128 @@
+//! Requests under which runs of targets ended: what this box sees of them, and what follows.
+
+use std::cell::RefCell;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fingerprint::Fingerprint;
+use reachtally_core::forward::quarantine::{
+    AccountDigest, End, Origin, Quarantine, RunDigest, Told, Verdict,
+};
+use tokio::sync::Notify;
+
+use crate::exchange::Recipient;
+use crate::relay::Relay;
+use crate::serve::Call;
+use crate::target;
+
+/// How far a run had come with a request when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// It had begun it, and nothing of the answer's body had come.
+    Begun,
+    /// That can't be told.
+    Unknown,
+}
+
+/// What is remembered of such requests, and whether there is something to tell.
+#[derive(Debug, Default)]
+pub(crate) struct Suspicion {
+    table: RefCell<Quarantine>,
+    /// This box has something to tell at once.
+    pub news: Notify,
+}
+
+impl Suspicion {
+    /// What has changed lately.
+    pub fn changes(&self, origin: Origin, now: Instant) -> Vec<Told> {
+        self.table.borrow().changes(origin, now)
+    }
+
+    /// A page of all that is remembered.
+    pub fn page(&self, number: u64, now: Instant) -> Vec<Told> {
+        self.table.borrow().page(number, now)
+    }
+
+    /// Forget what is old.
+    pub fn forget_old(&self, now: Instant) {
+        self.table.borrow_mut().forget_old(now);
+    }
+}
+
+impl Relay {
+    /// Requests remembered because targets ended under them.
+    pub fn suspects_known(&self) -> usize {
+        self.suspicion.table.borrow().len()
+    }
+
+    /// Whether a request gets no more targets, since those that began to run it ended.
+    pub(crate) fn is_quarantined(&self, call: &Call) -> bool {
+        let mut table = self.suspicion.table.borrow_mut();
+        if table.is_empty() {
+            return false;
+        }
+        let fingerprint = call.fingerprint();
+        if table.verdict(fingerprint) < Verdict::Quarantined {
+            return false;
+        }
+        table.refused(fingerprint, self.now());
+        true
+    }
+
+    /// A target broke its connection off while it had a request. Where nothing listens there any more the run is over, and the request
+    /// may be the cause; a connection that was cut, or an engine that only resets it, proves nothing.
+    pub(crate) async fn target_broke_off(&self, call: &Call, to: &Recipient, progress: Progress) {
+        if !target::listens_no_more(to.address).await {
+            return;
+        }
+        let end = End {
+            run: RunDigest::from(&to.run),
+            had_begun: progress == Progress::Begun,
+            is_acquitted: false,
+        };
+        let account = AccountDigest::from(call.account.as_deref());
+        let fingerprint = call.fingerprint();
+        let news = {
+            let mut table = self.suspicion.table.borrow_mut();
+            table.run_ended(fingerprint, account, end, self.now())
+        };
+        let Some(verdict) = news else {
+            return;
+        };
+        self.count(|tally| tally.ends_under_requests += 1);
+        log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = fingerprint, account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict; "a target ended under a request");
+        self.suspicion.news.notify_one();
+    }
+
+    /// A target gave a request a whole answer, so the request is not why others ended.
+    pub(crate) fn answered_whole(&self, call: &Call) {
+        let mut table = self.suspicion.table.borrow_mut();
+        if table.is_empty() {
+            return;
+        }
+        let fingerprint = call.fingerprint();
+        if table.acquit(fingerprint, self.now()) {
+            log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint; "a request that targets ended under has a whole answer");
+            self.suspicion.news.notify_one();
+        }
+    }
+
+    /// Take in what another box told; yields whether something of it is news.
+    pub(crate) fn hear_suspects(&self, told: &[Told]) -> bool {
+        let now = self.now();
+        let mut table = self.suspicion.table.borrow_mut();
+        let mut is_news = false;
+        for told in told {
+            let before = table.verdict(told.fingerprint);
+            is_news |= table.hear(told, now);
+            log_verdict(told.fingerprint, before, table.verdict(told.fingerprint));
+        }
+        is_news
+    }
+}
+
+/// Tell in the log that what other boxes told changes what becomes of a request.
+fn log_verdict(fingerprint: Fingerprint, before: Verdict, verdict: Verdict) {
+    if before != verdict {
+        log::info!(event = "suspect", fingerprint:% = fingerprint, before:? = before, verdict:? = verdict; "other boxes told of targets that ended under a request");
+    }
+}
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Times;
 use crate::occupied::OpenConnection;
+use crate::quarantine::Suspicion;
 use crate::rhythm::Rhythm;
 use crate::second_sends::SecondSends;
 use crate::share::Pages;
@@ -90,6 +91,8 @@
     held: Cell<Duration>,
     direct: watch::Sender<bool>,
     suspects: Suspects,
+    /// Requests under which targets ended.
+    pub(crate) suspicion: Suspicion,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -148,6 +151,7 @@
             held: Cell::new(HELD_ASSUMED),
             direct: watch::Sender::new(true),
             suspects: Suspects::default(),
+            suspicion: Suspicion::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -1,5 +1,6 @@
 //! One request of a caller: judged by the configuration, then forwarded.
 
+use std::cell::OnceCell;
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -52,22 +53,24 @@
     pub deadline: Instant,
     /// A well-spread number of the request.
     pub draw: u64,
+    /// Made when it is first needed.
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Call {
     /// What makes this request and its caller's next attempt the same one.
     pub fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::of(&Identity {
+        let path = self.parts.uri.path_and_query();
+        let identity = || Identity {
             method: self.parts.method.as_str(),
             host: host(&self.parts).unwrap_or_default(),
-            path: self
-                .parts
-                .uri
-                .path_and_query()
-                .map_or("/", |path| path.as_str()),
+            path: path.map_or("/", |path| path.as_str()),
             account: self.account.as_deref(),
             body: &self.body,
-        })
+        };
+        *self
+            .fingerprint
+            .get_or_init(|| Fingerprint::of(&identity()))
     }
 
     /// What the caller has left of its time.
@@ -153,6 +156,7 @@
         arrived,
         deadline,
         draw,
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -12,6 +12,7 @@
 
 use crate::attempts::Attempts;
 use crate::events::Splitter;
+use crate::exchange::Recipient;
 use crate::occupied::Occupied;
 use crate::relay::Relay;
 use crate::serve::Call;
@@ -33,6 +34,8 @@
     /// Dropping it cancels the work; it is kept after a whole answer.
     connection: Option<Connection>,
     occupied: Occupied,
+    /// The engine that answers for the chain.
+    first: Recipient,
     /// Time between two events, as expected and corrected by those that came.
     gaps: Gaps,
     pace: Pace,
@@ -121,6 +124,7 @@
         body: Incoming,
         connection: Connection,
         occupied: Occupied,
+        first: Recipient,
         pace: Pace,
         relay: &Relay,
     ) -> Self {
@@ -129,6 +133,7 @@
             body,
             connection: Some(connection),
             occupied,
+            first,
             gaps: Gaps::expected(pace.expected_gap),
             pace,
             since: now,
@@ -144,6 +149,11 @@
         self.occupied.engines()
     }
 
+    /// The engine that answers for the chain.
+    pub fn first(&self) -> &Recipient {
+        &self.first
+    }
+
     /// Events that the chain has yielded.
     pub fn events(&self) -> u32 {
         self.pace.events
@@ -253,6 +263,7 @@
             return Stopped::Broke("it ended within an event".to_owned());
         }
         self.pace.keep(relay, call, self.engines());
+        relay.answered_whole(call);
         if let Some(connection) = self.connection.take() {
             relay.connections.keep(connection);
         }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -19,6 +19,7 @@
 use crate::answer::{Body, CutShort};
 use crate::attempts::Attempts;
 use crate::events::Splitter;
+use crate::quarantine::Progress;
 use crate::relay::Relay;
 use crate::serve::Call;
 use chain::{Running, Stopped};
@@ -47,7 +48,10 @@
                 let (head, running) = *answer;
                 return streamed(relay.clone(), call, head, running, attempts);
             }
-            Ok(Answered::Failure(response)) => return response,
+            Ok(Answered::Failure(response)) => {
+                relay.answered_whole(&call);
+                return response;
+            }
             Err(why) => {
                 if !attempts.failed(relay, &call, why) {
                     break;
@@ -128,6 +132,7 @@
         Stopped::Late => Next::Cut("it took as long as it may"),
         Stopped::Broke(why) => {
             log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(), events = running.events(), targets = &*running.names(relay), fingerprint:% = call.fingerprint(); "a stream broke off");
+            note_end(relay, call, running).await;
             let dead = relay.dead_of(running.engines()).await;
             match dead.is_empty() {
                 true => attempts.avoid.extend(running.engines().first()),
@@ -144,6 +149,9 @@
         }
         Stopped::Dead(engines) => {
             log::info!(event = "stage-dead", id = &*call.head.id, engines = engines.len(), last:? = splitter.last(); "engines of a stream are dead");
+            if engines.first() == running.engines().first() {
+                note_end(relay, call, running).await;
+            }
             attempts.avoid.extend(engines);
             let now = relay.now();
             match resume(relay, call, attempts, splitter, now).await {
@@ -154,6 +162,16 @@
     }
 }
 
+/// The first engine of a chain broke off or is dead. Where the chain had begun the request and yielded nothing, the request may
+/// be the cause; what had come further is left out, since a hundred streams break with each engine.
+async fn note_end(relay: &Relay, call: &Call, running: &Running) {
+    if running.events() == 0 {
+        relay
+            .target_broke_off(call, running.first(), Progress::Begun)
+            .await;
+    }
+}
+
 /// Go on over another chain after the last event that the caller got; look for one until `until`.
 async fn resume(
     relay: &Rc<Relay>,
@@ -189,6 +207,7 @@
             Ok(Answered::Failure(response)) => {
                 // The request ran there, so that it counts: the chain that is waited for again may stop once more.
                 attempts.answered();
+                relay.answered_whole(call);
                 log::info!(event = "not-resumed", id = &*call.head.id, status = response.status().as_u16(); "another chain answered with a failure");
                 return None;
             }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -153,7 +153,7 @@
     let pace = Pace::new(relay.now(), pick.first, pick.gap);
     let req = exchange::request(relay, call, &add);
     let answer = head(relay, call, &pick, to.address, req, attempts, pace.began).await?;
-    judge(relay, call, answer, &to, occupied, pace, attempts).await
+    judge(relay, call, answer, to, occupied, pace, attempts).await
 }
 
 /// Wait for the head. While it is overdue, engines that are silent for all streams are looked at.
@@ -220,13 +220,13 @@
     relay: &Rc<Relay>,
     call: &Call,
     answer: Answer,
-    from: &Recipient,
+    from: Recipient,
     occupied: Occupied,
     pace: Pace,
     attempts: &mut Attempts,
 ) -> Result<Answered, Unanswered> {
     let status = answer.response.status();
-    let head = exchange::head_of(relay, from, &answer.response);
+    let head = exchange::head_of(relay, &from, &answer.response);
     if head.not_run {
         return Err(not_run(relay, &occupied, &head, status, attempts).await);
     }
@@ -242,7 +242,7 @@
         return failure(parts, body).await;
     }
     parts.headers.remove(CONTENT_LENGTH);
-    let running = Running::new(body, answer.connection, occupied, pace, relay);
+    let running = Running::new(body, answer.connection, occupied, from, pace, relay);
     Ok(Answered::Stream(Box::new((
         Response::from_parts(parts, ()),
         running,
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -3,6 +3,7 @@
 //! A request that may not be repeated has a connection of its own. So nothing of an earlier answer can
 //! stand where its own is due, and a connection that came about proves that the target listened.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,6 +29,12 @@
     dial(address, CHECK_TIMEOUT).await.is_ok()
 }
 
+/// Whether nothing listens at `address` any more: a machine is there and says so.
+pub(crate) async fn listens_no_more(address: SocketAddr) -> bool {
+    let dialled = dial(address, CHECK_TIMEOUT).await;
+    matches!(dialled, Err(DialError::Refused(err)) if err.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Why no connection came about.
 #[derive(Debug)]
 pub enum DialError {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -14,6 +14,7 @@
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Unanswered};
 use crate::occupied::Occupied;
+use crate::quarantine::Progress;
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target::{self, Connection, SendError};
@@ -127,6 +128,7 @@
             return Err(exchange::not_connected(relay, key, &why));
         }
         Ok(Err(SendError::Broken(why) | SendError::Stale(why))) => {
+            relay.target_broke_off(call, &to, Progress::Unknown).await;
             return Err(failed(relay, key, why));
         }
         Ok(Ok(answer)) => answer,
@@ -139,10 +141,14 @@
     if let Some(why) = exchange::mistrust(call, &head, &answer.response) {
         return Err(failed(relay, key, why.to_owned()));
     }
-    let receiving = receive(relay, answer.response, answer.connection, occupied);
+    let receiving = receive(relay, call, answer.response, answer.connection, occupied);
     match tokio::time::timeout_at(due, receiving).await {
         Err(_) => Err(Unanswered::Late),
-        Ok(received) => received.map_err(|why| failed(relay, key, why)),
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(why)) => {
+            relay.target_broke_off(call, &to, Progress::Unknown).await;
+            Err(failed(relay, key, why))
+        }
     }
 }
 
@@ -155,6 +161,7 @@
 /// Read an answer. Small ones are held until they are whole.
 async fn receive(
     relay: &Relay,
+    call: &Call,
     response: Response<Incoming>,
     connection: Connection,
     occupied: Occupied,
@@ -170,5 +177,6 @@
         return Ok(Response::from_parts(parts, Box::pin(passing)));
     }
     let held = body.collect().await.map_err(|err| err.to_string())?;
+    relay.answered_whole(call);
     Ok(Response::from_parts(parts, answer::whole(held.to_bytes())))
 }
