feat(relay): attempts of a request that is found to crash engines leave theirs at once

Hypothesis: when the second engine ends, one or two more attempts of the request wait at others or have just begun there, and each ends its engine too; leaving them saves some of these.

--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -3,11 +3,10 @@
 use std::cell::RefCell;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::quarantine::{
     AccountDigest, End, Origin, Quarantine, RunDigest, Told, Verdict,
 };
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::exchange::Recipient;
 use crate::relay::Relay;
@@ -29,6 +28,8 @@
     table: RefCell<Quarantine>,
     /// This box has something to tell at once.
     pub news: Notify,
+    /// Counts the requests that were found to get no more targets, for those under way.
+    stopped: watch::Sender<u64>,
 }
 
 impl Suspicion {
@@ -89,6 +90,7 @@
             return;
         };
         self.count(|tally| tally.ends_under_requests += 1);
+        self.note_stopped(verdict);
         log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = fingerprint, account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict; "a target ended under a request");
         self.suspicion.news.notify_one();
     }
@@ -114,15 +116,30 @@
         for told in told {
             let before = table.verdict(told.fingerprint);
             is_news |= table.hear(told, now);
-            log_verdict(told.fingerprint, before, table.verdict(told.fingerprint));
+            let verdict = table.verdict(told.fingerprint);
+            if before != verdict {
+                log::info!(event = "suspect", fingerprint:% = told.fingerprint, before:? = before, verdict:? = verdict; "other boxes told of targets that ended under a request");
+                self.note_stopped(verdict);
+            }
         }
         is_news
     }
-}
 
-/// Tell in the log that what other boxes told changes what becomes of a request.
-fn log_verdict(fingerprint: Fingerprint, before: Verdict, verdict: Verdict) {
-    if before != verdict {
-        log::info!(event = "suspect", fingerprint:% = fingerprint, before:? = before, verdict:? = verdict; "other boxes told of targets that ended under a request");
+    fn note_stopped(&self, verdict: Verdict) {
+        if verdict == Verdict::Quarantined {
+            self.suspicion.stopped.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Follow whether requests are stopped.
+    pub(crate) fn stopped(&self) -> watch::Receiver<u64> {
+        self.suspicion.stopped.subscribe()
+    }
+
+    /// Wait until this request gets no more targets. Guards those that it has been sent to and that have not ended yet: leaving them
+    /// then may come before they begin it.
+    pub(crate) async fn until_quarantined(&self, call: &Call, stopped: &mut watch::Receiver<u64>) {
+        // The sender lives as long as the relay.
+        while stopped.changed().await.is_ok() && !self.is_quarantined(call) {}
     }
 }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -45,6 +45,8 @@
     look_at: Instant,
     /// Tells of targets that started again.
     runs_ended: watch::Receiver<Vec<EngineKey>>,
+    /// Tells of requests that get no more targets.
+    stopped: watch::Receiver<u64>,
 }
 
 /// What was expected of a chain, and what it did.
@@ -116,6 +118,8 @@
     Dead(Vec<EngineKey>),
     /// The final answer is due.
     Late,
+    /// The request gets no more targets.
+    Quarantined,
 }
 
 impl Running {
@@ -139,6 +143,7 @@
             since: now,
             look_at: now,
             runs_ended: relay.runs_ended(),
+            stopped: relay.stopped(),
         };
         running.wait_from(now);
         running
@@ -180,6 +185,7 @@
     ) -> Result<Bytes, Stopped> {
         loop {
             let until = relay.clock(call.due.min(self.look_at));
+            let has_events = self.events() > 0;
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
@@ -188,6 +194,9 @@
                     self.leave_ended(relay, call, attempts)?;
                     continue;
                 }
+                () = relay.until_quarantined(call, &mut self.stopped), if !has_events => {
+                    return Err(Stopped::Quarantined);
+                }
                 () = tokio::time::sleep_until(until) => {
                     self.look(relay, call, attempts).await?;
                     continue;
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -130,6 +130,7 @@
     match stopped {
         Stopped::Whole => Next::Done,
         Stopped::Late => Next::Cut("it took as long as it may"),
+        Stopped::Quarantined => Next::Cut("engines ended under it elsewhere"),
         Stopped::Broke(why) => {
             log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(), events = running.events(), targets = &*running.names(relay), fingerprint:% = call.fingerprint(); "a stream broke off");
             note_end(relay, call, running).await;
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -178,10 +178,20 @@
             None => target::send(address, req).await,
         }
     });
+    let mut stopped = relay.stopped();
+    let mut quarantined = std::pin::pin!(relay.until_quarantined(call, &mut stopped));
     let mut patience = pick.first.mul_f64(stall::MOST_GAPS) + FIRST_SLACK;
     loop {
         let until = call.due.min(relay.now() + patience);
-        match tokio::time::timeout_at(relay.clock(until), &mut sending).await {
+        let sent = tokio::select! {
+            biased;
+            sent = tokio::time::timeout_at(relay.clock(until), &mut sending) => sent,
+            () = &mut quarantined => {
+                let why = "engines ended under it elsewhere".to_owned();
+                return Err(Unanswered::Lost(why));
+            }
+        };
+        match sent {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(SendError::NotConnected(why))) => {
                 attempts.avoid.push(key);
