feat(relay): requests that are stopped are kept in the platform's store, for boxes that all start again

What a start of all boxes forgot was paid for with engines again: no box was left to tell. Two ways: the boxes' own messages alone, as before, and beside them a keyed topic that is written when a box finds a request stopped or acquitted (rare, one call), and read once by each box that reads the store when it starts; others hear of it from those. What is over is dropped by the next box that starts.

--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -176,6 +176,12 @@
         }
     }
 
+    /// What is held of a request.
+    pub fn tell(&self, fingerprint: Fingerprint, now: Instant) -> Option<Told> {
+        let case = self.cases.get(&fingerprint)?;
+        Some(case.tell(fingerprint, now))
+    }
+
     /// What has changed lately, for others; the newest that fits a message.
     pub fn changes(&self, origin: Origin, now: Instant) -> Vec<Told> {
         let is_told = |case: &Case| {
--- a/reachtally-protocol/src/lib.rs
+++ b/reachtally-protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod news;
 pub mod packed;
+pub mod suspects;
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -1,17 +1,14 @@
 //! Loads that boxes tell each other: one `prost` message in a datagram.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::count::DomainCount;
-use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::loads::{Load, Message, Others, Part, Report, TargetLoad};
-use reachtally_core::forward::quarantine::{AccountDigest, End, RunDigest, Told};
 use reachtally_core::ids::Incarnation;
 
 use crate::generated::relay::{self, load_message::Kind};
+use crate::suspects::{self, SuspectError};
 
 /// Most bytes of a message; a datagram of this size is not split on usual links.
 pub const MESSAGE_MAX: usize = 1400;
@@ -25,15 +22,15 @@
     Malformed(prost::DecodeError),
     /// It holds nothing that this version knows.
     Unknown,
-    /// A fingerprint in it has this many bytes.
-    Fingerprint(usize),
+    /// It tells of a request in a way that names none.
+    Suspect(SuspectError),
 }
 
 impl std::fmt::Display for LoadError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             LoadError::Malformed(err) => write!(f, "malformed: {err}"),
-            LoadError::Fingerprint(bytes) => write!(f, "a fingerprint of {bytes} bytes"),
+            LoadError::Suspect(err) => err.fmt(f),
             LoadError::Unknown => f.write_str("of a kind that is not known"),
         }
     }
@@ -45,7 +42,7 @@
         Message::Report(report) => Kind::Report(report_to_wire(report)),
         Message::Part(part) => Kind::Part(part_to_wire(part)),
         Message::Others(others) => Kind::Others(others_to_wire(others)),
-        Message::Suspects(told) => Kind::Suspects(suspects_to_wire(told)),
+        Message::Suspects(told) => Kind::Suspects(suspects::to_wire(told)),
         Message::Leave(run) => Kind::Leave(relay::LoadLeave { run: run.0 }),
     };
     relay::LoadMessage { kind: Some(kind) }
@@ -72,7 +69,9 @@
             loads: loads_from_wire(part.loads),
         })),
         Kind::Leave(leave) => Ok(Message::Leave(Incarnation(leave.run))),
-        Kind::Suspects(suspects) => suspects_from_wire(suspects).map(Message::Suspects),
+        Kind::Suspects(told) => suspects::from_wire(told)
+            .map(Message::Suspects)
+            .map_err(LoadError::Suspect),
         Kind::Others(others) => Ok(Message::Others(Others {
             counts: counts_from_wire(others.counts),
             loads: loads_from_wire(others.loads),
@@ -138,47 +137,6 @@
     encoded.take_while(fits).collect()
 }
 
-fn suspects_to_wire(told: &[Told]) -> relay::Suspects {
-    let end = |end: &End| relay::RunEnd {
-        run: end.run.0,
-        had_begun: end.had_begun,
-        is_acquitted: end.is_acquitted,
-    };
-    let suspect = |told: &Told| relay::Suspect {
-        fingerprint: Bytes::copy_from_slice(&told.fingerprint.0),
-        account: told.account.0,
-        life_s: told.life.as_secs() as u32,
-        ends: told.ends.iter().map(end).collect(),
-    };
-    relay::Suspects {
-        suspects: told.iter().map(suspect).collect(),
-    }
-}
-
-fn suspects_from_wire(message: relay::Suspects) -> Result<Vec<Told>, LoadError> {
-    message
-        .suspects
-        .into_iter()
-        .map(suspect_from_wire)
-        .collect()
-}
-
-fn suspect_from_wire(suspect: relay::Suspect) -> Result<Told, LoadError> {
-    let end = |end: relay::RunEnd| End {
-        run: RunDigest(end.run),
-        had_begun: end.had_begun,
-        is_acquitted: end.is_acquitted,
-    };
-    let bytes = suspect.fingerprint.as_ref().try_into();
-    let bytes = bytes.map_err(|_| LoadError::Fingerprint(suspect.fingerprint.len()))?;
-    Ok(Told {
-        fingerprint: Fingerprint(bytes),
-        account: AccountDigest(suspect.account),
-        life: Duration::from_secs(u64::from(suspect.life_s)),
-        ends: suspect.ends.into_iter().map(end).collect(),
-    })
-}
-
 fn load_to_wire(told: &TargetLoad) -> relay::TargetLoad {
     let percent = |pace: f64| (pace * 100.0).round() as u32;
     relay::TargetLoad {
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -18,6 +18,7 @@
 };
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::news::{Ask, News, TargetPage};
+use reachtally_protocol::suspects::{self, SuspectError};
 use reachtally_protocol::{load, packed};
 
 fn entry(card: Option<&str>) -> Entry {
@@ -253,11 +254,30 @@
     assert_eq!(load::decode(&bytes), Ok(Message::Suspects(told)));
 }
 
+#[test]
+fn what_is_kept_of_a_request_is_read_with_the_time_that_is_left() {
+    let told = suspect(3);
+    let secs = Duration::from_secs;
+    let kept = suspects::encode_kept(&told, secs(1_000));
+    let read = |now| suspects::decode_kept(&kept, secs(now)).expect("it decodes");
+    let left = |life| Told {
+        life: secs(life),
+        ..told.clone()
+    };
+    assert_eq!(read(970), left(30));
+    assert_eq!(read(1_001), left(0));
+    assert!(suspects::decode_kept(b"another writer's", secs(0)).is_err());
+    assert!(suspects::decode_kept(&[], secs(0)).is_err());
+}
+
 #[test]
 fn a_fingerprint_of_another_length_is_refused() {
     // Kind 5 of a datagram, a suspect with a fingerprint of two bytes.
     let bytes = [0x2a, 6, 0x0a, 4, 0x0a, 2, 7, 7];
-    assert_eq!(load::decode(&bytes), Err(load::LoadError::Fingerprint(2)));
+    assert_eq!(
+        load::decode(&bytes),
+        Err(load::LoadError::Suspect(SuspectError::Fingerprint(2)))
+    );
 }
 
 #[test]
--- a/reachtally-relay/src/follow/mod.rs
+++ b/reachtally-relay/src/follow/mod.rs
@@ -4,9 +4,11 @@
 mod config;
 mod dependency;
 mod pause;
+mod suspects;
 mod targets;
 
 pub use absent::{targets_dead, targets_missing};
 pub use config::config;
 pub(crate) use dependency::Dependency;
+pub use suspects::suspects;
 pub use targets::targets;
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -1,8 +1,10 @@
 //! Requests under which runs of targets ended: what this box sees of them, and what follows.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::quarantine::{
     AccountDigest, End, Origin, Quarantine, RunDigest, Told, Verdict,
 };
@@ -11,6 +13,7 @@
 use crate::exchange::Recipient;
 use crate::relay::Relay;
 use crate::serve::Call;
+use crate::store::SuspectChange;
 use crate::target;
 
 /// How far a run had come with a request when it ended.
@@ -28,11 +31,20 @@
     table: RefCell<Quarantine>,
     /// This box has something to tell at once.
     pub news: Notify,
+    /// Requests of which the store must be told.
+    unkept: RefCell<BTreeSet<Fingerprint>>,
+    unkept_news: Notify,
     /// Counts the requests that were found to get no more targets, for those under way.
     stopped: watch::Sender<u64>,
 }
 
 impl Suspicion {
+    /// The store must be told of a request.
+    fn must_keep(&self, fingerprint: Fingerprint) {
+        self.unkept.borrow_mut().insert(fingerprint);
+        self.unkept_news.notify_one();
+    }
+
     /// What has changed lately.
     pub fn changes(&self, origin: Origin, now: Instant) -> Vec<Told> {
         self.table.borrow().changes(origin, now)
@@ -91,6 +103,9 @@
         };
         self.count(|tally| tally.ends_under_requests += 1);
         self.note_stopped(verdict);
+        if verdict == Verdict::Quarantined {
+            self.suspicion.must_keep(fingerprint);
+        }
         log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = fingerprint, account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict; "a target ended under a request");
         self.suspicion.news.notify_one();
     }
@@ -102,7 +117,11 @@
             return;
         }
         let fingerprint = call.fingerprint();
+        let was_stopped = table.verdict(fingerprint) == Verdict::Quarantined;
         if table.acquit(fingerprint, self.now()) {
+            if was_stopped {
+                self.suspicion.must_keep(fingerprint);
+            }
             log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint; "a request that targets ended under has a whole answer");
             self.suspicion.news.notify_one();
         }
@@ -125,6 +144,47 @@
         is_news
     }
 
+    /// Take in what earlier runs of boxes kept.
+    pub(crate) fn take_over_suspects(&self, kept: &[Told]) {
+        if self.hear_suspects(kept) {
+            log::info!(event = "suspects-read", requests = kept.len(); "requests that targets ended under were read from the store");
+            self.suspicion.news.notify_one();
+        }
+    }
+
+    /// Wait for requests of which the store must be told.
+    pub(crate) async fn unkept_suspects(&self) -> Vec<SuspectChange> {
+        while self.suspicion.unkept.borrow().is_empty() {
+            self.suspicion.unkept_news.notified().await;
+        }
+        let now = self.now();
+        let table = self.suspicion.table.borrow();
+        let unkept = self.suspicion.unkept.borrow();
+        let change = |fingerprint: &Fingerprint| match table.tell(*fingerprint, now) {
+            Some(told) => SuspectChange::Keep(told),
+            None => SuspectChange::Drop(*fingerprint),
+        };
+        unkept.iter().map(change).collect()
+    }
+
+    /// The store was told. What has changed meanwhile is to be told anew.
+    pub(crate) fn suspects_kept(&self, changes: &[SuspectChange]) {
+        let now = self.now();
+        let table = self.suspicion.table.borrow();
+        let is_as_told = |told: &Told| {
+            let held = table.tell(told.fingerprint, now);
+            held.is_some_and(|held| held.ends == told.ends)
+        };
+        let mut unkept = self.suspicion.unkept.borrow_mut();
+        for change in changes {
+            match change {
+                SuspectChange::Keep(told) if is_as_told(told) => unkept.remove(&told.fingerprint),
+                SuspectChange::Keep(_) => false,
+                SuspectChange::Drop(fingerprint) => unkept.remove(fingerprint),
+            };
+        }
+    }
+
     fn note_stopped(&self, verdict: Verdict) {
         if verdict == Verdict::Quarantined {
             self.suspicion.stopped.send_modify(|count| *count += 1);
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -6,9 +6,11 @@
 
 use bytes::Bytes;
 use reachtally_core::forward::era::Era;
+use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{Engine, Entry};
 use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::placement::Move;
+use reachtally_core::forward::quarantine;
 use reachtally_core::forward::stewardship::Permit;
 
 use crate::wire::Statement;
@@ -88,6 +90,15 @@
     pub why: String,
 }
 
+/// A change to what the store keeps of requests that targets ended under.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SuspectChange {
+    /// Keep this as long as it lives.
+    Keep(quarantine::Told),
+    /// Its time is over.
+    Drop(Fingerprint),
+}
+
 /// What this box holds in the group of boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Membership {
@@ -120,6 +131,15 @@
         offset: Offset,
     ) -> impl Future<Output = Result<Feed<TargetChange>, StoreError>>;
 
+    /// What is kept of requests that targets ended under, also what is over.
+    fn suspects(&self) -> impl Future<Output = Result<Vec<quarantine::Told>, StoreError>>;
+
+    /// Change what is kept of such requests.
+    fn change_suspects(
+        &self,
+        changes: &[SuspectChange],
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Join the group of boxes, or stay in it, for `ttl`.
     fn join(
         &self,
