fix(core): a request under whose step three engines in a row are lost ends

What users would see: one request takes engine after engine along, with all that runs there, for as long as its caller waits: a step that every engine loses was given to forty replacements, and the request then even ended whole. Now three calls lost in a row, without an accepted step between, end the request as unknown ('engines-lost'). Losses at different steps count anew. Other daemons and the caller's next attempt still start at none.

--- a/reachtally-core/src/counters.rs
+++ b/reachtally-core/src/counters.rs
@@ -34,6 +34,8 @@
         requests_not_run,
         /// Requests that ended with an unknown outcome.
         requests_unknown,
+        /// Requests given up because one engine after the other was lost under a step.
+        requests_engines_lost,
         /// Requests whose caller hung up.
         requests_abandoned,
         /// Tokens delivered to callers.
--- a/reachtally-core/src/life.rs
+++ b/reachtally-core/src/life.rs
@@ -109,6 +109,8 @@
     Deadline,
     /// A stage was lost and nothing could take its place.
     NoReplacement,
+    /// One engine after the other was lost under the same step.
+    EnginesLost,
     /// Another daemon run owns the key and recorded no outcome.
     OwnedElsewhere,
 }
--- a/reachtally-core/src/request.rs
+++ b/reachtally-core/src/request.rs
@@ -143,6 +143,8 @@
     pub standbys: Vec<Option<Standby>>,
     /// Whether its lost stage waits for the answer of its standby.
     pub waits_for_standby: bool,
+    /// Calls lost in a row without an accepted step between.
+    pub calls_lost: u32,
     /// The move of a stage that is under way; the stage's step is held back meanwhile.
     pub moving: Option<Moving>,
 }
--- a/reachtally-core/src/systems/accept.rs
+++ b/reachtally-core/src/systems/accept.rs
@@ -156,6 +156,7 @@
 fn record(running: &mut Running, target: TargetKey, end: u32) -> Option<usize> {
     let awaited = running.awaited.take()?;
     let stage = awaited.stage;
+    running.calls_lost = 0;
     if stage == 0 && running.prompt_positions == 0 {
         running.prompt_positions = end;
     }
--- a/reachtally-core/src/systems/shift.rs
+++ b/reachtally-core/src/systems/shift.rs
@@ -16,6 +16,10 @@
 use crate::time::Instant;
 use crate::world::{Timer, World};
 
+/// Engines that may be lost in a row under one step of a request. Guards the others, and what runs there, from a request that crashes
+/// whatever runs it; a step that is lost at three for other reasons is rare.
+const CALLS_LOST_MAX: u32 = 3;
+
 /// A call to an engine failed: suspect the engine, and move the requests that waited for the call.
 pub fn call_failed(
     world: &mut World,
@@ -43,7 +47,7 @@
             CallFailure::NeverStarted(proof) => {
                 never_started(world, sent.request, proof, now, out);
             }
-            CallFailure::Lost => lost(world, sent.request, now, out),
+            CallFailure::Lost => call_lost(world, sent.request, now, out),
         }
     }
     world.mark_dirty(failed.target);
@@ -72,6 +76,19 @@
     start::start(world, request, now, out);
 }
 
+/// The call that carried the awaited step is lost. The request may be why engines end, so it gets only so many of them for one step.
+fn call_lost(world: &mut World, request: RequestKey, now: Instant, out: &mut Effects) {
+    let Some(running) = world.running(request) else {
+        return;
+    };
+    running.calls_lost += 1;
+    if running.calls_lost >= CALLS_LOST_MAX {
+        world.counters.requests_engines_lost += 1;
+        return finish::end_unknown(world, request, Unknown::EnginesLost, out);
+    }
+    lost(world, request, now, out);
+}
+
 /// The awaited step is lost: another engine takes the stage.
 pub fn lost(world: &mut World, request: RequestKey, now: Instant, out: &mut Effects) {
     let Some(running) = world.running(request) else {
--- a/reachtally-core/src/systems/start.rs
+++ b/reachtally-core/src/systems/start.rs
@@ -109,6 +109,7 @@
         parked: false,
         standbys: vec![None; stages],
         waits_for_standby: false,
+        calls_lost: 0,
         moving: None,
     }
 }
--- a/reachtally-core/tests/core/stages.rs
+++ b/reachtally-core/tests/core/stages.rs
@@ -175,6 +175,38 @@
     assert_eq!(shifts(&fabric), 2);
 }
 
+/// What users would see: one request takes engine after engine along, each with all that runs there, for as long as its caller waits. An end
+/// was charged to the engine alone, and what the request had done was not counted.
+#[test]
+fn a_step_that_engines_fall_under_one_after_the_other_ends_its_request() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(LONG));
+    fabric.run_for(HALF_WAY);
+    for replica in 0..2 {
+        let lost = [Behaviour::Lose; 20];
+        behave(&mut fabric, &engine_url(1, replica), &lost);
+    }
+    fabric.run_for(10 * SECOND);
+    assert_eq!(
+        end(&fabric, 0, key),
+        Some(&End::Unknown(Unknown::EnginesLost))
+    );
+    assert_eq!(world(&fabric).counters.engine_calls_failed, 3);
+}
+
+#[test]
+fn engines_that_are_lost_at_different_steps_are_no_fault_of_the_request() {
+    let mut fabric = fabric(1);
+    let key = fabric.ask(0, completion(LONG));
+    for _ in 0..5 {
+        fabric.run_for(Duration::from_millis(300));
+        let url = serving(&fabric, 1);
+        behave(&mut fabric, &url, &[Behaviour::Lose]);
+    }
+    fabric.run_for(10 * SECOND);
+    assert_whole(&fabric, key, LONG);
+}
+
 #[test]
 fn without_any_engine_left_the_outcome_is_unknown_once_the_wait_is_over() {
     let limits = Limits::default();
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -248,6 +248,11 @@
             "deadline",
             "the deadline passed while the request ran",
         ),
+        Unknown::EnginesLost => (
+            Status::BadGateway,
+            "engines-lost",
+            "one engine after the other was lost under the same step of it",
+        ),
         Unknown::NoReplacement => (
             Status::BadGateway,
             "no-replacement",
