feat: the clock of decisions counts while the machine is suspended

The runtime's clock stands still then: a box that slept would take keys beyond the time in which they must stop working, order engines under a permit that another box holds by now, and go by loads, members and counts of before. Two ways: (a) one clock for decisions, which compares the runtime's with the boot clock at each reading and adds what it left out, so that all that goes by age is old at once; (b) a watch that compares both where a right is given and shuts until it is confirmed anew. (a) was taken: with (b) each place that gives a right must know of it, and a new one is open until somebody remembers; (a) is one place, and the core sees an ordinary jump. It stands in a crate of its own for both daemons, with the boot clock passed in. Timers leave the time out still: what waits for the end of a request looks at the clock each second, and kept connections go by it.

--- a/reachtally-daemon/src/actor.rs
+++ b/reachtally-daemon/src/actor.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use log::{info, warn};
+use reachtally_clock::Clock;
 use reachtally_command::Table;
 use reachtally_core::counters::Counters;
 use reachtally_core::effect::{Change, Finish};
@@ -107,7 +108,7 @@
 /// Everything the task owns.
 pub struct Actor {
     world: World,
-    started: time::Instant,
+    clock: Clock,
     rx: mpsc::UnboundedReceiver<Message>,
     performer: Performer,
     view: watch::Sender<View>,
@@ -132,16 +133,17 @@
 }
 
 impl Actor {
-    /// An actor over `world`. Its clock starts now.
+    /// An actor over `world`, whose time is that of `clock`.
     pub fn new(
         world: World,
+        clock: Clock,
         rx: mpsc::UnboundedReceiver<Message>,
         performer: Performer,
         published: Published,
     ) -> Self {
         Actor {
             world,
-            started: time::Instant::now(),
+            clock,
             rx,
             performer,
             view: published.view,
@@ -161,7 +163,7 @@
         let mut messages = Vec::with_capacity(MESSAGES_PER_TICK);
         loop {
             let due = self.world.next_due();
-            let wake = due.map(|at| self.started + at.elapsed());
+            let wake = due.map(|at| self.clock.timer(at));
             tokio::select! {
                 taken = self.rx.recv_many(&mut messages, MESSAGES_PER_TICK) => {
                     if taken == 0 {
@@ -183,7 +185,7 @@
     }
 
     fn now(&self) -> Instant {
-        Instant::from_elapsed(self.started.elapsed())
+        self.clock.now()
     }
 
     fn take(&mut self, message: Message) {
--- a/reachtally-daemon/src/run.rs
+++ b/reachtally-daemon/src/run.rs
@@ -4,6 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use log::info;
+use reachtally_clock::{Clock, boot_clock};
 use reachtally_config::Settings;
 use reachtally_core::counters::Counters;
 use reachtally_core::member::MemberState;
@@ -115,7 +116,7 @@
             .change_context(StartError::Listen("peers"))?;
         world.join(me(&settings, address), Instant::ZERO);
     }
-    let actor = Actor::new(world, rx, performer, published);
+    let actor = Actor::new(world, Clock::start(boot_clock()), rx, performer, published);
     let mut tasks = vec![
         tokio::spawn(actor.run()),
         tokio::spawn(follow::config(platform.clone(), handle.clone(), reader)),
--- a/reachtally-relay/src/connections.rs
+++ b/reachtally-relay/src/connections.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use reachtally_core::Instant;
 
 use crate::target::Connection;
 
@@ -28,18 +28,19 @@
 
 impl Connections {
     /// Keep a connection whose answer is over.
-    pub fn keep(&self, connection: Connection) {
-        let since = Instant::now();
+    pub fn keep(&self, connection: Connection, now: Instant) {
         let mut kept = self.kept.borrow_mut();
-        kept.retain(|old| since.duration_since(old.since) < KEPT_FOR);
-        kept.push(Kept { connection, since });
+        kept.retain(|old| now.since(old.since) < KEPT_FOR);
+        kept.push(Kept {
+            connection,
+            since: now,
+        });
     }
 
     /// The connection to `address` that was of use last.
-    pub fn take(&self, address: SocketAddr) -> Option<Connection> {
-        let now = Instant::now();
+    pub fn take(&self, address: SocketAddr, now: Instant) -> Option<Connection> {
         let mut kept = self.kept.borrow_mut();
-        kept.retain(|old| now.duration_since(old.since) < KEPT_FOR);
+        kept.retain(|old| now.since(old.since) < KEPT_FOR);
         let is_usable =
             |old: &Kept| old.connection.address() == address && old.connection.is_ready();
         let found = kept.iter().rposition(is_usable)?;
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use reachtally_clock::Clock;
 use reachtally_core::Instant;
 use reachtally_core::forward::budget::BudgetBounds;
 use reachtally_core::forward::changes::Changes;
@@ -117,9 +118,11 @@
     pub changes: RefCell<Changes>,
     /// What was lately told of them.
     pub(crate) pages: RefCell<Pages>,
-    started: tokio::time::Instant,
+    clock: Clock,
 }
 
+/// Longest time between two looks whether a request is due.
+const LOOK_AT_TIME: Duration = Duration::from_secs(1);
 /// Time that a request is assumed to run before the first one has ended.
 const HELD_ASSUMED: Duration = Duration::from_secs(3);
 /// Weight of a request in the running mean of that time.
@@ -133,8 +136,13 @@
 const COUNT_SETTLED: Duration = Duration::from_secs(4);
 
 impl Relay {
-    /// A relay that knows no configuration and no targets yet.
+    /// A relay that knows no configuration and no targets yet, on the runtime's clock alone.
     pub fn new(settings: Settings, wire: Box<dyn Wire>) -> Self {
+        Relay::with_clock(settings, wire, Clock::of_runtime())
+    }
+
+    /// The same on this clock.
+    pub fn with_clock(settings: Settings, wire: Box<dyn Wire>, clock: Clock) -> Self {
         Relay {
             settings: RefCell::new(settings),
             wire,
@@ -164,7 +172,7 @@
             times: Times::default(),
             changes: RefCell::default(),
             pages: RefCell::default(),
-            started: tokio::time::Instant::now(),
+            clock,
         }
     }
 
@@ -175,12 +183,30 @@
 
     /// The time for decisions.
     pub fn now(&self) -> Instant {
-        Instant::from_elapsed(self.started.elapsed())
+        self.clock.now()
+    }
+
+    /// The runtime's form of `at`, for timers.
+    pub fn timer(&self, at: Instant) -> tokio::time::Instant {
+        self.clock.timer(at)
     }
 
-    /// The runtime's form of `at`.
-    pub fn clock(&self, at: Instant) -> tokio::time::Instant {
-        self.started + at.elapsed()
+    /// What `work` yields, if that is before `due`. It looks at the time now and then, since a timer leaves out what the machine
+    /// is suspended for.
+    pub(crate) async fn until_due<T>(
+        &self,
+        due: Instant,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut work = std::pin::pin!(work);
+        loop {
+            let look_at = due.min(self.now() + LOOK_AT_TIME);
+            match tokio::time::timeout_at(self.timer(look_at), &mut work).await {
+                Ok(done) => return Some(done),
+                Err(_) if self.now() >= due => return None,
+                Err(_) => {}
+            }
+        }
     }
 
     /// Put a configuration in force as it was published, unless the one held is as new.
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -184,7 +184,7 @@
         splitter: &mut Splitter,
     ) -> Result<Bytes, Stopped> {
         loop {
-            let until = relay.clock(call.due.min(self.look_at));
+            let until = relay.timer(call.due.min(self.look_at));
             let has_events = self.events() > 0;
             let frame = tokio::select! {
                 biased;
@@ -274,7 +274,7 @@
         self.pace.keep(relay, call, self.engines());
         relay.answered_whole(call);
         if let Some(connection) = self.connection.take() {
-            relay.connections.keep(connection);
+            relay.connections.keep(connection, relay.now());
         }
         Stopped::Whole
     }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -168,7 +168,7 @@
 ) -> Result<Answer, Unanswered> {
     let key = pick.engines[0];
     let kept = match call.route.is_repeatable() {
-        true => relay.connections.take(address),
+        true => relay.connections.take(address, relay.now()),
         false => None,
     };
     let is_reused = kept.is_some();
@@ -185,7 +185,7 @@
         let until = call.due.min(relay.now() + patience);
         let sent = tokio::select! {
             biased;
-            sent = tokio::time::timeout_at(relay.clock(until), &mut sending) => sent,
+            sent = tokio::time::timeout_at(relay.timer(until), &mut sending) => sent,
             () = &mut quarantined => {
                 let why = "engines ended under it elsewhere".to_owned();
                 return Err(Unanswered::Lost(why));
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -121,17 +121,16 @@
         last_event: None,
     };
     let sending = target::send(to.address, exchange::request(relay, call, &add));
-    let due = relay.clock(call.due);
-    let answer = match tokio::time::timeout_at(due, sending).await {
-        Err(_) => return Err(Unanswered::Late),
-        Ok(Err(SendError::NotConnected(why))) => {
+    let answer = match relay.until_due(call.due, sending).await {
+        None => return Err(Unanswered::Late),
+        Some(Err(SendError::NotConnected(why))) => {
             return Err(exchange::not_connected(relay, key, &why));
         }
-        Ok(Err(SendError::Broken(why) | SendError::Stale(why))) => {
+        Some(Err(SendError::Broken(why) | SendError::Stale(why))) => {
             relay.target_broke_off(call, &to, Progress::Unknown).await;
             return Err(failed(relay, key, why));
         }
-        Ok(Ok(answer)) => answer,
+        Some(Ok(answer)) => answer,
     };
     let head = exchange::head_of(relay, &to, &answer.response);
     if head.not_run {
@@ -142,10 +141,10 @@
         return Err(failed(relay, key, why.to_owned()));
     }
     let receiving = receive(relay, call, answer.response, answer.connection, occupied);
-    match tokio::time::timeout_at(due, receiving).await {
-        Err(_) => Err(Unanswered::Late),
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(why)) => {
+    match relay.until_due(call.due, receiving).await {
+        None => Err(Unanswered::Late),
+        Some(Ok(response)) => Ok(response),
+        Some(Err(why)) => {
             relay.target_broke_off(call, &to, Progress::Unknown).await;
             Err(failed(relay, key, why))
         }
