fix(relay): what is stopped is read again when the store was away

What users would see: boxes that start again while the store is away send a request on that all others have stopped, for some seconds. Now a box reads what is kept again whenever the store answers it again.

--- a/reachtally-relay/src/follow/config.rs
+++ b/reachtally-relay/src/follow/config.rs
@@ -38,7 +38,9 @@
         relay.store_away.set(taken.is_err());
         match taken {
             Ok(position) => {
-                dependency.regained(relay.now());
+                if dependency.regained(relay.now()) {
+                    relay.suspicion.store_back.notify_one();
+                }
                 pause.reset();
                 next = Some(position);
                 if is_first && relay.configuration.table().is_none() {
--- a/reachtally-relay/src/follow/suspects.rs
+++ b/reachtally-relay/src/follow/suspects.rs
@@ -5,41 +5,61 @@
 
 use std::rc::Rc;
 
+use reachtally_core::forward::quarantine::Told;
+
 use super::dependency::Dependency;
 use super::pause::Pause;
 use crate::relay::Relay;
 use crate::store::{Store, SuspectChange};
 
-/// Requests dropped from the store by one box when it starts, of those whose time is over.
+/// Requests that one box drops from the store at a time, of those whose time is over.
 const MOST_DROPPED: usize = 64;
 
-/// Take over once what is kept, if this box reads the store, and keep what this box finds from then on.
+/// Take over what is kept, while this box reads the store, and keep what this box finds.
 pub async fn suspects<S: Store>(relay: Rc<Relay>, store: S) {
     tokio::join!(take_over(&relay, &store), keep(&relay, &store));
 }
 
+/// Read what is kept at the start, and again when the store was away: a box that started meanwhile may know no other box that could
+/// tell it.
 async fn take_over<S: Store>(relay: &Relay, store: &S) {
+    loop {
+        relay.until_direct().await;
+        let kept = read(relay, store).await;
+        let (over, kept): (Vec<Told>, Vec<Told>) =
+            kept.into_iter().partition(|told| told.life.is_zero());
+        relay.take_over_suspects(&kept);
+        drop_from_store(store, &over).await;
+        relay.suspicion.store_back.notified().await;
+    }
+}
+
+/// Read until the store answers.
+async fn read<S: Store>(relay: &Relay, store: &S) -> Vec<Told> {
     let mut pause = Pause::new();
     let mut dependency = Dependency::new("suspects");
-    relay.until_direct().await;
-    let kept = loop {
+    loop {
         match store.suspects().await {
-            Ok(kept) => break kept,
+            Ok(kept) => {
+                dependency.regained(relay.now());
+                return kept;
+            }
             Err(err) => dependency.lost(relay, &err),
         }
         pause.wait(relay).await;
-    };
-    dependency.regained(relay.now());
-    let (over, kept): (Vec<_>, Vec<_>) = kept.into_iter().partition(|told| told.life.is_zero());
-    relay.take_over_suspects(&kept);
-    let over = over.iter().take(MOST_DROPPED);
-    let drops: Vec<SuspectChange> = over
+    }
+}
+
+/// Drop requests whose time is over.
+async fn drop_from_store<S: Store>(store: &S, over: &[Told]) {
+    let drops = over.iter().take(MOST_DROPPED);
+    let drops: Vec<SuspectChange> = drops
         .map(|told| SuspectChange::Drop(told.fingerprint))
         .collect();
     if drops.is_empty() {
         return;
     }
-    // The next box that starts does it otherwise.
+    // The next box that reads them does it otherwise.
     if let Err(err) = store.change_suspects(&drops).await {
         log::debug!(event = "suspects-not-dropped", why:% = err; "requests whose time is over stay in the store");
     }
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -31,6 +31,8 @@
     table: RefCell<Quarantine>,
     /// This box has something to tell at once.
     pub news: Notify,
+    /// The store answers this box again after it was away.
+    pub store_back: Notify,
     /// Requests of which the store must be told.
     unkept: RefCell<BTreeSet<Fingerprint>>,
     unkept_news: Notify,
