--- a/reachtally-core/src/forward/budget.rs
+++ b/reachtally-core/src/forward/budget.rs
@@ -15,8 +15,7 @@
 
 /// Number of slices that a window is counted in.
 const SLICES: u32 = 20;
-/// Part of its share that a settled run uses. Measured with 64 boxes and all boxes stopped on three days of five, against
-/// 0.8 for every run: worth -0.001 (error 0.002, 10 pairs).
+/// Part of its share that a settled run uses.
 const SETTLED_PART: f64 = 0.7;
 /// Part of its share that young runs use, of the ratio from their first requests on, of the fixed part as time passes.
 /// What the two leave covers boxes that came or left since the count.
--- a/reachtally-core/src/forward/cost.rs
+++ b/reachtally-core/src/forward/cost.rs
@@ -4,7 +4,6 @@
 use std::ops::Range;
 
 /// Time of a token at a loaded engine, in passes: its own, and on average half of the one under way.
-/// Measured: gaps of 33 to 48 ms where the passes alone come to 22 to 28.
 pub const WAIT_FACTOR: f64 = 1.5;
 
 /// Most of an engine's time that reading is reckoned to take; beyond it the queue grows without end.
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -98,7 +98,7 @@
     }
 
     /// Whether several other boxes found that it takes no connections. Told with their loads, so that not each
-    /// box finds out by itself: with 64 boxes worth +0.005 (error 0.003, 10 pairs).
+    /// box finds out by itself.
     pub fn is_silent_elsewhere(&self) -> bool {
         self.silent_elsewhere >= LEAST_WITNESSES
     }
--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -18,8 +18,7 @@
 /// What a run asked of this box. It holds for as long as the run lives, whatever becomes of the run's entry.
 ///
 /// Guards targets that turn requests away: where the time that they ask for is not heeded, each gets up to five more sends of
-/// a box within a second, and the refused ones use up the second sends of all boxes. Counted from the logs of 36 days with such
-/// targets, on three fleets: 1,077 times more than two sends without it, none with it; worth +0.022 (error 0.005, 36 pairs).
+/// a box within a second, and the refused ones use up the second sends of all boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Notice {
     /// Until when it wants nothing from this box.
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -27,8 +27,7 @@
 /// or its links.
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 /// Targets in one message. With names of a dozen bytes, and the numbers of boxes of 13 failure domains, it fits
-/// a datagram that is not split on the way. Where 190 targets take six messages in place of five, they are known later:
-/// measured with 295 boxes, with 35 told at once, worth -0.012 (error 0.003, 5 pairs).
+/// a datagram that is not split on the way. With fewer at once a large fleet takes more messages, and is known later.
 pub const TARGETS_TOLD: usize = 38;
 /// The same where the targets' runs tell their starts: a mark takes three bytes.
 pub const MARKED_TARGETS_TOLD: usize = 35;
--- a/reachtally-core/src/forward/placement/repair.rs
+++ b/reachtally-core/src/forward/placement/repair.rs
@@ -142,8 +142,7 @@
 }
 
 /// The layers with which an empty engine adds most to a group that lacks nothing. Without it such an engine got the
-/// layer `0..1` alone, and each loss left the fleet smaller: measured with 64 boxes before 99 engines, worth +0.007
-/// (error 0.005, 10 pairs).
+/// layer `0..1` alone, and each loss left the fleet smaller.
 fn most_useful(model: &LayerModel, host: &Host, room: &Room) -> Option<Layers> {
     let options = ranges(model, host, room);
     let gains = options.map(|layers| (room.gain(model, host, &layers), layers));
@@ -212,8 +211,7 @@
 }
 
 /// Take a move into account. A group is of no use while nobody holds some layer, so then requests that pass
-/// what is given up are not waited for. Measured: waiting for them took 7 to 15 s, in which a failure domain
-/// served nothing.
+/// what is given up are not waited for: the failure domain would serve nothing meanwhile.
 fn apply(
     model: &LayerModel,
     host: &mut Host,
--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -121,8 +121,8 @@
     /// that works; else at any other reader, the ones of other failure domains after those at home.
     ///
     /// Other boxes read the store only where nobody else answers at all. While the store is
-    /// away, readers answer without knowing anything new, and the others wait for them: measured with 295
-    /// boxes, an outage of 8 s cost 1,900 calls when each asked the store itself.
+    /// away, readers answer without knowing anything new, and the others wait for them: guards the store from a call of
+    /// each box when it comes back.
     pub fn origin(&self) -> Origin {
         let home = self.readers(self.home);
         let before = home.iter().take_while(|member| !self.is_here(member));
@@ -132,8 +132,8 @@
         if self.is_sound && self.is_reader() {
             return Origin::Store;
         }
-        // A reader that is not told in time is to read itself; measured with eight boxes: asking all readers
-        // abroad first, a change was in force too late.
+        // A reader that is not told in time is to read itself: where it asked all readers abroad first, a change would be in
+        // force too late.
         let ranks = if self.is_reader() { 1 } else { READERS };
         let abroad = self.abroad(ranks);
         let mut others = home.into_iter().chain(abroad);
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -8,9 +8,7 @@
 
 /// Part of an engine's KV that requests may be reckoned to hold on average, all together. Well above 1: the sums
 /// count requests that stand still elsewhere or are still being read, engines refuse by themselves what they
-/// have no room for, and a request that is refused here without being sent comes back late. Measured on one
-/// day each, as a part of the requests served: with 59 boxes 0.806 at 1.05, 0.840 at 1.3 and 0.856 at 1.7; with
-/// 295 boxes 0.927 at 1.3 and 0.929 at 1.7.
+/// have no room for, and a request that is refused here without being sent comes back late.
 const KV_USED: f64 = 1.7;
 /// Part of an engine's places that is used, since loads are known some hundred ms late.
 const SLOTS_USED: f64 = 0.95;
@@ -20,19 +18,16 @@
 /// How much dearer a full engine is than an empty one.
 const PRICE_GROWTH: f64 = 64.0;
 /// Power of the part that is used in the price: nearly flat up to a half, so that fast chains are used, and steep
-/// where an engine fills, so that KV is not overbooked. Measured in pairs against this one: a price that grows by
-/// the use itself, 6-fold, is better by 0.005 of the worth with 64 boxes where room abounds, and costs 0.05 with 59
-/// boxes where KV binds; 64-fold it costs 0.01 and 0.02.
+/// where an engine fills, so that KV is not overbooked.
 const PRICE_POWER: i32 = 3;
 /// Most that the price follows, in parts of an engine's room or places: numbers beyond reason stay finite.
 const MOST_PRICED: f64 = 3.0;
 /// Boxes up to which the part of an engine's room that a request takes counts in full. What more boxes send between
 /// two reports is not known, so the more there are the less such differences say, and the engines' parts of the
-/// model count in their place. Measured with 295 boxes, one play of one day: worth 0.697 to 0.744.
+/// model count in their place.
 const BOXES_KNOWN: f64 = 64.0;
 /// Largest part by which chance makes an engine look dearer. Until loads are told, all boxes see the same
-/// chain as the cheapest, and the prompts of half a second wait there one behind the other. Measured with
-/// 85 boxes: at 0.3 the first event came after 500 to 900 ms at load, at 2.5 after 100 ms, at 5 no later.
+/// chain as the cheapest, and the prompts of half a second wait there one behind the other.
 const SPREAD: f64 = 5.0;
 
 /// An engine with what a request takes of it, and the times for each layer.
--- a/reachtally-core/src/forward/select/judge.rs
+++ b/reachtally-core/src/forward/select/judge.rs
@@ -2,9 +2,8 @@
 //!
 //! A request holds its room on every engine of the chain for as long as the whole chain runs it, so a
 //! way costs the sum of its engines' prices times its duration. Speed beyond that is worth nothing as long as
-//! the objectives are met; a way that will probably miss them costs several times as much. Measured with 64
-//! boxes before one kind of card five times as fast as the others, against the least time with a pressure on each
-//! engine's own part: worth 0.708 to 0.793, served 0.840 to 0.917 (10 pairs, error 0.008).
+//! the objectives are met; a way that will probably miss them costs several times as much. So a full engine that is
+//! fast does not stay cheap, and a slow chain's long hold on all its engines is seen.
 
 use super::Aim;
 use super::candidate::Candidate;
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -30,12 +30,8 @@
 const HOME_BONUS: f64 = 0.9;
 /// Part of the engines that a request looks at first, drawn anew for each request. What other boxes have sent since
 /// the last report is not known, and all that believe the same would fill the cheapest chain in the meantime.
-/// Measured in pairs, worth: days of load with 295 boxes before 190 engines +0.076 (error 0.007, 4 pairs); with 59
-/// boxes where KV binds +0.055 (0.040, 5); with 64 boxes where room abounds +0.002 (0.003, 5). At 0.35 the second
-/// loses 0.025 of it, at 0.7 the first 0.022.
 const DRAWN_PART: f64 = 0.5;
 /// Part of an engine's room from which it may be full by now: where others have room it is not chosen for being drawn.
-/// Measured with 295 boxes: the engines that refused most were believed to be 0.65 used at the median.
 const MAY_BE_FULL: f64 = 0.65;
 /// Makes the draw of the engines independent of the chance in their price.
 const DRAWN_SALT: u64 = 0xA5A5_5A5A_C3C3_3C3C;
@@ -173,7 +169,7 @@
     let health = &engine.health;
     let is_gone = engine.is_leaving() || health.is_dead() || health.is_contradicted(cx.now);
     // Asked again at once, a full engine would refuse again, and each refused send is taken from the shared
-    // budget. Measured after a death: 370 of 400 sends in 2 s were refused so, and 280 others denied.
+    // budget.
     if is_gone || health.is_full(cx.now) || cx.avoid.contains(&key) {
         return false;
     }
--- a/reachtally-core/src/forward/stall.rs
+++ b/reachtally-core/src/forward/stall.rs
@@ -13,15 +13,13 @@
 /// Least silence that counts, however fast the path is: scheduling and queues cause shorter ones.
 pub const LEAST_SILENCE: Duration = Duration::from_millis(60);
 /// Least silence that counts, in expected gaps between events. Silence only leads to a question whether the
-/// engines are there, which costs a connection; the answer decides. With 4 gaps and at least 80 ms, streams over
-/// chains with gaps of 40 ms went on only after the 200 ms that callers allow: measured with 64 boxes, worth
-/// +0.011 (error 0.003, 10 pairs).
+/// engines are there, which costs a connection; the answer decides. With twice as many, streams over slow chains would go on
+/// only after the pause that callers allow.
 const LEAST_GAPS: f64 = 2.0;
 /// Most silence that is waited for, in expected gaps.
 pub const MOST_GAPS: f64 = 4.0;
 /// Deviations of the gaps that are waited for beside the mean one, as in the retransmission timer of TCP. Where
-/// gaps come unevenly, since KV or reading binds, a fixed 2 gaps asked twice as often: measured with 59 boxes,
-/// connections cost 0.037 of the worth in place of 0.021.
+/// gaps come unevenly, since KV or reading binds, a fixed number of gaps would ask twice as often.
 const DEVIATIONS: f64 = 4.0;
 
 /// When each engine last took part in an event.
--- a/reachtally-relay/src/connections.rs
+++ b/reachtally-relay/src/connections.rs
@@ -11,8 +11,7 @@
 
 use crate::target::Connection;
 
-/// How long a connection is kept. Measured on 20 days: connections to engines cost 0.020 of worth when none is
-/// kept, 0.017 at 0.5 s and 0.014 at 3 s; six in ten streams found one at 3 s. Engines close theirs later.
+/// How long a connection is kept: most streams find one then. Engines close theirs later.
 const KEPT_FOR: Duration = Duration::from_secs(3);
 
 struct Kept {
--- a/reachtally-relay/src/follow/config.rs
+++ b/reachtally-relay/src/follow/config.rs
@@ -49,7 +49,7 @@
             }
             // The shortest pause, here and where records are gone: the store answers again, but one whose era changes with each
             // answer must not be asked without end. With the pause that had grown while it was away, what was written after its
-            // return from a copy was read a second later than after an outage; so it is 0.17 s (12 returns and outages of 1 s each).
+            // return from a copy would be read a second later than after an outage.
             Err(StoreError::EraChanged) => {
                 next = None;
                 pause.reset();
--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip.rs
@@ -243,8 +243,7 @@
         }
     }
 
-    /// Tell the collector that this box leaves, so that it does not count there too. Measured with 64 boxes:
-    /// without it up to 125 were counted in the first seconds, and each took half of its share of the
+    /// Tell the collector that this box leaves, so that it does not count there too: each box would take too small a share of the
     /// second sends.
     fn leave(&mut self) {
         match self.target {
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -381,9 +381,8 @@
     }
 
     /// What all boxes have on the targets, in parts of what this one is told. Guards the second after all boxes
-    /// start, when each knows of its own requests only: with 64 boxes 250 sends were refused then. Measured, with
-    /// spare engines in use: worth +0.016 (error 0.007, 10 pairs). Only after the start: later a domain that is not
-    /// heard of is cut off, and so are its boxes from the targets here.
+    /// start, when each knows of its own requests only and engines refuse what is one too many. Only after the start: later a
+    /// domain that is not heard of is cut off, and so are its boxes from the targets here.
     fn unheard(&self) -> f64 {
         if self.is_count_settled() {
             return 1.0;
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -288,10 +288,9 @@
 }
 
 /// Engines of a chain without an event for `silence`, over any stream, that take no connections. Counted
-/// from now: what passed an engine after this stream's last event says nothing once it has died. Measured:
-/// counted from that event, one stream of each box left a dead engine, and some fifty stood still there
-/// until their callers gave up. Where one is known to be dead already, the others stand still for it and
-/// are not asked: of the connections to engines of a day, four in ten only asked.
+/// from now: what passed an engine after this stream's last event says nothing once it has died, and counted from that event
+/// one stream of each box would leave it, while the others stand still until their callers give up. Where one is known to be
+/// dead already, the others stand still for it and are not asked, which saves their connections.
 pub(super) async fn dead_of_silent(
     relay: &Relay,
     engines: &[EngineKey],
--- a/reachtally-relay/src/targets/entries.rs
+++ b/reachtally-relay/src/targets/entries.rs
@@ -8,8 +8,8 @@
 use crate::relay::Relay;
 use crate::store::SpoiledEntry;
 
-/// Changed entries of one read that get a log line each. A first list or a new plan changes nearly all of
-/// them: with a line each, two in three lines of a quiet day with 295 boxes were of these.
+/// Changed entries of one read that get a log line each. A first list or a new plan changes nearly all of them, and their lines would be
+/// most of the log.
 const MOST_ENTRY_LINES: usize = 4;
 
 /// An entry that was read, and what that shows.
