--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -17,6 +17,7 @@
 mod scene;
 mod setup;
 mod sse;
+mod suspects;
 
 use std::process::ExitCode;
 
@@ -63,6 +64,9 @@
     /// What the decisions on the path of a request cost, against the number of engines
     #[bpaf(command)]
     Path(#[bpaf(external(path::options))] path::Options),
+    /// Requests that crash engines: how many one costs, and how soon all boxes know it
+    #[bpaf(command)]
+    Suspects(#[bpaf(external(suspects::options))] suspects::Options),
     /// Requests that may run once: how many share an append, and that none runs twice
     #[bpaf(command)]
     Claims(#[bpaf(external(claims::options))] claims::Options),
@@ -89,6 +93,7 @@
         Experiment::RelayBox(options) => run_box(options),
         Experiment::Choice(options) => choice::run(&options),
         Experiment::Path(options) => path::run(&options),
+        Experiment::Suspects(options) => suspects::run(&options),
         Experiment::Claims(options) => claims::run(&options),
     };
     match result {
--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -26,7 +26,7 @@
 /// Most of them that may be one account's, so that none can push out the others'.
 pub const MOST_CASES_OF_ACCOUNT: usize = 64;
 /// How long a change is told anew with each report, since messages may be lost.
-const TOLD_AGAIN: Duration = Duration::from_secs(2);
+const TOLD_AGAIN: Duration = Duration::from_millis(700);
 /// Requests in one message. With [`ENDS_KEPT`] ends each it fits a datagram that is not split on the way.
 pub const CASES_TOLD: usize = 9;
 
--- a/reachtally-core/tests/core/forward/quarantine.rs
+++ b/reachtally-core/tests/core/forward/quarantine.rs
@@ -132,8 +132,9 @@
     for number in 0..2 * CASES_TOLD + 1 {
         table.run_ended(request(number), ACCOUNT, begun(1), at(0));
     }
-    assert_eq!(table.changes(Origin::Own, at(1)).len(), CASES_TOLD);
-    assert!(table.changes(Origin::Own, at(3)).is_empty());
+    let after = |ms| Instant::from_elapsed(Duration::from_millis(ms));
+    assert_eq!(table.changes(Origin::Own, after(600)).len(), CASES_TOLD);
+    assert!(table.changes(Origin::Own, after(800)).is_empty());
     let mut told: Vec<Fingerprint> = (0..3)
         .flat_map(|number| table.page(number, at(3)))
         .map(|told| told.fingerprint)
