--- a/reachtally-relay/src/gossip.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -1,5 +1,7 @@
 //! Loads to and from the other boxes, so that boxes which do not see each other's requests don't all choose
-//! the same engines.
+//! the same engines; and requests that targets ended under, so that they get no more of them at any box.
+
+mod suspects;
 
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
@@ -8,7 +10,6 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::loads::{self, Collector, Message, Others};
-use reachtally_core::forward::quarantine::{Origin, Told};
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::load::{self, MESSAGE_MAX};
 use tokio::net::UdpSocket;
@@ -30,11 +31,6 @@
 /// Least time between two log lines on datagrams that do not decode.
 const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Of this many reports one tells all that is held of requests that targets ended under, page by page: it repairs what was lost.
-const PAGE_REPORTS: u64 = 10;
-/// The first reports of a box, which are answered with such a page each: it has just started.
-const REPORTS_OF_A_START: u64 = 5;
-
 /// Open the socket for loads.
 ///
 /// # Errors
@@ -135,70 +131,6 @@
         elsewhere.forget_old(&mut self.relay.fleet.borrow_mut(), now);
     }
 
-    /// Tell the collector of requests that targets ended under: what this box has seen lately, and now and then all that it holds, since
-    /// the collector may have started again. A collector tells the others alike.
-    fn tell_suspects(&self) {
-        let now = self.relay.now();
-        self.relay.suspicion.forget_old(now);
-        let told = self.suspects(Origin::Own, self.number);
-        match self.target {
-            Target::Box(ip) => self.send_suspects(ip, told),
-            Target::Here => {
-                let told = self.suspects(Origin::Any, self.number);
-                for ip in self.collectors() {
-                    self.send_suspects(ip, told.clone());
-                }
-            }
-        }
-    }
-
-    /// What is to be told with report `number`: changes, or now and then a page of all.
-    fn suspects(&self, origin: Origin, number: u64) -> Vec<Told> {
-        let now = self.relay.now();
-        let suspicion = &self.relay.suspicion;
-        let changes = suspicion.changes(origin, now);
-        let is_due = number < REPORTS_OF_A_START || number.is_multiple_of(PAGE_REPORTS);
-        match changes.is_empty() && is_due {
-            true => suspicion.page(number / PAGE_REPORTS, now),
-            false => changes,
-        }
-    }
-
-    /// Tell at once what has just changed: the sooner others know, the fewer targets end under one request.
-    fn spread_suspects(&self, from: Option<IpAddr>) {
-        let now = self.relay.now();
-        let told = |origin| self.relay.suspicion.changes(origin, now);
-        if let Target::Box(ip) = self.target
-            && Some(ip) != from
-        {
-            self.send_suspects(ip, told(Origin::Own));
-        }
-        if self.collector.reporters() == 0 {
-            return;
-        }
-        let told = told(Origin::Any);
-        let reporters: BTreeSet<IpAddr> = self.collector.reporters_ips().collect();
-        for ip in reporters.into_iter().chain(self.collectors()) {
-            if Some(ip) != from && ip != self.ip() {
-                self.send_suspects(ip, told.clone());
-            }
-        }
-    }
-
-    /// Other collectors, if this box is one.
-    fn collectors(&self) -> BTreeSet<IpAddr> {
-        match self.collector.reporters() {
-            0 => BTreeSet::new(),
-            _ => self.peers(),
-        }
-    }
-
-    fn send_suspects(&self, ip: IpAddr, told: Vec<Told>) {
-        if !told.is_empty() {
-            self.send(ip, &Message::Suspects(told));
-        }
-    }
-
     /// Whether others may report here. A box without a collector hears only itself, which says nothing of how
     /// many others there are.
     fn is_collector(&self) -> bool {
@@ -296,7 +228,7 @@
                 for answer in self.collector.answers(run, number) {
                     self.send(from, &Message::Others(answer));
                 }
-                self.send_suspects(from, self.suspects(Origin::Any, number));
+                self.answer_suspects(from, number);
             }
             Ok(Message::Part(part)) => self.collector.hear_part(part, from, now),
             Ok(Message::Leave(run)) => self.collector.leave(run),
--- /dev/null
+++ b/reachtally-relay/src/gossip/suspects.rs
@@ -0,0 +1,85 @@
+//! Requests that targets ended under, to and from the other boxes.
+
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+
+use reachtally_core::forward::loads::Message;
+use reachtally_core::forward::quarantine::{Origin, Told};
+
+use super::{Gossip, Target};
+
+/// Of this many reports one tells all that is held of requests that targets ended under, page by page: it repairs what was lost.
+const PAGE_REPORTS: u64 = 10;
+/// The first reports of a box, which are answered with such a page each: it has just started.
+const REPORTS_OF_A_START: u64 = 5;
+
+impl Gossip {
+    /// Tell the collector of requests that targets ended under: what this box has seen lately, and now and then all that it holds, since
+    /// the collector may have started again. A collector tells the others alike.
+    pub(super) fn tell_suspects(&self) {
+        let now = self.relay.now();
+        self.relay.suspicion.forget_old(now);
+        let told = self.suspects(Origin::Own, self.number);
+        match self.target {
+            Target::Box(ip) => self.send_suspects(ip, told),
+            Target::Here => {
+                let told = self.suspects(Origin::Any, self.number);
+                for ip in self.collectors() {
+                    self.send_suspects(ip, told.clone());
+                }
+            }
+        }
+    }
+
+    /// Answer report `number` of a box that reports here.
+    pub(super) fn answer_suspects(&self, to: IpAddr, number: u64) {
+        self.send_suspects(to, self.suspects(Origin::Any, number));
+    }
+
+    /// What is to be told with report `number`: changes, or now and then a page of all.
+    fn suspects(&self, origin: Origin, number: u64) -> Vec<Told> {
+        let now = self.relay.now();
+        let suspicion = &self.relay.suspicion;
+        let changes = suspicion.changes(origin, now);
+        let is_due = number < REPORTS_OF_A_START || number.is_multiple_of(PAGE_REPORTS);
+        match changes.is_empty() && is_due {
+            true => suspicion.page(number / PAGE_REPORTS, now),
+            false => changes,
+        }
+    }
+
+    /// Tell at once what has just changed: the sooner others know, the fewer targets end under one request.
+    pub(super) fn spread_suspects(&self, from: Option<IpAddr>) {
+        let now = self.relay.now();
+        let told = |origin| self.relay.suspicion.changes(origin, now);
+        if let Target::Box(ip) = self.target
+            && Some(ip) != from
+        {
+            self.send_suspects(ip, told(Origin::Own));
+        }
+        if self.collector.reporters() == 0 {
+            return;
+        }
+        let told = told(Origin::Any);
+        let reporters: BTreeSet<IpAddr> = self.collector.reporters_ips().collect();
+        for ip in reporters.into_iter().chain(self.collectors()) {
+            if Some(ip) != from && ip != self.ip() {
+                self.send_suspects(ip, told.clone());
+            }
+        }
+    }
+
+    /// Other collectors, if this box is one.
+    fn collectors(&self) -> BTreeSet<IpAddr> {
+        match self.collector.reporters() {
+            0 => BTreeSet::new(),
+            _ => self.peers(),
+        }
+    }
+
+    fn send_suspects(&self, ip: IpAddr, told: Vec<Told>) {
+        if !told.is_empty() {
+            self.send(ip, &Message::Suspects(told));
+        }
+    }
+}
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -23,9 +23,9 @@
 /// Ask suspected engines until the process ends.
 pub async fn run<O: Orders>(relay: Rc<Relay>, orders: O) {
     let mut asked: HashMap<EngineKey, Instant> = HashMap::new();
-    let mut suspects = relay.suspects();
+    let mut slow = relay.slow_engines();
     loop {
-        let mut keys = suspects.recv().await;
+        let mut keys = slow.recv().await;
         let now = relay.now();
         asked.retain(|_, at| now.since(*at) < ASK_INTERVAL);
         keys.retain(|key| !asked.contains_key(key) && is_unknown(&relay, *key));
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -33,7 +33,7 @@
 use crate::rhythm::Rhythm;
 use crate::second_sends::SecondSends;
 use crate::share::Pages;
-use crate::suspects::Suspects;
+use crate::slow_engines::SlowEngines;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -91,7 +91,7 @@
     second_sends: SecondSends,
     held: Cell<Duration>,
     direct: watch::Sender<bool>,
-    suspects: Suspects,
+    slow_engines: SlowEngines,
     /// Requests under which targets ended.
     pub(crate) suspicion: Suspicion,
     news: watch::Sender<()>,
@@ -158,7 +158,7 @@
             second_sends: SecondSends::default(),
             held: Cell::new(HELD_ASSUMED),
             direct: watch::Sender::new(true),
-            suspects: Suspects::default(),
+            slow_engines: SlowEngines::default(),
             suspicion: Suspicion::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
@@ -323,13 +323,13 @@
     }
 
     /// Engines that may be slow: a stream over them is.
-    pub fn suspect(&self, engines: &[EngineKey]) {
-        self.suspects.add(engines);
+    pub fn note_slow(&self, engines: &[EngineKey]) {
+        self.slow_engines.add(engines);
     }
 
     /// Engines that may be slow, for the one who asks them.
-    pub fn suspects(&self) -> Suspects {
-        self.suspects.clone()
+    pub fn slow_engines(&self) -> SlowEngines {
+        self.slow_engines.clone()
     }
 
     /// Follow the changes that other boxes must hear of.
--- a/reachtally-relay/src/suspects.rs
+++ b/reachtally-relay/src/slow_engines.rs
@@ -9,12 +9,12 @@
 
 /// Engines that may be slow, until somebody takes them.
 #[derive(Debug, Clone, Default)]
-pub struct Suspects {
+pub struct SlowEngines {
     keys: Rc<RefCell<HashSet<EngineKey>>>,
     arrived: Rc<Notify>,
 }
 
-impl Suspects {
+impl SlowEngines {
     /// A stream over these engines is slow.
     pub fn add(&self, engines: &[EngineKey]) {
         self.keys.borrow_mut().extend(engines);
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -259,7 +259,7 @@
         self.pace.note(now, self.since);
         let gap = now.since(self.since);
         if gap > LEAST_SLOW && gap > self.pace.expected_gap.mul_f64(SLOW_GAPS) {
-            relay.suspect(self.engines());
+            relay.note_slow(self.engines());
         }
         self.gaps.note(gap);
         self.since = now;
