refactor: a field that never changes, a look that was thrown away, and two lines that stood twice

Read again: the boot clock's start stood in a cell though nothing sets it; a collector made the list of its own changes and threw it away; a guard stood beside the one that it calls; what follows a broken connection to an instance stood twice. Behaviour as before, no test changed.

--- a/reachtally-clock/src/lib.rs
+++ b/reachtally-clock/src/lib.rs
@@ -35,7 +35,7 @@
     started: time::Instant,
     boot: BootClock,
     /// What the boot clock showed at the start.
-    boot_started: Cell<Option<Duration>>,
+    boot_started: Option<Duration>,
     /// What the runtime's clock has left out so far.
     suspended: Cell<Duration>,
     /// Whether the boot clock is known to be of no use, so that it is logged once.
@@ -49,7 +49,7 @@
         let clock = Clock {
             started: time::Instant::now(),
             boot,
-            boot_started: Cell::new(boot_started),
+            boot_started,
             suspended: Cell::default(),
             is_boot_odd: Cell::default(),
         };
@@ -95,7 +95,7 @@
 
     /// What the boot clock has counted since the start.
     fn boot_elapsed(&self) -> Option<Duration> {
-        let started = self.boot_started.get()?;
+        let started = self.boot_started?;
         let Some(boot) = (self.boot)() else {
             self.note_odd("it can't be read");
             return None;
--- a/reachtally-relay/src/gossip/suspects.rs
+++ b/reachtally-relay/src/gossip/suspects.rs
@@ -19,9 +19,8 @@
     pub(super) fn tell_suspects(&self) {
         let now = self.relay.now();
         self.relay.suspicion.forget_old(now);
-        let told = self.suspects(Origin::Own, self.number);
         match self.target {
-            Target::Box(ip) => self.send_suspects(ip, told),
+            Target::Box(ip) => self.send_suspects(ip, self.suspects(Origin::Own, self.number)),
             Target::Here => {
                 let told = self.suspects(Origin::Any, self.number);
                 for ip in self.collectors() {
@@ -57,9 +56,6 @@
         {
             self.send_suspects(ip, told(Origin::Own));
         }
-        if self.collector.reporters() == 0 {
-            return;
-        }
         let told = told(Origin::Any);
         let reporters: BTreeSet<IpAddr> = self.collector.reporters_ips().collect();
         for ip in reporters.into_iter().chain(self.collectors()) {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -12,7 +12,7 @@
 
 use crate::answer::{self, Body, CutShort};
 use crate::attempts::{Attempts, SendRecord};
-use crate::exchange::{self, Unanswered};
+use crate::exchange::{self, Recipient, Unanswered};
 use crate::occupied::Occupied;
 use crate::quarantine::Progress;
 use crate::relay::Relay;
@@ -127,8 +127,7 @@
             return Err(exchange::not_connected(relay, key, &why));
         }
         Some(Err(SendError::Broken(why) | SendError::Stale(why))) => {
-            relay.target_broke_off(call, &to, Progress::Unknown).await;
-            return Err(failed(relay, key, why));
+            return Err(broke_off(relay, call, &to, why).await);
         }
         Some(Ok(answer)) => answer,
     };
@@ -144,13 +143,16 @@
     match relay.until_due(call.due, receiving).await {
         None => Err(Unanswered::Late),
         Some(Ok(response)) => Ok(response),
-        Some(Err(why)) => {
-            relay.target_broke_off(call, &to, Progress::Unknown).await;
-            Err(failed(relay, key, why))
-        }
+        Some(Err(why)) => Err(broke_off(relay, call, &to, why).await),
     }
 }
 
+/// The target broke its connection off: it has failed, or the request may be why it ended.
+async fn broke_off(relay: &Relay, call: &Call, to: &Recipient, why: String) -> Unanswered {
+    relay.target_broke_off(call, to, Progress::Unknown).await;
+    failed(relay, to.key, why)
+}
+
 /// The target has failed, and the request may have run.
 fn failed(relay: &Relay, key: EngineKey, why: String) -> Unanswered {
     relay.target_failed(key, &why);
