feat(relay): rate limits of targets are read from their answers, logged and counted

`target-limit` tells that a target named, changed or ended its limit; `sends_limited` counts the sends to targets that have one. Selection is unchanged.

A limit belongs to a run of a target, as back-off and leaving do. It ends with an answer of the target's own that names none. A malformed one leaves what is known, of several the lowest holds, and one below 0.25 a second counts as that, since answers are what shows its end.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -7,6 +7,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use crate::forward::limit::RateLimit;
 use crate::time::Instant;
 
 mod engine;
@@ -235,6 +236,16 @@
         }
     }
 
+    /// The rate limit that a run states, whether it has a row or not.
+    pub fn limit_of(&self, run: &TargetRun) -> Option<RateLimit> {
+        let row = self.find_run(run).and_then(|key| self.engines.get(key));
+        let notice = match row {
+            Some(engine) => Some(engine.notice),
+            None => self.notices.get(run),
+        };
+        notice?.limit()
+    }
+
     /// Count a failure of a target.
     pub fn failed(&mut self, key: EngineKey, now: Instant) {
         if let Some(engine) = self.engines.get_mut(key) {
--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::{RunMark, TargetRun};
+use crate::forward::limit::{RateLimit, StatedLimit};
 use crate::time::Instant;
 
 /// Runs without a row whose notices are kept at most. It bounds the memory where a fleet is replaced again and again: some
@@ -19,12 +20,14 @@
 ///
 /// Guards targets that turn requests away: where the time that they ask for is not heeded, each gets up to five more sends of
 /// a box within a second, and the refused ones use up the second sends of all boxes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Notice {
     /// Until when it wants nothing from this box.
     rest_until: Option<Instant>,
     /// Whether it said that it leaves, for good.
     is_leaving: bool,
+    /// What it last stated of its rate limit.
+    stated_limit: Option<StatedLimit>,
 }
 
 impl Notice {
@@ -38,6 +41,21 @@
         self.is_leaving = true;
     }
 
+    /// Takes in a statement on the run's rate limit, unless a newer one is known.
+    pub fn state_limit(&mut self, stated: StatedLimit) {
+        self.stated_limit = Some(stated.newer(self.stated_limit));
+    }
+
+    /// The last statement on the run's rate limit.
+    pub fn stated_limit(&self) -> Option<StatedLimit> {
+        self.stated_limit
+    }
+
+    /// The rate limit that all boxes together must keep, if the run states one.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.stated_limit?.limit
+    }
+
     /// Whether the run said that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
@@ -99,6 +117,12 @@
         kept.is_some_and(|kept| run.mark.is_same(kept.mark))
     }
 
+    /// The notice of a run that has no row.
+    pub fn get(&self, run: &TargetRun) -> Option<Notice> {
+        let kept = self.0.get(&run.id)?;
+        run.mark.is_same(kept.mark).then_some(kept.notice)
+    }
+
     /// Change the notice of a run that has no row.
     pub fn change(&mut self, run: &TargetRun, now: Instant, change: impl FnOnce(&mut Notice)) {
         let mut notice = self.take(run);
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod fingerprint;
 pub mod fleet;
 pub mod freshness;
+pub mod limit;
 pub mod loads;
 pub mod path;
 pub mod peers;
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -25,6 +25,8 @@
         sends_not_run,
         /// Sends to a target within a time in which it wanted none.
         sends_in_rest,
+        /// Sends to targets that state a rate limit.
+        sends_limited,
         /// Answers that asked for such a time.
         rests_asked,
         /// Sends whose answer was lost or spoilt.
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target::DialError;
-use crate::wire::{Addition, AnswerHead};
+use crate::wire::{Addition, AnswerHead, LimitHeader};
 
 /// Why a send yielded no answer that can be passed on.
 pub(crate) enum Unanswered {
@@ -81,6 +81,7 @@
 /// box are kept.
 pub(crate) fn head_of(
     relay: &Relay,
+    call: &Call,
     from: &Recipient,
     response: &Response<Incoming>,
 ) -> AnswerHead {
@@ -94,9 +95,18 @@
     }
     drop(fleet);
     relay.target_said(&from.run, head.said);
+    if head.said.limit == LimitHeader::Absent && is_own(call, &head) {
+        relay.target_names_no_limit(&from.run);
+    }
     head
 }
 
+/// Whether the target itself made the answer, for this request.
+fn is_own(call: &Call, head: &AnswerHead) -> bool {
+    let is_vouched = head.sealed || (head.not_run && !head.misdirected);
+    is_vouched && head.id.as_deref() == Some(call.head.id.as_str())
+}
+
 /// Why an answer can't be the target's answer to this request, if so.
 pub(crate) fn mistrust(
     call: &Call,
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -173,7 +173,7 @@
 }
 
 /// What came of a question or an order, and what the engine said of itself meanwhile.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Told<T> {
     /// What came of it.
     pub answer: T,
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -236,7 +236,7 @@
     attempts: &mut Attempts,
 ) -> Result<Answered, Unanswered> {
     let status = answer.response.status();
-    let head = exchange::head_of(relay, &from, &answer.response);
+    let head = exchange::head_of(relay, call, &from, &answer.response);
     if head.not_run {
         return Err(not_run(relay, &occupied, &head, status, attempts).await);
     }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -131,7 +131,7 @@
         }
         Some(Ok(answer)) => answer,
     };
-    let head = exchange::head_of(relay, &to, &answer.response);
+    let head = exchange::head_of(relay, call, &to, &answer.response);
     if head.not_run {
         let why = format!("status {}", answer.response.status());
         return Err(Unanswered::NotRun(NeverStarted::TargetSaidSo, why));
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::header::HeaderMap;
+use reachtally_core::forward::limit::RateLimit;
 use reachtally_core::forward::path::Path;
 use reachtally_core::forward::routes::Table;
 
@@ -54,13 +55,27 @@
     pub slots: u32,
 }
 
+/// What an answer says of its target's rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum LimitHeader {
+    /// It names none: the target has no limit, if the answer is its own.
+    #[default]
+    Absent,
+    /// It names one that can't be read: what is known stays.
+    Malformed,
+    /// It names this limit.
+    Named(RateLimit),
+}
+
 /// What a target says of itself in an answer, whatever that is an answer to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Statement {
     /// How long it wants nothing from this box, if it says so.
     pub rest: Option<Duration>,
     /// Whether it says that it leaves.
     pub is_leaving: bool,
+    /// Its rate limit.
+    pub limit: LimitHeader,
 }
 
 impl Statement {
