--- a/reachtally-bench/src/choice/boxes.rs
+++ b/reachtally-bench/src/choice/boxes.rs
@@ -77,6 +77,7 @@
             boxes: 1,
             unheard: 1.0,
             draw,
+            limits: select::Limits::Enforced,
         };
         let choice = select::path(&self.fleet, SERVICE, model, need, &cx)?;
         let number = |key: &EngineKey| self.keys.iter().position(|known| known == key);
--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -324,8 +324,12 @@
                 entrance.collector.hear_part(part, ip(from), now);
             }
             Message::Leave(run) => entrance.collector.leave(run),
-            // No target ends under a request here.
-            Message::Suspects(_) => {}
+            // No target ends under a request here, and none states a limit.
+            Message::Suspects(_)
+            | Message::Limits(_)
+            | Message::PermitRequest(_)
+            | Message::Grants(_)
+            | Message::DemandPart(_) => {}
             Message::Others(others) => {
                 entrance.elsewhere.hear(others, &mut entrance.fleet, now);
             }
--- a/reachtally-bench/src/path.rs
+++ b/reachtally-bench/src/path.rs
@@ -106,6 +106,7 @@
         boxes: 1,
         unheard: 1.0,
         draw: draw.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        limits: select::Limits::Enforced,
     };
     select::path(fleet, SERVICE, model, need, &cx)
 }
--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -7,7 +7,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::forward::limit::RateLimit;
+use crate::forward::limit::{RateLimit, StatedLimit};
 use crate::time::Instant;
 
 mod engine;
@@ -246,6 +246,22 @@
         notice?.limit()
     }
 
+    /// Targets with a statement on their rate limit.
+    pub fn stated_limits(&self) -> impl Iterator<Item = (&Engine, StatedLimit, Instant)> {
+        self.engines.values().filter_map(|engine| {
+            let (stated, changed_at) = engine.notice.stated_limit()?;
+            Some((engine, stated, changed_at))
+        })
+    }
+
+    /// Adds permits for sends to a run.
+    pub fn grant(&mut self, run: &TargetRun, count: u32, now: Instant) {
+        let row = self.find_run(run).and_then(|key| self.engines.get_mut(key));
+        if let Some(engine) = row {
+            engine.permits.add(count, now);
+        }
+    }
+
     /// Count a failure of a target.
     pub fn failed(&mut self, key: EngineKey, now: Instant) {
         if let Some(engine) = self.engines.get_mut(key) {
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{Entry, Health, Notice};
+use crate::forward::limit::Permits;
 use crate::time::Instant;
 
 /// How long what an engine told of its pace holds: troubles last some seconds, and asking costs little.
@@ -45,6 +46,8 @@
     pub health: Health,
     /// What it asked of this box.
     pub notice: Notice,
+    /// Sends that are permitted while it states a rate limit.
+    pub permits: Permits,
     /// When its entry was last read.
     pub(super) heard_at: Instant,
     /// Since when its entry is missing though that may be the store's fault.
@@ -68,6 +71,7 @@
             silent_elsewhere: 0,
             health: Health::default(),
             notice,
+            permits: Permits::default(),
             heard_at: now,
             missing_since: None,
         }
@@ -83,6 +87,21 @@
         self.is_leaving() || self.notice.is_resting(now)
     }
 
+    /// Whether boxes send requests to it: not to engines that only run later layers.
+    pub fn is_entry_point(&self) -> bool {
+        self.entry.card.is_none() || self.entry.layers.contains(&0)
+    }
+
+    /// Whether a rate limit keeps this box from sending a request to it now.
+    pub fn lacks_permit(&self, now: Instant) -> bool {
+        self.notice.limit().is_some() && !self.permits.has(now)
+    }
+
+    /// Uses a permit for a send now; yields whether the send is permitted.
+    pub fn take_permit(&mut self, now: Instant) -> bool {
+        self.notice.limit().is_none() || self.permits.take(now)
+    }
+
     /// Whether this run's entry was read lately.
     pub(super) fn is_heard(&self, now: Instant) -> bool {
         now.since(self.heard_at) < RUN_SHIELDED
--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -26,8 +26,8 @@
     rest_until: Option<Instant>,
     /// Whether it said that it leaves, for good.
     is_leaving: bool,
-    /// What it last stated of its rate limit.
-    stated_limit: Option<StatedLimit>,
+    /// What it last stated of its rate limit, and when that changed.
+    stated_limit: Option<(StatedLimit, Instant)>,
 }
 
 impl Notice {
@@ -41,19 +41,25 @@
         self.is_leaving = true;
     }
 
-    /// Takes in a statement on the run's rate limit, unless a newer one is known.
-    pub fn state_limit(&mut self, stated: StatedLimit) {
-        self.stated_limit = Some(stated.newer(self.stated_limit));
+    /// Takes in a statement on the run's rate limit, unless a newer one is known; yields whether the limit changed.
+    pub fn state_limit(&mut self, stated: StatedLimit, now: Instant) -> bool {
+        let (known, changed_at) = self.stated_limit.unzip();
+        let newest = stated.newer(known);
+        let is_changed = newest.limit != self.limit();
+        let changed_at = changed_at.filter(|_| !is_changed).unwrap_or(now);
+        self.stated_limit = Some((newest, changed_at));
+        is_changed
     }
 
-    /// The last statement on the run's rate limit.
-    pub fn stated_limit(&self) -> Option<StatedLimit> {
+    /// The last statement on the run's rate limit, and when the limit changed.
+    pub fn stated_limit(&self) -> Option<(StatedLimit, Instant)> {
         self.stated_limit
     }
 
     /// The rate limit that all boxes together must keep, if the run states one.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.stated_limit?.limit
+        let (stated, _) = self.stated_limit?;
+        stated.limit
     }
 
     /// Whether the run said that it leaves.
--- /dev/null
+++ b/reachtally-core/src/forward/limit/allocator.rs
@@ -0,0 +1,260 @@
+//! A collector's part of the limits: what it may issue, and to whom.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{
+    DemandPart, DemandRate, Grant, Grants, PERMIT_LIFE, PermitRequest, RateLimit, ServiceDemand,
+};
+use crate::forward::fleet::TargetRun;
+use crate::forward::loads::REPORT_LIFE;
+use crate::ids::Incarnation;
+use crate::time::Instant;
+
+/// Time for which a bucket is filled beyond its first token: longer than the time between two requests of a box.
+const BUCKET_TIME: Duration = Duration::from_millis(300);
+/// Time constant with which a domain's part of a limit rises. A part that falls does so at once.
+const PART_RISE: Duration = Duration::from_millis(500);
+/// Most permits in one answer, so that it fits a datagram.
+const MOST_GRANTED: usize = 40;
+
+/// A target with a limit that boxes send requests to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitedTarget {
+    /// The run of the target.
+    pub target: TargetRun,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its limit.
+    pub limit: RateLimit,
+}
+
+/// Whom a collector shares the limits with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Extent {
+    /// Failure domains, this one included; at least 1.
+    pub domains: usize,
+    /// Largest part of a limit that this collector may issue. Below 1 where others may issue without knowing of it.
+    pub largest_part: f64,
+}
+
+/// A box that asks for permits here.
+#[derive(Debug)]
+struct Asker {
+    number: u64,
+    heard: Instant,
+    demands: Vec<ServiceDemand>,
+    /// When each permit was issued to it lately, and for which service.
+    issued: VecDeque<(Instant, Arc<str>)>,
+}
+
+impl Asker {
+    /// Permits by service that it can use beside those it may still hold.
+    fn allowances(&mut self, now: Instant) -> BTreeMap<Arc<str>, usize> {
+        let is_over = |at: Instant| now.since(at) >= PERMIT_LIFE;
+        self.issued.retain(|(at, _)| !is_over(*at));
+        let allowance = |demand: &ServiceDemand| {
+            let usable = demand.rate.per_second() * PERMIT_LIFE.as_secs_f64();
+            let of_service = self.issued.iter().filter(|(_, of)| *of == demand.service);
+            (usable.ceil() as usize).saturating_sub(of_service.count())
+        };
+        let each = self.demands.iter();
+        each.map(|demand| (demand.service.clone(), allowance(demand)))
+            .collect()
+    }
+}
+
+/// Another collector.
+#[derive(Debug)]
+struct Peer {
+    domain: String,
+    heard: Instant,
+    demands: Vec<ServiceDemand>,
+}
+
+/// Tokens for one target.
+#[derive(Debug)]
+struct Bucket {
+    service: Arc<str>,
+    tokens: f64,
+}
+
+/// Issues the permits of a failure domain.
+#[derive(Debug, Default)]
+pub struct Allocator {
+    askers: BTreeMap<Incarnation, Asker>,
+    peers: BTreeMap<Incarnation, Peer>,
+    buckets: HashMap<TargetRun, Bucket>,
+    /// This domain's part of the limits, by service.
+    parts: HashMap<Arc<str>, f64>,
+    /// Targets with a token, the one that was issued longest ago first.
+    ready: VecDeque<TargetRun>,
+    filled: Option<Instant>,
+}
+
+impl Allocator {
+    /// Takes in a request, and answers it; `None` for one that is older than the last.
+    pub fn answer(&mut self, req: PermitRequest, now: Instant) -> Option<Grants> {
+        let asker = self.askers.entry(req.run).or_insert_with(|| Asker {
+            number: 0,
+            heard: now,
+            demands: Vec::new(),
+            issued: VecDeque::new(),
+        });
+        if req.number <= asker.number {
+            return None;
+        }
+        asker.number = req.number;
+        asker.heard = now;
+        asker.demands = req.demands;
+        Some(Grants {
+            number: req.number,
+            grants: self.issue(req.run, now),
+        })
+    }
+
+    /// Removes a box that asks another collector from now on.
+    pub fn leave(&mut self, run: Incarnation) {
+        self.askers.remove(&run);
+    }
+
+    /// Takes in what another collector reported.
+    pub fn hear_part(&mut self, part: DemandPart, now: Instant) {
+        let peer = Peer {
+            domain: part.domain,
+            heard: now,
+            demands: part.demands,
+        };
+        self.peers.insert(part.run, peer);
+    }
+
+    /// The demand of the boxes that ask here, by service.
+    pub fn own_demands(&self) -> Vec<ServiceDemand> {
+        let mut sums: BTreeMap<&Arc<str>, DemandRate> = BTreeMap::new();
+        let demands = self.askers.values().flat_map(|asker| &asker.demands);
+        for demand in demands {
+            let sum = sums.entry(&demand.service).or_default();
+            *sum = *sum + demand.rate;
+        }
+        let each = sums.into_iter();
+        each.map(|(service, rate)| ServiceDemand {
+            service: service.clone(),
+            rate,
+        })
+        .collect()
+    }
+
+    /// Fills the buckets of `targets` for the time since the last call, and drops all others.
+    pub fn refill(&mut self, targets: &[LimitedTarget], extent: Extent, now: Instant) {
+        let is_new = |heard: Instant| now.since(heard) < REPORT_LIFE;
+        self.askers.retain(|_, asker| is_new(asker.heard));
+        self.peers.retain(|_, peer| is_new(peer.heard));
+        let passed = now.since(self.filled.unwrap_or(now));
+        self.filled = Some(now);
+        self.adjust_parts(targets, extent, passed);
+        self.keep_buckets(targets);
+        for target in targets {
+            let part = self.parts.get(&target.service).copied();
+            let rate = target.limit.per_second() * part.unwrap_or_default();
+            self.fill(&target.target, rate, passed);
+        }
+    }
+
+    /// Moves this domain's part of the limits of each service towards its part of the demand.
+    fn adjust_parts(&mut self, targets: &[LimitedTarget], extent: Extent, passed: Duration) {
+        let own = self.own_demands();
+        let services: BTreeSet<&Arc<str>> = targets.iter().map(|target| &target.service).collect();
+        self.parts.retain(|service, _| services.contains(service));
+        let even = 1.0 / extent.domains.max(1) as f64;
+        let rise = 1.0 - (-passed.as_secs_f64() / PART_RISE.as_secs_f64()).exp();
+        for service in services {
+            let aim = self.part_of_demand(service, &own, extent).unwrap_or(even);
+            let before = self.parts.get(service).copied().unwrap_or(even);
+            let part = match aim < before {
+                true => aim,
+                false => before + (aim - before) * rise,
+            };
+            self.parts
+                .insert(service.clone(), part.min(extent.largest_part));
+        }
+    }
+
+    /// This domain's part of the demand for a service; `None` where there is none. A domain that is not heard of counts like this one or like the
+    /// largest.
+    fn part_of_demand(&self, service: &str, own: &[ServiceDemand], extent: Extent) -> Option<f64> {
+        let own = rate_of(own, service);
+        let peers = self.peers.values();
+        let rates: Vec<f64> = peers.map(|peer| rate_of(&peer.demands, service)).collect();
+        let domains: BTreeSet<&str> = self.peers.values().map(|peer| &*peer.domain).collect();
+        let unheard = extent.domains.saturating_sub(domains.len() + 1) as f64;
+        let largest = rates.iter().copied().fold(own, f64::max);
+        let all = own + rates.iter().sum::<f64>() + unheard * largest;
+        (all > 0.0).then_some(own / all)
+    }
+
+    fn keep_buckets(&mut self, targets: &[LimitedTarget]) {
+        let listed: BTreeSet<&TargetRun> = targets.iter().map(|target| &target.target).collect();
+        self.buckets.retain(|target, _| listed.contains(target));
+        self.ready.retain(|target| listed.contains(target));
+        for target in targets {
+            let bucket = Bucket {
+                service: target.service.clone(),
+                tokens: 0.0,
+            };
+            self.buckets.entry(target.target.clone()).or_insert(bucket);
+        }
+    }
+
+    fn fill(&mut self, target: &TargetRun, rate: f64, passed: Duration) {
+        let Some(bucket) = self.buckets.get_mut(target) else {
+            return;
+        };
+        let was_ready = bucket.tokens >= 1.0;
+        let most = 1.0 + rate * BUCKET_TIME.as_secs_f64();
+        bucket.tokens = (bucket.tokens + rate * passed.as_secs_f64()).min(most);
+        if bucket.tokens >= 1.0 && !was_ready {
+            self.ready.push_back(target.clone());
+        }
+    }
+
+    /// Issues permits to a box, as many as it can use, one of each target in turn.
+    fn issue(&mut self, run: Incarnation, now: Instant) -> Vec<Grant> {
+        let Some(asker) = self.askers.get_mut(&run) else {
+            return Vec::new();
+        };
+        let mut allowances = asker.allowances(now);
+        let mut issued: BTreeMap<TargetRun, u32> = BTreeMap::new();
+        let mut left_over = VecDeque::new();
+        for _ in 0..MOST_GRANTED {
+            let Some(target) = self.ready.pop_front() else {
+                break;
+            };
+            let Some(bucket) = self.buckets.get_mut(&target) else {
+                continue;
+            };
+            let allowance = allowances.get_mut(&bucket.service);
+            let Some(allowance) = allowance.filter(|allowance| **allowance > 0) else {
+                left_over.push_back(target);
+                continue;
+            };
+            *allowance -= 1;
+            asker.issued.push_back((now, bucket.service.clone()));
+            bucket.tokens -= 1.0;
+            if bucket.tokens >= 1.0 {
+                self.ready.push_back(target.clone());
+            }
+            *issued.entry(target).or_default() += 1;
+        }
+        left_over.append(&mut self.ready);
+        self.ready = left_over;
+        let each = issued.into_iter();
+        each.map(|(target, count)| Grant { target, count })
+            .collect()
+    }
+}
+
+fn rate_of(demands: &[ServiceDemand], service: &str) -> f64 {
+    let found = demands.iter().find(|demand| &*demand.service == service);
+    found.map_or(0.0, |demand| demand.rate.per_second())
+}
--- /dev/null
+++ b/reachtally-core/src/forward/limit/demand.rs
@@ -0,0 +1,82 @@
+//! How many requests callers have for each service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::ServiceDemand;
+use crate::time::Instant;
+
+/// Time constant of the mean rate. The parts of a limit move between failure domains as slowly, so that what collectors know late of each
+/// other does not count twice.
+const SMOOTHING: Duration = Duration::from_millis(1000);
+/// Rate below which a service counts as without demand, in requests a second.
+const LEAST_RATE: f64 = 0.01;
+/// Highest rate that is believed of one sender, in requests a second.
+const HIGHEST_RATE: f64 = 1_000_000.0;
+
+/// A rate of requests a second, finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default)]
+pub struct DemandRate(f64);
+
+impl DemandRate {
+    /// The rate `per_second`, cut to what is believed.
+    pub fn new(per_second: f64) -> Self {
+        let number = if per_second.is_nan() { 0.0 } else { per_second };
+        DemandRate(number.clamp(0.0, HIGHEST_RATE))
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl std::ops::Add for DemandRate {
+    type Output = DemandRate;
+
+    fn add(self, other: DemandRate) -> DemandRate {
+        DemandRate::new(self.0 + other.0)
+    }
+}
+
+/// Mean rate of the requests for one service.
+#[derive(Debug, Clone, Copy)]
+struct Mean {
+    per_second: f64,
+    at: Instant,
+}
+
+impl Mean {
+    fn at(&self, now: Instant) -> f64 {
+        let passed = now.since(self.at).as_secs_f64() / SMOOTHING.as_secs_f64();
+        self.per_second * (-passed).exp()
+    }
+}
+
+/// The requests that callers of a box have, by service.
+#[derive(Debug, Default)]
+pub struct Demand(HashMap<Arc<str>, Mean>);
+
+impl Demand {
+    /// Counts a request for `service`.
+    pub fn count(&mut self, service: &Arc<str>, now: Instant) {
+        let before = self.0.get(service).map_or(0.0, |mean| mean.at(now));
+        let mean = Mean {
+            per_second: before + 1.0 / SMOOTHING.as_secs_f64(),
+            at: now,
+        };
+        self.0.insert(service.clone(), mean);
+    }
+
+    /// The services with demand; those without are removed.
+    pub fn services(&mut self, now: Instant) -> Vec<ServiceDemand> {
+        self.0.retain(|_, mean| mean.at(now) >= LEAST_RATE);
+        let each = self.0.iter();
+        each.map(|(service, mean)| ServiceDemand {
+            service: service.clone(),
+            rate: DemandRate::new(mean.at(now)),
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/reachtally-core/src/forward/limit/permits.rs
@@ -0,0 +1,44 @@
+//! Permits that a box holds.
+
+use super::PERMIT_LIFE;
+use crate::time::Instant;
+
+/// Most permits held for one target; a grant beyond it is an error of the sender.
+const MOST_HELD: usize = 256;
+
+/// The permits that a box holds for one target. Each allows one send until it expires.
+#[derive(Debug, Clone, Default)]
+pub struct Permits {
+    /// When each expires, the first one first.
+    expiries: Vec<Instant>,
+}
+
+impl Permits {
+    /// Adds `count` permits that were issued now.
+    pub fn add(&mut self, count: u32, now: Instant) {
+        self.drop_expired(now);
+        let place = MOST_HELD.saturating_sub(self.expiries.len());
+        let count = (count as usize).min(place);
+        self.expiries
+            .extend(std::iter::repeat_n(now + PERMIT_LIFE, count));
+    }
+
+    /// Whether a send is permitted now.
+    pub fn has(&self, now: Instant) -> bool {
+        self.expiries.last().is_some_and(|expiry| now < *expiry)
+    }
+
+    /// Uses the permit that expires first; yields whether there was one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.drop_expired(now);
+        if self.expiries.is_empty() {
+            return false;
+        }
+        self.expiries.remove(0);
+        true
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        self.expiries.retain(|expiry| now < *expiry);
+    }
+}
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::forward::count::DomainCount;
 use crate::forward::fleet::TargetRun;
+use crate::forward::limit::{DemandPart, Grants, LimitReport, PermitRequest};
 use crate::forward::quarantine::Told;
 use crate::ids::Incarnation;
 
@@ -143,4 +144,12 @@
     Leave(Incarnation),
     /// Between a box and its collector, and between collectors: requests under which runs of targets ended.
     Suspects(Vec<Told>),
+    /// Between a box and its collector, and between collectors: rate limits of targets.
+    Limits(Vec<LimitReport>),
+    /// From a box to its collector: asks for permits for targets with a rate limit.
+    PermitRequest(PermitRequest),
+    /// From a collector to a box: such permits.
+    Grants(Grants),
+    /// From a collector to another: the demand by which they share the limits.
+    DemandPart(DemandPart),
 }
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -35,8 +35,8 @@
 pub(super) struct Candidate<'a> {
     pub key: EngineKey,
     pub engine: &'a Engine,
-    /// Whether a request may be sent to it: it has a place for one, and wants no rest. As a later part of a path it gets its
-    /// work from the first engine, which the rest that it asked this box for does not concern.
+    /// Whether a request may be sent to it: it has a place for one, and neither back-off nor a rate limit keeps this box from it. As a
+    /// later part of a path it gets its work from the first engine, which neither concerns.
     pub takes_more: bool,
     /// Price of the room that the request holds, for each second, with chance.
     pub price: f64,
@@ -90,7 +90,7 @@
         Some(Candidate {
             key,
             engine,
-            takes_more: has_place && !engine.notice.is_resting(cx.now),
+            takes_more: has_place && !cx.is_kept_from(engine),
             price: bias * PRICE_GROWTH.powf(growth) * taken,
             used,
             token_ms: busy * model.step_ms(card, layers, batch) / each,
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// Whether a choice heeds the rate limits that targets state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Limits {
+    /// Targets with a limit are used only with a permit.
+    Enforced,
+    /// A permit is taken to be there.
+    Ignored,
+}
+
 /// What a choice takes into account beside the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Circumstance<'a> {
@@ -82,6 +91,20 @@
     pub unheard: f64,
     /// A well-spread number of the request, so that boxes which believe the same choose differently.
     pub draw: u64,
+    /// Whether rate limits count.
+    pub limits: Limits,
+}
+
+impl Circumstance<'_> {
+    /// Whether back-off or a rate limit keeps this box from sending to a target.
+    fn is_kept_from(&self, engine: &Engine) -> bool {
+        engine.notice.is_resting(self.now) || self.lacks_permit(engine)
+    }
+
+    /// Whether a rate limit keeps this box from sending to a target.
+    fn lacks_permit(&self, engine: &Engine) -> bool {
+        self.limits == Limits::Enforced && engine.lacks_permit(self.now)
+    }
 }
 
 /// A path and what is expected of it.
@@ -208,7 +231,7 @@
     let usable: Vec<(EngineKey, &Engine)> = fleet
         .of_service(service)
         .filter(|(key, engine)| is_usable(*key, engine, cx, trust))
-        .filter(|(_, engine)| !engine.notice.is_resting(cx.now))
+        .filter(|(_, engine)| !cx.is_kept_from(engine))
         .filter(|(_, engine)| engine.running < most_connections)
         .collect();
     let least = usable
--- a/reachtally-core/src/forward/select/shortage.rs
+++ b/reachtally-core/src/forward/select/shortage.rs
@@ -18,6 +18,8 @@
     pub full: u32,
     /// The first layer is held only by engines that want rest, or have no room.
     pub resting: u32,
+    /// The first layer is held only by engines whose rate limit is used up, or that want rest or have no room.
+    pub limited: u32,
 }
 
 impl std::fmt::Display for Shortage {
@@ -27,10 +29,11 @@
             unusable,
             full,
             resting,
+            limited,
         } = self;
         write!(
             f,
-            "gap {gap}, unusable {unusable}, full {full}, resting {resting}"
+            "gap {gap}, unusable {unusable}, full {full}, resting {resting}, limited {limited}"
         )
     }
 }
@@ -42,6 +45,7 @@
     Unusable,
     Full,
     Resting,
+    Limited,
     There,
 }
 
@@ -74,6 +78,7 @@
             Some(Supply::Unusable) => found.unusable += 1,
             Some(Supply::Full) => found.full += 1,
             Some(Supply::Resting) => found.resting += 1,
+            Some(Supply::Limited) => found.limited += 1,
             Some(Supply::There) | None => {}
         }
     }
@@ -95,6 +100,7 @@
         None => (Supply::Full, Supply::Full),
         Some(candidate) if candidate.takes_more => (Supply::There, Supply::There),
         Some(_) if engine.notice.is_resting(cx.now) => (Supply::Resting, Supply::There),
+        Some(_) if cx.lacks_permit(engine) => (Supply::Limited, Supply::There),
         Some(_) => (Supply::Full, Supply::There),
     }
 }
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -27,6 +27,10 @@
         sends_in_rest,
         /// Sends to targets that state a rate limit.
         sends_limited,
+        /// Sends to such targets without a permit.
+        sends_unpermitted,
+        /// Requests that waited for a permit.
+        permit_waits,
         /// Answers that asked for such a time.
         rests_asked,
         /// Sends whose answer was lost or spoilt.
--- a/reachtally-core/tests/core/forward/heavy.rs
+++ b/reachtally-core/tests/core/forward/heavy.rs
@@ -10,7 +10,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{Card, LayerModel};
 use reachtally_core::forward::fleet::{EngineKey, Entry, Fleet};
-use reachtally_core::forward::select::{Aim, Circumstance, Need, path};
+use reachtally_core::forward::select::{Aim, Circumstance, Limits, Need, path};
 
 use super::setup::{self, SERVICE, entry, fleet};
 
@@ -259,6 +259,7 @@
             boxes: self.boxes.len() as u32,
             unheard: 1.0,
             draw: self.rng.random(),
+            limits: Limits::Enforced,
         };
         let there = &mut self.boxes[at];
         let Some(choice) = path(&there.fleet, SERVICE, &self.model, need, &cx) else {
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod freshness;
 mod heavy;
+mod limit;
 mod loads;
 mod notice;
 mod path;
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -7,7 +7,7 @@
 use reachtally_core::forward::cost::{Card, LayerModel, Layers};
 use reachtally_core::forward::fleet::{Born, EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::placement::Host;
-use reachtally_core::forward::select::{Aim, Circumstance, Need};
+use reachtally_core::forward::select::{Aim, Circumstance, Limits, Need};
 
 /// The service of all engines here.
 pub const SERVICE: &str = "pool";
@@ -35,6 +35,7 @@
         boxes: 1,
         unheard: 1.0,
         draw: 0,
+        limits: Limits::Enforced,
     }
 }
 
--- /dev/null
+++ b/reachtally-protocol/src/limits.rs
@@ -0,0 +1,125 @@
+//! Rate limits of targets, and the permits by which boxes keep them.
+
+use std::time::Duration;
+
+use reachtally_core::forward::fleet::{RunMark, TargetRun};
+use reachtally_core::forward::limit::{
+    DemandPart, DemandRate, Grant, Grants, LimitReport, PermitRequest, RateLimit, ServiceDemand,
+};
+use reachtally_core::ids::Incarnation;
+
+use crate::generated::relay;
+
+/// Limits in one message. With names of a dozen bytes, and marks, it fits a datagram that is not split on the way.
+pub const LIMITS_TOLD: usize = 36;
+/// Parts of a request a second that are told.
+const PARTS: f64 = 1000.0;
+
+fn target_run(id: String, mark: u32) -> TargetRun {
+    TargetRun {
+        id: id.into(),
+        // A mark of more than it may have is of no run that is known.
+        mark: RunMark(u16::try_from(mark).unwrap_or(u16::MAX)),
+    }
+}
+
+fn to_parts(per_second: f64) -> u64 {
+    (per_second * PARTS).round() as u64
+}
+
+pub(crate) fn limits_to_wire(limits: &[LimitReport]) -> relay::Limits {
+    let limit = |told: &LimitReport| relay::Limit {
+        target: told.target.id.to_string(),
+        run_mark: u32::from(told.target.mark.0),
+        per_second_milli: told
+            .limit
+            .map_or(0, |limit| to_parts(limit.per_second()).max(1)),
+        age_ms: u32::try_from(told.age.as_millis()).unwrap_or(u32::MAX),
+    };
+    relay::Limits {
+        limits: limits.iter().map(limit).collect(),
+    }
+}
+
+pub(crate) fn limits_from_wire(limits: relay::Limits) -> Vec<LimitReport> {
+    let limit = |told: relay::Limit| LimitReport {
+        target: target_run(told.target, told.run_mark),
+        limit: match told.per_second_milli {
+            0 => None,
+            parts => RateLimit::new(parts as f64 / PARTS),
+        },
+        age: Duration::from_millis(u64::from(told.age_ms)),
+    };
+    limits.limits.into_iter().map(limit).collect()
+}
+
+fn demands_to_wire(demands: &[ServiceDemand]) -> Vec<relay::ServiceDemand> {
+    let demand = |told: &ServiceDemand| relay::ServiceDemand {
+        service: told.service.to_string(),
+        per_second_milli: to_parts(told.rate.per_second()),
+    };
+    demands.iter().map(demand).collect()
+}
+
+fn demands_from_wire(demands: Vec<relay::ServiceDemand>) -> Vec<ServiceDemand> {
+    let demand = |told: relay::ServiceDemand| ServiceDemand {
+        service: told.service.into(),
+        rate: DemandRate::new(told.per_second_milli as f64 / PARTS),
+    };
+    demands.into_iter().map(demand).collect()
+}
+
+pub(crate) fn request_to_wire(req: &PermitRequest) -> relay::PermitRequest {
+    relay::PermitRequest {
+        run: req.run.0,
+        number: req.number,
+        demands: demands_to_wire(&req.demands),
+    }
+}
+
+pub(crate) fn request_from_wire(req: relay::PermitRequest) -> PermitRequest {
+    PermitRequest {
+        run: Incarnation(req.run),
+        number: req.number,
+        demands: demands_from_wire(req.demands),
+    }
+}
+
+pub(crate) fn part_to_wire(part: &DemandPart) -> relay::DemandPart {
+    relay::DemandPart {
+        run: part.run.0,
+        domain: part.domain.clone(),
+        demands: demands_to_wire(&part.demands),
+    }
+}
+
+pub(crate) fn part_from_wire(part: relay::DemandPart) -> DemandPart {
+    DemandPart {
+        run: Incarnation(part.run),
+        domain: part.domain,
+        demands: demands_from_wire(part.demands),
+    }
+}
+
+pub(crate) fn grants_to_wire(grants: &Grants) -> relay::Grants {
+    let grant = |grant: &Grant| relay::Grant {
+        target: grant.target.id.to_string(),
+        run_mark: u32::from(grant.target.mark.0),
+        count: grant.count,
+    };
+    relay::Grants {
+        number: grants.number,
+        grants: grants.grants.iter().map(grant).collect(),
+    }
+}
+
+pub(crate) fn grants_from_wire(grants: relay::Grants) -> Grants {
+    let grant = |grant: relay::Grant| Grant {
+        target: target_run(grant.target, grant.run_mark),
+        count: grant.count,
+    };
+    Grants {
+        number: grants.number,
+        grants: grants.grants.into_iter().map(grant).collect(),
+    }
+}
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -8,6 +8,7 @@
 use reachtally_core::ids::Incarnation;
 
 use crate::generated::relay::{self, load_message::Kind};
+use crate::limits;
 use crate::suspects::{self, SuspectError};
 
 /// Most bytes of a message; a datagram of this size is not split on usual links.
@@ -43,6 +44,10 @@
         Message::Part(part) => Kind::Part(part_to_wire(part)),
         Message::Others(others) => Kind::Others(others_to_wire(others)),
         Message::Suspects(told) => Kind::Suspects(suspects::to_wire(told)),
+        Message::Limits(told) => Kind::Limits(limits::limits_to_wire(told)),
+        Message::PermitRequest(req) => Kind::PermitRequest(limits::request_to_wire(req)),
+        Message::Grants(grants) => Kind::Grants(limits::grants_to_wire(grants)),
+        Message::DemandPart(part) => Kind::DemandPart(limits::part_to_wire(part)),
         Message::Leave(run) => Kind::Leave(relay::LoadLeave { run: run.0 }),
     };
     relay::LoadMessage { kind: Some(kind) }
@@ -72,6 +77,10 @@
         Kind::Suspects(told) => suspects::from_wire(told)
             .map(Message::Suspects)
             .map_err(LoadError::Suspect),
+        Kind::Limits(told) => Ok(Message::Limits(limits::limits_from_wire(told))),
+        Kind::PermitRequest(req) => Ok(Message::PermitRequest(limits::request_from_wire(req))),
+        Kind::Grants(grants) => Ok(Message::Grants(limits::grants_from_wire(grants))),
+        Kind::DemandPart(part) => Ok(Message::DemandPart(limits::part_from_wire(part))),
         Kind::Others(others) => Ok(Message::Others(Others {
             counts: counts_from_wire(others.counts),
             loads: loads_from_wire(others.loads),
--- a/reachtally-protocol/tests/protocol/main.rs
+++ b/reachtally-protocol/tests/protocol/main.rs
@@ -83,4 +83,5 @@
     }
 }
 
+mod limits;
 mod relay;
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -195,7 +195,7 @@
                 assert_eq!(others.counts, counts(13));
                 others.loads
             }
-            Message::Leave(_) | Message::Suspects(_) => panic!("it holds loads"),
+            other => panic!("it holds loads: {other:?}"),
         };
         assert!(kept.len() > 20);
         assert_eq!(kept, loads[..kept.len()]);
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -93,7 +93,7 @@
     pub fn begin(&mut self, relay: &Relay, key: EngineKey, record: SendRecord) {
         relay.count(|tally| tally.sends += 1);
         relay.count_in_rest(key);
-        relay.count_limited(key);
+        relay.use_permit(key);
         self.records.push(record);
         self.take(State::dispatch);
     }
--- /dev/null
+++ b/reachtally-relay/src/gossip/limits.rs
@@ -0,0 +1,167 @@
+//! Rate limits of targets, and permits for sends to them, to and from the other boxes.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::limit::{
+    self, DemandPart, Extent, Grants, LimitReport, LimitedTarget, PermitRequest,
+};
+use reachtally_core::forward::loads::Message;
+use reachtally_core::forward::peers::domains;
+use reachtally_protocol::limits::LIMITS_TOLD;
+
+use super::{Gossip, Target, is_page_due};
+use crate::gossip::PAGE_REPORTS;
+
+/// Least time between two requests for permits.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// This box's requests for permits.
+#[derive(Debug, Default)]
+pub(super) struct Requests {
+    /// Number of the last one.
+    number: u64,
+    sent_at: Option<Instant>,
+    /// Number of the last one that was answered.
+    answered: u64,
+}
+
+impl Gossip {
+    /// Reports limits that changed, or now and then a page of all, and asks for permits. A collector also reports the demand that it knows.
+    pub(super) fn tell_limits(&mut self) {
+        let limits = self.limits_told(self.number);
+        match self.target {
+            Target::Box(ip) => self.send_limits(ip, limits),
+            Target::Here => {
+                for ip in self.collectors() {
+                    self.send_limits(ip, limits.clone());
+                }
+                self.tell_demand();
+            }
+        }
+        self.request_permits();
+    }
+
+    /// Answers report `number` of a box that reports here.
+    pub(super) fn answer_limits(&self, to: IpAddr, number: u64) {
+        self.send_limits(to, self.limits_told(number));
+    }
+
+    /// Reports a change at once, so that other boxes keep a limit before its target tells them.
+    pub(super) fn spread_limits(&self, from: Option<IpAddr>) {
+        let now = self.relay.now();
+        let changes = limit::changes(&self.relay.fleet.borrow(), LIMITS_TOLD, now);
+        for ip in self.neighbours(from) {
+            self.send_limits(ip, changes.clone());
+        }
+    }
+
+    fn limits_told(&self, number: u64) -> Vec<LimitReport> {
+        let now = self.relay.now();
+        let fleet = self.relay.fleet.borrow();
+        let changes = limit::changes(&fleet, LIMITS_TOLD, now);
+        match changes.is_empty() && is_page_due(number) {
+            true => limit::page(&fleet, number / PAGE_REPORTS, LIMITS_TOLD, now),
+            false => changes,
+        }
+    }
+
+    fn send_limits(&self, ip: IpAddr, limits: Vec<LimitReport>) {
+        if !limits.is_empty() {
+            self.send(ip, &Message::Limits(limits));
+        }
+    }
+
+    /// Tells other collectors of the demand by which they share the limits.
+    fn tell_demand(&self) {
+        if self.limited_targets().is_empty() {
+            return;
+        }
+        let part = Message::DemandPart(DemandPart {
+            run: self.run,
+            domain: self.relay.settings.borrow().domain.clone(),
+            demands: self.allocator.own_demands(),
+        });
+        for ip in self.collectors() {
+            self.send(ip, &part);
+        }
+    }
+
+    fn limited_targets(&self) -> Vec<LimitedTarget> {
+        limit::limited_targets(&self.relay.fleet.borrow())
+    }
+
+    /// Asks the collector for permits, where targets with a limit serve what callers ask for.
+    pub(super) fn request_permits(&mut self) {
+        let now = self.relay.now();
+        let is_recent = |at: Instant| now.since(at) < REQUEST_INTERVAL;
+        if self.requests.sent_at.is_some_and(is_recent) {
+            return;
+        }
+        let limited = self.limited_targets();
+        let is_limited = |service: &str| limited.iter().any(|each| &*each.service == service);
+        let mut demands = self.relay.limits.demands(now);
+        demands.retain(|demand| is_limited(&demand.service));
+        if demands.is_empty() {
+            return;
+        }
+        self.requests.number += 1;
+        self.requests.sent_at = Some(now);
+        let req = PermitRequest {
+            run: self.run,
+            number: self.requests.number,
+            demands,
+        };
+        match self.target {
+            Target::Box(ip) => self.send(ip, &Message::PermitRequest(req)),
+            Target::Here => {
+                if let Some(grants) = self.allocator.answer(req, now) {
+                    self.take_grants(&grants);
+                }
+            }
+        }
+    }
+
+    /// Answers a box that asks for permits.
+    pub(super) fn answer_request(&mut self, req: PermitRequest, from: IpAddr) {
+        let now = self.relay.now();
+        if let Some(grants) = self.allocator.answer(req, now)
+            && !grants.grants.is_empty()
+        {
+            self.send(from, &Message::Grants(grants));
+        }
+    }
+
+    /// Takes in permits; an answer that comes twice or late adds nothing.
+    pub(super) fn take_grants(&mut self, grants: &Grants) {
+        if grants.number <= self.requests.answered {
+            return;
+        }
+        self.requests.answered = grants.number;
+        self.relay.take_grants(grants);
+    }
+
+    /// Fills the buckets of what this collector may issue.
+    pub(super) fn refill(&mut self) {
+        let now = self.relay.now();
+        let limited = self.limited_targets();
+        let extent = self.extent();
+        self.allocator.refill(&limited, extent, now);
+    }
+
+    /// Whom the limits are shared with. A box that nobody else takes for a collector does not know how many others there are of its kind.
+    fn extent(&self) -> Extent {
+        let members = domains(&self.relay.members.borrow()).len();
+        let settings = self.relay.settings.borrow().domains;
+        let own = f64::from(self.collector.reporters()) / f64::from(self.relay.boxes().max(1));
+        Extent {
+            domains: members.max(settings).max(1),
+            largest_part: if self.is_collector() {
+                1.0
+            } else {
+                own.min(1.0)
+            },
+        }
+    }
+}
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -1,6 +1,8 @@
 //! Loads to and from the other boxes, so that boxes which do not see each other's requests don't all choose
-//! the same engines; and requests that targets ended under, so that they get no more of them at any box.
+//! the same engines; requests that targets ended under, so that they get no more of them at any box; and rate limits of targets, which
+//! all boxes together keep.
 
+mod limits;
 mod suspects;
 
 use std::collections::BTreeSet;
@@ -8,7 +10,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limits::Requests;
 use reachtally_core::Instant;
+use reachtally_core::forward::limit::Allocator;
 use reachtally_core::forward::loads::{self, Collector, Message, Others};
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::load::{self, MESSAGE_MAX};
@@ -31,6 +35,16 @@
 /// Least time between two log lines on datagrams that do not decode.
 const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Of this many reports one carries a page of all that is held, of suspects and of limits: it repairs what was lost.
+const PAGE_REPORTS: u64 = 10;
+/// The first reports of a box, which are answered with such a page each: it has just started.
+const REPORTS_OF_A_START: u64 = 5;
+
+/// Whether report `number` carries a page of all that is held, or is answered with one.
+fn is_page_due(number: u64) -> bool {
+    number < REPORTS_OF_A_START || number.is_multiple_of(PAGE_REPORTS)
+}
+
 /// Open the socket for loads.
 ///
 /// # Errors
@@ -58,6 +72,8 @@
             _ = tick.tick() => gossip.tell(),
             _ = sum_tick.tick(), if gossip.collector.reporters() > 0 => gossip.sum_up(),
             () = relay.suspicion.news.notified() => gossip.spread_suspects(None),
+            () = relay.limits.changed.notified() => gossip.spread_limits(None),
+            () = relay.limits.wanted.notified() => gossip.request_permits(),
             received = gossip.socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => gossip.hear(&buf[..length], from.ip()),
                 Err(err) => log::debug!(event = "report-failed", why:% = err; "no message was received"),
@@ -88,6 +104,9 @@
     unanswered: u32,
     avoid: Vec<(IpAddr, Instant)>,
     malformed_at: Option<Instant>,
+    /// Issues the permits of those that report here.
+    allocator: Allocator,
+    requests: Requests,
 }
 
 impl Gossip {
@@ -105,6 +124,8 @@
             unanswered: 0,
             avoid: Vec::new(),
             malformed_at: None,
+            allocator: Allocator::default(),
+            requests: Requests::default(),
         })
     }
 
@@ -123,6 +144,7 @@
         }
         self.tell_suspects();
         self.sum_up();
+        self.tell_limits();
         self.tell_peers();
         if self.target == Target::Here && self.is_collector() {
             self.take(self.collector.all_but(self.run), now);
@@ -153,6 +175,7 @@
     fn sum_up(&mut self) {
         let now = self.relay.now();
         self.collector.sum_up(now);
+        self.refill();
     }
 
     /// Choose where to report to: the first reader of this failure domain that answers.
@@ -179,7 +202,10 @@
     /// second sends.
     fn leave(&mut self) {
         match self.target {
-            Target::Here => self.collector.leave(self.run),
+            Target::Here => {
+                self.collector.leave(self.run);
+                self.allocator.leave(self.run);
+            }
             Target::Box(ip) => self.send(ip, &Message::Leave(self.run)),
         }
     }
@@ -207,6 +233,33 @@
         told.iter().map(|(_, ip)| *ip).chain(silent).collect()
     }
 
+    /// Other collectors, if this box is one.
+    fn collectors(&self) -> BTreeSet<IpAddr> {
+        match self.collector.reporters() {
+            0 => BTreeSet::new(),
+            _ => self.peers(),
+        }
+    }
+
+    /// The boxes that a collector passes news on to, but for the one that it is from.
+    fn collected(&self, from: Option<IpAddr>) -> BTreeSet<IpAddr> {
+        let reporters = self.collector.reporters_ips();
+        let all = reporters.chain(self.collectors());
+        all.filter(|ip| Some(*ip) != from && *ip != self.ip())
+            .collect()
+    }
+
+    /// All boxes that this one passes news on to, but for the one that it is from.
+    fn neighbours(&self, from: Option<IpAddr>) -> BTreeSet<IpAddr> {
+        let mut found = self.collected(from);
+        if let Target::Box(ip) = self.target
+            && Some(ip) != from
+        {
+            found.insert(ip);
+        }
+        found
+    }
+
     fn send(&self, ip: IpAddr, message: &Message) {
         self.send_bytes(ip, &load::encode(message));
     }
@@ -229,9 +282,13 @@
                     self.send(from, &Message::Others(answer));
                 }
                 self.answer_suspects(from, number);
+                self.answer_limits(from, number);
             }
             Ok(Message::Part(part)) => self.collector.hear_part(part, from, now),
-            Ok(Message::Leave(run)) => self.collector.leave(run),
+            Ok(Message::Leave(run)) => {
+                self.collector.leave(run);
+                self.allocator.leave(run);
+            }
             Ok(Message::Others(others)) => {
                 if self.target == Target::Box(from) {
                     self.unanswered = 0;
@@ -243,6 +300,18 @@
                     self.spread_suspects(Some(from));
                 }
             }
+            Ok(Message::Limits(told)) => {
+                if self.relay.hear_limits(&told) {
+                    self.spread_limits(Some(from));
+                }
+            }
+            Ok(Message::PermitRequest(req)) => self.answer_request(req, from),
+            Ok(Message::Grants(grants)) => {
+                if self.target == Target::Box(from) {
+                    self.take_grants(&grants);
+                }
+            }
+            Ok(Message::DemandPart(part)) => self.allocator.hear_part(part, now),
             Err(err) => self.note_malformed(from, &err, now),
         }
     }
--- a/reachtally-relay/src/gossip/suspects.rs
+++ b/reachtally-relay/src/gossip/suspects.rs
@@ -1,17 +1,11 @@
 //! Requests that targets ended under, to and from the other boxes.
 
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use reachtally_core::forward::loads::Message;
 use reachtally_core::forward::quarantine::{Origin, Told};
 
-use super::{Gossip, Target};
-
-/// Of this many reports one tells all that is held of requests that targets ended under, page by page: it repairs what was lost.
-const PAGE_REPORTS: u64 = 10;
-/// The first reports of a box, which are answered with such a page each: it has just started.
-const REPORTS_OF_A_START: u64 = 5;
+use super::{Gossip, PAGE_REPORTS, Target, is_page_due};
 
 impl Gossip {
     /// Tell the collector of requests that targets ended under: what this box has seen lately, and now and then all that it holds, since
@@ -40,8 +34,7 @@
         let now = self.relay.now();
         let suspicion = &self.relay.suspicion;
         let changes = suspicion.changes(origin, now);
-        let is_due = number < REPORTS_OF_A_START || number.is_multiple_of(PAGE_REPORTS);
-        match changes.is_empty() && is_due {
+        match changes.is_empty() && is_page_due(number) {
             true => suspicion.page(number / PAGE_REPORTS, now),
             false => changes,
         }
@@ -57,19 +50,8 @@
             self.send_suspects(ip, told(Origin::Own));
         }
         let told = told(Origin::Any);
-        let reporters: BTreeSet<IpAddr> = self.collector.reporters_ips().collect();
-        for ip in reporters.into_iter().chain(self.collectors()) {
-            if Some(ip) != from && ip != self.ip() {
-                self.send_suspects(ip, told.clone());
-            }
-        }
-    }
-
-    /// Other collectors, if this box is one.
-    fn collectors(&self) -> BTreeSet<IpAddr> {
-        match self.collector.reporters() {
-            0 => BTreeSet::new(),
-            _ => self.peers(),
+        for ip in self.collected(from) {
+            self.send_suspects(ip, told.clone());
         }
     }
 
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod gossip;
 pub mod group;
 pub mod lifecycle;
+mod limits;
 pub mod listen;
 pub mod metrics;
 pub mod occupied;
--- /dev/null
+++ b/reachtally-relay/src/limits.rs
@@ -0,0 +1,129 @@
+//! Rate limits of targets: what this box learns of them, the permits it holds, and requests that wait for one.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::fleet::{EngineKey, TargetRun};
+use reachtally_core::forward::limit::{
+    self, Demand, Grants, LimitReport, RateLimit, ServiceDemand, StatedLimit,
+};
+use tokio::sync::{Notify, watch};
+
+use crate::relay::Relay;
+use crate::serve::Call;
+
+/// Part of a request's objective, counted from its arrival, for which it waits for a permit.
+const WAIT_PART: f64 = 0.125;
+
+/// State of the limits beside what is known of each target.
+#[derive(Debug, Default)]
+pub(crate) struct LimitState {
+    demand: RefCell<Demand>,
+    /// A target told this box of a change.
+    pub changed: Notify,
+    /// A request waits for a permit.
+    pub wanted: Notify,
+    granted: watch::Sender<()>,
+}
+
+impl LimitState {
+    /// Counts a request for `service`.
+    pub fn count(&self, service: &Arc<str>, now: Instant) {
+        self.demand.borrow_mut().count(service, now);
+    }
+
+    /// What callers of this box ask for.
+    pub fn demands(&self, now: Instant) -> Vec<ServiceDemand> {
+        self.demand.borrow_mut().services(now)
+    }
+}
+
+impl Relay {
+    /// A target's answer states its rate limit.
+    pub(crate) fn target_limits(&self, run: &TargetRun, limit: RateLimit) {
+        self.state_limit(run, Some(limit));
+    }
+
+    /// A target's own answer names no rate limit: one that it named before has ended.
+    pub(crate) fn target_names_no_limit(&self, run: &TargetRun) {
+        if self.fleet.borrow().limit_of(run).is_some() {
+            self.state_limit(run, None);
+        }
+    }
+
+    fn state_limit(&self, run: &TargetRun, limit: Option<RateLimit>) {
+        let at = self.now();
+        let before = self.fleet.borrow().limit_of(run);
+        let mut is_changed = false;
+        self.fleet.borrow_mut().note(run, at, |notice| {
+            is_changed = notice.state_limit(StatedLimit { limit, at }, at);
+        });
+        if is_changed {
+            log_change(run, limit, before);
+            self.limits.changed.notify_one();
+        }
+    }
+
+    /// Takes in what another box reported of limits; yields whether one changed.
+    pub(crate) fn hear_limits(&self, reports: &[LimitReport]) -> bool {
+        let now = self.now();
+        let mut is_news = false;
+        for report in reports {
+            let mut fleet = self.fleet.borrow_mut();
+            let before = fleet.limit_of(&report.target);
+            if limit::hear(&mut fleet, report, now) {
+                log_change(&report.target, report.limit, before);
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
+    /// Takes in permits.
+    pub(crate) fn take_grants(&self, grants: &Grants) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        for grant in &grants.grants {
+            fleet.grant(&grant.target, grant.count, now);
+        }
+        drop(fleet);
+        self.limits.granted.send_replace(());
+    }
+
+    /// Uses a permit for a send to a target, if that states a limit.
+    pub(crate) fn use_permit(&self, key: EngineKey) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(engine) = fleet.get_mut(key) else {
+            return;
+        };
+        if engine.notice.limit().is_none() {
+            return;
+        }
+        let is_permitted = engine.take_permit(now);
+        self.count(|tally| {
+            tally.sends_limited += 1;
+            tally.sends_unpermitted += u64::from(!is_permitted);
+        });
+    }
+
+    /// Waits for permits, where nothing else keeps a request from being sent; yields whether some came in time.
+    pub(crate) async fn permits_came(&self, call: &Call, would_serve: bool) -> bool {
+        let until = call.arrived + call.route.objective.mul_f64(WAIT_PART);
+        if !would_serve || self.now() >= until {
+            return false;
+        }
+        self.count(|tally| tally.permit_waits += 1);
+        let mut granted = self.limits.granted.subscribe();
+        self.limits.wanted.notify_one();
+        let waiting = tokio::time::timeout_at(self.timer(until), granted.changed());
+        // The sender lives as long as the relay.
+        waiting.await.is_ok_and(|granted| granted.is_ok())
+    }
+}
+
+fn log_change(run: &TargetRun, limit: Option<RateLimit>, before: Option<RateLimit>) {
+    let rate = |limit: Option<RateLimit>| limit.map(RateLimit::per_second);
+    log::info!(event = "target-limit", target = &*run.id, per_s:? = rate(limit), before:? = rate(before); "a target changed the rate that it accepts from all boxes together");
+}
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -41,7 +41,10 @@
     let fleet = relay.fleet.borrow();
     let is_known =
         |engine: &Engine| engine.pace_elsewhere.is_some() || engine.own_pace(relay.now()).is_some();
-    let is_asked = |engine: &Engine| !is_known(engine) && !engine.wants_none(relay.now());
+    let is_limited = |engine: &Engine| engine.notice.limit().is_some();
+    let is_asked = |engine: &Engine| {
+        !is_known(engine) && !is_limited(engine) && !engine.wants_none(relay.now())
+    };
     fleet.get(key).is_some_and(is_asked)
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::configuration::Configuration;
 use crate::connections::Connections;
 use crate::lifecycle::Lifecycle;
+use crate::limits::LimitState;
 use crate::metrics::Times;
 use crate::occupied::OpenConnection;
 use crate::quarantine::Suspicion;
@@ -94,6 +95,8 @@
     slow_engines: SlowEngines,
     /// Requests under which targets ended.
     pub(crate) suspicion: Suspicion,
+    /// Rate limits of targets.
+    pub(crate) limits: LimitState,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -160,6 +163,7 @@
             direct: watch::Sender::new(true),
             slow_engines: SlowEngines::default(),
             suspicion: Suspicion::default(),
+            limits: LimitState::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
@@ -399,6 +403,7 @@
     pub fn count_first(&self, service: &Arc<str>) {
         let bounds = self.settings.borrow().budget;
         self.second_sends.first(service, self.now(), &bounds);
+        self.limits.count(service, self.now());
     }
 
     /// Take a second send from a service's budget.
@@ -435,6 +440,7 @@
             boxes: self.boxes(),
             unheard: self.unheard(),
             draw,
+            limits: select::Limits::Enforced,
         }
     }
 
@@ -449,7 +455,8 @@
         let settings = self.settings.borrow();
         let fleet = self.fleet.borrow();
         let cx = self.circumstance(&settings, &[], draw);
-        let can_serve = |now| can_serve(&fleet, &select::Circumstance { now, ..cx });
+        let limits = select::Limits::Ignored;
+        let can_serve = |now| can_serve(&fleet, &select::Circumstance { now, limits, ..cx });
         let end = select::served_after_rest(&fleet, service, cx.now, can_serve)?;
         Some(end.since(cx.now))
     }
@@ -461,7 +468,10 @@
         };
         let settings = self.settings.borrow();
         let fleet = self.fleet.borrow();
-        let cx = self.circumstance(&settings, &[], 0);
+        let cx = select::Circumstance {
+            limits: select::Limits::Ignored,
+            ..self.circumstance(&settings, &[], 0)
+        };
         table
             .services
             .iter()
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -36,6 +36,10 @@
     let last = call.head.last_event;
     loop {
         let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
+            let would_serve = send::would_serve(relay, &call, &attempts.avoid);
+            if relay.permits_came(&call, would_serve).await {
+                continue;
+            }
             send::log_shortage(relay, &call, &attempts.avoid);
             break;
         };
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -13,7 +13,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
-use reachtally_core::forward::select::{self, Aim, Need, Shortage};
+use reachtally_core::forward::select::{self, Aim, Circumstance, Limits, Need, Shortage};
 use reachtally_core::forward::stall;
 use reachtally_core::life::NeverStarted;
 
@@ -66,9 +66,22 @@
 
 /// Choose engines other than `avoid`.
 pub(super) fn choose(relay: &Relay, call: &Call, avoid: &[EngineKey]) -> Option<Pick> {
+    choose_with(relay, call, avoid, Limits::Enforced)
+}
+
+/// Whether only rate limits keep engines other than `avoid` from running a request.
+pub(super) fn would_serve(relay: &Relay, call: &Call, avoid: &[EngineKey]) -> bool {
+    let has_limits = relay.fleet.borrow().stated_limits().next().is_some();
+    has_limits && choose_with(relay, call, avoid, Limits::Ignored).is_some()
+}
+
+fn choose_with(relay: &Relay, call: &Call, avoid: &[EngineKey], limits: Limits) -> Option<Pick> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
-    let cx = relay.circumstance(&settings, avoid, call.draw);
+    let cx = Circumstance {
+        limits,
+        ..relay.circumstance(&settings, avoid, call.draw)
+    };
     let Some(model) = &call.service.model else {
         let most = call.service.max_connections;
         let key = select::instance(&fleet, &call.service_name, most, &cx)?;
--- a/reachtally-relay/src/targets/answers.rs
+++ b/reachtally-relay/src/targets/answers.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use reachtally_core::forward::fleet::{EngineKey, TargetRun};
-use reachtally_core::forward::limit::{RateLimit, StatedLimit};
 
 use crate::relay::Relay;
 use crate::wire::{LimitHeader, Statement};
@@ -47,33 +46,11 @@
             self.target_leaves(run);
         }
         match said.limit {
-            LimitHeader::Named(limit) => self.target_limits(run, Some(limit)),
+            LimitHeader::Named(limit) => self.target_limits(run, limit),
             LimitHeader::Absent | LimitHeader::Malformed => {}
         }
     }
 
-    /// A target's own answer names no rate limit: one that it named before has ended.
-    pub(crate) fn target_names_no_limit(&self, run: &TargetRun) {
-        self.target_limits(run, None);
-    }
-
-    /// Takes in what a target stated of its rate limit.
-    fn target_limits(&self, run: &TargetRun, limit: Option<RateLimit>) {
-        let at = self.now();
-        let mut fleet = self.fleet.borrow_mut();
-        let known = fleet.limit_of(run);
-        if known.is_none() && limit.is_none() {
-            return;
-        }
-        fleet.note(run, at, |notice| {
-            notice.state_limit(StatedLimit { limit, at })
-        });
-        if known != limit {
-            let rate = |limit: Option<RateLimit>| limit.map(RateLimit::per_second);
-            log::info!(event = "target-limit", target = &*run.id, per_s:? = rate(limit), before:? = rate(known); "a target changed the rate that it accepts from all boxes together");
-        }
-    }
-
     /// A target leaves: it gets nothing more from this box, whatever its entry says.
     fn target_leaves(&self, run: &TargetRun) {
         let mut is_news = false;
@@ -95,15 +72,6 @@
         fleet.note(run, now, |notice| notice.rest(now + rest));
     }
 
-    /// Counts a send to a target with a rate limit.
-    pub(crate) fn count_limited(&self, key: EngineKey) {
-        let fleet = self.fleet.borrow();
-        let limit = fleet.get(key).and_then(|engine| engine.notice.limit());
-        if limit.is_some() {
-            self.count(|tally| tally.sends_limited += 1);
-        }
-    }
-
     /// Count a send to a target that wants none at present.
     pub(crate) fn count_in_rest(&self, key: EngineKey) {
         let fleet = self.fleet.borrow();
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use hyper::body::{Body as _, Incoming};
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::forward::select;
+use reachtally_core::forward::select::{self, Circumstance, Limits};
 use reachtally_core::life::NeverStarted;
 
 use crate::answer::{self, Body, CutShort};
@@ -28,7 +28,14 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: &Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let mut failure: Option<Response<Body>> = None;
-    while let Some(key) = choose(relay, call, &attempts.avoid) {
+    loop {
+        let Some(key) = choose(relay, call, &attempts.avoid, Limits::Enforced) else {
+            let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
+            if relay.permits_came(call, would_serve).await {
+                continue;
+            }
+            break;
+        };
         if !attempts.may_send(relay, call) {
             break;
         }
@@ -79,10 +86,13 @@
     }
 }
 
-fn choose(relay: &Relay, call: &Call, tried: &[EngineKey]) -> Option<EngineKey> {
+fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<EngineKey> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
-    let cx = relay.circumstance(&settings, tried, call.draw);
+    let cx = Circumstance {
+        limits,
+        ..relay.circumstance(&settings, tried, call.draw)
+    };
     select::instance(
         &fleet,
         &call.service_name,
