feat(core): parts of a limit follow demand both ways, and boxes hold permits for half a second of it

Hypothesis: a part that falls at once and rises slowly follows each dip of a noisy demand, so the parts add up to less than the limit; and a box that holds permits for a whole second of its demand lets many expire.

A box's share of a low rate is a request in minutes, and each box saves one up.

--- a/reachtally-core/src/forward/limit/allocator.rs
+++ b/reachtally-core/src/forward/limit/allocator.rs
@@ -14,8 +14,10 @@
 
 /// Time for which a bucket is filled beyond its first token: longer than the time between two requests of a box.
 const BUCKET_TIME: Duration = Duration::from_millis(300);
-/// Time constant with which a domain's part of a limit rises. A part that falls does so at once.
-const PART_RISE: Duration = Duration::from_millis(500);
+/// Time constant with which a domain's part of a limit follows the demand. It covers the time after which collectors know of each other's.
+const PART_SMOOTHING: Duration = Duration::from_millis(500);
+/// Time for which a box holds permits at most, by its demand. Shorter than their life, so that few expire unused.
+const HELD_TIME: Duration = Duration::from_millis(500);
 /// Most permits in one answer, so that it fits a datagram.
 const MOST_GRANTED: usize = 40;
 
@@ -55,7 +57,7 @@
         let is_over = |at: Instant| now.since(at) >= PERMIT_LIFE;
         self.issued.retain(|(at, _)| !is_over(*at));
         let allowance = |demand: &ServiceDemand| {
-            let usable = demand.rate.per_second() * PERMIT_LIFE.as_secs_f64();
+            let usable = demand.rate.per_second() * HELD_TIME.as_secs_f64();
             let of_service = self.issued.iter().filter(|(_, of)| *of == demand.service);
             (usable.ceil() as usize).saturating_sub(of_service.count())
         };
@@ -167,14 +169,11 @@
         let services: BTreeSet<&Arc<str>> = targets.iter().map(|target| &target.service).collect();
         self.parts.retain(|service, _| services.contains(service));
         let even = 1.0 / extent.domains.max(1) as f64;
-        let rise = 1.0 - (-passed.as_secs_f64() / PART_RISE.as_secs_f64()).exp();
+        let moved = 1.0 - (-passed.as_secs_f64() / PART_SMOOTHING.as_secs_f64()).exp();
         for service in services {
             let aim = self.part_of_demand(service, &own, extent).unwrap_or(even);
             let before = self.parts.get(service).copied().unwrap_or(even);
-            let part = match aim < before {
-                true => aim,
-                false => before + (aim - before) * rise,
-            };
+            let part = before + (aim - before) * moved;
             self.parts
                 .insert(service.clone(), part.min(extent.largest_part));
         }
