fix(relay): streams of a plain service keep to the box's part of an instance's connections

An instance's connections were divided by the number of boxes for requests with one body, and taken whole by each box for streams over a plain service. 295 boxes could open 295 times what an instance accepts, which resets the rest.

--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -17,6 +17,7 @@
 use reachtally_core::forward::loads::Elsewhere;
 use reachtally_core::forward::peers::{self, Member};
 use reachtally_core::forward::readers::View;
+use reachtally_core::forward::routes::Service;
 use reachtally_core::forward::select;
 use reachtally_core::forward::stall::Progress;
 use reachtally_core::forward::tally::Tally;
@@ -379,6 +380,11 @@
         counted.unwrap_or_default().max(members).max(least)
     }
 
+    /// This box's part of the connections that an instance of a plain service accepts from all boxes together.
+    pub(crate) fn most_connections(&self, service: &Service) -> u32 {
+        (service.max_connections / self.boxes()).max(1)
+    }
+
     /// Whether this box has run long enough for what it is told of others to be all of it.
     fn is_count_settled(&self) -> bool {
         self.now().elapsed() >= COUNT_SETTLED
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -83,7 +83,7 @@
         ..relay.circumstance(&settings, avoid, call.draw)
     };
     let Some(model) = &call.service.model else {
-        let most = call.service.max_connections;
+        let most = relay.most_connections(&call.service);
         let key = select::instance(&fleet, &call.service_name, most, &cx)?;
         return Some(Pick {
             path: None,
@@ -106,7 +106,10 @@
     let service = &call.service_name;
     relay.rest(service, call.draw, |fleet, cx| match &call.service.model {
         Some(model) => select::path(fleet, service, model, need(call), cx).is_some(),
-        None => select::instance(fleet, service, call.service.max_connections, cx).is_some(),
+        None => {
+            let most = relay.most_connections(&call.service);
+            select::instance(fleet, service, most, cx).is_some()
+        }
     })
 }
 
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -96,20 +96,15 @@
     select::instance(
         &fleet,
         &call.service_name,
-        most_connections(relay, call),
+        relay.most_connections(&call.service),
         &cx,
     )
 }
 
-/// This box's part of the connections that an instance takes.
-fn most_connections(relay: &Relay, call: &Call) -> u32 {
-    (call.service.max_connections / relay.boxes()).max(1)
-}
-
 /// How long it will be until instances that want rest can serve the request.
 fn rest(relay: &Relay, call: &Call) -> Option<Duration> {
     relay.rest(&call.service_name, call.draw, |fleet, cx| {
-        let most = most_connections(relay, call);
+        let most = relay.most_connections(&call.service);
         select::instance(fleet, &call.service_name, most, cx).is_some()
     })
 }
