--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -29,8 +29,10 @@
         sends_limited,
         /// Sends to such targets without a permit.
         sends_unpermitted,
-        /// Requests that waited for a permit.
+        /// Waits of requests for a permit.
         permit_waits,
+        /// Requests refused because of rate limits alone.
+        requests_limited,
         /// Answers that asked for such a time.
         rests_asked,
         /// Sends whose answer was lost or spoilt.
--- a/reachtally-journal/src/losses.rs
+++ b/reachtally-journal/src/losses.rs
@@ -6,7 +6,14 @@
 use crate::ranking::{ranked, total};
 
 /// Events of a request that may make it late or lose it, before it ends.
-const TROUBLES: [&str; 5] = ["no-path", "not-run", "lost", "stage-dead", "broke"];
+const TROUBLES: [&str; 6] = [
+    "no-path",
+    "no-permit",
+    "not-run",
+    "lost",
+    "stage-dead",
+    "broke",
+];
 
 /// How requests ended that were not served in time, and how many ended so.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -57,6 +64,7 @@
 fn trouble(line: &Line) -> String {
     match line.text("event") {
         "no-path" => format!("no path ({})", line.text("lacks")),
+        "no-permit" => "rate limits of targets".to_owned(),
         "not-run" => "turned away by an engine".to_owned(),
         "lost" => "an answer was lost".to_owned(),
         "stage-dead" => "an engine of the stream died".to_owned(),
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -87,6 +87,19 @@
     assert_eq!(lines, expected);
 }
 
+#[test]
+fn requests_that_rate_limits_alone_kept_back_are_counted_as_such() {
+    let log = [
+        r#"{"t":1,"event":"no-permit","id":"r1"}"#,
+        r#"{"t":1,"event":"no-path","id":"r1","lacks":"limited 1"}"#,
+        r#"{"t":2,"event":"refused","id":"r1","why":"NoTarget"}"#,
+    ];
+    let text = losses(log).to_string();
+    let first = text.lines().next();
+    let expected = "      1  100.0%  refused (NoTarget), first rate limits of targets";
+    assert_eq!(first, Some(expected));
+}
+
 #[test]
 fn engines_that_requests_crowd_on_are_told_with_what_was_believed_of_them() {
     let late = |expected, took, targets| {
--- a/reachtally-relay/src/limits.rs
+++ b/reachtally-relay/src/limits.rs
@@ -108,18 +108,23 @@
         });
     }
 
-    /// Waits for permits, where nothing else keeps a request from being sent; yields whether some came in time.
-    pub(crate) async fn permits_came(&self, call: &Call, would_serve: bool) -> bool {
+    /// Waits for permits, where nothing else keeps a request from being sent; yields whether to look for a target once more.
+    pub(crate) async fn await_permits(&self, call: &Call, would_serve: bool) -> bool {
+        if !would_serve {
+            return false;
+        }
         let until = call.arrived + call.route.objective.mul_f64(WAIT_PART);
-        if !would_serve || self.now() >= until {
+        if self.now() >= until {
+            log::info!(event = "no-permit", id = &*call.head.id; "only the rate limits of targets keep the request from being sent");
+            self.count(|tally| tally.requests_limited += 1);
             return false;
         }
         self.count(|tally| tally.permit_waits += 1);
         let mut granted = self.limits.granted.subscribe();
         self.limits.wanted.notify_one();
         let waiting = tokio::time::timeout_at(self.timer(until), granted.changed());
-        // The sender lives as long as the relay.
-        waiting.await.is_ok_and(|granted| granted.is_ok())
+        // The sender lives as long as the relay. After the time is over the caller looks once more.
+        !matches!(waiting.await, Ok(Err(_)))
     }
 }
 
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -37,7 +37,7 @@
     loop {
         let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
             let would_serve = send::would_serve(relay, &call, &attempts.avoid);
-            if relay.permits_came(&call, would_serve).await {
+            if relay.await_permits(&call, would_serve).await {
                 continue;
             }
             send::log_shortage(relay, &call, &attempts.avoid);
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -31,7 +31,7 @@
     loop {
         let Some(key) = choose(relay, call, &attempts.avoid, Limits::Enforced) else {
             let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
-            if relay.permits_came(call, would_serve).await {
+            if relay.await_permits(call, would_serve).await {
                 continue;
             }
             break;
