fix(core): permits that were used no longer count as held

What was issued to a box in the last second counted as held, also after it was used, so a box got permits for half of its demand at most: callers are refused where limits are between that and the demand. A box now tells with its demand how many permits it holds unused.

--- a/reachtally-bench/src/limits/box_state.rs
+++ b/reachtally-bench/src/limits/box_state.rs
@@ -5,7 +5,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{Entry, Evidence, Fleet, TargetRun};
 use reachtally_core::forward::limit::{
-    Allocator, Demand, Extent, PermitRequest, RateLimit, StatedLimit, limited_targets,
+    Allocator, Demand, Extent, PermitRequest, RateLimit, StatedLimit, limited_targets, note_held,
 };
 use reachtally_core::ids::Incarnation;
 
@@ -89,10 +89,11 @@
     /// Asks for permits, if it knows a limit and has callers.
     pub fn request(&mut self, now: Instant) -> Option<PermitRequest> {
         self.limit()?;
-        let demands = self.demand.services(now);
+        let mut demands = self.demand.services(now);
         if demands.is_empty() {
             return None;
         }
+        note_held(&mut demands, &self.fleet, now);
         self.number += 1;
         Some(PermitRequest {
             run: self.run,
--- a/reachtally-core/src/forward/limit/allocator.rs
+++ b/reachtally-core/src/forward/limit/allocator.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{
-    DemandPart, DemandRate, Grant, Grants, PERMIT_LIFE, PermitRequest, RateLimit, ServiceDemand,
-};
+use super::{DemandPart, DemandRate, Grant, Grants, PermitRequest, RateLimit, ServiceDemand};
 use crate::forward::fleet::TargetRun;
 use crate::forward::loads::REPORT_LIFE;
 use crate::ids::Incarnation;
@@ -47,19 +45,14 @@
     number: u64,
     heard: Instant,
     demands: Vec<ServiceDemand>,
-    /// When each permit was issued to it lately, and for which service.
-    issued: VecDeque<(Instant, Arc<str>)>,
 }
 
 impl Asker {
-    /// Permits by service that it can use beside those it may still hold.
-    fn allowances(&mut self, now: Instant) -> BTreeMap<Arc<str>, usize> {
-        let is_over = |at: Instant| now.since(at) >= PERMIT_LIFE;
-        self.issued.retain(|(at, _)| !is_over(*at));
+    /// Permits by service that it can use beside those it holds.
+    fn allowances(&self) -> BTreeMap<Arc<str>, u32> {
         let allowance = |demand: &ServiceDemand| {
             let usable = demand.rate.per_second() * HELD_TIME.as_secs_f64();
-            let of_service = self.issued.iter().filter(|(_, of)| *of == demand.service);
-            (usable.ceil() as usize).saturating_sub(of_service.count())
+            (usable.ceil() as u32).saturating_sub(demand.held)
         };
         let each = self.demands.iter();
         each.map(|demand| (demand.service.clone(), allowance(demand)))
@@ -102,7 +95,6 @@
             number: 0,
             heard: now,
             demands: Vec::new(),
-            issued: VecDeque::new(),
         });
         if req.number <= asker.number {
             return None;
@@ -112,7 +104,7 @@
         asker.demands = req.demands;
         Some(Grants {
             number: req.number,
-            grants: self.issue(req.run, now),
+            grants: self.issue(req.run),
         })
     }
 
@@ -133,16 +125,18 @@
 
     /// The demand of the boxes that ask here, by service.
     pub fn own_demands(&self) -> Vec<ServiceDemand> {
-        let mut sums: BTreeMap<&Arc<str>, DemandRate> = BTreeMap::new();
+        let mut sums: BTreeMap<&Arc<str>, (DemandRate, u32)> = BTreeMap::new();
         let demands = self.askers.values().flat_map(|asker| &asker.demands);
         for demand in demands {
-            let sum = sums.entry(&demand.service).or_default();
-            *sum = *sum + demand.rate;
+            let (rate, held) = sums.entry(&demand.service).or_default();
+            *rate = *rate + demand.rate;
+            *held = held.saturating_add(demand.held);
         }
         let each = sums.into_iter();
-        each.map(|(service, rate)| ServiceDemand {
+        each.map(|(service, (rate, held))| ServiceDemand {
             service: service.clone(),
             rate,
+            held,
         })
         .collect()
     }
@@ -218,11 +212,11 @@
     }
 
     /// Issues permits to a box, as many as it can use, one of each target in turn.
-    fn issue(&mut self, run: Incarnation, now: Instant) -> Vec<Grant> {
-        let Some(asker) = self.askers.get_mut(&run) else {
+    fn issue(&mut self, run: Incarnation) -> Vec<Grant> {
+        let Some(asker) = self.askers.get(&run) else {
             return Vec::new();
         };
-        let mut allowances = asker.allowances(now);
+        let mut allowances = asker.allowances();
         let mut issued: BTreeMap<TargetRun, u32> = BTreeMap::new();
         let mut left_over = VecDeque::new();
         for _ in 0..MOST_GRANTED {
@@ -238,7 +232,6 @@
                 continue;
             };
             *allowance -= 1;
-            asker.issued.push_back((now, bucket.service.clone()));
             bucket.tokens -= 1.0;
             if bucket.tokens >= 1.0 {
                 self.ready.push_back(target.clone());
--- a/reachtally-core/src/forward/limit/demand.rs
+++ b/reachtally-core/src/forward/limit/demand.rs
@@ -69,13 +69,14 @@
         self.0.insert(service.clone(), mean);
     }
 
-    /// The services with demand; those without are removed.
+    /// The services with demand; those without are removed. Permits are not known here.
     pub fn services(&mut self, now: Instant) -> Vec<ServiceDemand> {
         self.0.retain(|_, mean| mean.at(now) >= LEAST_RATE);
         let each = self.0.iter();
         each.map(|(service, mean)| ServiceDemand {
             service: service.clone(),
             rate: DemandRate::new(mean.at(now)),
+            held: 0,
         })
         .collect()
     }
--- a/reachtally-core/src/forward/limit/mod.rs
+++ b/reachtally-core/src/forward/limit/mod.rs
@@ -19,7 +19,7 @@
 pub use allocator::{Allocator, Extent, LimitedTarget};
 pub use demand::{Demand, DemandRate};
 pub use permits::Permits;
-pub use spread::{changes, hear, limited_targets, page};
+pub use spread::{changes, hear, limited_targets, note_held, page};
 
 /// Time from its issue until a permit expires. Shorter, and boxes with few requests leave more of them unused; longer, and more requests may
 /// arrive in a window.
@@ -82,6 +82,8 @@
     pub service: Arc<str>,
     /// Requests a second.
     pub rate: DemandRate,
+    /// Permits for targets of the service that are held unused.
+    pub held: u32,
 }
 
 /// From a box to its collector: asks for permits.
--- a/reachtally-core/src/forward/limit/permits.rs
+++ b/reachtally-core/src/forward/limit/permits.rs
@@ -23,6 +23,11 @@
             .extend(std::iter::repeat_n(now + PERMIT_LIFE, count));
     }
 
+    /// Permits that are still valid.
+    pub fn held(&self, now: Instant) -> u32 {
+        self.expiries.iter().filter(|expiry| now < **expiry).count() as u32
+    }
+
     /// Whether a send is permitted now.
     pub fn has(&self, now: Instant) -> bool {
         self.expiries.last().is_some_and(|expiry| now < *expiry)
--- a/reachtally-core/src/forward/limit/spread.rs
+++ b/reachtally-core/src/forward/limit/spread.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{LimitReport, LimitedTarget, StatedLimit};
+use super::{LimitReport, LimitedTarget, ServiceDemand, StatedLimit};
 use crate::forward::fleet::{Engine, Fleet};
 use crate::time::Instant;
 
@@ -58,6 +58,14 @@
     is_changed
 }
 
+/// Notes with each demand how many permits are held for its service.
+pub fn note_held(demands: &mut [ServiceDemand], fleet: &Fleet, now: Instant) {
+    for demand in demands {
+        let targets = fleet.of_service(&demand.service);
+        demand.held = targets.map(|(_, engine)| engine.permits.held(now)).sum();
+    }
+}
+
 /// Targets for which permits are issued.
 pub fn limited_targets(fleet: &Fleet) -> Vec<LimitedTarget> {
     let stated = fleet.stated_limits();
--- a/reachtally-core/tests/core/forward/limit.rs
+++ b/reachtally-core/tests/core/forward/limit.rs
@@ -43,10 +43,11 @@
     }
 }
 
-fn demand(per_second: f64) -> Vec<ServiceDemand> {
+fn demand(per_second: f64, held: u32) -> Vec<ServiceDemand> {
     vec![ServiceDemand {
         service: SERVICE.into(),
         rate: DemandRate::new(per_second),
+        held,
     }]
 }
 
@@ -54,7 +55,7 @@
     PermitRequest {
         run: Incarnation(box_run),
         number,
-        demands: demand(per_second),
+        demands: demand(per_second, 0),
     }
 }
 
@@ -183,10 +184,30 @@
         .map(|grant| grant.count)
         .sum();
     assert_eq!(count, 2);
-    let again = allocator.answer(request(1, 2, 3.0), at(1_200));
+    let holds_two = PermitRequest {
+        demands: demand(3.0, 2),
+        ..request(1, 2, 3.0)
+    };
+    let again = allocator.answer(holds_two, at(1_200));
     assert_eq!(again.expect("it is newer").grants, []);
 }
 
+/// Permits that were used counted as held, so no box got more than half of its demand.
+#[test]
+fn a_box_that_uses_its_permits_gets_as_many_as_callers_ask_for() {
+    let mut allocator = Allocator::default();
+    let targets: Vec<LimitedTarget> = (0..5).map(|n| target(&format!("t{n}"), 3.0)).collect();
+    let mut count = 0;
+    for number in 1..=100 {
+        let now = at(number * REQUEST_MS);
+        allocator.refill(&targets, ALONE, now);
+        let answer = allocator.answer(request(1, number, 15.0), now);
+        let grants = answer.expect("it is newer").grants;
+        count += grants.iter().map(|grant| grant.count).sum::<u32>();
+    }
+    assert!((270..=300).contains(&count), "{count}");
+}
+
 #[test]
 fn permits_are_for_services_that_the_box_has_requests_for() {
     let mut allocator = Allocator::default();
--- a/reachtally-protocol/src/limits.rs
+++ b/reachtally-protocol/src/limits.rs
@@ -57,6 +57,7 @@
     let demand = |told: &ServiceDemand| relay::ServiceDemand {
         service: told.service.to_string(),
         per_second_milli: to_parts(told.rate.per_second()),
+        held: told.held,
     };
     demands.iter().map(demand).collect()
 }
@@ -65,6 +66,7 @@
     let demand = |told: relay::ServiceDemand| ServiceDemand {
         service: told.service.into(),
         rate: DemandRate::new(told.per_second_milli as f64 / PARTS),
+        held: told.held,
     };
     demands.into_iter().map(demand).collect()
 }
--- a/reachtally-protocol/tests/protocol/limits.rs
+++ b/reachtally-protocol/tests/protocol/limits.rs
@@ -31,6 +31,7 @@
     vec![ServiceDemand {
         service: "pool".into(),
         rate: DemandRate::new(88.125),
+        held: 5,
     }]
 }
 
--- a/reachtally-relay/src/gossip/limits.rs
+++ b/reachtally-relay/src/gossip/limits.rs
@@ -106,6 +106,7 @@
         if demands.is_empty() {
             return;
         }
+        limit::note_held(&mut demands, &self.relay.fleet.borrow(), now);
         self.requests.number += 1;
         self.requests.sent_at = Some(now);
         let req = PermitRequest {
