--- a/reachtally-relay/src/limits.rs
+++ b/reachtally-relay/src/limits.rs
@@ -40,6 +40,15 @@
 }
 
 impl Relay {
+    /// Number of targets that state a rate limit.
+    pub fn limited_targets(&self) -> usize {
+        let fleet = self.fleet.borrow();
+        let stated = fleet.stated_limits();
+        stated
+            .filter(|(_, stated, _)| stated.limit.is_some())
+            .count()
+    }
+
     /// A target's answer states its rate limit.
     pub(crate) fn target_limits(&self, run: &TargetRun, limit: RateLimit) {
         self.state_limit(run, Some(limit));
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -97,6 +97,13 @@
         "Requests remembered because targets ended under them",
         suspects,
     );
+    let limited = Gauge::<i64>::default();
+    limited.set(i64::try_from(relay.limited_targets()).unwrap_or(i64::MAX));
+    registry.register(
+        "targets_limited",
+        "Targets that state a rate limit for all boxes together",
+        limited,
+    );
     registry
 }
 
