--- a/reachtally-bench/src/choice/boxes.rs
+++ b/reachtally-bench/src/choice/boxes.rs
@@ -5,7 +5,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::LayerModel;
 use reachtally_core::forward::fleet::{EngineKey, Evidence, Fleet};
-use reachtally_core::forward::loads::{Collector, Elsewhere};
+use reachtally_core::forward::loads::{Collector, RemoteLoads};
 use reachtally_core::forward::select::{self, Circumstance, Need};
 use reachtally_core::ids::Incarnation;
 
@@ -25,7 +25,7 @@
     /// Their rows, by number.
     pub keys: Vec<EngineKey>,
     /// What it was told of the others' requests.
-    pub elsewhere: Elsewhere,
+    pub remote_loads: RemoteLoads,
     /// What is reported to it.
     pub collector: Collector,
     /// Numbers its reports.
@@ -48,7 +48,7 @@
             domain,
             fleet,
             keys,
-            elsewhere: Elsewhere::default(),
+            remote_loads: RemoteLoads::default(),
             number: 0,
             messages: 0,
             bytes: 0,
--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -275,7 +275,9 @@
         let entrance = &mut self.boxes[number];
         entrance.number += 1;
         let report = loads::own_report(entrance.run, entrance.number, &entrance.fleet, now);
-        entrance.elsewhere.forget_old(&mut entrance.fleet, now);
+        entrance
+            .remote_loads
+            .remove_expired(&mut entrance.fleet, now);
         let collector = number % DOMAINS;
         if collector != number {
             self.post(number, collector, Message::Report(report));
@@ -284,7 +286,7 @@
         entrance.collector.hear(report, ip(number), now);
         entrance.collector.sum_up(now);
         let others = entrance.collector.all_but(entrance.run);
-        entrance.elsewhere.hear(others, &mut entrance.fleet, now);
+        entrance.remote_loads.hear(others, &mut entrance.fleet, now);
         let parts = entrance.collector.parts(entrance.run);
         for to in (0..self.boxes.len().min(DOMAINS)).filter(|to| *to != number) {
             for part in &parts {
@@ -331,7 +333,7 @@
             | Message::Grants(_)
             | Message::DemandPart(_) => {}
             Message::Others(others) => {
-                entrance.elsewhere.hear(others, &mut entrance.fleet, now);
+                entrance.remote_loads.hear(others, &mut entrance.fleet, now);
             }
         }
     }
--- a/reachtally-core/src/forward/count.rs
+++ b/reachtally-core/src/forward/count.rs
@@ -58,7 +58,7 @@
     }
 
     /// Forget domains that were not told of for long.
-    pub fn forget_old(&mut self, now: Instant) {
+    pub fn remove_expired(&mut self, now: Instant) {
         self.0.retain(|_, held| now.since(held.heard) < DOMAIN_LIFE);
     }
 
--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -32,16 +32,15 @@
     engines: SlotMap<EngineKey, Engine>,
     by_id: HashMap<Arc<str>, EngineKey>,
     by_address: HashMap<SocketAddr, EngineKey>,
-    /// What runs without a row asked of this box.
+    /// Notices of runs without a row.
     notices: Notices,
 }
 
 impl Fleet {
-    /// Take in an entry. Yields the target's row and whether there is something new.
+    /// Inserts or updates an entry. Returns the target's row and whether something changed.
     ///
-    /// A known run is updated. A target that started again gets a new row, so that nothing of its earlier run decides
-    /// anything: neither what was learned of it nor what still names its row. What an earlier run wrote and is read late
-    /// changes nothing.
+    /// A known run is updated. A target that started again gets a new row, so that neither the state of its earlier run nor references
+    /// to its row apply to it. A late entry of an earlier run changes nothing.
     pub fn upsert(&mut self, entry: Entry, evidence: Evidence, now: Instant) -> (EngineKey, bool) {
         let Some(&key) = self.by_id.get(&entry.id) else {
             return (self.insert(entry, evidence, now), true);
@@ -57,7 +56,7 @@
         }
     }
 
-    /// Add a row for a run that is not known yet.
+    /// Adds a row for a new run.
     fn insert(&mut self, entry: Entry, evidence: Evidence, now: Instant) -> EngineKey {
         let id = entry.id.clone();
         let address = entry.address;
@@ -68,7 +67,7 @@
         key
     }
 
-    /// Update the row of a known run; yields whether something changed.
+    /// Updates the row of a known run; returns whether something changed.
     fn update(&mut self, key: EngineKey, entry: Entry, evidence: Evidence, now: Instant) -> bool {
         let engine = &mut self.engines[key];
         engine.heard_at = now;
@@ -93,9 +92,8 @@
         is_changed || was_missing || is_back
     }
 
-    /// A target listens at `address`. Of two that claim it, the run that started later has it, as far as they tell, else the one
-    /// that wrote last. The other is superseded; its entry stays until it lapses. Guards a run that started behind a cut:
-    /// an entry of the run before it that is written late would take it out of use.
+    /// Assigns `address` to a target. Of two that claim it, the run that started later has it, or else the one that wrote last: a late
+    /// entry of an earlier run must not displace its successor. The other is superseded; its entry stays until it expires.
     fn take_address(
         &mut self,
         address: SocketAddr,
@@ -126,7 +124,7 @@
         }
     }
 
-    /// Remove the target `id`; yields what it was. What it asked of this box is kept for the case that it is back.
+    /// Removes and returns the target `id`. Its notice is kept, since its entry may come back.
     pub fn remove(&mut self, id: &str, now: Instant) -> Option<Engine> {
         let key = self.by_id.remove(id)?;
         let engine = self.engines.remove(key)?;
@@ -139,16 +137,16 @@
         Some(engine)
     }
 
-    /// The entry of `id` is missing, but the store was away: use it as the last choice only. Yields
-    /// whether that is news.
+    /// Marks the entry of `id` as missing, perhaps through the store's fault: the target becomes the last choice. Returns whether
+    /// it was not marked before.
     pub fn miss(&mut self, id: &str, now: Instant) -> bool {
         let Some(&key) = self.by_id.get(id) else {
             return false;
         };
         let engine = &mut self.engines[key];
-        let is_news = engine.missing_since.is_none();
+        let was_there = engine.missing_since.is_none();
         engine.missing_since.get_or_insert(now);
-        is_news
+        was_there
     }
 
     /// Ids of targets whose entries have been missing for `patience`.
@@ -170,7 +168,7 @@
         self.by_id.keys().cloned().collect()
     }
 
-    /// Targets that take no connections, but those whose address is another's by now.
+    /// Targets that accept no connections, without those whose address was taken over.
     pub fn dead(&self) -> Vec<EngineKey> {
         let dead = self
             .engines
@@ -221,13 +219,13 @@
             .filter(move |(_, engine)| &*engine.entry.service == service)
     }
 
-    /// Whether a run was known and its entry went. Only a live target goes on writing; that it is listed is no sign of life, where
-    /// the list may be an older copy.
+    /// Whether a run was known and its entry was removed. That it is listed is no sign of life, since a list may be an older copy; only
+    /// a live target goes on writing.
     pub fn is_gone(&self, run: &TargetRun) -> bool {
         self.notices.has(run)
     }
 
-    /// Note what a run asks of this box, whether it has a row or not: its entry may have gone while it was at work.
+    /// Changes the notice of a run, whether it has a row or not: its entry may have been removed while it was at work.
     pub fn note(&mut self, run: &TargetRun, now: Instant, change: impl FnOnce(&mut Notice)) {
         let row = self.find_run(run).and_then(|key| self.engines.get_mut(key));
         match row {
@@ -262,21 +260,21 @@
         }
     }
 
-    /// Count a failure of a target.
+    /// Counts a failure of a target.
     pub fn failed(&mut self, key: EngineKey, now: Instant) {
         if let Some(engine) = self.engines.get_mut(key) {
             engine.health.failed(now);
         }
     }
 
-    /// Forget what other boxes told of their requests.
-    pub fn clear_elsewhere(&mut self) {
+    /// Removes the loads of other boxes.
+    pub fn clear_remote(&mut self) {
         for engine in self.engines.values_mut() {
-            engine.clear_elsewhere();
+            engine.clear_remote();
         }
     }
 
-    /// Count a request on the targets `keys`, which holds `tokens` of KV on average.
+    /// Counts a request on the targets `keys`, which holds `tokens` of KV on average.
     pub fn begin(&mut self, keys: &[EngineKey], tokens: f64) {
         self.change(keys, |engine| {
             engine.running += 1;
@@ -284,14 +282,14 @@
         });
     }
 
-    /// Count a prompt of `tokens` that the engines `keys` of a path read one after the other. It waits at one
+    /// Counts a prompt of `tokens` that the engines `keys` of a path read one after the other. It waits at one
     /// of them at a time, so each counts its part.
     pub fn begin_reading(&mut self, keys: &[EngineKey], tokens: f64) {
         let each = tokens / keys.len().max(1) as f64;
         self.change(keys, |engine| engine.reading += each);
     }
 
-    /// The prompt was read, or its request ended.
+    /// Ends the count of a prompt that was read or whose request ended.
     pub fn end_reading(&mut self, keys: &[EngineKey], tokens: f64) {
         let each = tokens / keys.len().max(1) as f64;
         self.change(keys, |engine| {
@@ -299,7 +297,7 @@
         });
     }
 
-    /// The request ended.
+    /// Ends the count of a request.
     pub fn end(&mut self, keys: &[EngineKey], tokens: f64) {
         self.change(keys, |engine| {
             engine.running = engine.running.saturating_sub(1);
@@ -307,7 +305,7 @@
         });
     }
 
-    /// Change those of `keys` that are still known.
+    /// Applies `change` to those of `keys` that are still known.
     fn change(&mut self, keys: &[EngineKey], change: impl Fn(&mut Engine)) {
         for key in keys {
             if let Some(engine) = self.engines.get_mut(*key) {
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -1,4 +1,4 @@
-//! One target, and what is believed of it.
+//! One target and its state.
 
 use std::time::Duration;
 
@@ -6,15 +6,15 @@
 use crate::forward::limit::Permits;
 use crate::time::Instant;
 
-/// How long what an engine told of its pace holds: troubles last some seconds, and asking costs little.
+/// Time for which a reported pace holds: slowdowns last some seconds, and asking costs little.
 const PACE_LIFE: Duration = Duration::from_millis(2500);
-/// Slowest pace that is believed of an engine; beyond it is as good as silent.
+/// Upper bound on the pace of an engine; beyond it the engine is as good as silent.
 const SLOWEST_PACE: f64 = 1000.0;
-/// How long what a run wrote shields it from entries of earlier runs under its id: longer than the three heartbeats, of
-/// some 1.2 s each, after which the store drops a silent target's entry. Without an end, an entry that tells a start
-/// ahead of time would shut out the target that is there.
+/// Time for which entries of earlier runs under an id are ignored after an entry of its run: longer than the three heartbeats, of
+/// some 1.2 s each, after which the store drops a silent target's entry. It ends, so that an entry with a start in the future does
+/// not shut out the live target for good.
 const RUN_SHIELDED: Duration = Duration::from_secs(4);
-/// Other boxes that must have found a target silent before it counts: one may have lost its own link.
+/// Other boxes that must report a target as silent before it counts: one may have lost its own link.
 const LEAST_WITNESSES: u32 = 2;
 
 /// One target.
@@ -28,20 +28,20 @@
     pub tokens: f64,
     /// Prompt tokens of those that wait to be read there.
     pub reading: f64,
-    /// Requests that other boxes have on it, as they last told.
-    pub running_elsewhere: f64,
+    /// Requests of other boxes, as last reported.
+    pub remote_running: f64,
     /// KV tokens that those hold on average while they run.
-    pub tokens_elsewhere: f64,
+    pub remote_tokens: f64,
     /// Prompt tokens of those that wait to be read there.
-    pub reading_elsewhere: f64,
-    /// Requests that the target itself last told of, less those of this box.
+    pub remote_reading: f64,
+    /// Requests that the target itself last reported, less those of this box.
     pub others_told: f64,
-    /// How much longer it took than it should when this box last asked it, and when that was.
+    /// The slowdown factor that it last reported to this box, and when.
     pace: Option<(f64, Instant)>,
-    /// The largest such figure that other boxes tell.
-    pub pace_elsewhere: Option<f64>,
-    /// Other boxes that found that it takes no connections.
-    pub silent_elsewhere: u32,
+    /// The largest slowdown factor that other boxes report.
+    pub remote_pace: Option<f64>,
+    /// Other boxes to which it accepts no connections.
+    pub remote_silent: u32,
     /// Its failures.
     pub health: Health,
     /// What it asked of this box.
@@ -55,20 +55,20 @@
 }
 
 impl Engine {
-    /// A target of which nothing is known but its entry, read at `now`, and what it asked of this box before.
+    /// Creates a target from its entry, read at `now`, and the notice kept of its run.
     pub(super) fn new(entry: Entry, notice: Notice, now: Instant) -> Self {
         Engine {
             entry,
             running: 0,
             tokens: 0.0,
             reading: 0.0,
-            running_elsewhere: 0.0,
-            tokens_elsewhere: 0.0,
-            reading_elsewhere: 0.0,
+            remote_running: 0.0,
+            remote_tokens: 0.0,
+            remote_reading: 0.0,
             others_told: 0.0,
             pace: None,
-            pace_elsewhere: None,
-            silent_elsewhere: 0,
+            remote_pace: None,
+            remote_silent: 0,
             health: Health::default(),
             notice,
             permits: Permits::default(),
@@ -107,36 +107,35 @@
         now.since(self.heard_at) < RUN_SHIELDED
     }
 
-    /// Forget what other boxes told.
-    pub(super) fn clear_elsewhere(&mut self) {
-        self.running_elsewhere = 0.0;
-        self.tokens_elsewhere = 0.0;
-        self.reading_elsewhere = 0.0;
-        self.pace_elsewhere = None;
-        self.silent_elsewhere = 0;
+    /// Removes what other boxes reported.
+    pub(super) fn clear_remote(&mut self) {
+        self.remote_running = 0.0;
+        self.remote_tokens = 0.0;
+        self.remote_reading = 0.0;
+        self.remote_pace = None;
+        self.remote_silent = 0;
     }
 
-    /// Whether several other boxes found that it takes no connections. Told with their loads, so that not each
-    /// box finds out by itself.
-    pub fn is_silent_elsewhere(&self) -> bool {
-        self.silent_elsewhere >= LEAST_WITNESSES
+    /// Whether several other boxes report that it accepts no connections, so that not each box finds out by itself.
+    pub fn is_remotely_silent(&self) -> bool {
+        self.remote_silent >= LEAST_WITNESSES
     }
 
-    /// The engine told how much longer than it should it takes. What is no number tells nothing.
+    /// Takes in a reported slowdown factor; `NaN` is ignored.
     pub fn told_pace(&mut self, pace: f64, now: Instant) {
         if !pace.is_nan() {
             self.pace = Some((pace.clamp(1.0, SLOWEST_PACE), now));
         }
     }
 
-    /// What the engine told this box lately.
+    /// Returns the slowdown factor that the engine reported to this box lately.
     pub fn own_pace(&self, now: Instant) -> Option<f64> {
         let (pace, at) = self.pace?;
         (now.since(at) < PACE_LIFE).then_some(pace)
     }
 
-    /// How much longer than it should the engine takes, as far as is known.
+    /// Returns the slowdown factor as far as it is known, else 1.
     pub fn slowness(&self, now: Instant) -> f64 {
-        self.own_pace(now).or(self.pace_elsewhere).unwrap_or(1.0)
+        self.own_pace(now).or(self.remote_pace).unwrap_or(1.0)
     }
 }
--- a/reachtally-core/src/forward/fleet/entry.rs
+++ b/reachtally-core/src/forward/fleet/entry.rs
@@ -1,4 +1,4 @@
-//! What a target says of itself.
+//! The entry that a target writes of itself.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,8 +9,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Born(pub u64);
 
-/// A short form of [`Born`] that tells the runs under one id apart in messages of loads, where each byte counts: two
-/// runs look alike in one of 16,383 cases. 0 stands for a run that doesn't tell its start.
+/// A short digest of [`Born`] that distinguishes the runs under one id in messages, where each byte counts; two runs collide in one of
+/// 16,383 cases. 0 stands for a run without a known start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct RunMark(pub u16);
 
@@ -18,7 +18,7 @@
 const MARKS: u64 = (1 << 14) - 1;
 
 impl RunMark {
-    /// Whether two marks under one id stand for one run, as far as is known. Where one isn't told they count as one.
+    /// Whether two marks under one id stand for the same run; an unknown mark matches any.
     pub fn is_same(self, other: RunMark) -> bool {
         let untold = RunMark::default();
         self == other || self == untold || other == untold
@@ -31,12 +31,12 @@
     }
 }
 
-/// A run of a target: its id, which a later run may have too, and the mark of its start.
+/// A run of a target: its id, which a later run may have again, and the mark of its start.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetRun {
     /// The target's id.
     pub id: Arc<str>,
-    /// Tells its runs apart.
+    /// Distinguishes its runs.
     pub mark: RunMark,
 }
 
@@ -72,8 +72,8 @@
         }
     }
 
-    /// How the run that wrote this entry relates to that of a known one with the same id or address. Where one doesn't tell
-    /// its start they count as one run.
+    /// Compares the run of this entry with that of a known one with the same id or address; without a known start they count as the
+    /// same run.
     pub fn run_since(&self, known: &Entry) -> RunOrder {
         RunOrder::of(self.born, known.born)
     }
@@ -86,13 +86,12 @@
     Later,
     /// They are one run, as far as is known.
     Same,
-    /// It was told late.
+    /// It is an earlier run, whose entry was received late.
     Earlier,
 }
 
 impl RunOrder {
-    /// How the run that tells the start `told` relates to one that started at `known`. Where one isn't told they count as
-    /// one run.
+    /// Compares a run that started at `told` with one that started at `known`; without a start they count as the same run.
     pub fn of(told: Option<Born>, known: Option<Born>) -> Self {
         match (told, known) {
             (Some(told), Some(known)) if told > known => RunOrder::Later,
--- a/reachtally-core/src/forward/loads/collector.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -1,11 +1,11 @@
-//! A collector: the sums of what boxes report to it, and of what other collectors tell.
+//! A collector: sums the reports of its boxes and the parts of other collectors.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::told::Told;
+use super::received::Received;
 use super::{
     Load, MARKED_TARGETS_TOLD, Others, Part, REPORT_LIFE, Report, TARGETS_TOLD, TargetLoad,
 };
@@ -14,9 +14,9 @@
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
-/// How long a target on which nothing runs any more is told of, so that others learn it.
-const ENDED_TOLD: Duration = Duration::from_millis(1000);
-/// Messages that answer a report. A fleet of 190 targets is told in five, so each is known anew after two
+/// How long a target without load stays in messages, so that others learn that its load has ended.
+const ENDED_LISTED: Duration = Duration::from_millis(1000);
+/// Messages that answer a report. A fleet of 190 targets takes five, so each target is updated after two
 /// reports.
 const ANSWERS: u64 = 3;
 
@@ -27,7 +27,7 @@
     number: u64,
     heard: Instant,
     loads: Arc<[TargetLoad]>,
-    /// What of it is in the sums.
+    /// The part of its loads that the sums include.
     counted: Arc<[TargetLoad]>,
 }
 
@@ -38,26 +38,26 @@
     domain: String,
     boxes: u32,
     heard: Instant,
-    told: Told,
+    told: Received,
 }
 
-/// Sums up what boxes report, and what other collectors tell.
+/// Sums the reports of boxes and the parts of other collectors.
 #[derive(Debug, Default)]
 pub struct Collector {
-    /// The failure domain of those that report here.
+    /// The failure domain of its boxes.
     home: Arc<str>,
     reporters: HashMap<Incarnation, Reporter>,
     peers: HashMap<Incarnation, PeerCollector>,
-    /// When something last ran on each target.
+    /// When each target last had a load.
     busy: BTreeMap<TargetRun, Instant>,
-    /// What those that report here have.
+    /// Sums of the reports, by target.
     own: HashMap<TargetRun, Load>,
-    /// What all boxes have, by target.
+    /// Sums over all boxes, by target.
     all: Vec<TargetLoad>,
 }
 
 impl Collector {
-    /// A collector of the failure domain `home` that heard nothing yet.
+    /// Creates a collector of the failure domain `home` without reports.
     pub fn new(home: &str) -> Self {
         Collector {
             home: home.into(),
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Take in the report of a box at `ip`. It takes the place of an earlier run there.
+    /// Takes in the report of a box at `ip`; an earlier run at that address is replaced.
     pub fn hear(&mut self, report: Report, ip: IpAddr, now: Instant) {
         let known = self.reporters.get(&report.run);
         if known.is_some_and(|known| known.number >= report.number) {
@@ -90,26 +90,26 @@
         self.reporters.insert(report.run, reporter);
     }
 
-    /// The run reports elsewhere from now on. What it has is heard of from there.
+    /// Removes a box that reports to another collector from now on.
     pub fn leave(&mut self, run: Incarnation) {
         self.reporters.remove(&run);
     }
 
-    /// Take in what another collector at `ip` told.
+    /// Takes in a part of another collector at `ip`.
     pub fn hear_part(&mut self, part: Part, ip: IpAddr, now: Instant) {
         let peer = self.peers.entry(part.run).or_insert(PeerCollector {
             ip,
             domain: part.domain,
             boxes: 0,
             heard: now,
-            told: Told::default(),
+            told: Received::default(),
         });
         peer.boxes = part.boxes;
         peer.heard = now;
         peer.told.hear(part.loads, now);
     }
 
-    /// Forget what is old, and sum up the rest.
+    /// Removes expired reports and recomputes the sums.
     pub fn sum_up(&mut self, now: Instant) {
         let is_new = |heard: Instant| now.since(heard) < REPORT_LIFE;
         self.reporters.retain(|_, reporter| is_new(reporter.heard));
@@ -124,7 +124,7 @@
         }
         let mut all = self.own.clone();
         for peer in self.peers.values_mut() {
-            peer.told.forget_old(now);
+            peer.told.remove_expired(now);
             for (target, load) in peer.told.iter() {
                 all.entry(target.clone()).or_default().add(load);
             }
@@ -132,7 +132,7 @@
         let busy = all.iter().filter(|(_, load)| !load.is_nothing());
         self.busy
             .extend(busy.map(|(target, _)| (target.clone(), now)));
-        self.busy.retain(|_, at| now.since(*at) < ENDED_TOLD);
+        self.busy.retain(|_, at| now.since(*at) < ENDED_LISTED);
         let load_of = |target: &TargetRun| all.get(target).copied().unwrap_or_default();
         let listed = self.busy.keys().map(|target| TargetLoad {
             target: target.clone(),
@@ -146,7 +146,7 @@
         self.reporters.len() as u32
     }
 
-    /// Boxes of each failure domain that is heard of.
+    /// Returns the number of boxes of each known failure domain.
     pub fn counts(&self) -> Vec<DomainCount> {
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
         if !self.reporters.is_empty() {
@@ -164,7 +164,7 @@
         .collect()
     }
 
-    /// What of the sums is of `run`, by target.
+    /// Returns the contribution of `run` to the sums, by target.
     fn counted_of(&self, run: Incarnation) -> HashMap<&TargetRun, &Load> {
         let reporter = self.reporters.get(&run);
         let counted = reporter.map(|reporter| &*reporter.counted).unwrap_or(&[]);
@@ -172,9 +172,9 @@
         by_target.collect()
     }
 
-    /// The answers to report `number` of `run`. Reports in a row are answered with different targets.
+    /// Returns the answers to report `number` of `run`. Consecutive reports are answered with different targets.
     pub fn answers(&self, run: Incarnation, number: u64) -> Vec<Others> {
-        let pages: Vec<&[TargetLoad]> = self.all.chunks(self.told_at_once()).collect();
+        let pages: Vec<&[TargetLoad]> = self.all.chunks(self.targets_in_message()).collect();
         let count = pages.len() as u64;
         if count == 0 {
             return vec![self.all_but(run)];
@@ -195,8 +195,8 @@
         answers
     }
 
-    /// Targets that fit one message.
-    fn told_at_once(&self) -> usize {
+    /// Number of targets that fit one message.
+    fn targets_in_message(&self) -> usize {
         let is_marked = |told: &TargetLoad| told.target.mark != RunMark::default();
         match self.all.iter().any(is_marked) {
             true => MARKED_TARGETS_TOLD,
@@ -204,7 +204,7 @@
         }
     }
 
-    /// What all boxes but `run` have on all targets.
+    /// Returns the loads of all boxes but `run` on all targets.
     pub fn all_but(&self, run: Incarnation) -> Others {
         Others {
             counts: self.counts(),
@@ -212,7 +212,7 @@
         }
     }
 
-    /// What those that report here have, for other collectors; nothing if none does.
+    /// Returns the sums of its boxes, for other collectors; nothing without reports.
     pub fn parts(&self, run: Incarnation) -> Vec<Part> {
         if self.reporters.is_empty() {
             return Vec::new();
@@ -229,7 +229,11 @@
         };
         match self.all.is_empty() {
             true => vec![part(&[])],
-            false => self.all.chunks(self.told_at_once()).map(part).collect(),
+            false => self
+                .all
+                .chunks(self.targets_in_message())
+                .map(part)
+                .collect(),
         }
     }
 
@@ -238,14 +242,14 @@
         self.reporters.values().map(|reporter| reporter.ip)
     }
 
-    /// Where other collectors have lately told from, by failure domain.
+    /// Addresses of other collectors that were received from lately, by failure domain.
     pub fn peers(&self) -> impl Iterator<Item = (&str, IpAddr)> {
         let each = self.peers.values();
         each.map(|peer| (&*peer.domain, peer.ip))
     }
 }
 
-/// What is on the listed targets without one box's own part.
+/// Subtracts one box's own part from the listed loads.
 fn without(listed: &[TargetLoad], own: &HashMap<&TargetRun, &Load>) -> Vec<TargetLoad> {
     let others = |told: &TargetLoad| TargetLoad {
         target: told.target.clone(),
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -1,13 +1,12 @@
-//! What all boxes together have on the targets, as sums.
+//! Loads of all boxes together on the targets, as sums.
 //!
-//! Each box tells what it has to one box of its failure domain, the collector. The collectors tell each
-//! other what the boxes that report to them have in all, and answer each report with what all others
-//! have. So what a box sends and gets does not grow with the number of boxes, and every request in the
-//! fleet is known to every box after two reports.
+//! Each box reports its loads to one box of its failure domain, the collector. Collectors exchange the sums of their
+//! reports, and answer each report with the loads of all other boxes. So the traffic of a box does not grow with the number of
+//! boxes, and every request in the fleet is known to every box after two reports.
 //!
-//! Every message names targets with what is on them, and stands for itself: one that is lost, late or
-//! doubled leaves what it names as old as it was, and what is old is forgotten. A box that changes its
-//! collector says so to the one before, where it would else count for as long.
+//! Messages carry absolute figures, so that one that is lost, late or duplicated does no harm; loads expire if they are not
+//! received again. A box that changes its collector announces it to the one before, where it would count until its report
+//! expires.
 
 use std::time::Duration;
 
@@ -18,23 +17,22 @@
 use crate::ids::Incarnation;
 
 mod collector;
-mod elsewhere;
-mod told;
+mod received;
+mod remote;
 
 pub use collector::Collector;
-pub use elsewhere::{Elsewhere, own_report};
+pub use remote::{RemoteLoads, own_report};
 
-/// What was told is forgotten after this long: several reports in a row are lost only with their sender
-/// or its links.
+/// Time after which a report expires: several in a row are lost only with their sender or its links.
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 /// Targets in one message. With names of a dozen bytes, and the numbers of boxes of 13 failure domains, it fits
 /// a datagram that is not split on the way. With fewer at once a large fleet takes more messages, and is known later.
 pub const TARGETS_TOLD: usize = 38;
 /// The same where the targets' runs tell their starts: a mark takes three bytes.
 pub const MARKED_TARGETS_TOLD: usize = 35;
-/// Most requests on a target that are believed of one sender; beyond any target's places.
+/// Upper bound on the running requests that one sender can report per target; rejects corrupt reports.
 const MOST_RUNNING: u32 = 100_000;
-/// Most tokens on a target that are believed of one sender; beyond any target's memory.
+/// Upper bound on the tokens that one sender can report per target; rejects corrupt reports.
 const MOST_TOKENS: u32 = 100_000_000;
 
 /// Requests on a target, of one box or of many.
@@ -57,7 +55,7 @@
         *self == Load::default()
     }
 
-    /// What is beyond reason is cut.
+    /// Cuts figures to their upper bounds.
     pub(super) fn bounded(self) -> Self {
         Load {
             running: self.running.min(MOST_RUNNING),
@@ -77,7 +75,7 @@
         self.silent = self.silent.saturating_add(other.silent);
     }
 
-    /// What is left without a part. The slowest pace told stays: it is the target's own.
+    /// Subtracts a part. The slowest pace stays: it is the target's own.
     pub(super) fn without(&self, part: &Load) -> Self {
         Load {
             running: self.running.saturating_sub(part.running),
@@ -98,18 +96,18 @@
     pub load: Load,
 }
 
-/// What a box has on its targets, for its collector.
+/// Loads of a box, for its collector.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
     /// Its run.
     pub run: Incarnation,
     /// Numbers its reports, so that a late one is not taken for the newest.
     pub number: u64,
-    /// The targets on which it has something.
+    /// The targets with a load.
     pub loads: Vec<TargetLoad>,
 }
 
-/// What the boxes that report to one collector have on some targets, for other collectors.
+/// Sums of the reports to one collector for some targets, for other collectors.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Part {
     /// The collector's run.
@@ -118,20 +116,20 @@
     pub domain: String,
     /// Boxes that report to it.
     pub boxes: u32,
-    /// What they have.
+    /// The loads.
     pub loads: Vec<TargetLoad>,
 }
 
-/// What all other boxes have on some targets, for a box that reported.
+/// Loads of all other boxes on some targets, in answer to a report.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Others {
-    /// Boxes of each failure domain that is heard of; empty where other messages tell it.
+    /// Boxes of each known failure domain; empty where another message of the answer carries them.
     pub counts: Vec<DomainCount>,
-    /// What they have.
+    /// The loads.
     pub loads: Vec<TargetLoad>,
 }
 
-/// What boxes tell each other in datagrams.
+/// Datagrams between boxes.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
     /// From a box to its collector.
--- a/reachtally-core/src/forward/loads/told.rs
+++ b/reachtally-core/src/forward/loads/received.rs
@@ -1,4 +1,4 @@
-//! What was told of targets, with its age.
+//! Loads that were received, with their age.
 
 use std::collections::HashMap;
 
@@ -6,18 +6,18 @@
 use crate::forward::fleet::TargetRun;
 use crate::time::Instant;
 
-/// Targets with what was last told of each, and when.
+/// The last load received of each target, and when.
 #[derive(Debug, Default)]
-pub(super) struct Told(HashMap<TargetRun, (Load, Instant)>);
+pub(super) struct Received(HashMap<TargetRun, (Load, Instant)>);
 
-impl Told {
+impl Received {
     pub fn hear(&mut self, loads: Vec<TargetLoad>, now: Instant) {
         let loads = loads.into_iter().map(|told| (told.target, told.load));
         self.0
             .extend(loads.map(|(target, load)| (target, (load.bounded(), now))));
     }
 
-    pub fn forget_old(&mut self, now: Instant) {
+    pub fn remove_expired(&mut self, now: Instant) {
         self.0.retain(|_, (_, at)| now.since(*at) < REPORT_LIFE);
     }
 
--- a/reachtally-core/src/forward/loads/elsewhere.rs
+++ b/reachtally-core/src/forward/loads/remote.rs
@@ -1,23 +1,23 @@
-//! What a box knows of the others, and what it reports of itself.
+//! What a box knows of the loads of other boxes, and what it reports of its own.
 
-use super::told::Told;
+use super::received::Received;
 use super::{Load, Others, Report, TargetLoad};
 use crate::forward::count::BoxCount;
 use crate::forward::fleet::{Engine, Fleet, TargetRun};
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
-/// What a box knows of the other boxes' requests.
+/// The requests of other boxes, as far as they are reported.
 #[derive(Debug, Default)]
-pub struct Elsewhere {
-    told: Told,
+pub struct RemoteLoads {
+    told: Received,
     count: BoxCount,
-    /// Failure domains that the last message with counts told of.
-    heard: usize,
+    /// Failure domains in the last message with counts.
+    domains: usize,
 }
 
-impl Elsewhere {
-    /// Take in what a collector told, and put it on the targets.
+impl RemoteLoads {
+    /// Takes in a message of a collector, and updates the targets.
     pub fn hear(&mut self, others: Others, fleet: &mut Fleet, now: Instant) {
         for told in &others.loads {
             put(fleet, &told.target, &told.load.bounded());
@@ -26,24 +26,24 @@
             self.count.hear(told, now);
         }
         if !others.counts.is_empty() {
-            self.heard = others.counts.len();
+            self.domains = others.counts.len();
         }
         self.told.hear(others.loads, now);
     }
 
-    /// Forget what is old, also on the targets.
-    pub fn forget_old(&mut self, fleet: &mut Fleet, now: Instant) {
-        self.told.forget_old(now);
-        self.count.forget_old(now);
-        fleet.clear_elsewhere();
+    /// Removes expired loads, also from the targets.
+    pub fn remove_expired(&mut self, fleet: &mut Fleet, now: Instant) {
+        self.told.remove_expired(now);
+        self.count.remove_expired(now);
+        fleet.clear_remote();
         for (target, load) in self.told.iter() {
             put(fleet, target, load);
         }
     }
 
-    /// Failure domains whose requests are in what was told; 0 before the first count.
+    /// Failure domains whose requests are part of the loads; 0 before the first count.
     pub fn domains_heard(&self) -> usize {
-        self.heard
+        self.domains
     }
 
     /// Boxes in all `domains` failure domains, this one included; `None` before the first count. See [`BoxCount::boxes`].
@@ -52,18 +52,18 @@
     }
 }
 
-/// Note on a target what other boxes have there.
+/// Sets the remote load of a target.
 fn put(fleet: &mut Fleet, target: &TargetRun, load: &Load) {
     if let Some(engine) = fleet.find_run(target).and_then(|key| fleet.get_mut(key)) {
-        engine.running_elsewhere = f64::from(load.running);
-        engine.tokens_elsewhere = f64::from(load.tokens);
-        engine.reading_elsewhere = f64::from(load.reading);
-        engine.pace_elsewhere = load.pace;
-        engine.silent_elsewhere = load.silent;
+        engine.remote_running = f64::from(load.running);
+        engine.remote_tokens = f64::from(load.tokens);
+        engine.remote_reading = f64::from(load.reading);
+        engine.remote_pace = load.pace;
+        engine.remote_silent = load.silent;
     }
 }
 
-/// What this box has on its targets.
+/// Reports the loads of this box.
 pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet, now: Instant) -> Report {
     let load = |engine: &Engine| Load {
         running: engine.running,
--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -138,7 +138,7 @@
     }
 
     /// Forget what is old.
-    pub fn forget_old(&mut self, now: Instant) {
+    pub fn remove_expired(&mut self, now: Instant) {
         self.cases.retain(|_, case| now < case.expires);
     }
 
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -64,9 +64,9 @@
         if layers == 0 {
             return None;
         }
-        let running = f64::from(engine.running) + engine.running_elsewhere;
+        let running = f64::from(engine.running) + engine.remote_running;
         let room = model.kv_tokens(card, layers);
-        let held = engine.tokens + engine.tokens_elsewhere;
+        let held = engine.tokens + engine.remote_tokens;
         let tokens = held + need.held();
         if need.held() > room || tokens > KV_USED * room {
             return None;
@@ -81,7 +81,7 @@
         let supposed = (held * cx.unheard + need.held()) / room;
         let used = supposed.min(MOST_SUPPOSED).max(tokens / room).max(places);
         let growth = used.min(MOST_PRICED).powi(PRICE_POWER);
-        let waiting = engine.reading + engine.reading_elsewhere;
+        let waiting = engine.reading + engine.remote_reading;
         let lacking = (tokens / room - 1.0).max(0.0);
         let known = (BOXES_KNOWN / f64::from(cx.boxes.max(1))).min(1.0);
         let taken = (need.held() / room).powf(known) * model.share(layers).powf(1.0 - known);
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -197,7 +197,7 @@
         return false;
     }
     let is_doubtful =
-        health.is_held(cx.now) || engine.missing_since.is_some() || engine.is_silent_elsewhere();
+        health.is_held(cx.now) || engine.missing_since.is_some() || engine.is_remotely_silent();
     match trust {
         Trust::Drawn => !is_doubtful && chance(cx.draw ^ DRAWN_SALT, key) < DRAWN_PART,
         Trust::Sound => !is_doubtful,
@@ -224,7 +224,7 @@
     trust: Trust,
 ) -> Option<EngineKey> {
     let work = |engine: &Engine| {
-        let others = engine.running_elsewhere.max(engine.others_told);
+        let others = engine.remote_running.max(engine.others_told);
         let running = f64::from(engine.running) + others;
         running / f64::from(engine.entry.slots.max(1))
     };
--- a/reachtally-core/tests/core/forward/count.rs
+++ b/reachtally-core/tests/core/forward/count.rs
@@ -6,7 +6,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::count::{BoxCount, DomainCount};
 use reachtally_core::forward::fleet::Fleet;
-use reachtally_core::forward::loads::{Collector, Elsewhere, Report};
+use reachtally_core::forward::loads::{Collector, RemoteLoads, Report};
 use reachtally_core::ids::Incarnation;
 
 fn at(ms: u64) -> Instant {
@@ -29,11 +29,11 @@
     // Cut off, the north must not share out what is the south's.
     for ms in (0..29_000).step_by(200) {
         count.hear(&told("north", 100), at(ms));
-        count.forget_old(at(ms));
+        count.remove_expired(at(ms));
         assert_eq!(count.boxes(0), Some(295), "after {ms} ms");
     }
     count.hear(&told("north", 100), at(40_000));
-    count.forget_old(at(40_000));
+    count.remove_expired(at(40_000));
     assert_eq!(count.boxes(0), Some(100));
 }
 
@@ -53,7 +53,7 @@
     // Cut off for long, the north still leaves the others their share.
     for ms in (400..50_000).step_by(200) {
         count.hear(&told("north", 59), at(ms));
-        count.forget_old(at(ms));
+        count.remove_expired(at(ms));
         assert!(count.boxes(3) >= Some(96), "after {ms} ms");
     }
 }
@@ -77,7 +77,7 @@
 /// Boxes of one domain that report to one of them, which may change.
 struct Domain {
     collectors: Vec<Collector>,
-    elsewhere: Vec<Elsewhere>,
+    remote_loads: Vec<RemoteLoads>,
     /// Added to the number of a box: its run.
     life: u64,
     number: u64,
@@ -87,7 +87,7 @@
     fn new(boxes: usize) -> Self {
         Domain {
             collectors: (0..boxes).map(|_| Collector::new("north")).collect(),
-            elsewhere: (0..boxes).map(|_| Elsewhere::default()).collect(),
+            remote_loads: (0..boxes).map(|_| RemoteLoads::default()).collect(),
             life: 1_000,
             number: 0,
         }
@@ -100,7 +100,7 @@
     /// All boxes report to `collector` once.
     fn report(&mut self, collector: usize, now: Instant) {
         self.number += 1;
-        for of in 0..self.elsewhere.len() {
+        for of in 0..self.remote_loads.len() {
             let report = Report {
                 run: self.run(of),
                 number: self.number,
@@ -113,22 +113,22 @@
             there.sum_up(now);
             let answers = there.answers(run, self.number);
             for answer in answers {
-                self.elsewhere[of].hear(answer, &mut Fleet::default(), now);
+                self.remote_loads[of].hear(answer, &mut Fleet::default(), now);
             }
         }
     }
 
     /// All boxes leave a collector.
     fn leave(&mut self, collector: usize) {
-        for of in 0..self.elsewhere.len() {
+        for of in 0..self.remote_loads.len() {
             let run = self.run(of);
             self.collectors[collector].leave(run);
         }
     }
 
     fn believed(&self) -> Vec<u32> {
-        let each = self.elsewhere.iter();
-        each.map(|elsewhere| elsewhere.boxes(0).unwrap_or_default())
+        let each = self.remote_loads.iter();
+        each.map(|remote_loads| remote_loads.boxes(0).unwrap_or_default())
             .collect()
     }
 }
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -155,7 +155,7 @@
     fleet.begin_reading(&[before], 500.0);
     let engine = fleet.get_mut(before).expect("it is known");
     engine.told_pace(8.0, at(0));
-    engine.silent_elsewhere = 5;
+    engine.remote_silent = 5;
     engine.health.found_dead(at(10));
     engine.health.contradicted(at(10));
     fleet.failed(before, at(10));
@@ -176,7 +176,7 @@
     assert_eq!(engine.slowness(at(20)), 1.0);
     let health = &engine.health;
     assert!(!health.is_dead() && !health.is_held(at(20)) && !health.is_contradicted(at(20)));
-    assert!(!engine.is_silent_elsewhere());
+    assert!(!engine.is_remotely_silent());
     // What ends now ran on the earlier run.
     fleet.end_reading(&[before], 500.0);
     fleet.end(&[before], 700.0);
--- a/reachtally-core/tests/core/forward/heavy.rs
+++ b/reachtally-core/tests/core/forward/heavy.rs
@@ -221,11 +221,7 @@
                 let there = &mut self.boxes[at];
                 let row = there.keys[engine];
                 let row = there.fleet.get_mut(row).expect("engines never leave");
-                (
-                    row.running_elsewhere,
-                    row.tokens_elsewhere,
-                    row.reading_elsewhere,
-                ) = sums;
+                (row.remote_running, row.remote_tokens, row.remote_reading) = sums;
             }
         }
     }
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -9,7 +9,7 @@
 use reachtally_core::forward::count::DomainCount;
 use reachtally_core::forward::fleet::{Engine, Evidence, Fleet, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
-    Collector, Elsewhere, Load, Others, Part, Report, TargetLoad, own_report,
+    Collector, Load, Others, Part, RemoteLoads, Report, TargetLoad, own_report,
 };
 use reachtally_core::ids::Incarnation;
 
@@ -88,9 +88,9 @@
 
 /// Let a box hear everything and put it on its targets.
 fn apply(fleet: &mut Fleet, others: Others, heard: Instant, now: Instant) {
-    let mut elsewhere = Elsewhere::default();
-    elsewhere.hear(others, fleet, heard);
-    elsewhere.forget_old(fleet, now);
+    let mut remote_loads = RemoteLoads::default();
+    remote_loads.hear(others, fleet, heard);
+    remote_loads.remove_expired(fleet, now);
 }
 
 fn first(fleet: &Fleet) -> &Engine {
@@ -111,8 +111,8 @@
     let mut collector = Collector::new("north");
     collector.hear(told, ip(9), at(100));
     collector.sum_up(at(110));
-    let mut elsewhere = Elsewhere::default();
-    elsewhere.hear(collector.all_but(Incarnation(8)), &mut there, at(110));
+    let mut remote_loads = RemoteLoads::default();
+    remote_loads.hear(collector.all_but(Incarnation(8)), &mut there, at(110));
     assert_eq!(first(&there).slowness(at(120)), 3.0);
     // What it was told is forgotten, here by time and there with the report.
     assert!(
@@ -120,7 +120,7 @@
             .loads
             .is_empty()
     );
-    elsewhere.forget_old(&mut there, at(3_000));
+    remote_loads.remove_expired(&mut there, at(3_000));
     assert_eq!(first(&there).slowness(at(3_000)), 1.0);
 }
 
@@ -139,9 +139,9 @@
         at(220),
         at(230),
     );
-    assert_eq!(first(&fleet).running_elsewhere, 13.0);
-    assert_eq!(first(&fleet).tokens_elsewhere, 1300.0);
-    assert_eq!(first(&fleet).reading_elsewhere, 130.0);
+    assert_eq!(first(&fleet).remote_running, 13.0);
+    assert_eq!(first(&fleet).remote_tokens, 1300.0);
+    assert_eq!(first(&fleet).remote_reading, 130.0);
 }
 
 #[test]
@@ -161,9 +161,9 @@
         loads: vec![load_of("e0", 5)],
     };
     apply(&mut fleet, others.clone(), at(0), at(200));
-    assert_eq!(first(&fleet).running_elsewhere, 5.0);
+    assert_eq!(first(&fleet).remote_running, 5.0);
     apply(&mut fleet, others, at(0), at(2_000));
-    assert_eq!(first(&fleet).running_elsewhere, 0.0);
+    assert_eq!(first(&fleet).remote_running, 0.0);
 }
 
 #[test]
@@ -337,20 +337,20 @@
     health.found_dead(at(0));
     let mut collector = Collector::new("north");
     let (mut there, _) = fleet([entry(0, "a", "small", 0..8)]);
-    let mut elsewhere = Elsewhere::default();
+    let mut remote_loads = RemoteLoads::default();
     for run in 1..=2 {
         // One box alone may have lost its own link.
-        elsewhere.hear(collector.all_but(Incarnation(9)), &mut there, at(100));
-        assert!(!first(&there).is_silent_elsewhere());
+        remote_loads.hear(collector.all_but(Incarnation(9)), &mut there, at(100));
+        assert!(!first(&there).is_remotely_silent());
         let told = own_report(Incarnation(run), 1, &here, at(100));
         collector.hear(told, ip(run), at(100));
         collector.sum_up(at(100));
     }
-    elsewhere.hear(collector.all_but(Incarnation(9)), &mut there, at(110));
-    assert!(first(&there).is_silent_elsewhere());
+    remote_loads.hear(collector.all_but(Incarnation(9)), &mut there, at(110));
+    assert!(first(&there).is_remotely_silent());
     // It holds no longer than it is told.
-    elsewhere.forget_old(&mut there, at(2_000));
-    assert!(!first(&there).is_silent_elsewhere());
+    remote_loads.remove_expired(&mut there, at(2_000));
+    assert!(!first(&there).is_remotely_silent());
     let health = &mut here.get_mut(keys[0]).expect("it is known").health;
     health.found_alive(at(2_000));
     let told = own_report(Incarnation(1), 2, &here, at(2_000));
@@ -374,10 +374,10 @@
     collector.sum_up(at(0));
     let mut fleet = Fleet::default();
     let (key, _) = fleet.upsert(run_entry(2_000), Evidence::Written, at(0));
-    let mut elsewhere = Elsewhere::default();
-    elsewhere.hear(collector.all_but(Incarnation(9)), &mut fleet, at(0));
-    let running = |fleet: &Fleet| fleet.get(key).map(|engine| engine.running_elsewhere);
+    let mut remote_loads = RemoteLoads::default();
+    remote_loads.hear(collector.all_but(Incarnation(9)), &mut fleet, at(0));
+    let running = |fleet: &Fleet| fleet.get(key).map(|engine| engine.remote_running);
     assert_eq!(running(&fleet), Some(7.0));
-    elsewhere.forget_old(&mut fleet, at(100));
+    remote_loads.remove_expired(&mut fleet, at(100));
     assert_eq!(running(&fleet), Some(7.0));
 }
--- a/reachtally-core/tests/core/forward/quarantine.rs
+++ b/reachtally-core/tests/core/forward/quarantine.rs
@@ -159,9 +159,9 @@
         }
     }
     for mut table in [north, south] {
-        table.forget_old(at(life - 1));
+        table.remove_expired(at(life - 1));
         assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
-        table.forget_old(at(life));
+        table.remove_expired(at(life));
         assert!(table.is_empty());
     }
 }
@@ -171,7 +171,7 @@
     let mut table = seen(&[begun(1), begun(2)]);
     let life = CASE_LIFE.as_secs();
     table.refused(REQUEST, at(life - 1));
-    table.forget_old(at(life + 100));
+    table.remove_expired(at(life + 100));
     assert_eq!(table.verdict(REQUEST), Verdict::Quarantined);
 }
 
@@ -241,7 +241,7 @@
         ..over
     };
     table.hear(&long, at(0));
-    table.forget_old(at(CASE_LIFE.as_secs()));
+    table.remove_expired(at(CASE_LIFE.as_secs()));
     assert!(table.is_empty());
 }
 
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -99,10 +99,7 @@
     let (mut fleet, keys) = two_beginnings();
     let expected = |fleet: &Fleet| choose(fleet, &keys[1..2]).expect("there is a path").first;
     let (idle, even) = (expected(&fleet), share(&fleet, keys[0]));
-    fleet
-        .get_mut(keys[0])
-        .expect("it is known")
-        .reading_elsewhere = 200_000.0;
+    fleet.get_mut(keys[0]).expect("it is known").remote_reading = 200_000.0;
     assert!(expected(&fleet) > idle + Duration::from_millis(200));
     let fewer = share(&fleet, keys[0]);
     assert!(fewer < even / 2, "{fewer} of {even}");
@@ -368,14 +365,14 @@
 fn figures_beyond_reason_neither_panic_nor_attract() {
     let (mut fleet, keys) = two_beginnings();
     let engine = fleet.get_mut(keys[0]).expect("it is known");
-    engine.running_elsewhere = 100_000.0;
+    engine.remote_running = 100_000.0;
     engine.told_pace(f64::INFINITY, Instant::from_elapsed(Duration::from_secs(1)));
     engine.told_pace(f64::NAN, Instant::from_elapsed(Duration::from_secs(1)));
     assert_eq!(share(&fleet, keys[0]), 0);
     // A later stage may run more requests than a first one has places.
     let engine = fleet.get_mut(keys[2]).expect("it is known");
-    engine.running_elsewhere = 100_000.0;
-    engine.reading_elsewhere = 1e8;
+    engine.remote_running = 100_000.0;
+    engine.remote_reading = 1e8;
     assert!(choose(&fleet, &[]).is_some());
     for empty in [
         LayerModel::default(),
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -24,7 +24,7 @@
     /// Requests of this box on the first target.
     pub running: u32,
     /// Requests of other boxes there, as last told.
-    pub running_elsewhere: f64,
+    pub remote_running: f64,
     /// Expected time until the first event or the answer.
     pub expected_first: Duration,
 }
@@ -169,7 +169,7 @@
         let age = relay.configuration.age(relay.now()).unwrap_or_default();
         log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = version, confirmed_ms = age.as_millis() as u64, prompt = call.head.prompt_tokens as u64, fingerprint:% = call.fingerprint(); "a request that did not go well");
         for (number, record) in self.records.iter().enumerate() {
-            log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.running_elsewhere as u64, expected_ms = record.expected_first.as_millis() as u64; "it was sent");
+            log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.remote_running as u64, expected_ms = record.expected_first.as_millis() as u64; "it was sent");
         }
     }
 
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -149,8 +149,8 @@
         if self.target == Target::Here && self.is_collector() {
             self.take(self.collector.all_but(self.run), now);
         }
-        let mut elsewhere = self.relay.elsewhere.borrow_mut();
-        elsewhere.forget_old(&mut self.relay.fleet.borrow_mut(), now);
+        let mut remote_loads = self.relay.remote_loads.borrow_mut();
+        remote_loads.remove_expired(&mut self.relay.fleet.borrow_mut(), now);
     }
 
     /// Whether others may report here. A box without a collector hears only itself, which says nothing of how
@@ -318,8 +318,8 @@
 
     /// Take in what all other boxes have.
     fn take(&self, others: Others, now: Instant) {
-        let mut elsewhere = self.relay.elsewhere.borrow_mut();
-        elsewhere.hear(others, &mut self.relay.fleet.borrow_mut(), now);
+        let mut remote_loads = self.relay.remote_loads.borrow_mut();
+        remote_loads.hear(others, &mut self.relay.fleet.borrow_mut(), now);
     }
 
     fn note_malformed(&mut self, from: IpAddr, why: &load::LoadError, now: Instant) {
--- a/reachtally-relay/src/gossip/suspects.rs
+++ b/reachtally-relay/src/gossip/suspects.rs
@@ -12,7 +12,7 @@
     /// the collector may have started again. A collector tells the others alike.
     pub(super) fn tell_suspects(&self) {
         let now = self.relay.now();
-        self.relay.suspicion.forget_old(now);
+        self.relay.suspicion.remove_expired(now);
         match self.target {
             Target::Box(ip) => self.send_suspects(ip, self.suspects(Origin::Own, self.number)),
             Target::Here => {
--- a/reachtally-relay/src/pace.rs
+++ b/reachtally-relay/src/pace.rs
@@ -40,7 +40,7 @@
 fn is_unknown(relay: &Relay, key: EngineKey) -> bool {
     let fleet = relay.fleet.borrow();
     let is_known =
-        |engine: &Engine| engine.pace_elsewhere.is_some() || engine.own_pace(relay.now()).is_some();
+        |engine: &Engine| engine.remote_pace.is_some() || engine.own_pace(relay.now()).is_some();
     let is_limited = |engine: &Engine| engine.notice.limit().is_some();
     let is_asked = |engine: &Engine| {
         !is_known(engine) && !is_limited(engine) && engine.accepts_requests(relay.now())
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -58,8 +58,8 @@
     }
 
     /// Forget what is old.
-    pub fn forget_old(&self, now: Instant) {
-        self.table.borrow_mut().forget_old(now);
+    pub fn remove_expired(&self, now: Instant) {
+        self.table.borrow_mut().remove_expired(now);
     }
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -14,7 +14,7 @@
 use reachtally_core::forward::changes::Changes;
 use reachtally_core::forward::era::{Era, Eras, Generation, Position};
 use reachtally_core::forward::fleet::{EngineKey, Fleet};
-use reachtally_core::forward::loads::Elsewhere;
+use reachtally_core::forward::loads::RemoteLoads;
 use reachtally_core::forward::peers::{self, Member};
 use reachtally_core::forward::readers::View;
 use reachtally_core::forward::routes::Service;
@@ -83,7 +83,7 @@
     /// Progress of engines.
     pub progress: RefCell<Progress>,
     /// The other boxes' loads.
-    pub elsewhere: RefCell<Elsewhere>,
+    pub remote_loads: RefCell<RemoteLoads>,
     /// Boxes in the group.
     pub members: RefCell<Vec<Member>>,
     /// When the targets of each failure domain were last asked whether they are there.
@@ -155,7 +155,7 @@
             fleet: RefCell::default(),
             connections: Connections::default(),
             progress: RefCell::default(),
-            elsewhere: RefCell::default(),
+            remote_loads: RefCell::default(),
             members: RefCell::default(),
             domains_checked: RefCell::default(),
             group_generation: Cell::default(),
@@ -370,7 +370,7 @@
     /// the safe side.
     pub fn boxes(&self) -> u32 {
         let domains = self.settings.borrow().domains;
-        let counted = self.elsewhere.borrow().boxes(domains);
+        let counted = self.remote_loads.borrow().boxes(domains);
         let members = self.members.borrow().len() as u32;
         let is_settled = self.is_count_settled();
         let least = match counted {
@@ -397,7 +397,7 @@
         if self.is_count_settled() {
             return 1.0;
         }
-        let heard = self.elsewhere.borrow().domains_heard();
+        let heard = self.remote_loads.borrow().domains_heard();
         if heard == 0 {
             return f64::from(BOXES_ASSUMED);
         }
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -102,7 +102,7 @@
                 domain: engine.entry.domain.clone(),
                 card: *card,
                 layers: ordered.unwrap_or_else(|| engine.entry.layers.clone()),
-                running: f64::from(engine.running) + engine.running_elsewhere,
+                running: f64::from(engine.running) + engine.remote_running,
             })
         })
         .collect()
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -334,7 +334,7 @@
         after: relay.now().since(call.arrived),
         targets: names.collect::<Vec<String>>().join(","),
         running: first.map_or(0, |engine| engine.running),
-        running_elsewhere: first.map_or(0.0, |engine| engine.running_elsewhere),
+        remote_running: first.map_or(0.0, |engine| engine.remote_running),
         expected_first: pick.first,
     }
 }
--- a/reachtally-relay/src/targets/answers.rs
+++ b/reachtally-relay/src/targets/answers.rs
@@ -32,7 +32,7 @@
     pub fn target_refused(&self, key: EngineKey) {
         let now = self.now();
         if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
-            log::info!(event = "target-refused", target = &*engine.entry.id, layers:? = engine.entry.layers, running = engine.running, elsewhere = engine.running_elsewhere as u64, tokens = engine.tokens as u64, tokens_elsewhere = engine.tokens_elsewhere as u64; "a target has no room");
+            log::info!(event = "target-refused", target = &*engine.entry.id, layers:? = engine.entry.layers, running = engine.running, elsewhere = engine.remote_running as u64, tokens = engine.tokens as u64, tokens_elsewhere = engine.remote_tokens as u64; "a target has no room");
             engine.health.refused(now);
         }
     }
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -126,7 +126,7 @@
         let is_dead = |key: &&EngineKey| {
             fleet
                 .get(**key)
-                .is_none_or(|engine| engine.health.is_dead() || engine.is_silent_elsewhere())
+                .is_none_or(|engine| engine.health.is_dead() || engine.is_remotely_silent())
         };
         engines.iter().filter(is_dead).copied().collect()
     }
