fix(core): a limit that is heard of before the list of targets is read does not make its target gone

A starting box may be told of a limit before it has read the targets. The notice of a run without a row counted as a run whose entry was removed, so a box that reads the store skipped the run's listed entry until its next heartbeat. The table now tells runs that lost their row from those that never had one.

--- a/reachtally-core/src/forward/fleet/notice.rs
+++ b/reachtally-core/src/forward/fleet/notice.rs
@@ -82,6 +82,8 @@
     notice: Notice,
     /// When it expires.
     until: Instant,
+    /// Whether the run had a row.
+    had_row: bool,
 }
 
 impl Kept {
@@ -104,6 +106,10 @@
 impl Notices {
     /// Keeps the notice of a run whose row is removed.
     pub fn keep(&mut self, run: TargetRun, notice: Notice, now: Instant) {
+        self.insert(run, notice, true, now);
+    }
+
+    fn insert(&mut self, run: TargetRun, notice: Notice, had_row: bool, now: Instant) {
         if self.0.len() >= MOST_KEPT {
             self.make_place(now);
         }
@@ -111,6 +117,7 @@
         let kept = Kept {
             mark: run.mark,
             notice,
+            had_row,
             until: notice.back_off_until.map_or(usual, |end| end.max(usual)),
         };
         self.0.insert(run.id, kept);
@@ -119,7 +126,7 @@
     /// Whether a run had a row and lost it.
     pub fn has(&self, run: &TargetRun) -> bool {
         let kept = self.0.get(&run.id);
-        kept.is_some_and(|kept| run.mark.is_same(kept.mark))
+        kept.is_some_and(|kept| kept.had_row && run.mark.is_same(kept.mark))
     }
 
     /// The notice of a run that has no row.
@@ -130,9 +137,10 @@
 
     /// Changes the notice of a run without a row.
     pub fn change(&mut self, run: &TargetRun, now: Instant, change: impl FnOnce(&mut Notice)) {
+        let had_row = self.has(run);
         let mut notice = self.take(run);
         change(&mut notice);
-        self.keep(run.clone(), notice, now);
+        self.insert(run.clone(), notice, had_row, now);
     }
 
     /// Removes and returns the notice of a run that gets a row; the default if the id was another run's.
--- a/reachtally-core/tests/core/forward/limit.rs
+++ b/reachtally-core/tests/core/forward/limit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{Fleet, TargetRun};
+use reachtally_core::forward::fleet::{Evidence, Fleet, TargetRun};
 use reachtally_core::forward::limit::{
     Allocator, Demand, DemandPart, DemandRate, Extent, LimitReport, LimitedTarget, PERMIT_LIFE,
     PermitRequest, Permits, RateLimit, ServiceDemand, StatedLimit, changes, hear, page,
@@ -373,3 +373,22 @@
     }
     assert_eq!(limit(f64::INFINITY).per_second(), f64::MAX);
 }
+
+/// A box that starts may be told of a limit before it reads the list of targets, and took its target for gone.
+#[test]
+fn a_limit_of_an_unknown_run_does_not_make_it_gone() {
+    let mut fleet = Fleet::default();
+    let told = LimitReport {
+        target: run("e0"),
+        limit: Some(limit(4.0)),
+        age: Duration::ZERO,
+    };
+    hear(&mut fleet, &told, at(0));
+    assert!(!fleet.is_gone(&run("e0")));
+    let entry = entry(0, "a", "large", 0..30);
+    fleet.upsert(entry, Evidence::Listed, at(10));
+    assert_eq!(fleet.limit_of(&run("e0")), Some(limit(4.0)));
+    fleet.remove("e0", at(20));
+    hear(&mut fleet, &told, at(30));
+    assert!(fleet.is_gone(&run("e0")));
+}
