fix(relay): boxes whose requests wait ask for permits ten times a second at most

With 20 ms between two requests 500 boxes whose callers all wait would send their collector 25,000 a second (worked out), more than a small box handles; with 100 ms 5,000, half of what reports cost there.

--- a/reachtally-relay/src/gossip/limits.rs
+++ b/reachtally-relay/src/gossip/limits.rs
@@ -14,8 +14,8 @@
 use super::{Gossip, Target, is_page_due};
 use crate::gossip::PAGE_REPORTS;
 
-/// Least time between two requests for permits.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Least time between two requests for permits, which bounds what a collector gets while requests wait at all boxes.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// This box's requests for permits.
 #[derive(Debug, Default)]
