--- a/reachtally-bench/src/limits/play.rs
+++ b/reachtally-bench/src/limits/play.rs
@@ -7,9 +7,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use reachtally_core::Instant;
-use reachtally_core::forward::limit::{DemandPart, RateLimit, ServiceDemand, changes, hear, page};
+use reachtally_core::forward::limit::{DemandPart, RateLimit, ServiceDemand, apply, changes, page};
 use reachtally_core::forward::loads::Message;
-use reachtally_protocol::limits::LIMITS_TOLD;
+use reachtally_protocol::limits::LIMITS_IN_MESSAGE;
 use reachtally_protocol::load;
 
 use super::box_state::{BoxState, SERVICE};
@@ -407,7 +407,7 @@
 
     /// Reports a change at once, as the relay does.
     fn spread(&mut self, at: usize, from: Option<usize>) {
-        let told = changes(&self.boxes[at].fleet, LIMITS_TOLD, self.clock());
+        let told = changes(&self.boxes[at].fleet, LIMITS_IN_MESSAGE, self.clock());
         let collectors = self.collectors();
         if at >= collectors {
             return self.post(at, at % collectors, Message::Limits(told));
@@ -427,13 +427,13 @@
         let now = self.clock();
         let collectors = self.collectors();
         let number = self.now_us / REPORT_US;
-        let told = self.limits_told(at, number);
+        let told = self.limits_due(at, number);
         if at < collectors {
             self.tell_collectors(at, told);
         } else {
             let collector = at % collectors;
             self.post(at, collector, Message::Limits(told));
-            let answer = self.limits_told(collector, number);
+            let answer = self.limits_due(collector, number);
             self.post(collector, at, Message::Limits(answer));
         }
         if self.setting.way == Way::Demand {
@@ -453,16 +453,16 @@
         }
     }
 
-    fn limits_told(
+    fn limits_due(
         &self,
         at: usize,
         number: u64,
     ) -> Vec<reachtally_core::forward::limit::LimitReport> {
         let now = self.clock();
         let fleet = &self.boxes[at].fleet;
-        let changed = changes(fleet, LIMITS_TOLD, now);
+        let changed = changes(fleet, LIMITS_IN_MESSAGE, now);
         match changed.is_empty() && number.is_multiple_of(PAGE_REPORTS) {
-            true => page(fleet, number / PAGE_REPORTS, LIMITS_TOLD, now),
+            true => page(fleet, number / PAGE_REPORTS, LIMITS_IN_MESSAGE, now),
             false => changed,
         }
     }
@@ -536,12 +536,12 @@
         let there = &mut self.boxes[to];
         match message {
             Message::Limits(told) => {
-                let heard = told.iter().map(|told| hear(&mut there.fleet, told, now));
-                let is_news = heard.fold(false, |any, news| any | news);
-                if is_news {
+                let changed = told.iter().map(|told| apply(&mut there.fleet, told, now));
+                let has_changed = changed.fold(false, |any, news| any | news);
+                if has_changed {
                     self.note_known();
                 }
-                if is_news && to < self.collectors() {
+                if has_changed && to < self.collectors() {
                     self.spread(to, Some(from));
                 }
             }
@@ -557,7 +557,7 @@
                     there.fleet.grant(&grant.target, grant.count, now);
                 }
             }
-            Message::DemandPart(part) => there.allocator.hear_part(part, now),
+            Message::DemandPart(part) => there.allocator.update_peer(part, now),
             _ => {}
         }
     }
--- a/reachtally-core/src/forward/limit/allocator.rs
+++ b/reachtally-core/src/forward/limit/allocator.rs
@@ -1,4 +1,4 @@
-//! A collector's part of the limits: what it may issue, and to whom.
+//! Issuing permits at a collector.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -35,7 +35,7 @@
 pub struct Extent {
     /// Failure domains, this one included; at least 1.
     pub domains: usize,
-    /// Largest part of a limit that this collector may issue. Below 1 where others may issue without knowing of it.
+    /// Upper bound on the part of a limit that this collector issues; below 1 where others may issue without knowing of it.
     pub largest_part: f64,
 }
 
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 struct Asker {
     number: u64,
-    heard: Instant,
+    received_at: Instant,
     demands: Vec<ServiceDemand>,
 }
 
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 struct Peer {
     domain: String,
-    heard: Instant,
+    received_at: Instant,
     demands: Vec<ServiceDemand>,
 }
 
@@ -83,24 +83,24 @@
     buckets: HashMap<TargetRun, Bucket>,
     /// This domain's part of the limits, by service.
     parts: HashMap<Arc<str>, f64>,
-    /// Targets with a token, the one that was issued longest ago first.
+    /// Targets with a token, the least recently used first.
     ready: VecDeque<TargetRun>,
     filled: Option<Instant>,
 }
 
 impl Allocator {
-    /// Takes in a request, and answers it; `None` for one that is older than the last.
+    /// Answers a request; `None` if a newer one of the box was answered.
     pub fn answer(&mut self, req: PermitRequest, now: Instant) -> Option<Grants> {
         let asker = self.askers.entry(req.run).or_insert_with(|| Asker {
             number: 0,
-            heard: now,
+            received_at: now,
             demands: Vec::new(),
         });
         if req.number <= asker.number {
             return None;
         }
         asker.number = req.number;
-        asker.heard = now;
+        asker.received_at = now;
         asker.demands = req.demands;
         Some(Grants {
             number: req.number,
@@ -113,17 +113,17 @@
         self.askers.remove(&run);
     }
 
-    /// Takes in what another collector reported.
-    pub fn hear_part(&mut self, part: DemandPart, now: Instant) {
+    /// Updates the demand of another collector.
+    pub fn update_peer(&mut self, part: DemandPart, now: Instant) {
         let peer = Peer {
             domain: part.domain,
-            heard: now,
+            received_at: now,
             demands: part.demands,
         };
         self.peers.insert(part.run, peer);
     }
 
-    /// The demand of the boxes that ask here, by service.
+    /// Returns the demand of the boxes that ask here, by service.
     pub fn own_demands(&self) -> Vec<ServiceDemand> {
         let mut sums: BTreeMap<&Arc<str>, (DemandRate, u32)> = BTreeMap::new();
         let demands = self.askers.values().flat_map(|asker| &asker.demands);
@@ -143,9 +143,9 @@
 
     /// Fills the buckets of `targets` for the time since the last call, and drops all others.
     pub fn refill(&mut self, targets: &[LimitedTarget], extent: Extent, now: Instant) {
-        let is_new = |heard: Instant| now.since(heard) < REPORT_LIFE;
-        self.askers.retain(|_, asker| is_new(asker.heard));
-        self.peers.retain(|_, peer| is_new(peer.heard));
+        let is_valid = |at: Instant| now.since(at) < REPORT_LIFE;
+        self.askers.retain(|_, asker| is_valid(asker.received_at));
+        self.peers.retain(|_, peer| is_valid(peer.received_at));
         let passed = now.since(self.filled.unwrap_or(now));
         self.filled = Some(now);
         self.adjust_parts(targets, extent, passed);
@@ -173,16 +173,16 @@
         }
     }
 
-    /// This domain's part of the demand for a service; `None` where there is none. A domain that is not heard of counts like this one or like the
+    /// Returns this domain's part of the demand for a service; `None` without demand. A domain that did not report counts like the
     /// largest.
     fn part_of_demand(&self, service: &str, own: &[ServiceDemand], extent: Extent) -> Option<f64> {
         let own = rate_of(own, service);
         let peers = self.peers.values();
         let rates: Vec<f64> = peers.map(|peer| rate_of(&peer.demands, service)).collect();
         let domains: BTreeSet<&str> = self.peers.values().map(|peer| &*peer.domain).collect();
-        let unheard = extent.domains.saturating_sub(domains.len() + 1) as f64;
+        let unreported = extent.domains.saturating_sub(domains.len() + 1) as f64;
         let largest = rates.iter().copied().fold(own, f64::max);
-        let all = own + rates.iter().sum::<f64>() + unheard * largest;
+        let all = own + rates.iter().sum::<f64>() + unreported * largest;
         (all > 0.0).then_some(own / all)
     }
 
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Issues permits to a box, as many as it can use, one of each target in turn.
+    /// Issues permits to a box, as many as it can use, one for each target in turn.
     fn issue(&mut self, run: Incarnation) -> Vec<Grant> {
         let Some(asker) = self.askers.get(&run) else {
             return Vec::new();
--- a/reachtally-core/src/forward/limit/demand.rs
+++ b/reachtally-core/src/forward/limit/demand.rs
@@ -12,7 +12,7 @@
 const SMOOTHING: Duration = Duration::from_millis(1000);
 /// Rate below which a service counts as without demand, in requests a second.
 const LEAST_RATE: f64 = 0.01;
-/// Highest rate that is believed of one sender, in requests a second.
+/// Upper bound on the rate that one sender can report, in requests a second; rejects corrupt reports.
 const HIGHEST_RATE: f64 = 1_000_000.0;
 
 /// A rate of requests a second, finite and not negative.
@@ -20,7 +20,7 @@
 pub struct DemandRate(f64);
 
 impl DemandRate {
-    /// The rate `per_second`, cut to what is believed.
+    /// Creates a rate, cut to the upper bound; `NaN` is 0.
     pub fn new(per_second: f64) -> Self {
         let number = if per_second.is_nan() { 0.0 } else { per_second };
         DemandRate(number.clamp(0.0, HIGHEST_RATE))
@@ -69,7 +69,7 @@
         self.0.insert(service.clone(), mean);
     }
 
-    /// The services with demand; those without are removed. Permits are not known here.
+    /// Returns the services with demand, without the permits held; services without demand are removed.
     pub fn services(&mut self, now: Instant) -> Vec<ServiceDemand> {
         self.0.retain(|_, mean| mean.at(now) >= LEAST_RATE);
         let each = self.0.iter();
--- a/reachtally-core/src/forward/limit/mod.rs
+++ b/reachtally-core/src/forward/limit/mod.rs
@@ -19,7 +19,7 @@
 pub use allocator::{Allocator, Extent, LimitedTarget};
 pub use demand::{Demand, DemandRate};
 pub use permits::Permits;
-pub use spread::{changes, hear, limited_targets, note_held, page};
+pub use spread::{apply, changes, limited_targets, note_held, page};
 
 /// Time from its issue until a permit expires. Shorter, and boxes with few requests leave more of them unused; longer, and more requests may
 /// arrive in a window.
@@ -64,7 +64,7 @@
     }
 }
 
-/// A statement on a target's limit, as boxes tell each other.
+/// A statement on a target's limit, as boxes report it to each other.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitReport {
     /// The run of the target.
--- a/reachtally-core/src/forward/limit/permits.rs
+++ b/reachtally-core/src/forward/limit/permits.rs
@@ -33,7 +33,7 @@
         self.expiries.last().is_some_and(|expiry| now < *expiry)
     }
 
-    /// Uses the permit that expires first; yields whether there was one.
+    /// Uses the permit that expires first; returns whether there was one.
     pub fn take(&mut self, now: Instant) -> bool {
         self.drop_expired(now);
         if self.expiries.is_empty() {
--- a/reachtally-core/src/forward/limit/spread.rs
+++ b/reachtally-core/src/forward/limit/spread.rs
@@ -1,4 +1,4 @@
-//! What a box reports of limits to others, and what it takes in.
+//! Reporting limits to other boxes, and applying their reports.
 
 use std::time::Duration;
 
@@ -6,9 +6,9 @@
 use crate::forward::fleet::{Engine, Fleet};
 use crate::time::Instant;
 
-/// How long a change is repeated with each report, since datagrams are lost.
+/// Time for which a change is repeated with each report, since datagrams are lost.
 const CHANGE_REPEATED: Duration = Duration::from_millis(700);
-/// How long the end of a limit is part of the pages that repair what was lost.
+/// Time for which the end of a limit stays in the pages of all limits.
 const END_REPEATED: Duration = Duration::from_secs(10);
 
 fn report(engine: &Engine, stated: StatedLimit, now: Instant) -> LimitReport {
@@ -19,7 +19,7 @@
     }
 }
 
-/// Limits that changed lately, the newest first; `most` at most.
+/// Returns the limits that changed lately, the newest first, at most `most`.
 pub fn changes(fleet: &Fleet, most: usize, now: Instant) -> Vec<LimitReport> {
     let stated = fleet.stated_limits();
     let mut changed: Vec<_> = stated
@@ -32,7 +32,7 @@
         .collect()
 }
 
-/// Page `number` of all limits, `most` on each; counted round and round.
+/// Returns page `number` of all limits, wrapping around, with `most` limits each.
 pub fn page(fleet: &Fleet, number: u64, most: usize, now: Instant) -> Vec<LimitReport> {
     let stated = fleet.stated_limits();
     let held: Vec<_> = stated
@@ -47,8 +47,8 @@
         .collect()
 }
 
-/// Takes in what another box reported of a limit; yields whether the limit changed.
-pub fn hear(fleet: &mut Fleet, report: &LimitReport, now: Instant) -> bool {
+/// Applies the report of another box; returns whether the limit changed.
+pub fn apply(fleet: &mut Fleet, report: &LimitReport, now: Instant) -> bool {
     let at = now.before(report.age);
     let limit = report.limit;
     let mut is_changed = false;
@@ -58,7 +58,7 @@
     is_changed
 }
 
-/// Notes with each demand how many permits are held for its service.
+/// Sets the number of unused permits in each demand.
 pub fn note_held(demands: &mut [ServiceDemand], fleet: &Fleet, now: Instant) {
     for demand in demands {
         let targets = fleet.of_service(&demand.service);
@@ -66,7 +66,7 @@
     }
 }
 
-/// Targets for which permits are issued.
+/// Returns the targets for which permits are issued.
 pub fn limited_targets(fleet: &Fleet) -> Vec<LimitedTarget> {
     let stated = fleet.stated_limits();
     let limited = stated.filter_map(|(engine, stated, _)| {
--- a/reachtally-core/tests/core/forward/limit.rs
+++ b/reachtally-core/tests/core/forward/limit.rs
@@ -6,7 +6,7 @@
 use reachtally_core::forward::fleet::{Evidence, Fleet, TargetRun};
 use reachtally_core::forward::limit::{
     Allocator, Demand, DemandPart, DemandRate, Extent, LimitReport, LimitedTarget, PERMIT_LIFE,
-    PermitRequest, Permits, RateLimit, ServiceDemand, StatedLimit, changes, hear, page,
+    PermitRequest, Permits, RateLimit, ServiceDemand, StatedLimit, apply, changes, page,
 };
 use reachtally_core::forward::select::{Circumstance, Limits, instance, path};
 use reachtally_core::ids::Incarnation;
@@ -110,7 +110,7 @@
     for (number, allocator) in allocators.iter_mut().enumerate() {
         let others = parts.iter().enumerate().filter(|(from, _)| *from != number);
         for (_, part) in others {
-            allocator.hear_part(part.clone(), at(now));
+            allocator.update_peer(part.clone(), at(now));
         }
     }
 }
@@ -339,14 +339,14 @@
 fn the_newest_statement_holds_in_whatever_order_they_are_heard() {
     let mut fleet = limited_fleet();
     assert!(state(&mut fleet, "e0", None, 1_000));
-    let told = LimitReport {
+    let report = LimitReport {
         target: run("e0"),
         limit: Some(limit(4.0)),
         age: Duration::from_millis(500),
     };
-    assert!(!hear(&mut fleet, &told, at(1_200)));
+    assert!(!apply(&mut fleet, &report, at(1_200)));
     assert_eq!(fleet.limit_of(&run("e0")), None);
-    assert!(hear(&mut fleet, &told, at(1_600)));
+    assert!(apply(&mut fleet, &report, at(1_600)));
     assert_eq!(fleet.limit_of(&run("e0")), Some(limit(4.0)));
 }
 
@@ -378,17 +378,17 @@
 #[test]
 fn a_limit_of_an_unknown_run_does_not_make_it_gone() {
     let mut fleet = Fleet::default();
-    let told = LimitReport {
+    let report = LimitReport {
         target: run("e0"),
         limit: Some(limit(4.0)),
         age: Duration::ZERO,
     };
-    hear(&mut fleet, &told, at(0));
+    apply(&mut fleet, &report, at(0));
     assert!(!fleet.is_gone(&run("e0")));
     let entry = entry(0, "a", "large", 0..30);
     fleet.upsert(entry, Evidence::Listed, at(10));
     assert_eq!(fleet.limit_of(&run("e0")), Some(limit(4.0)));
     fleet.remove("e0", at(20));
-    hear(&mut fleet, &told, at(30));
+    apply(&mut fleet, &report, at(30));
     assert!(fleet.is_gone(&run("e0")));
 }
--- a/reachtally-protocol/src/limits.rs
+++ b/reachtally-protocol/src/limits.rs
@@ -10,9 +10,9 @@
 
 use crate::generated::relay;
 
-/// Limits in one message. With names of a dozen bytes, and marks, it fits a datagram that is not split on the way.
-pub const LIMITS_TOLD: usize = 36;
-/// Parts of a request a second that are told.
+/// Number of limits in one message. With names of a dozen bytes, and marks, it fits a datagram that is not split on the way.
+pub const LIMITS_IN_MESSAGE: usize = 36;
+/// Units of a rate on the wire, for a request a second.
 const PARTS: f64 = 1000.0;
 
 fn target_run(id: String, mark: u32) -> TargetRun {
--- a/reachtally-protocol/tests/protocol/limits.rs
+++ b/reachtally-protocol/tests/protocol/limits.rs
@@ -8,7 +8,7 @@
 };
 use reachtally_core::forward::loads::Message;
 use reachtally_core::ids::Incarnation;
-use reachtally_protocol::limits::LIMITS_TOLD;
+use reachtally_protocol::limits::LIMITS_IN_MESSAGE;
 use reachtally_protocol::load::{self, MESSAGE_MAX};
 
 fn target(number: usize) -> TargetRun {
@@ -47,7 +47,7 @@
     });
     let messages = [
         Message::Limits(vec![ended]),
-        Message::Limits(limits(LIMITS_TOLD)),
+        Message::Limits(limits(LIMITS_IN_MESSAGE)),
         Message::PermitRequest(PermitRequest {
             run: Incarnation(7),
             number: 9,
--- a/reachtally-relay/src/gossip/limits.rs
+++ b/reachtally-relay/src/gossip/limits.rs
@@ -1,4 +1,4 @@
-//! Rate limits of targets, and permits for sends to them, to and from the other boxes.
+//! Rate limits of targets, and the permits by which all boxes keep them, to and from the other boxes.
 
 use std::net::IpAddr;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 };
 use reachtally_core::forward::loads::Message;
 use reachtally_core::forward::peers::domains;
-use reachtally_protocol::limits::LIMITS_TOLD;
+use reachtally_protocol::limits::LIMITS_IN_MESSAGE;
 
 use super::{Gossip, Target, is_page_due};
 use crate::gossip::PAGE_REPORTS;
@@ -28,16 +28,16 @@
 }
 
 impl Gossip {
-    /// Reports limits that changed, or now and then a page of all, and asks for permits. A collector also reports the demand that it knows.
-    pub(super) fn tell_limits(&mut self) {
-        let limits = self.limits_told(self.number);
+    /// Reports limits and asks for permits. A collector also reports the demand of its boxes.
+    pub(super) fn report_limits(&mut self) {
+        let limits = self.limits_due(self.number);
         match self.target {
             Target::Box(ip) => self.send_limits(ip, limits),
             Target::Here => {
                 for ip in self.collectors() {
                     self.send_limits(ip, limits.clone());
                 }
-                self.tell_demand();
+                self.report_demand();
             }
         }
         self.request_permits();
@@ -45,24 +45,25 @@
 
     /// Answers report `number` of a box that reports here.
     pub(super) fn answer_limits(&self, to: IpAddr, number: u64) {
-        self.send_limits(to, self.limits_told(number));
+        self.send_limits(to, self.limits_due(number));
     }
 
-    /// Reports a change at once, so that other boxes keep a limit before its target tells them.
+    /// Sends changed limits immediately instead of with the next report.
     pub(super) fn spread_limits(&self, from: Option<IpAddr>) {
         let now = self.relay.now();
-        let changes = limit::changes(&self.relay.fleet.borrow(), LIMITS_TOLD, now);
+        let changes = limit::changes(&self.relay.fleet.borrow(), LIMITS_IN_MESSAGE, now);
         for ip in self.neighbours(from) {
             self.send_limits(ip, changes.clone());
         }
     }
 
-    fn limits_told(&self, number: u64) -> Vec<LimitReport> {
+    /// Limits that go with report `number`: those that changed lately, or else a page of all if one is due.
+    fn limits_due(&self, number: u64) -> Vec<LimitReport> {
         let now = self.relay.now();
         let fleet = self.relay.fleet.borrow();
-        let changes = limit::changes(&fleet, LIMITS_TOLD, now);
+        let changes = limit::changes(&fleet, LIMITS_IN_MESSAGE, now);
         match changes.is_empty() && is_page_due(number) {
-            true => limit::page(&fleet, number / PAGE_REPORTS, LIMITS_TOLD, now),
+            true => limit::page(&fleet, number / PAGE_REPORTS, LIMITS_IN_MESSAGE, now),
             false => changes,
         }
     }
@@ -73,8 +74,8 @@
         }
     }
 
-    /// Tells other collectors of the demand by which they share the limits.
-    fn tell_demand(&self) {
+    /// Reports the demand by which collectors share the limits.
+    fn report_demand(&self) {
         if self.limited_targets().is_empty() {
             return;
         }
@@ -134,7 +135,7 @@
         }
     }
 
-    /// Takes in permits; an answer that comes twice or late adds nothing.
+    /// Adds permits; a duplicate or late answer is ignored.
     pub(super) fn take_grants(&mut self, grants: &Grants) {
         if grants.number <= self.requests.answered {
             return;
@@ -143,7 +144,7 @@
         self.relay.take_grants(grants);
     }
 
-    /// Fills the buckets of what this collector may issue.
+    /// Refills the buckets of the limited targets.
     pub(super) fn refill(&mut self) {
         let now = self.relay.now();
         let limited = self.limited_targets();
@@ -151,7 +152,7 @@
         self.allocator.refill(&limited, extent, now);
     }
 
-    /// Whom the limits are shared with. A box that nobody else takes for a collector does not know how many others there are of its kind.
+    /// Whom the limits are shared with. A box that is no member of the group does not know how many others collect for themselves.
     fn extent(&self) -> Extent {
         let members = domains(&self.relay.members.borrow()).len();
         let settings = self.relay.settings.borrow().domains;
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -144,7 +144,7 @@
         }
         self.tell_suspects();
         self.sum_up();
-        self.tell_limits();
+        self.report_limits();
         self.tell_peers();
         if self.target == Target::Here && self.is_collector() {
             self.take(self.collector.all_but(self.run), now);
@@ -300,8 +300,8 @@
                     self.spread_suspects(Some(from));
                 }
             }
-            Ok(Message::Limits(told)) => {
-                if self.relay.hear_limits(&told) {
+            Ok(Message::Limits(reports)) => {
+                if self.relay.update_limits(&reports) {
                     self.spread_limits(Some(from));
                 }
             }
@@ -311,7 +311,7 @@
                     self.take_grants(&grants);
                 }
             }
-            Ok(Message::DemandPart(part)) => self.allocator.hear_part(part, now),
+            Ok(Message::DemandPart(part)) => self.allocator.update_peer(part, now),
             Err(err) => self.note_malformed(from, &err, now),
         }
     }
--- a/reachtally-relay/src/limits.rs
+++ b/reachtally-relay/src/limits.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LimitState {
     demand: RefCell<Demand>,
-    /// A target told this box of a change.
+    /// A target changed its limit in an answer to this box.
     pub changed: Notify,
     /// A request waits for a permit.
     pub wanted: Notify,
@@ -33,7 +33,7 @@
         self.demand.borrow_mut().count(service, now);
     }
 
-    /// What callers of this box ask for.
+    /// Returns the demand of this box's callers.
     pub fn demands(&self, now: Instant) -> Vec<ServiceDemand> {
         self.demand.borrow_mut().services(now)
     }
@@ -74,22 +74,22 @@
         }
     }
 
-    /// Takes in what another box reported of limits; yields whether one changed.
-    pub(crate) fn hear_limits(&self, reports: &[LimitReport]) -> bool {
+    /// Applies limits that another box reported; returns whether one changed.
+    pub(crate) fn update_limits(&self, reports: &[LimitReport]) -> bool {
         let now = self.now();
-        let mut is_news = false;
+        let mut has_changed = false;
         for report in reports {
             let mut fleet = self.fleet.borrow_mut();
             let before = fleet.limit_of(&report.target);
-            if limit::hear(&mut fleet, report, now) {
+            if limit::apply(&mut fleet, report, now) {
                 log_change(&report.target, report.limit, before);
-                is_news = true;
+                has_changed = true;
             }
         }
-        is_news
+        has_changed
     }
 
-    /// Takes in permits.
+    /// Adds permits.
     pub(crate) fn take_grants(&self, grants: &Grants) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
@@ -100,7 +100,7 @@
         self.limits.granted.send_replace(());
     }
 
-    /// Uses a permit for a send to a target, if that states a limit.
+    /// Uses a permit for a send to a target, if it states a limit.
     pub(crate) fn use_permit(&self, key: EngineKey) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
@@ -117,7 +117,7 @@
         });
     }
 
-    /// Waits for permits, where nothing else keeps a request from being sent; yields whether to look for a target once more.
+    /// Waits for permits, where nothing else keeps a request from being sent; returns whether to choose a target again.
     pub(crate) async fn await_permits(&self, call: &Call, would_serve: bool) -> bool {
         if !would_serve {
             return false;
@@ -132,7 +132,7 @@
         let mut granted = self.limits.granted.subscribe();
         self.limits.wanted.notify_one();
         let waiting = tokio::time::timeout_at(self.timer(until), granted.changed());
-        // The sender lives as long as the relay. After the time is over the caller looks once more.
+        // The sender lives as long as the relay; after a time-out the request tries once more.
         !matches!(waiting.await, Ok(Err(_)))
     }
 }
