--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -28,10 +28,10 @@
 const FAR_HOP_MS: f64 = 2.0;
 /// What another failure domain's chain must be cheaper by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
-/// Part of the engines that a request looks at first, drawn anew for each request. What other boxes have sent since
-/// the last report is not known, and all that believe the same would fill the cheapest chain in the meantime.
+/// Part of the engines that a request considers first, drawn for each request. What other boxes have sent since
+/// the last report is not known, and boxes with the same knowledge would all fill the cheapest chain.
 const DRAWN_PART: f64 = 0.5;
-/// Part of an engine's room from which it may be full by now: where others have room it is not chosen for being drawn.
+/// Part of an engine's room from which it may be full by now; drawn engines beyond it are used only where none has room.
 const MAY_BE_FULL: f64 = 0.65;
 /// Makes the draw of the engines independent of the chance in their price.
 const DRAWN_SALT: u64 = 0xA5A5_5A5A_C3C3_3C3C;
@@ -73,7 +73,7 @@
     Ignored,
 }
 
-/// What a choice takes into account beside the fleet.
+/// Inputs of a choice beside the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Circumstance<'a> {
     /// The time.
@@ -86,10 +86,10 @@
     pub held: Duration,
     /// Boxes that choose, this one included.
     pub boxes: u32,
-    /// What all boxes together have, in parts of what is known of it: above 1 on a box that was not told of all
-    /// others yet. Those are taken to do as the known ones do.
+    /// Load of all boxes in parts of the known load: above 1 on a box to which not all others are known yet. Those are assumed
+    /// to have the same load.
     pub unheard: f64,
-    /// A well-spread number of the request, so that boxes which believe the same choose differently.
+    /// A well-spread number of the request, so that boxes with the same knowledge choose differently.
     pub draw: u64,
     /// Whether rate limits count.
     pub limits: Limits,
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -1,6 +1,6 @@
-//! Loads to and from the other boxes, so that boxes which do not see each other's requests don't all choose
-//! the same engines; requests that targets ended under, so that they get no more of them at any box; and rate limits of targets, which
-//! all boxes together keep.
+//! Messages to and from the other boxes: loads, so that boxes which do not see each other's requests don't all choose the same
+//! engines; requests that crash targets, so that they are quarantined at all boxes; and rate limits of targets, which all boxes
+//! keep together.
 
 mod limits;
 mod suspects;
@@ -23,13 +23,13 @@
 
 /// Time between two reports. A request lasts some seconds, so loads change little in between.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two sums of what is reported here, since boxes report at different moments. Each takes a
+/// Time between two sums of the reports, since boxes report at different moments. Each takes a
 /// fraction of a millisecond.
 const SUM_INTERVAL: Duration = Duration::from_millis(50);
 /// Reports in a row without an answer after which another collector is chosen: one or two datagrams may
 /// be lost.
 const UNANSWERED: u32 = 3;
-/// How long a collector that did not answer is left alone: longer than the group takes to notice that it
+/// Cooldown of a collector that did not answer: longer than the group takes to notice that it
 /// is gone.
 const AVOID_COLLECTOR: Duration = Duration::from_secs(5);
 /// Least time between two log lines on datagrams that do not decode.
@@ -53,7 +53,7 @@
     UdpSocket::bind(SocketAddr::new(ip, port)).await
 }
 
-/// Tell and hear loads until the process ends.
+/// Sends and receives messages until the process ends.
 pub async fn run(relay: Rc<Relay>, socket: UdpSocket, run: Incarnation) {
     let mut tick = interval(REPORT_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -82,10 +82,10 @@
     }
 }
 
-/// Where this box reports to.
+/// Where this box reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Target {
-    /// It collects reports itself.
+    /// To itself.
     Here,
     Box(IpAddr),
 }
@@ -129,7 +129,7 @@
         })
     }
 
-    /// Report what this box has, and tell other collectors what is reported here.
+    /// Sends the report of this box, and the sums of its reports to other collectors.
     fn tell(&mut self) {
         let now = self.relay.now();
         self.number += 1;
@@ -153,13 +153,13 @@
         remote_loads.remove_expired(&mut self.relay.fleet.borrow_mut(), now);
     }
 
-    /// Whether others may report here. A box without a collector hears only itself, which says nothing of how
-    /// many others there are.
+    /// Whether others may report here. A box without a collector only has its own report, which says nothing of the
+    /// number of boxes.
     fn is_collector(&self) -> bool {
         self.relay.look(self.run, &[], |view| view.is_listed())
     }
 
-    /// Tell other collectors what is reported here; most boxes have nothing to tell.
+    /// Sends the sums of the reports to other collectors; most boxes have none.
     fn tell_peers(&self) {
         let parts = self.parts();
         if parts.is_empty() {
@@ -178,7 +178,7 @@
         self.refill();
     }
 
-    /// Choose where to report to: the first reader of this failure domain that answers.
+    /// Chooses where to report: the first reader of this failure domain that answers.
     fn choose(&mut self, now: Instant) {
         self.avoid
             .retain(|(_, at)| now.since(*at) < AVOID_COLLECTOR);
@@ -198,8 +198,8 @@
         }
     }
 
-    /// Tell the collector that this box leaves, so that it does not count there too: each box would take too small a share of the
-    /// second sends.
+    /// Announces to the collector that this box reports elsewhere, so that it does not count twice: the shares of the retry budget
+    /// would be too small.
     fn leave(&mut self) {
         match self.target {
             Target::Here => {
@@ -220,8 +220,8 @@
         encoded.map(|part| load::encode(&part)).collect()
     }
 
-    /// Other collectors: those that told lately, and the first reader of each failure domain of which none
-    /// did.
+    /// Other collectors: those that were received from lately, and the first reader of each failure domain of which none
+    /// was.
     fn peers(&self) -> BTreeSet<IpAddr> {
         let told: Vec<(&str, IpAddr)> = self.collector.peers().collect();
         let is_silent = |domain: &str| !told.iter().any(|(from, _)| *from == domain);
@@ -241,7 +241,7 @@
         }
     }
 
-    /// The boxes that a collector passes news on to, but for the one that it is from.
+    /// The boxes that a collector passes a change on to, without the one that it came from.
     fn collected(&self, from: Option<IpAddr>) -> BTreeSet<IpAddr> {
         let reporters = self.collector.reporters_ips();
         let all = reporters.chain(self.collectors());
@@ -249,7 +249,7 @@
             .collect()
     }
 
-    /// All boxes that this one passes news on to, but for the one that it is from.
+    /// All boxes that this one passes a change on to, without the one that it came from.
     fn neighbours(&self, from: Option<IpAddr>) -> BTreeSet<IpAddr> {
         let mut found = self.collected(from);
         if let Target::Box(ip) = self.target
@@ -266,7 +266,7 @@
 
     fn send_bytes(&self, ip: IpAddr, message: &[u8]) {
         let to = SocketAddr::new(ip, self.port);
-        // What can't be sent now is as good as lost; the next one follows.
+        // A message that can't be sent now is as good as lost; the next one follows.
         if let Err(err) = self.socket.try_send_to(message, to) {
             log::debug!(event = "report-failed", to:% = ip, why:% = err; "loads were not sent");
         }
@@ -316,7 +316,7 @@
         }
     }
 
-    /// Take in what all other boxes have.
+    /// Updates the loads of all other boxes.
     fn take(&self, others: Others, now: Instant) {
         let mut remote_loads = self.relay.remote_loads.borrow_mut();
         remote_loads.hear(others, &mut self.relay.fleet.borrow_mut(), now);
--- a/reachtally-relay/src/targets/answers.rs
+++ b/reachtally-relay/src/targets/answers.rs
@@ -1,4 +1,4 @@
-//! What targets answer, and how they fail.
+//! Answers and failures of targets.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use crate::wire::{LimitHeader, Statement};
 
 impl Relay {
-    /// Count a failure of a target.
+    /// Counts a failure of a target.
     pub fn target_failed(&self, key: EngineKey, why: &str) {
         let mut fleet = self.fleet.borrow_mut();
         let Some(engine) = fleet.get(key) else {
@@ -19,7 +19,7 @@
         self.count(|tally| tally.target_failures += 1);
     }
 
-    /// A target does not hold what its entry says, so it is left alone until that changes.
+    /// Excludes a target that does not hold what its entry says, until the entry changes.
     pub fn target_contradicted(&self, key: EngineKey) {
         let now = self.now();
         if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
@@ -28,7 +28,7 @@
         }
     }
 
-    /// A target refused a request because it is full.
+    /// Notes that a target refused a request because it is full.
     pub fn target_refused(&self, key: EngineKey) {
         let now = self.now();
         if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Keep what a target says of itself in an answer.
+    /// Applies what a target says of itself in an answer.
     pub fn target_said(&self, run: &TargetRun, said: Statement) {
         if let Some(back_off) = said.back_off {
             self.target_asks_for_back_off(run, back_off);
@@ -51,14 +51,14 @@
         }
     }
 
-    /// A target leaves: it gets nothing more from this box, whatever its entry says.
+    /// Marks a target as leaving: it gets nothing more from this box, whatever its entry says.
     fn target_leaves(&self, run: &TargetRun) {
-        let mut is_news = false;
+        let mut is_new = false;
         self.fleet.borrow_mut().note(run, self.now(), |notice| {
-            is_news = !notice.is_leaving();
+            is_new = !notice.is_leaving();
             notice.leave();
         });
-        if is_news {
+        if is_new {
             log::info!(event = "target-leaves", target = &*run.id; "a target said in an answer that it leaves");
         }
     }
--- a/reachtally-relay/src/targets/entries.rs
+++ b/reachtally-relay/src/targets/entries.rs
@@ -1,4 +1,4 @@
-//! Entries of targets, as they are read or told.
+//! Entries of targets, as they are read or reported.
 
 use std::sync::Arc;
 
@@ -8,20 +8,19 @@
 use crate::relay::Relay;
 use crate::store::SpoiledEntry;
 
-/// Changed entries of one read that get a log line each. A first list or a new plan changes nearly all of them, and their lines would be
-/// most of the log.
+/// Most changed entries of one read that are logged one by one: a first list or a new plan changes nearly all of them.
 const MOST_ENTRY_LINES: usize = 4;
 
 /// An entry that was read, and what that shows.
 type Shown = (Entry, Evidence);
 
 impl Relay {
-    /// A target wrote its entry.
+    /// Updates a target from an entry that it wrote.
     pub fn target_wrote(&self, entry: Entry) {
         self.targets_shown(vec![(entry, Evidence::Written)]);
     }
 
-    /// Entries that were read together.
+    /// Updates targets from entries that were read together.
     pub fn targets_shown(&self, shown: Vec<Shown>) {
         let mut changed = Vec::new();
         let mut ended = Vec::new();
@@ -47,12 +46,12 @@
         }
     }
 
-    /// Follow the rows of targets whose runs are known to have ended, since they started again.
+    /// Watches the rows of targets whose runs ended, since they started again.
     pub(crate) fn runs_ended(&self) -> watch::Receiver<Vec<EngineKey>> {
         self.runs_ended.subscribe()
     }
 
-    /// Count and log spoiled entries of one read.
+    /// Counts and logs malformed entries of one read.
     pub(crate) fn note_spoiled(&self, spoiled: &[SpoiledEntry]) {
         self.count(|tally| tally.entries_spoiled += spoiled.len() as u64);
         for entry in spoiled.iter().take(MOST_ENTRY_LINES) {
@@ -78,7 +77,7 @@
         }
     }
 
-    /// A target's entry is gone: it has left, unless the store was away and took the entry with it.
+    /// Removes a target whose entry is gone, unless the store was away and may have lost the entry.
     pub fn target_gone(&self, id: &str, may_lapse: bool) {
         log::info!(event = "target-gone", target = id, may_lapse = may_lapse; "a target's entry is gone");
         match may_lapse {
@@ -87,7 +86,7 @@
         }
     }
 
-    /// A target's entry is missing, perhaps through the store's fault.
+    /// Marks a target whose entry is missing, perhaps through the store's fault.
     pub fn target_lapsed(&self, id: &str) {
         if self.fleet.borrow_mut().miss(id, self.now()) {
             self.changes.borrow_mut().note(Arc::from(id));
@@ -95,7 +94,7 @@
         }
     }
 
-    /// A target is not there any more.
+    /// Removes a target.
     pub(crate) fn forget(&self, id: &str) {
         if self.fleet.borrow_mut().remove(id, self.now()).is_some() {
             self.changes.borrow_mut().note(Arc::from(id));
@@ -103,7 +102,7 @@
         }
     }
 
-    /// Take over a whole list of targets.
+    /// Replaces the targets by a whole list.
     pub fn replace_targets(&self, entries: Vec<Entry>, may_lapse: bool) {
         let known = self.fleet.borrow().ids();
         let listed: Vec<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -114,8 +113,8 @@
         }
     }
 
-    /// Compare what is held with a list that may be older. Known runs stay as they are until they write again, but for those that
-    /// leave: no run takes that back.
+    /// Compares the targets with a list that may be older. Known runs stay as they are until they write again, except that
+    /// leaving is final.
     pub(crate) fn compare_targets(&self, listed: Vec<Entry>) {
         let shown = listed
             .into_iter()
@@ -124,7 +123,7 @@
         self.targets_shown(shown);
     }
 
-    /// The part of an entry of unknown age that is newer than what is held.
+    /// Returns the part of an entry of unknown age that is newer than the known one.
     fn newer_than_held(&self, entry: Entry) -> Option<Entry> {
         let fleet = self.fleet.borrow();
         let held = fleet.find(&entry.id).and_then(|key| fleet.get(key));
@@ -141,7 +140,7 @@
         }
     }
 
-    /// Forget targets whose entries did not come back in time.
+    /// Removes targets whose entries did not come back in time.
     pub fn drop_missing(&self) {
         let patience = self.rhythm().missing_patience;
         let missing = self.fleet.borrow().missing(self.now(), patience);
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -1,4 +1,4 @@
-//! Whether targets take connections.
+//! Whether targets accept connections.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,14 +11,14 @@
 use crate::relay::Relay;
 use crate::target;
 
-/// Time for which the answer to whether a target is there holds, so that the streams of one engine
-/// ask once.
+/// Time for which the result of a check holds, so that the streams of one engine
+/// check once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Least time between two checks of a whole failure domain: a few dozen connections each.
 const DOMAIN_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 impl Relay {
-    /// A target took no connection.
+    /// Marks a target as dead: it accepted no connection.
     pub fn target_dead(&self, key: EngineKey) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
@@ -32,8 +32,8 @@
         engine.health.found_dead(now);
     }
 
-    /// A target said nothing when a connection was opened. A packet may have been lost, or the whole failure
-    /// domain may be cut off; so all targets there are asked at once, and none is used until it answered.
+    /// Handles a connection attempt without an answer. A packet may have been lost, or the whole failure
+    /// domain may be cut off; so all targets there are checked at once, and none is used until it answered.
     pub fn target_silent(self: &Rc<Self>, key: EngineKey) {
         self.target_refused(key);
         let Some(domain) = self.domain_of(key) else {
@@ -50,7 +50,7 @@
         });
     }
 
-    /// Where a target listens, if it is known.
+    /// Returns the address of a target, if it is known.
     pub(crate) fn address_of(&self, key: EngineKey) -> Option<SocketAddr> {
         let fleet = self.fleet.borrow();
         fleet.get(key).map(|engine| engine.entry.address)
@@ -61,7 +61,7 @@
         fleet.get(key).map(|engine| engine.entry.domain.clone())
     }
 
-    /// Targets of a failure domain that are not known to be dead.
+    /// Returns the targets of a failure domain that are not known to be dead.
     fn targets_in(&self, domain: &str) -> Vec<EngineKey> {
         let fleet = self.fleet.borrow();
         let there = fleet
@@ -70,7 +70,7 @@
         there.map(|(key, _)| key).collect()
     }
 
-    /// Whether a failure domain was not asked lately; notes that it is now.
+    /// Whether a failure domain is due for a check; if so, notes that it is checked now.
     fn may_check(&self, domain: &Arc<str>) -> bool {
         let now = self.now();
         let mut checked = self.domains_checked.borrow_mut();
