--- a/reachtally-bench/src/limits/play.rs
+++ b/reachtally-bench/src/limits/play.rs
@@ -1,9 +1,5 @@
 //! One play: a target that names a limit, and boxes whose callers want more than that.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-use std::time::Duration;
-
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use reachtally_core::Instant;
@@ -14,6 +10,7 @@
 
 use super::box_state::{BoxState, SERVICE};
 use super::window::Arrivals;
+use crate::timeline::Timeline;
 
 /// Failure domains; the first box of each collects.
 const DOMAINS: usize = 5;
@@ -171,9 +168,7 @@
 pub struct Play {
     setting: Setting,
     rng: ChaCha8Rng,
-    now_us: u64,
-    order: u64,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    timeline: Timeline<Event>,
     post: Vec<Option<Datagram>>,
     boxes: Vec<BoxState>,
     bytes: Vec<u64>,
@@ -192,9 +187,7 @@
         let mut play = Play {
             setting,
             rng: ChaCha8Rng::seed_from_u64(setting.seed),
-            now_us: 0,
-            order: 0,
-            events: BinaryHeap::new(),
+            timeline: Timeline::new(),
             post: Vec::new(),
             boxes: boxes
                 .map(|run| BoxState::new(run + 1, Instant::ZERO))
@@ -208,23 +201,19 @@
         };
         for at in 0..setting.boxes {
             let first = play.rng.random_range(0..REPORT_US);
-            play.schedule(first, Event::Report(at));
+            play.timeline.schedule(first, Event::Report(at));
             play.schedule_request(at);
         }
         for at in 0..DOMAINS.min(setting.boxes) {
-            play.schedule(REFILL_US, Event::Refill(at));
+            play.timeline.schedule(REFILL_US, Event::Refill(at));
         }
-        play.schedule(TROUBLE_US.0, Event::Trouble);
+        play.timeline.schedule(TROUBLE_US.0, Event::Trouble);
         play
     }
 
     /// Plays it.
     pub fn run(mut self) -> Seen {
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
-            if at >= PLAY_US {
-                break;
-            }
-            self.now_us = at;
+        while let Some(event) = self.timeline.next_before(PLAY_US) {
             self.happen(event);
         }
         self.finish()
@@ -271,12 +260,6 @@
         }
     }
 
-    fn schedule(&mut self, after_us: u64, event: Event) {
-        self.order += 1;
-        let at = self.now_us + after_us;
-        self.events.push(Reverse((at, self.order, event)));
-    }
-
     /// The next request of a box that has all of its possible callers; [`Play::has_callers`] tells whether it does.
     fn schedule_request(&mut self, at: usize) {
         let boxes = match self.setting.demand {
@@ -287,7 +270,8 @@
         let rate = BOX_RATE.max(DEMAND * self.setting.limit / boxes.max(1) as f64);
         let drawn: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
         let after = -drawn.ln() / rate;
-        self.schedule((after * 1e6) as u64, Event::Request(at));
+        self.timeline
+            .schedule((after * 1e6) as u64, Event::Request(at));
     }
 
     fn has_callers(&self, at: usize) -> bool {
@@ -296,7 +280,9 @@
             Demand::Even => true,
             Demand::OneDomain => domain == 1,
             Demand::OneBox => at == self.setting.boxes - 1,
-            Demand::Jumping => domain as u64 == self.now_us / JUMP_US % self.collectors() as u64,
+            Demand::Jumping => {
+                domain as u64 == self.timeline.now_us() / JUMP_US % self.collectors() as u64
+            }
         }
     }
 
@@ -304,20 +290,16 @@
         DOMAINS.min(self.setting.boxes)
     }
 
-    fn clock(&self) -> Instant {
-        Instant::from_elapsed(Duration::from_micros(self.now_us))
-    }
-
     fn happen(&mut self, event: Event) {
         match event {
             Event::Report(at) => {
                 self.report(at);
-                self.schedule(REPORT_US, Event::Report(at));
+                self.timeline.schedule(REPORT_US, Event::Report(at));
             }
             Event::Refill(at) => {
-                let (domains, now) = (self.collectors(), self.clock());
+                let (domains, now) = (self.collectors(), self.timeline.clock());
                 self.boxes[at].refill(domains, now);
-                self.schedule(REFILL_US, Event::Refill(at));
+                self.timeline.schedule(REFILL_US, Event::Refill(at));
             }
             Event::Arrival(place) => self.arrive(place),
             Event::Request(at) => {
@@ -332,7 +314,7 @@
     fn trouble(&mut self) {
         match self.setting.trouble {
             Trouble::AllStart => {
-                let now = self.clock();
+                let now = self.timeline.clock();
                 for each in &mut self.boxes {
                     self.next_run += 1;
                     *each = BoxState::new(self.next_run, now);
@@ -348,14 +330,14 @@
     }
 
     fn is_suspended(&self, at: usize) -> bool {
-        self.now_us < self.boxes[at].suspended_until
+        self.timeline.now_us() < self.boxes[at].suspended_until
     }
 
     fn request(&mut self, at: usize) {
         if !self.has_callers(at) || self.is_suspended(at) {
             return;
         }
-        let now = self.clock();
+        let now = self.timeline.clock();
         let way = self.setting.way;
         let part = self.part_of(at);
         let sender = &mut self.boxes[at];
@@ -365,13 +347,13 @@
         }
         let run = sender.run.0;
         if sender.limit().is_some() {
-            self.any.push(self.now_us);
+            self.any.push(self.timeline.now_us());
         }
-        let is_told = |told: u64| told + TOLD_US <= self.now_us;
+        let is_told = |told: u64| told + TOLD_US <= self.timeline.now_us();
         if sender.told_us.is_some_and(is_told) {
-            self.told.push(self.now_us);
+            self.told.push(self.timeline.now_us());
         }
-        self.schedule(ANSWER_US, Event::Answer { at, run });
+        self.timeline.schedule(ANSWER_US, Event::Answer { at, run });
     }
 
     /// A box's part of the limit in the ways without permits.
@@ -379,18 +361,18 @@
         if self.setting.way == Way::Even {
             return 1.0 / self.setting.boxes as f64;
         }
-        let now = self.clock();
+        let now = self.timeline.clock();
         let own = rate(&self.boxes[at].demand.services(now));
         own / self.summed.max(own).max(f64::MIN_POSITIVE)
     }
 
     fn answer(&mut self, at: usize, run: u64) {
-        if self.now_us < NAMED_US + ANSWER_US || self.boxes[at].run.0 != run {
+        if self.timeline.now_us() < NAMED_US + ANSWER_US || self.boxes[at].run.0 != run {
             return;
         }
-        let limit = RateLimit::new(self.limit_at(self.now_us));
-        let now = self.clock();
-        let now_us = self.now_us;
+        let limit = RateLimit::new(self.limit_at(self.timeline.now_us()));
+        let now = self.timeline.clock();
+        let now_us = self.timeline.now_us();
         self.boxes[at].told_us.get_or_insert(now_us);
         if self.boxes[at].told(limit, now) {
             self.note_known();
@@ -401,13 +383,17 @@
     fn note_known(&mut self) {
         let all_know = || self.boxes.iter().all(|each| each.limit().is_some());
         if self.known_us.is_none() && all_know() {
-            self.known_us = Some(self.now_us);
+            self.known_us = Some(self.timeline.now_us());
         }
     }
 
     /// Reports a change at once, as the relay does.
     fn spread(&mut self, at: usize, from: Option<usize>) {
-        let told = changes(&self.boxes[at].fleet, LIMITS_IN_MESSAGE, self.clock());
+        let told = changes(
+            &self.boxes[at].fleet,
+            LIMITS_IN_MESSAGE,
+            self.timeline.clock(),
+        );
         let collectors = self.collectors();
         if at >= collectors {
             return self.post(at, at % collectors, Message::Limits(told));
@@ -424,9 +410,9 @@
         if self.is_suspended(at) {
             return;
         }
-        let now = self.clock();
+        let now = self.timeline.clock();
         let collectors = self.collectors();
-        let number = self.now_us / REPORT_US;
+        let number = self.timeline.now_us() / REPORT_US;
         let told = self.limits_due(at, number);
         if at < collectors {
             self.tell_collectors(at, told);
@@ -458,7 +444,7 @@
         at: usize,
         number: u64,
     ) -> Vec<reachtally_core::forward::limit::LimitReport> {
-        let now = self.clock();
+        let now = self.timeline.clock();
         let fleet = &self.boxes[at].fleet;
         let changed = changes(fleet, LIMITS_IN_MESSAGE, now);
         match changed.is_empty() && number.is_multiple_of(PAGE_REPORTS) {
@@ -489,8 +475,8 @@
 
     /// The demand of all boxes, as of the last report of any: newer than reports over collectors would tell it.
     fn sum_up(&mut self) {
-        let now = self.clock();
-        if !self.now_us.is_multiple_of(7) && self.setting.boxes > 100 {
+        let now = self.timeline.clock();
+        if !self.timeline.now_us().is_multiple_of(7) && self.setting.boxes > 100 {
             return;
         }
         let rates = self
@@ -501,7 +487,7 @@
     }
 
     fn is_cut(&self, from: usize, to: usize) -> bool {
-        let is_troubled = (TROUBLE_US.0..TROUBLE_US.1).contains(&self.now_us);
+        let is_troubled = (TROUBLE_US.0..TROUBLE_US.1).contains(&self.timeline.now_us());
         let collectors = self.collectors();
         let (from, to) = (from % collectors, to % collectors);
         self.setting.trouble == Trouble::DomainCut
@@ -522,7 +508,7 @@
         }
         let place = self.post.len();
         self.post.push(Some(Datagram { from, to, message }));
-        self.schedule(DELAY_US, Event::Arrival(place));
+        self.timeline.schedule(DELAY_US, Event::Arrival(place));
     }
 
     fn arrive(&mut self, place: usize) {
@@ -532,7 +518,7 @@
         if self.is_suspended(to) {
             return;
         }
-        let now = self.clock();
+        let now = self.timeline.clock();
         let there = &mut self.boxes[to];
         match message {
             Message::Limits(told) => {
--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -19,6 +19,7 @@
 mod setup;
 mod sse;
 mod suspects;
+mod timeline;
 
 use std::process::ExitCode;
 
--- a/reachtally-bench/src/suspects/play.rs
+++ b/reachtally-bench/src/suspects/play.rs
@@ -1,12 +1,9 @@
 //! One play: a culprit, ordinary crashes, and a request that many callers share.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
-use std::time::Duration;
+use std::collections::HashMap;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::loads::Message;
 use reachtally_core::forward::quarantine::{
@@ -14,6 +11,8 @@
 };
 use reachtally_protocol::load;
 
+use crate::timeline::Timeline;
+
 /// Failure domains; the first box of each collects.
 const DOMAINS: usize = 5;
 /// How long a play lasts, in µs.
@@ -124,9 +123,7 @@
 pub struct Play {
     setting: Setting,
     rng: ChaCha8Rng,
-    now_us: u64,
-    order: u64,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    timeline: Timeline<Event>,
     post: Vec<Option<Datagram>>,
     tables: Vec<Quarantine>,
     bytes: Vec<u64>,
@@ -143,9 +140,7 @@
         let mut play = Play {
             setting,
             rng: ChaCha8Rng::seed_from_u64(setting.seed),
-            now_us: 0,
-            order: 0,
-            events: BinaryHeap::new(),
+            timeline: Timeline::new(),
             post: Vec::new(),
             tables: (0..setting.boxes).map(|_| Quarantine::default()).collect(),
             bytes: vec![0; setting.boxes],
@@ -157,21 +152,17 @@
         };
         for at in 0..setting.boxes {
             let first = play.rng.random_range(0..REPORT_US);
-            play.schedule(first, Event::Report(at));
+            play.timeline.schedule(first, Event::Report(at));
         }
-        play.schedule(ATTEMPT_US, Event::Attempt);
-        play.schedule(ORDINARY_US, Event::Ordinary);
-        play.schedule(SHARED_US, Event::Shared);
+        play.timeline.schedule(ATTEMPT_US, Event::Attempt);
+        play.timeline.schedule(ORDINARY_US, Event::Ordinary);
+        play.timeline.schedule(SHARED_US, Event::Shared);
         play
     }
 
     /// Play it.
     pub fn run(mut self) -> Seen {
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
-            if at >= PLAY_US {
-                break;
-            }
-            self.now_us = at;
+        while let Some(event) = self.timeline.next_before(PLAY_US) {
             self.happen(event);
         }
         self.finish()
@@ -194,16 +185,6 @@
         self.seen
     }
 
-    fn schedule(&mut self, after_us: u64, event: Event) {
-        self.order += 1;
-        let at = self.now_us + after_us;
-        self.events.push(Reverse((at, self.order, event)));
-    }
-
-    fn clock(&self) -> Instant {
-        Instant::from_elapsed(Duration::from_micros(self.now_us))
-    }
-
     fn any_box(&mut self) -> usize {
         self.rng.random_range(0..self.setting.boxes)
     }
@@ -212,22 +193,22 @@
         match event {
             Event::Report(at) => {
                 self.tell(at, None);
-                self.schedule(REPORT_US, Event::Report(at));
+                self.timeline.schedule(REPORT_US, Event::Report(at));
             }
             Event::Arrival(place) => self.arrive(place),
             Event::Attempt => {
                 let at = self.any_box();
                 self.send(at, 0);
-                self.schedule(ATTEMPT_US, Event::Attempt);
+                self.timeline.schedule(ATTEMPT_US, Event::Attempt);
             }
             Event::Crash { at, sends } => self.crash(at, sends),
             Event::Ordinary => {
                 self.end_run(SHARED_OF);
-                self.schedule(ORDINARY_US, Event::Ordinary);
+                self.timeline.schedule(ORDINARY_US, Event::Ordinary);
             }
             Event::Shared => {
                 self.ask_shared();
-                self.schedule(SHARED_US, Event::Shared);
+                self.timeline.schedule(SHARED_US, Event::Shared);
             }
         }
     }
@@ -241,11 +222,12 @@
         if sends >= SENDS || self.is_stopped(at, CULPRIT) {
             return;
         }
-        let is_late = |third: u64| self.now_us > third + CONTACT_US;
+        let is_late = |third: u64| self.timeline.now_us() > third + CONTACT_US;
         self.seen.late_sends += u64::from(self.third_end_us.is_some_and(is_late));
         let wait = self.rng.random_range(0..WAIT_US);
         let sends = sends + 1;
-        self.schedule(wait + CRASH_US, Event::Crash { at, sends });
+        self.timeline
+            .schedule(wait + CRASH_US, Event::Crash { at, sends });
     }
 
     /// The engine ends, unless its box has left it meanwhile.
@@ -255,7 +237,7 @@
         }
         self.seen.ends += 1;
         if self.seen.ends == 3 {
-            self.third_end_us = Some(self.now_us);
+            self.third_end_us = Some(self.timeline.now_us());
         }
         let run = self.end_run(u32::MAX);
         self.note_end(at, CULPRIT, run);
@@ -287,7 +269,7 @@
     }
 
     fn ask_shared(&mut self) {
-        let (at, now) = (self.any_box(), self.clock());
+        let (at, now) = (self.any_box(), self.timeline.clock());
         self.seen.innocents += 1;
         if self.is_stopped(at, SHARED) {
             self.seen.innocents_refused += 1;
@@ -299,7 +281,7 @@
     }
 
     fn note_end(&mut self, at: usize, request: Fingerprint, run: RunDigest) {
-        let now = self.clock();
+        let now = self.timeline.clock();
         let end = End {
             run,
             had_begun: true,
@@ -316,13 +298,13 @@
 
     fn note_stopped(&mut self, at: usize) {
         if self.is_stopped(at, CULPRIT) {
-            self.stopped_us.entry(at).or_insert(self.now_us);
+            self.stopped_us.entry(at).or_insert(self.timeline.now_us());
         }
     }
 
     /// Tell what has changed: a box its collector, a collector all that report to it and the others.
     fn tell(&mut self, at: usize, from: Option<usize>) {
-        let now = self.clock();
+        let now = self.timeline.clock();
         let collectors = DOMAINS.min(self.setting.boxes);
         if at >= collectors {
             let told = self.tables[at].changes(Origin::Own, now);
@@ -350,11 +332,11 @@
         }
         let place = self.post.len();
         self.post.push(Some(Datagram { from, to, told }));
-        self.schedule(DELAY_US, Event::Arrival(place));
+        self.timeline.schedule(DELAY_US, Event::Arrival(place));
     }
 
     fn arrive(&mut self, place: usize) {
-        let now = self.clock();
+        let now = self.timeline.clock();
         let Some(Datagram { from, to, told }) = self.post[place].take() else {
             return;
         };
