refactor: a target's run and an answer's id are each read in one place

The change had written both again: the decoding of a run's mark beside that of loads, and the comparison of an answer's id beside that of mistrust. Behaviour is as it was; the tests of the messages and of limits pass unchanged.

--- a/reachtally-protocol/src/limits.rs
+++ b/reachtally-protocol/src/limits.rs
@@ -2,27 +2,19 @@
 
 use std::time::Duration;
 
-use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::limit::{
     DemandPart, DemandRate, Grant, Grants, LimitReport, PermitRequest, RateLimit, ServiceDemand,
 };
 use reachtally_core::ids::Incarnation;
 
 use crate::generated::relay;
+use crate::load::target_run;
 
 /// Number of limits in one message. With names of a dozen bytes, and marks, it fits a datagram that is not split on the way.
 pub const LIMITS_IN_MESSAGE: usize = 36;
 /// Units of a rate on the wire, for a request a second.
 const PARTS: f64 = 1000.0;
 
-fn target_run(id: String, mark: u32) -> TargetRun {
-    TargetRun {
-        id: id.into(),
-        // A mark of more than it may have is of no run that is known.
-        mark: RunMark(u16::try_from(mark).unwrap_or(u16::MAX)),
-    }
-}
-
 fn to_parts(per_second: f64) -> u64 {
     (per_second * PARTS).round() as u64
 }
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -159,13 +159,18 @@
     }
 }
 
+/// Decodes the run of a target.
+pub(crate) fn target_run(id: String, mark: u32) -> TargetRun {
+    TargetRun {
+        id: id.into(),
+        // A mark of more than it may have is of no run that is known.
+        mark: RunMark(u16::try_from(mark).unwrap_or(u16::MAX)),
+    }
+}
+
 fn loads_from_wire(loads: Vec<relay::TargetLoad>) -> Vec<TargetLoad> {
     let load = |load: relay::TargetLoad| TargetLoad {
-        target: TargetRun {
-            id: load.target.into(),
-            // A mark of more than it may have is of no run that is known.
-            mark: RunMark(u16::try_from(load.run_mark).unwrap_or(u16::MAX)),
-        },
+        target: target_run(load.target, load.run_mark),
         load: Load {
             running: load.running,
             tokens: load.tokens,
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -104,7 +104,12 @@
 /// Whether the target itself made the answer, for this request.
 fn is_own(call: &Call, head: &AnswerHead) -> bool {
     let is_vouched = head.sealed || (head.not_run && !head.misdirected);
-    is_vouched && head.id.as_deref() == Some(call.head.id.as_str())
+    is_vouched && is_answer_to(call, head)
+}
+
+/// Whether an answer carries the id of this request.
+fn is_answer_to(call: &Call, head: &AnswerHead) -> bool {
+    head.id.as_deref() == Some(call.head.id.as_str())
 }
 
 /// Why an answer can't be the target's answer to this request, if so.
@@ -113,7 +118,7 @@
     head: &AnswerHead,
     response: &Response<Incoming>,
 ) -> Option<&'static str> {
-    if head.id.as_deref() != Some(call.head.id.as_str()) {
+    if !is_answer_to(call, head) {
         return Some("the answer is another request's");
     }
     if !head.sealed {
