test(core): permits of a service beside many unwanted ones of another (red, listed)

Found by reading the change: `Allocator::issue` counts targets that the box does not want towards the 40 permits of an answer, and puts them back in front. With 40 or more ready targets of one service, boxes that ask for another one get nothing: 0 permits of 1 in the test. Callers of that service are refused where all of its targets name limits; no limit is exceeded. It takes 40 limited targets that boxes send to.

--- a/reachtally-core/tests/core/forward/limit.rs
+++ b/reachtally-core/tests/core/forward/limit.rs
@@ -392,3 +392,17 @@
     apply(&mut fleet, &report, at(30));
     assert!(fleet.is_gone(&run("e0")));
 }
+
+#[test]
+fn permits_of_one_service_are_issued_beside_many_unwanted_ones_of_another() {
+    let mut allocator = Allocator::default();
+    let others = (0..40).map(|n| LimitedTarget {
+        service: "other".into(),
+        ..target(&format!("o{n}"), 10.0)
+    });
+    let targets: Vec<LimitedTarget> = others.chain([target("t", 10.0)]).collect();
+    allocator.refill(&targets, ALONE, at(0));
+    allocator.refill(&targets, ALONE, at(1_000));
+    let answer = allocator.answer(request(1, 1, 1.0), at(1_000));
+    assert_eq!(answer.expect("it is the first").grants.len(), 1);
+}
