fix(core): permits of a service are issued beside many ready targets of another

Cause: the collector looked at 40 targets for each request for permits, counting those of services that the box did not ask for. With 40 such targets ready it issued nothing. Targets with a token are now queued by service, and the bound of 40 counts permits issued; services take turns.

--- a/reachtally-core/src/forward/limit/allocator.rs
+++ b/reachtally-core/src/forward/limit/allocator.rs
@@ -83,8 +83,8 @@
     buckets: HashMap<TargetRun, Bucket>,
     /// This domain's part of the limits, by service.
     parts: HashMap<Arc<str>, f64>,
-    /// Targets with a token, the least recently used first.
-    ready: VecDeque<TargetRun>,
+    /// Targets with a token by service, the least recently used first.
+    ready: HashMap<Arc<str>, VecDeque<TargetRun>>,
     filled: Option<Instant>,
 }
 
@@ -189,7 +189,10 @@
     fn keep_buckets(&mut self, targets: &[LimitedTarget]) {
         let listed: BTreeSet<&TargetRun> = targets.iter().map(|target| &target.target).collect();
         self.buckets.retain(|target, _| listed.contains(target));
-        self.ready.retain(|target| listed.contains(target));
+        for ready in self.ready.values_mut() {
+            ready.retain(|target| listed.contains(target));
+        }
+        self.ready.retain(|_, ready| !ready.is_empty());
         for target in targets {
             let bucket = Bucket {
                 service: target.service.clone(),
@@ -207,43 +210,49 @@
         let most = 1.0 + rate * BUCKET_TIME.as_secs_f64();
         bucket.tokens = (bucket.tokens + rate * passed.as_secs_f64()).min(most);
         if bucket.tokens >= 1.0 && !was_ready {
-            self.ready.push_back(target.clone());
+            let ready = self.ready.entry(bucket.service.clone()).or_default();
+            ready.push_back(target.clone());
         }
     }
 
-    /// Issues permits to a box, as many as it can use, one for each target in turn.
+    /// Issues permits to a box, as many as it can use: one for each of its services in turn, and of each service one for each
+    /// target in turn.
     fn issue(&mut self, run: Incarnation) -> Vec<Grant> {
         let Some(asker) = self.askers.get(&run) else {
             return Vec::new();
         };
-        let mut allowances = asker.allowances();
+        let mut wanted: VecDeque<(Arc<str>, u32)> = asker.allowances().into_iter().collect();
         let mut issued: BTreeMap<TargetRun, u32> = BTreeMap::new();
-        let mut left_over = VecDeque::new();
-        for _ in 0..MOST_GRANTED {
-            let Some(target) = self.ready.pop_front() else {
-                break;
-            };
-            let Some(bucket) = self.buckets.get_mut(&target) else {
+        let mut left = MOST_GRANTED;
+        while left > 0
+            && let Some((service, allowance)) = wanted.pop_front()
+        {
+            if allowance == 0 {
                 continue;
-            };
-            let allowance = allowances.get_mut(&bucket.service);
-            let Some(allowance) = allowance.filter(|allowance| **allowance > 0) else {
-                left_over.push_back(target);
+            }
+            let Some(target) = self.take_token(&service) else {
                 continue;
             };
-            *allowance -= 1;
-            bucket.tokens -= 1.0;
-            if bucket.tokens >= 1.0 {
-                self.ready.push_back(target.clone());
-            }
+            left -= 1;
             *issued.entry(target).or_default() += 1;
+            wanted.push_back((service, allowance - 1));
         }
-        left_over.append(&mut self.ready);
-        self.ready = left_over;
         let each = issued.into_iter();
         each.map(|(target, count)| Grant { target, count })
             .collect()
     }
+
+    /// Takes a token of the least recently used target of a service that has one.
+    fn take_token(&mut self, service: &str) -> Option<TargetRun> {
+        let ready = self.ready.get_mut(service)?;
+        let target = ready.pop_front()?;
+        let bucket = self.buckets.get_mut(&target)?;
+        bucket.tokens -= 1.0;
+        if bucket.tokens >= 1.0 {
+            ready.push_back(target.clone());
+        }
+        Some(target)
+    }
 }
 
 fn rate_of(demands: &[ServiceDemand], service: &str) -> f64 {
