fix(protocol): reports of loads take as many datagrams as they need

Cause: a box reported the load of all its targets in one datagram, and what did not fit was left out: of 500 targets with loads of the test, some 30.

A report is split into pages by encoded size. The collector applies a report once all of its pages have arrived; a report with a lost page is dropped and the one before it holds until the next. A collector of the version before takes the first page, as it does now; a report without a number of pages is whole.

The new tests of the protocol and of the collector failed before (no pages).

--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -280,7 +280,9 @@
             .remove_expired(&mut entrance.fleet, now);
         let collector = number % DOMAINS;
         if collector != number {
-            self.post(number, collector, Message::Report(report));
+            for page in load::pages(&report) {
+                self.post(number, collector, Message::Report(page));
+            }
             return;
         }
         entrance.collector.hear(report, ip(number), now);
@@ -315,9 +317,12 @@
         };
         let entrance = &mut self.boxes[to];
         match message {
-            Message::Report(report) => {
-                let (run, number) = (report.run, report.number);
-                entrance.collector.hear(report, ip(from), now);
+            Message::Report(page) => {
+                let (run, number, is_first) = (page.run, page.number, page.index == 0);
+                entrance.collector.hear_page(page, ip(from), now);
+                if !is_first {
+                    return;
+                }
                 for others in entrance.collector.answers(run, number) {
                     self.post(to, from, Message::Others(others));
                 }
--- a/reachtally-core/src/forward/loads/collector.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -7,10 +7,10 @@
 
 use super::received::Received;
 use super::{
-    Load, MARKED_TARGETS_TOLD, Others, Part, REPORT_LIFE, Report, TARGETS_TOLD, TargetLoad,
+    Assembler, Load, Others, Part, REPORT_LIFE, Report, ReportPage, TargetLoad, targets_in_message,
 };
 use crate::forward::count::DomainCount;
-use crate::forward::fleet::{RunMark, TargetRun};
+use crate::forward::fleet::TargetRun;
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
@@ -47,6 +47,8 @@
     /// The failure domain of its boxes.
     home: Arc<str>,
     reporters: HashMap<Incarnation, Reporter>,
+    /// Pages of reports that are not complete.
+    assembler: Assembler,
     peers: HashMap<Incarnation, PeerCollector>,
     /// When each target last had a load.
     busy: BTreeMap<TargetRun, Instant>,
@@ -65,6 +67,13 @@
         }
     }
 
+    /// Takes in a page of the report of a box at `ip`.
+    pub fn hear_page(&mut self, page: ReportPage, ip: IpAddr, now: Instant) {
+        if let Some(report) = self.assembler.add(page) {
+            self.hear(report, ip, now);
+        }
+    }
+
     /// Takes in the report of a box at `ip`; an earlier run at that address is replaced.
     pub fn hear(&mut self, report: Report, ip: IpAddr, now: Instant) {
         let known = self.reporters.get(&report.run);
@@ -114,6 +123,8 @@
         let is_new = |heard: Instant| now.since(heard) < REPORT_LIFE;
         self.reporters.retain(|_, reporter| is_new(reporter.heard));
         self.peers.retain(|_, peer| is_new(peer.heard));
+        self.assembler
+            .retain(|run| self.reporters.contains_key(&run));
         self.own.clear();
         for reporter in self.reporters.values_mut() {
             reporter.counted = reporter.loads.clone();
@@ -174,7 +185,7 @@
 
     /// Returns the answers to report `number` of `run`. Consecutive reports are answered with different targets.
     pub fn answers(&self, run: Incarnation, number: u64) -> Vec<Others> {
-        let pages: Vec<&[TargetLoad]> = self.all.chunks(self.targets_in_message()).collect();
+        let pages: Vec<&[TargetLoad]> = self.all.chunks(targets_in_message(&self.all)).collect();
         let count = pages.len() as u64;
         if count == 0 {
             return vec![self.all_but(run)];
@@ -195,15 +206,6 @@
         answers
     }
 
-    /// Number of targets that fit one message.
-    fn targets_in_message(&self) -> usize {
-        let is_marked = |told: &TargetLoad| told.target.mark != RunMark::default();
-        match self.all.iter().any(is_marked) {
-            true => MARKED_TARGETS_TOLD,
-            false => TARGETS_TOLD,
-        }
-    }
-
     /// Returns the loads of all boxes but `run` on all targets.
     pub fn all_but(&self, run: Incarnation) -> Others {
         Others {
@@ -231,7 +233,7 @@
             true => vec![part(&[])],
             false => self
                 .all
-                .chunks(self.targets_in_message())
+                .chunks(targets_in_message(&self.all))
                 .map(part)
                 .collect(),
         }
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -11,16 +11,18 @@
 use std::time::Duration;
 
 use crate::forward::count::DomainCount;
-use crate::forward::fleet::TargetRun;
+use crate::forward::fleet::{RunMark, TargetRun};
 use crate::forward::limit::{DemandPart, Grants, LimitReport, PermitRequest};
 use crate::forward::quarantine::Told;
 use crate::ids::Incarnation;
 
 mod collector;
+mod pages;
 mod received;
 mod remote;
 
 pub use collector::Collector;
+pub use pages::Assembler;
 pub use remote::{RemoteLoads, own_report};
 
 /// Time after which a report expires: several in a row are lost only with their sender or its links.
@@ -107,6 +109,30 @@
     pub loads: Vec<TargetLoad>,
 }
 
+/// Part of a report that fits a datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReportPage {
+    /// The run of the box.
+    pub run: Incarnation,
+    /// Number of the report.
+    pub number: u64,
+    /// Position among the pages of the report, from 0.
+    pub index: u32,
+    /// Pages of the report, at least 1.
+    pub count: u32,
+    /// Some of the targets with a load.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// Number of targets that fit one message: fewer where their runs tell their starts.
+fn targets_in_message(loads: &[TargetLoad]) -> usize {
+    let is_marked = |told: &TargetLoad| told.target.mark != RunMark::default();
+    match loads.iter().any(is_marked) {
+        true => MARKED_TARGETS_TOLD,
+        false => TARGETS_TOLD,
+    }
+}
+
 /// Sums of the reports to one collector for some targets, for other collectors.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Part {
@@ -133,7 +159,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
     /// From a box to its collector.
-    Report(Report),
+    Report(ReportPage),
     /// From a collector to another.
     Part(Part),
     /// From a collector to a box.
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -9,7 +9,7 @@
 use reachtally_core::forward::count::DomainCount;
 use reachtally_core::forward::fleet::{Engine, Evidence, Fleet, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
-    Collector, Load, Others, Part, RemoteLoads, Report, TargetLoad, own_report,
+    Collector, Load, Others, Part, RemoteLoads, Report, ReportPage, TargetLoad, own_report,
 };
 use reachtally_core::ids::Incarnation;
 
@@ -381,3 +381,61 @@
     remote_loads.remove_expired(&mut fleet, at(100));
     assert_eq!(running(&fleet), Some(7.0));
 }
+
+fn pages(number: u64, targets: usize) -> Vec<ReportPage> {
+    let loads = (0..targets).map(|target| load_of(&format!("e{target:03}"), 1));
+    let loads: Vec<TargetLoad> = loads.collect();
+    let chunks = loads.chunks(30);
+    let count = chunks.len() as u32;
+    let page = |(index, loads): (usize, &[TargetLoad])| ReportPage {
+        run: Incarnation(1),
+        number,
+        index: index as u32,
+        count,
+        loads: loads.to_vec(),
+    };
+    chunks.enumerate().map(page).collect()
+}
+
+/// Targets with a load that the collector knows of box 1.
+fn targets_known(collector: &mut Collector, ms: u64) -> usize {
+    collector.sum_up(at(ms));
+    let others = collector.all_but(Incarnation(9));
+    let busy = others.loads.iter().filter(|told| told.load.running > 0);
+    busy.count()
+}
+
+#[test]
+fn a_report_of_which_a_page_is_lost_leaves_the_one_before_it() {
+    let mut collector = Collector::new("north");
+    for page in pages(1, 100) {
+        collector.hear_page(page, ip(1), at(0));
+    }
+    assert_eq!(targets_known(&mut collector, 0), 100);
+    for page in pages(2, 90).into_iter().skip(1) {
+        collector.hear_page(page, ip(1), at(200));
+    }
+    assert_eq!(targets_known(&mut collector, 200), 100);
+    for page in pages(3, 80).into_iter().rev() {
+        collector.hear_page(page, ip(1), at(400));
+    }
+    assert_eq!(targets_known(&mut collector, 400), 80);
+}
+
+#[test]
+fn pages_that_are_late_or_corrupt_change_nothing() {
+    let mut collector = Collector::new("north");
+    let late = pages(1, 100);
+    for page in pages(2, 90) {
+        collector.hear_page(page, ip(1), at(0));
+    }
+    let corrupt = [(5, 3), (0, u32::MAX), (0, 0)].map(|(index, count)| ReportPage {
+        index,
+        count,
+        ..pages(3, 1).remove(0)
+    });
+    for page in late.into_iter().chain(corrupt) {
+        collector.hear_page(page, ip(1), at(0));
+    }
+    assert_eq!(targets_known(&mut collector, 0), 90);
+}
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -4,7 +4,9 @@
 use prost::Message as _;
 use reachtally_core::forward::count::DomainCount;
 use reachtally_core::forward::fleet::{RunMark, TargetRun};
-use reachtally_core::forward::loads::{Load, Message, Others, Part, Report, TargetLoad};
+use reachtally_core::forward::loads::{
+    Load, Message, Others, Part, Report, ReportPage, TargetLoad,
+};
 use reachtally_core::ids::Incarnation;
 
 use crate::generated::relay::{self, load_message::Kind};
@@ -55,6 +57,33 @@
         .into()
 }
 
+/// Splits a report into pages that fit a datagram each; an empty report has one page.
+pub fn pages(report: &Report) -> Vec<ReportPage> {
+    let page = |index, loads: &[TargetLoad]| ReportPage {
+        run: report.run,
+        number: report.number,
+        index,
+        // The longest count while it is not known, so that the pages fit with any.
+        count: u32::MAX,
+        loads: loads.to_vec(),
+    };
+    let head = report_to_wire(&page(u32::MAX, &[])).encoded_len();
+    let mut pages = Vec::new();
+    let mut left = &report.loads[..];
+    while pages.is_empty() || !left.is_empty() {
+        // A load that fits no datagram by itself is sent alone and left out by the encoder.
+        let fitting = loads_that_fit(left, head).len().max(1);
+        let (first, rest) = left.split_at(fitting.min(left.len()));
+        pages.push(page(pages.len() as u32, first));
+        left = rest;
+    }
+    let count = pages.len() as u32;
+    for page in &mut pages {
+        page.count = count;
+    }
+    pages
+}
+
 /// Decode a message.
 ///
 /// # Errors
@@ -62,9 +91,11 @@
 pub fn decode(bytes: &[u8]) -> Result<Message, LoadError> {
     let decoded = relay::LoadMessage::decode(bytes).map_err(LoadError::Malformed)?;
     match decoded.kind.ok_or(LoadError::Unknown)? {
-        Kind::Report(report) => Ok(Message::Report(Report {
+        Kind::Report(report) => Ok(Message::Report(ReportPage {
             run: Incarnation(report.run),
             number: report.number,
+            index: report.page,
+            count: report.pages.max(1),
             loads: loads_from_wire(report.loads),
         })),
         Kind::Part(part) => Ok(Message::Part(Part {
@@ -88,10 +119,12 @@
     }
 }
 
-fn report_to_wire(report: &Report) -> relay::LoadReport {
+fn report_to_wire(report: &ReportPage) -> relay::LoadReport {
     let mut message = relay::LoadReport {
         run: report.run.0,
         number: report.number,
+        page: report.index,
+        pages: report.count,
         loads: Vec::new(),
     };
     message.loads = loads_that_fit(&report.loads, message.encoded_len());
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -10,7 +10,8 @@
 use reachtally_core::forward::fingerprint::{FINGERPRINT_BYTES, Fingerprint};
 use reachtally_core::forward::fleet::{Entry, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
-    Load, MARKED_TARGETS_TOLD, Message, Others, Part, Report, TARGETS_TOLD, TargetLoad,
+    Assembler, Load, MARKED_TARGETS_TOLD, Message, Others, Part, Report, ReportPage, TARGETS_TOLD,
+    TargetLoad,
 };
 use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::quarantine::{
@@ -169,9 +170,11 @@
 #[test]
 fn a_message_of_loads_keeps_to_one_datagram() {
     let loads: Vec<TargetLoad> = (0..500).map(target_load).collect();
-    let report = Message::Report(Report {
+    let report = Message::Report(ReportPage {
         run: Incarnation(3),
         number: 8,
+        index: 1,
+        count: 20,
         loads: loads.clone(),
     });
     let part = Message::Part(Part {
@@ -232,6 +235,41 @@
     }
 }
 
+/// A report was cut to one datagram, so that a busy box's load on most of its targets was unknown to all others.
+#[test]
+fn a_report_of_many_targets_reaches_the_collector_whole() {
+    let sent: Vec<TargetLoad> = (0..200).map(target_load).collect();
+    let report = Report {
+        run: Incarnation(u64::MAX),
+        number: u64::MAX,
+        loads: sent.clone(),
+    };
+    let mut assembler = Assembler::default();
+    let mut received = None;
+    for page in load::pages(&report) {
+        let bytes = load::encode(&Message::Report(page));
+        assert!(bytes.len() <= load::MESSAGE_MAX);
+        let Ok(Message::Report(page)) = load::decode(&bytes) else {
+            panic!("it is a page of a report");
+        };
+        assert_eq!(received, None);
+        received = assembler.add(page);
+    }
+    assert_eq!(received, Some(report));
+}
+
+/// Versions that send reports of one datagram name no number of pages.
+#[test]
+fn a_report_without_a_number_of_pages_is_whole() {
+    // Kind 1 of a datagram, a report with a run of eight bytes and number 1.
+    let bytes = [10, 11, 9, 7, 0, 0, 0, 0, 0, 0, 0, 16, 1];
+    let decoded = load::decode(&bytes);
+    let Ok(Message::Report(page)) = decoded else {
+        panic!("it is a page of a report");
+    };
+    assert!(Assembler::default().add(page).is_some());
+}
+
 fn suspect(number: u8) -> Told {
     let end = |run: usize| End {
         run: RunDigest(u32::MAX - run as u32),
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -139,7 +139,9 @@
             Target::Here => self.collector.hear(report, self.ip(), now),
             Target::Box(ip) => {
                 self.unanswered += 1;
-                self.send(ip, &Message::Report(report));
+                for page in load::pages(&report) {
+                    self.send(ip, &Message::Report(page));
+                }
             }
         }
         self.tell_suspects();
@@ -275,9 +277,12 @@
     fn hear(&mut self, bytes: &[u8], from: IpAddr) {
         let now = self.relay.now();
         match load::decode(bytes) {
-            Ok(Message::Report(report)) => {
-                let (run, number) = (report.run, report.number);
-                self.collector.hear(report, from, now);
+            Ok(Message::Report(page)) => {
+                let (run, number, is_first) = (page.run, page.number, page.index == 0);
+                self.collector.hear_page(page, from, now);
+                if !is_first {
+                    return;
+                }
                 for answer in self.collector.answers(run, number) {
                     self.send(from, &Message::Others(answer));
                 }
