feat(core): queues that first engines state are part of the expected first event

Cause: requests wait at the first engine of a path until its KV has room, and engines state how many wait in each answer; that was read for plain services only. What was expected counted the room that all engines of a path lack in place of it: later engines refuse instead of letting requests wait, so expectations of 2.4 s stood for 75 ms.

The newest queue stated to any box goes with the loads (3 bytes, expires after 1 s), and the expected time has the wait at the first engine alone. Ways are compared as before. Loads of collectors take a second datagram where queues make them longer than one.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -14,12 +14,14 @@
 mod entry;
 mod health;
 mod notice;
+mod queue;
 
 pub use engine::Engine;
 pub use entry::{Born, Entry, Evidence, RunMark, RunOrder, TargetRun};
 pub use health::Health;
 pub use notice::Notice;
 use notice::Notices;
+pub use queue::{QUEUE_LIFE, Queues, StatedQueue};
 
 new_key_type! {
     /// Row of a target in a [`Fleet`].
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Entry, Health, Notice};
+use super::{Entry, Health, Notice, Queues};
 use crate::forward::limit::Permits;
 use crate::time::Instant;
 
@@ -36,6 +36,8 @@
     pub remote_reading: f64,
     /// Requests that the target itself last reported, less those of this box.
     pub others_told: f64,
+    /// Requests that wait there, as it stated to this box and to others.
+    pub queues: Queues,
     /// The slowdown factor that it last reported to this box, and when.
     pace: Option<(f64, Instant)>,
     /// The largest slowdown factor that other boxes report.
@@ -66,6 +68,7 @@
             remote_tokens: 0.0,
             remote_reading: 0.0,
             others_told: 0.0,
+            queues: Queues::default(),
             pace: None,
             remote_pace: None,
             remote_silent: 0,
--- a/reachtally-core/src/forward/loads/collector.rs
+++ b/reachtally-core/src/forward/loads/collector.rs
@@ -130,14 +130,14 @@
             reporter.counted = reporter.loads.clone();
             for told in &*reporter.counted {
                 let sum = self.own.entry(told.target.clone()).or_default();
-                sum.add(&told.load);
+                sum.add(&told.load.aged(now.since(reporter.heard)));
             }
         }
         let mut all = self.own.clone();
         for peer in self.peers.values_mut() {
             peer.told.remove_expired(now);
-            for (target, load) in peer.told.iter() {
-                all.entry(target.clone()).or_default().add(load);
+            for (target, load) in peer.told.iter(now) {
+                all.entry(target.clone()).or_default().add(&load);
             }
         }
         let busy = all.iter().filter(|(_, load)| !load.is_nothing());
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::forward::count::DomainCount;
-use crate::forward::fleet::{RunMark, TargetRun};
+use crate::forward::fleet::{QUEUE_LIFE, RunMark, TargetRun};
 use crate::forward::limit::{DemandPart, Grants, LimitReport, PermitRequest};
 use crate::forward::quarantine::Told;
 use crate::ids::Incarnation;
@@ -50,6 +50,17 @@
     pub pace: Option<f64>,
     /// Boxes that found that it takes no connections.
     pub silent: u32,
+    /// The newest queue that it stated.
+    pub queue: Option<QueueReport>,
+}
+
+/// Requests that wait at a target, as it stated to some box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueReport {
+    /// How many.
+    pub waiting: u32,
+    /// Time since its answer was received.
+    pub age: Duration,
 }
 
 impl Load {
@@ -65,6 +76,19 @@
             reading: self.reading.min(MOST_TOKENS),
             pace: self.pace.filter(|pace| pace.is_finite()),
             silent: self.silent.min(MOST_RUNNING),
+            queue: self.queue.filter(|queue| queue.age < QUEUE_LIFE),
+        }
+    }
+
+    /// Returns the load as of `passed` later.
+    pub(super) fn aged(self, passed: Duration) -> Self {
+        let queue = self.queue.map(|queue| QueueReport {
+            age: queue.age + passed,
+            ..queue
+        });
+        Load {
+            queue: queue.filter(|queue| queue.age < QUEUE_LIFE),
+            ..self
         }
     }
 
@@ -75,9 +99,11 @@
         let told = self.pace.into_iter().chain(other.pace);
         self.pace = told.max_by(f64::total_cmp);
         self.silent = self.silent.saturating_add(other.silent);
+        let stated = self.queue.into_iter().chain(other.queue);
+        self.queue = stated.min_by_key(|queue| queue.age);
     }
 
-    /// Subtracts a part. The slowest pace stays: it is the target's own.
+    /// Subtracts a part. The slowest pace and the queue stay: they are the target's own.
     pub(super) fn without(&self, part: &Load) -> Self {
         Load {
             running: self.running.saturating_sub(part.running),
@@ -85,6 +111,7 @@
             reading: self.reading.saturating_sub(part.reading),
             pace: self.pace,
             silent: self.silent.saturating_sub(part.silent),
+            queue: self.queue,
         }
     }
 }
--- a/reachtally-core/src/forward/loads/received.rs
+++ b/reachtally-core/src/forward/loads/received.rs
@@ -21,7 +21,9 @@
         self.0.retain(|_, (_, at)| now.since(*at) < REPORT_LIFE);
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (&TargetRun, &Load)> {
-        self.0.iter().map(|(target, (load, _))| (target, load))
+    /// Returns the loads as of `now`.
+    pub fn iter(&self, now: Instant) -> impl Iterator<Item = (&TargetRun, Load)> {
+        let each = self.0.iter();
+        each.map(move |(target, (load, at))| (target, load.aged(now.since(*at))))
     }
 }
--- a/reachtally-core/src/forward/loads/remote.rs
+++ b/reachtally-core/src/forward/loads/remote.rs
@@ -1,9 +1,9 @@
 //! What a box knows of the loads of other boxes, and what it reports of its own.
 
 use super::received::Received;
-use super::{Load, Others, Report, TargetLoad};
+use super::{Load, Others, QueueReport, Report, TargetLoad};
 use crate::forward::count::BoxCount;
-use crate::forward::fleet::{Engine, Fleet, TargetRun};
+use crate::forward::fleet::{Engine, Fleet, StatedQueue, TargetRun};
 use crate::ids::Incarnation;
 use crate::time::Instant;
 
@@ -20,7 +20,7 @@
     /// Takes in a message of a collector, and updates the targets.
     pub fn hear(&mut self, others: Others, fleet: &mut Fleet, now: Instant) {
         for told in &others.loads {
-            put(fleet, &told.target, &told.load.bounded());
+            put(fleet, &told.target, &told.load.bounded(), now);
         }
         for told in &others.counts {
             self.count.hear(told, now);
@@ -36,8 +36,8 @@
         self.told.remove_expired(now);
         self.count.remove_expired(now);
         fleet.clear_remote();
-        for (target, load) in self.told.iter() {
-            put(fleet, target, load);
+        for (target, load) in self.told.iter(now) {
+            put(fleet, target, &load, now);
         }
     }
 
@@ -53,13 +53,19 @@
 }
 
 /// Sets the remote load of a target.
-fn put(fleet: &mut Fleet, target: &TargetRun, load: &Load) {
+fn put(fleet: &mut Fleet, target: &TargetRun, load: &Load, now: Instant) {
     if let Some(engine) = fleet.find_run(target).and_then(|key| fleet.get_mut(key)) {
         engine.remote_running = f64::from(load.running);
         engine.remote_tokens = f64::from(load.tokens);
         engine.remote_reading = f64::from(load.reading);
         engine.remote_pace = load.pace;
         engine.remote_silent = load.silent;
+        if let Some(queue) = load.queue {
+            engine.queues.report(StatedQueue {
+                waiting: queue.waiting,
+                at: now.before(queue.age),
+            });
+        }
     }
 }
 
@@ -71,6 +77,10 @@
         reading: engine.reading as u32,
         pace: engine.own_pace(now),
         silent: u32::from(engine.health.is_silent()),
+        queue: engine.queues.own(now).map(|stated| QueueReport {
+            waiting: stated.waiting,
+            age: now.since(stated.at),
+        }),
     };
     let loads = fleet.iter().map(|(_, engine)| TargetLoad {
         target: engine.entry.run(),
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -26,6 +26,8 @@
 /// two reports is not known, so the more there are the less such differences say, and the engines' parts of the
 /// model count in their place.
 const BOXES_KNOWN: f64 = 64.0;
+/// Least requests that are taken to run on an engine with a queue, where what is believed of it is older than what it stated.
+const LEAST_ADMITTED: f64 = 8.0;
 /// Largest part by which chance makes an engine look dearer. Until loads are told, all boxes see the same
 /// chain as the cheapest, and the prompts of half a second wait there one behind the other.
 const SPREAD: f64 = 5.0;
@@ -47,7 +49,10 @@
     pub read_ms: f64,
     /// Time until the prompts that wait there are read.
     pub wait_ms: f64,
-    /// Time until others have left enough room, whatever the number of layers.
+    /// Time that a request waits there as at a first engine, until there is room for it, whatever the number of layers.
+    pub queue_ms: f64,
+    /// Time until others have left enough room, whatever the number of layers. Later engines refuse requests until then, so this is
+    /// a cost and no part of the expected time.
     pub room_ms: f64,
 }
 
@@ -83,6 +88,7 @@
         let growth = used.min(MOST_PRICED).powi(PRICE_POWER);
         let waiting = engine.reading + engine.remote_reading;
         let lacking = (tokens / room - 1.0).max(0.0);
+        let room_ms = lacking * cx.held.as_secs_f64() * 1000.0;
         let known = (BOXES_KNOWN / f64::from(cx.boxes.max(1))).min(1.0);
         let taken = (need.held() / room).powf(known) * model.share(layers).powf(1.0 - known);
         let has_place = running < SLOTS_USED * f64::from(engine.entry.slots);
@@ -96,11 +102,19 @@
             token_ms: busy * model.step_ms(card, layers, batch) / each,
             read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
             wait_ms: busy * model.read_ms(card, layers, waiting) / each,
-            room_ms: lacking * cx.held.as_secs_f64() * 1000.0,
+            queue_ms: queue_ms(engine, running, cx).unwrap_or(room_ms),
+            room_ms,
         })
     }
 }
 
+/// Time until the requests that wait at an engine have room, if it stated lately how many do: as many leave in a mean duration as run.
+fn queue_ms(engine: &Engine, running: f64, cx: &Circumstance<'_>) -> Option<f64> {
+    let waiting = f64::from(engine.queues.waiting(cx.now)?);
+    let admitted = (running - waiting).max(LEAST_ADMITTED);
+    Some(waiting / admitted * cx.held.as_secs_f64() * 1000.0)
+}
+
 /// A number from 0 to 1 for a request and an engine, by the finalizer of SplitMix64.
 pub(super) fn chance(draw: u64, key: EngineKey) -> f64 {
     let mut mixed = draw ^ key.data().as_ffi().wrapping_mul(0x9E37_79B9_7F4A_7C15);
--- a/reachtally-core/src/forward/select/judge.rs
+++ b/reachtally-core/src/forward/select/judge.rs
@@ -43,8 +43,8 @@
         let part = |ms: f64, aim_ms: Option<f64>| aim_ms.map_or(0.0, |aim| ms / aim.max(1.0));
         Totals {
             price: sums.price,
-            duration_ms: sums.first_ms() + model.usual_answer * sums.token_ms,
-            first_part: part(sums.first_ms(), aim.first_ms),
+            duration_ms: sums.compared_first_ms() + model.usual_answer * sums.token_ms,
+            first_part: part(sums.compared_first_ms(), aim.first_ms),
             gap_part: part(sums.token_ms * model.stride.max(1.0), aim.gap_ms),
         }
     }
--- a/reachtally-core/src/forward/select/ways.rs
+++ b/reachtally-core/src/forward/select/ways.rs
@@ -45,14 +45,24 @@
     pub used: f64,
     /// Time of a token.
     pub token_ms: f64,
-    /// Time to read the prompt, with all that waits before it.
+    /// Time to read the prompt, with the prompts that are read before it.
     read_ms: f64,
+    /// Time that the request waits at the first engine.
+    queue_ms: f64,
+    /// Time until all engines have room.
+    room_ms: f64,
 }
 
 impl Sums {
-    /// Time until the first token.
+    /// Expected time until the first token.
     pub fn first_ms(&self) -> f64 {
-        self.read_ms + self.token_ms
+        self.read_ms + self.token_ms + self.queue_ms
+    }
+
+    /// Time until the first token by which ways are compared: with what all engines lack of room in place of the queue, since sends
+    /// of others after a queue was stated are part of the one and not of the other.
+    pub fn compared_first_ms(&self) -> f64 {
+        self.read_ms + self.token_ms + self.room_ms
     }
 }
 
@@ -96,6 +106,8 @@
             used: 0.0,
             token_ms: 0.0,
             read_ms: 0.0,
+            queue_ms: 0.0,
+            room_ms: 0.0,
         },
         from: 0,
         last: usize::MAX,
@@ -111,9 +123,10 @@
         weights: Weights,
     ) -> Way {
         let token_ms = candidate.token_ms * layers + hop_ms;
-        let read_ms = (candidate.read_ms + candidate.wait_ms) * layers + candidate.room_ms + hop_ms;
-        let cost =
-            weights.price * candidate.price + weights.token * token_ms + weights.first * read_ms;
+        let read_ms = (candidate.read_ms + candidate.wait_ms) * layers + hop_ms;
+        let cost = weights.price * candidate.price
+            + weights.token * token_ms
+            + weights.first * (read_ms + candidate.room_ms);
         Way {
             cost: self.cost + cost,
             sums: Sums {
@@ -121,6 +134,11 @@
                 used: self.sums.used.max(candidate.used),
                 token_ms: self.sums.token_ms + token_ms,
                 read_ms: self.sums.read_ms + read_ms,
+                queue_ms: match from {
+                    0 => candidate.queue_ms,
+                    _ => self.sums.queue_ms,
+                },
+                room_ms: self.sums.room_ms + candidate.room_ms,
             },
             from,
             last,
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -39,6 +39,7 @@
             reading: running * 10,
             pace: None,
             silent: 0,
+            queue: None,
         },
     }
 }
@@ -290,6 +291,7 @@
                 reading: u32::MAX,
                 pace: Some(f64::NAN),
                 silent: u32::MAX,
+                queue: None,
             },
         }];
         let told = Part {
@@ -439,3 +441,47 @@
     }
     assert_eq!(targets_known(&mut collector, 0), 90);
 }
+
+/// A fleet with one target that states `waiting` requests to this box at `ms`.
+fn stated(waiting: u32, ms: u64) -> Fleet {
+    let (mut fleet, keys) = fleet([entry(0, "north", "small", 0..8)]);
+    let engine = fleet.get_mut(keys[0]).expect("it is known");
+    engine.queues.state(waiting, at(ms));
+    fleet
+}
+
+fn waiting(fleet: &Fleet, ms: u64) -> Option<u32> {
+    let key = fleet.find("e0").expect("it is known");
+    fleet.get(key).expect("it is known").queues.waiting(at(ms))
+}
+
+#[test]
+fn the_newest_queue_that_a_target_stated_to_any_box_is_known_to_all_until_it_expires() {
+    let mut collector = Collector::new("north");
+    for (run, fleet) in [
+        (1, stated(30, 100)),
+        (2, stated(50, 400)),
+        (3, stated(9, 200)),
+    ] {
+        collector.hear(
+            own_report(Incarnation(run), 1, &fleet, at(500)),
+            ip(run),
+            at(500),
+        );
+    }
+    collector.sum_up(at(600));
+    let (mut here, _) = fleet([entry(0, "north", "small", 0..8)]);
+    let mut remote_loads = RemoteLoads::default();
+    remote_loads.hear(collector.all_but(Incarnation(9)), &mut here, at(600));
+    assert_eq!(waiting(&here, 600), Some(50));
+    remote_loads.remove_expired(&mut here, at(1_300));
+    assert_eq!(waiting(&here, 1_300), Some(50));
+    remote_loads.remove_expired(&mut here, at(1_450));
+    assert_eq!(waiting(&here, 1_450), None);
+    let own = own_report(Incarnation(9), 2, &here, at(700));
+    assert_eq!(
+        own.loads,
+        [],
+        "what others received is not reported as this box's own"
+    );
+}
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -423,3 +423,56 @@
     assert!(few > many && many >= most, "{few} {many} {most}");
     assert!(most > 200, "{most}");
 }
+
+/// One chain, whose engines have `running` requests of others.
+fn loaded_chain(running: f64) -> (Fleet, Vec<EngineKey>) {
+    let (mut fleet, keys) = fleet([
+        entry(0, "a", "large", 0..30),
+        entry(1, "a", "middle", 30..48),
+        entry(2, "a", "middle", 48..66),
+        entry(3, "a", "middle", 66..80),
+    ]);
+    for key in &keys {
+        let engine = fleet.get_mut(*key).expect("it is known");
+        engine.remote_running = running;
+        engine.remote_tokens = running * NEED.held();
+    }
+    (fleet, keys)
+}
+
+fn expected_first_ms(fleet: &Fleet) -> f64 {
+    let choice = choose(fleet, &[]).expect("there is a path");
+    choice.first.as_secs_f64() * 1000.0
+}
+
+/// First events of requests that waited at their first engine for a second were expected within a tenth of that.
+#[test]
+fn requests_that_wait_at_the_first_engine_are_expected_to_delay_the_first_event() {
+    let (mut fleet, keys) = loaded_chain(60.0);
+    let without = expected_first_ms(&fleet);
+    let first = fleet.get_mut(keys[0]).expect("it is known");
+    first.queues.state(20, cx(&[]).now);
+    // 40 run for 3 s each, so 20 of them end in 1.5 s.
+    let with = expected_first_ms(&fleet);
+    assert!((1_400.0..1_600.0).contains(&(with - without)), "{with}");
+}
+
+#[test]
+fn a_queue_that_was_stated_a_second_ago_delays_nothing() {
+    let (mut fleet, keys) = loaded_chain(60.0);
+    let without = expected_first_ms(&fleet);
+    let first = fleet.get_mut(keys[0]).expect("it is known");
+    first.queues.state(20, Instant::ZERO);
+    assert_eq!(expected_first_ms(&fleet), without);
+}
+
+/// Later engines refuse what they have no room for, so a request that is accepted has not waited for them.
+#[test]
+fn room_that_later_engines_lack_is_no_part_of_the_expected_time() {
+    let (mut fleet, keys) = loaded_chain(20.0);
+    let without = expected_first_ms(&fleet);
+    let last = fleet.get_mut(keys[3]).expect("it is known");
+    last.remote_tokens *= 1.3 * 18_700.0 / last.remote_tokens;
+    let with = expected_first_ms(&fleet);
+    assert!((with - without).abs() < 1.0, "{without}, {with}");
+}
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -1,11 +1,13 @@
 //! Loads that boxes tell each other: one `prost` message in a datagram.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::count::DomainCount;
 use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::loads::{
-    Load, Message, Others, Part, Report, ReportPage, TargetLoad,
+    Load, Message, Others, Part, QueueReport, Report, ReportPage, TargetLoad,
 };
 use reachtally_core::ids::Incarnation;
 
@@ -18,6 +20,13 @@
 /// Bytes kept for the heads of the datagram and of the message within it, which take two to three each.
 const HEADS: usize = 8;
 
+/// Step in which the age of a stated queue is encoded.
+const QUEUE_AGE_STEP: Duration = Duration::from_millis(125);
+/// Number of such steps that are told apart; older queues have expired.
+const QUEUE_AGES: u32 = 8;
+/// Upper bound on the waiting requests of a queue; queues of targets are a hundred times shorter.
+const MOST_WAITING: u32 = 100_000;
+
 /// Why a datagram does not decode.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LoadError {
@@ -57,31 +66,80 @@
         .into()
 }
 
+/// Encodes a message in as many datagrams as it takes. Loads of collectors stand for themselves, so each datagram with some of
+/// them is complete; other messages take one.
+pub fn datagrams(message: &Message) -> Vec<Bytes> {
+    match message {
+        Message::Part(part) => {
+            let head = part_to_wire(&without_loads(part)).encoded_len();
+            let chunks = chunks_that_fit(&part.loads, head).into_iter();
+            let each = chunks.map(|loads| Part {
+                loads: loads.to_vec(),
+                ..without_loads(part)
+            });
+            each.map(|part| encode(&Message::Part(part))).collect()
+        }
+        Message::Others(others) => {
+            let counts = counts_to_wire(&others.counts);
+            let head = relay::LoadOthers {
+                loads: Vec::new(),
+                counts,
+            };
+            let chunks = chunks_that_fit(&others.loads, head.encoded_len()).into_iter();
+            let each = chunks.enumerate().map(|(number, loads)| Others {
+                counts: match number {
+                    0 => others.counts.clone(),
+                    _ => Vec::new(),
+                },
+                loads: loads.to_vec(),
+            });
+            each.map(|others| encode(&Message::Others(others)))
+                .collect()
+        }
+        _ => vec![encode(message)],
+    }
+}
+
+fn without_loads(part: &Part) -> Part {
+    Part {
+        run: part.run,
+        domain: part.domain.clone(),
+        boxes: part.boxes,
+        loads: Vec::new(),
+    }
+}
+
+/// Splits loads so that each chunk fits beside a message of `head` bytes; no loads are one chunk. A load that fits no datagram by
+/// itself is a chunk of its own, which the encoder leaves out.
+fn chunks_that_fit(loads: &[TargetLoad], head: usize) -> Vec<&[TargetLoad]> {
+    let mut chunks = Vec::new();
+    let mut left = loads;
+    while chunks.is_empty() || !left.is_empty() {
+        let fitting = loads_that_fit(left, head).len().max(1);
+        let (first, rest) = left.split_at(fitting.min(left.len()));
+        chunks.push(first);
+        left = rest;
+    }
+    chunks
+}
+
 /// Splits a report into pages that fit a datagram each; an empty report has one page.
 pub fn pages(report: &Report) -> Vec<ReportPage> {
-    let page = |index, loads: &[TargetLoad]| ReportPage {
+    let page = |index, count, loads: &[TargetLoad]| ReportPage {
         run: report.run,
         number: report.number,
         index,
-        // The longest count while it is not known, so that the pages fit with any.
-        count: u32::MAX,
+        count,
         loads: loads.to_vec(),
     };
-    let head = report_to_wire(&page(u32::MAX, &[])).encoded_len();
-    let mut pages = Vec::new();
-    let mut left = &report.loads[..];
-    while pages.is_empty() || !left.is_empty() {
-        // A load that fits no datagram by itself is sent alone and left out by the encoder.
-        let fitting = loads_that_fit(left, head).len().max(1);
-        let (first, rest) = left.split_at(fitting.min(left.len()));
-        pages.push(page(pages.len() as u32, first));
-        left = rest;
-    }
-    let count = pages.len() as u32;
-    for page in &mut pages {
-        page.count = count;
-    }
-    pages
+    // The pages fit with any index and count.
+    let head = report_to_wire(&page(u32::MAX, u32::MAX, &[])).encoded_len();
+    let chunks = chunks_that_fit(&report.loads, head);
+    let count = chunks.len() as u32;
+    let numbered = (0..).zip(chunks);
+    numbered
+        .map(|(index, loads)| page(index, count, loads))
+        .collect()
 }
 
 /// Decode a message.
@@ -189,6 +247,21 @@
         pace_percent: told.load.pace.map_or(0, percent),
         reading: told.load.reading,
         silent: told.load.silent,
+        queue: told.load.queue.map_or(0, queue_to_wire),
+    }
+}
+
+/// Encodes a queue in one number, since a message holds dozens of them.
+fn queue_to_wire(queue: QueueReport) -> u32 {
+    let eighths = (queue.age.as_millis() / QUEUE_AGE_STEP.as_millis()) as u32;
+    let waiting = queue.waiting.min(MOST_WAITING);
+    1 + waiting * QUEUE_AGES + eighths.min(QUEUE_AGES - 1)
+}
+
+fn queue_from_wire(number: u32) -> QueueReport {
+    QueueReport {
+        waiting: number / QUEUE_AGES,
+        age: QUEUE_AGE_STEP * (number % QUEUE_AGES),
     }
 }
 
@@ -210,6 +283,7 @@
             reading: load.reading,
             pace: (load.pace_percent > 0).then(|| f64::from(load.pace_percent) / 100.0),
             silent: load.silent,
+            queue: load.queue.checked_sub(1).map(queue_from_wire),
         },
     };
     loads.into_iter().map(load).collect()
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -10,8 +10,8 @@
 use reachtally_core::forward::fingerprint::{FINGERPRINT_BYTES, Fingerprint};
 use reachtally_core::forward::fleet::{Entry, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
-    Assembler, Load, MARKED_TARGETS_TOLD, Message, Others, Part, Report, ReportPage, TARGETS_TOLD,
-    TargetLoad,
+    Assembler, Load, MARKED_TARGETS_TOLD, Message, Others, Part, QueueReport, Report, ReportPage,
+    TARGETS_TOLD, TargetLoad,
 };
 use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::quarantine::{
@@ -148,6 +148,10 @@
             running: number,
             tokens: 1000 * number,
             reading: 10 * number,
+            queue: number.is_multiple_of(3).then_some(QueueReport {
+                waiting: 7 * number,
+                age: Duration::from_millis(375),
+            }),
         },
     }
 }
@@ -215,6 +219,7 @@
             running: 400,
             tokens: 200_000,
             reading: 4_000,
+            queue: None,
         },
     };
     let marked = |number: usize| run(format!("i-{number:010x}"));
@@ -258,6 +263,38 @@
     assert_eq!(received, Some(report));
 }
 
+/// Queues make loads longer, so that as many as usual may not fit one datagram.
+#[test]
+fn loads_of_collectors_take_as_many_datagrams_as_they_need() {
+    let mut loads: Vec<TargetLoad> = (0..100).map(target_load).collect();
+    let part = Part {
+        run: Incarnation(u64::MAX),
+        domain: "north".to_owned(),
+        boxes: u32::MAX,
+        loads: loads.clone(),
+    };
+    let others = Others {
+        counts: counts(13),
+        loads: loads.clone(),
+    };
+    let datagrams = load::datagrams(&Message::Part(part)).into_iter();
+    for bytes in datagrams.chain(load::datagrams(&Message::Others(others))) {
+        assert!(bytes.len() <= load::MESSAGE_MAX);
+        let received = match load::decode(&bytes) {
+            Ok(Message::Part(part)) => part.loads,
+            Ok(Message::Others(others)) => others.loads,
+            other => panic!("it holds loads: {other:?}"),
+        };
+        if loads.is_empty() {
+            loads = (0..100).map(target_load).collect();
+        }
+        let rest = loads.split_off(received.len());
+        assert_eq!(received, loads);
+        loads = rest;
+    }
+    assert!(loads.is_empty());
+}
+
 /// Versions that send reports of one datagram name no number of pages.
 #[test]
 fn a_report_without_a_number_of_pages_is_whole() {
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -88,10 +88,12 @@
     let head = relay
         .wire
         .answer(response.status().as_u16(), response.headers());
+    let now = relay.now();
     let mut fleet = relay.fleet.borrow_mut();
     if let (Some(load), Some(engine)) = (head.load, fleet.get_mut(from.key)) {
         let others = (load.running + load.waiting).saturating_sub(engine.running);
         engine.others_told = f64::from(others);
+        engine.queues.state(load.waiting, now);
     }
     drop(fleet);
     relay.target_said(&from.run, head.said);
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -219,7 +219,7 @@
     fn parts(&self) -> Vec<bytes::Bytes> {
         let parts = self.collector.parts(self.run);
         let encoded = parts.into_iter().map(Message::Part);
-        encoded.map(|part| load::encode(&part)).collect()
+        encoded.flat_map(|part| load::datagrams(&part)).collect()
     }
 
     /// Other collectors: those that were received from lately, and the first reader of each failure domain of which none
@@ -263,7 +263,9 @@
     }
 
     fn send(&self, ip: IpAddr, message: &Message) {
-        self.send_bytes(ip, &load::encode(message));
+        for datagram in load::datagrams(message) {
+            self.send_bytes(ip, &datagram);
+        }
     }
 
     fn send_bytes(&self, ip: IpAddr, message: &[u8]) {
