feat(core): requests of accounts with the same priority are ranked by their routes

Cause: an account's priority replaced that of the route, and where (nearly) all accounts have the same one, targets got one priority for all kinds of request. So first engines, which admit the most urgent of those that wait, served the least urgent kind most: its objective is the longest.

The account's priority still goes first; that of the route orders requests of accounts with the same one.

The new tests of the table failed before (no order among routes).

--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -1,6 +1,6 @@
 //! The routing table: hosts and path prefixes to services, keys to client accounts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -122,6 +122,26 @@
     pub priority: Option<u8>,
 }
 
+/// How urgent a request is; the least is the most urgent. The account's priority goes before the route's, which orders requests of
+/// accounts with the same priority, so that a kind of request is not served behind a less urgent one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Urgency {
+    /// Priority of its account; that of the route where the account has none.
+    pub account: u8,
+    /// Priority of its route.
+    pub route: u8,
+}
+
+impl Urgency {
+    /// Urgency of a request on a route with priority `route`, of an account with priority `account` if it has one.
+    pub fn new(account: Option<u8>, route: u8) -> Self {
+        Urgency {
+            account: account.unwrap_or(route),
+            route,
+        }
+    }
+}
+
 /// One version of the configuration.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
@@ -135,6 +155,10 @@
     pub services: BTreeMap<Arc<str>, Service>,
     /// What callers may send.
     pub limits: Option<CallerLimits>,
+    /// Distinct priorities of the routes of each service.
+    route_priorities: HashMap<Arc<str>, BTreeSet<u8>>,
+    /// Distinct priorities of accounts; `None` stands for accounts without one, and for requests without an account.
+    account_priorities: BTreeSet<Option<u8>>,
 }
 
 /// Why no route took a request.
@@ -157,6 +181,13 @@
 
     /// Add a route; one with the same host and prefix is replaced.
     pub fn add_route(&mut self, host: &str, prefix: &str, route: Route) {
+        for (service, _) in &route.services {
+            let priorities = self.route_priorities.entry(service.clone()).or_default();
+            priorities.insert(route.priority);
+        }
+        if route.public {
+            self.account_priorities.insert(None);
+        }
         let by_prefix = self
             .routes
             .entry(host.to_ascii_lowercase().into())
@@ -166,6 +197,7 @@
 
     /// Require keys from now on, and add one of `account`.
     pub fn add_key(&mut self, key: &str, account: Account) {
+        self.account_priorities.insert(account.priority);
         let accounts = self.accounts.get_or_insert_with(HashMap::new);
         accounts.insert(key.into(), account);
     }
@@ -175,6 +207,39 @@
         self.accounts.get_or_insert_with(HashMap::new);
     }
 
+    /// Returns the distinct urgencies that requests for a service may have, the most urgent first.
+    pub fn urgencies(&self, service: &str) -> Vec<Urgency> {
+        let routes = self.route_priorities.get(service);
+        let routes = routes.into_iter().flatten().copied();
+        let accounts: Vec<Option<u8>> = match &self.accounts {
+            Some(_) => self.account_priorities.iter().copied().collect(),
+            None => vec![None],
+        };
+        let each = routes.flat_map(|route| {
+            let of_account = move |account: &Option<u8>| Urgency::new(*account, route);
+            accounts.iter().map(of_account).collect::<Vec<Urgency>>()
+        });
+        let distinct: BTreeSet<Urgency> = each.collect();
+        distinct.into_iter().collect()
+    }
+
+    /// Returns the position of an urgency among those of a service, 0 for the most urgent.
+    pub fn rank(&self, service: &str, urgency: Urgency) -> u8 {
+        let urgencies = self.urgencies(service);
+        let before = urgencies.partition_point(|other| *other < urgency);
+        u8::try_from(before).unwrap_or(u8::MAX)
+    }
+
+    /// Returns the priority that targets of a service get for a request: that of its account where the service's routes share one
+    /// priority, else its rank.
+    pub fn priority(&self, service: &str, urgency: Urgency) -> u8 {
+        let routes = self.route_priorities.get(service);
+        match routes.is_some_and(|routes| routes.len() > 1) {
+            true => self.rank(service, urgency),
+            false => urgency.account,
+        }
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/reachtally-core/tests/core/forward/routes.rs
+++ b/reachtally-core/tests/core/forward/routes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reachtally_core::forward::routes::{Account, Denied, Repeat, Route, Shape, Table};
+use reachtally_core::forward::routes::{Account, Denied, Repeat, Route, Shape, Table, Urgency};
 
 fn route(name: &str, public: bool) -> Route {
     Route {
@@ -95,3 +95,54 @@
     let one = (0..1000).filter(|draw| &**route.service(*draw).expect("there are two") == "one");
     assert_eq!(one.count(), 900);
 }
+
+/// A table whose service `pool` has routes with these priorities, for accounts with those.
+fn ranked(routes: &[u8], accounts: &[Option<u8>]) -> Table {
+    let mut table = Table::new(1);
+    for priority in routes {
+        let route = Route {
+            priority: *priority,
+            services: vec![("pool".into(), 1)],
+            ..route("ranked", false)
+        };
+        table.add_route("shop.example", &format!("/{priority}/"), route);
+    }
+    for (number, priority) in accounts.iter().enumerate() {
+        let account = Account {
+            name: format!("account-{number}").into(),
+            priority: *priority,
+        };
+        table.add_key(&format!("key-{number}"), account);
+    }
+    table
+}
+
+/// All accounts had the same priority, which hid that of the routes: the least urgent kind was served most.
+#[test]
+fn routes_order_the_requests_of_accounts_with_the_same_priority() {
+    let table = ranked(&[0, 1, 2], &[Some(1), Some(0)]);
+    let priority = |account, route| table.priority("pool", Urgency::new(Some(account), route));
+    let priorities: Vec<u8> = [(0, 0), (0, 1), (0, 2), (1, 0), (1, 1), (1, 2)]
+        .map(|(account, route)| priority(account, route))
+        .into();
+    assert_eq!(priorities, [0, 1, 2, 3, 4, 5]);
+    assert_eq!(table.urgencies("pool").len(), 6);
+}
+
+#[test]
+fn accounts_without_a_priority_have_that_of_the_route() {
+    let table = ranked(&[0, 2], &[None, Some(1)]);
+    let rank = |account, route| table.rank("pool", Urgency::new(account, route));
+    assert_eq!(rank(None, 0), 0);
+    assert_eq!(rank(Some(1), 0), 1);
+    assert_eq!(rank(Some(1), 2), 2);
+    assert_eq!(rank(None, 2), 3);
+}
+
+#[test]
+fn targets_of_routes_with_one_priority_get_that_of_the_account() {
+    let table = ranked(&[2], &[Some(1), Some(7)]);
+    let priority = |account| table.priority("pool", Urgency::new(Some(account), 2));
+    assert_eq!((priority(1), priority(7)), (1, 7));
+    assert_eq!(table.urgencies("elsewhere"), []);
+}
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -15,7 +15,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::{Fingerprint, Identity};
 use reachtally_core::forward::routes::{
-    Account, CallerLimits, Denied, Route, Service, Shape, Table,
+    Account, CallerLimits, Denied, Route, Service, Shape, Table, Urgency,
 };
 use reachtally_core::life::{GivenUp, Life, Received, Refusal};
 
@@ -39,7 +39,7 @@
     pub route: Arc<Route>,
     /// The caller's account.
     pub account: Option<Arc<str>>,
-    /// Its rank.
+    /// Its priority for targets, 0 is the most urgent.
     pub priority: u8,
     /// Name of the service it goes to.
     pub service_name: Arc<str>,
@@ -142,9 +142,10 @@
         return Err(refuse(Refusal::UnknownService));
     };
     let deadline = arrived + waits;
-    let priority = account.as_ref().and_then(|account| account.priority);
+    let of_account = account.as_ref().and_then(|account| account.priority);
+    let urgency = Urgency::new(of_account, route.priority);
     Ok(Call {
-        priority: priority.unwrap_or(route.priority),
+        priority: table.priority(&service_name, urgency),
         due: deadline.min(arrived + route.timeout),
         account: account.map(|account| account.name),
         parts,
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -36,7 +36,7 @@
     pub target_run: &'a str,
     /// The caller's account.
     pub account: Option<&'a str>,
-    /// Rank of the request, 0 is the most urgent.
+    /// Priority of the request, 0 is the most urgent.
     pub priority: u8,
     /// The engines that hand it on among themselves.
     pub path: Option<&'a Path>,
