feat(core): choose a path in place of one that lost engines

A stream whose chain has lost an engine is sent anew over another chain, where all engines read its tokens again. Engines can repair the path instead, which needs a path that keeps what lives.

`select::repair` keeps the parts of engines that live at no price and without reading, and fills the gaps with the cheapest engines, those of the first engine's failure domain first. Candidates state the layers that they can run, so that a part ends where the next kept one begins. Adds the counter `streams_repaired`.

Tests: 96 random cases of load, dead and avoided engines keep the stated properties; three cases by hand.

--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -3,7 +3,7 @@
 use slotmap::Key;
 
 use super::{Circumstance, Need};
-use crate::forward::cost::{LayerModel, WAIT_FACTOR};
+use crate::forward::cost::{LayerModel, Layers, WAIT_FACTOR};
 use crate::forward::fleet::{Engine, EngineKey};
 
 /// Part of an engine's KV that requests may be reckoned to hold on average, all together. Well above 1: the sums
@@ -31,10 +31,14 @@
 const SPREAD: f64 = 5.0;
 
 /// An engine with what a request takes of it, and the times for each layer.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct Candidate<'a> {
     pub key: EngineKey,
     pub engine: &'a Engine,
+    /// The layers that it can run.
+    pub layers: Layers,
+    /// Whether it runs all of them or none: they are its part of a path that is repaired.
+    pub is_kept: bool,
     /// Whether a request may be sent to it: it has a place for one, and neither back-off nor a rate limit keeps this box from it. As a
     /// later part of a path it gets its work from the first engine, which neither concerns.
     pub takes_more: bool,
@@ -59,6 +63,41 @@
         need: Need,
         cx: &Circumstance<'_>,
     ) -> Option<Self> {
+        let (candidate, has_room) = Candidate::estimate(key, engine, model, need, cx)?;
+        has_room.then_some(candidate)
+    }
+
+    /// An engine that goes on with the part `layers` of a path: the request has its room there already and was read.
+    pub fn kept(
+        key: EngineKey,
+        engine: &'a Engine,
+        layers: Layers,
+        model: &LayerModel,
+        need: Need,
+        cx: &Circumstance<'_>,
+    ) -> Option<Self> {
+        let (candidate, _) = Candidate::estimate(key, engine, model, need, cx)?;
+        Some(Candidate {
+            layers,
+            is_kept: true,
+            takes_more: true,
+            price: 0.0,
+            used: 0.0,
+            read_ms: 0.0,
+            wait_ms: 0.0,
+            room_ms: 0.0,
+            ..candidate
+        })
+    }
+
+    /// What a request takes of an engine, and whether there is room for it.
+    fn estimate(
+        key: EngineKey,
+        engine: &'a Engine,
+        model: &LayerModel,
+        need: Need,
+        cx: &Circumstance<'_>,
+    ) -> Option<(Self, bool)> {
         let card = model.cards.get(&**engine.entry.card.as_ref()?)?;
         let layers = engine.entry.layers.len() as u32;
         if layers == 0 {
@@ -68,9 +107,7 @@
         let room = model.kv_tokens(card, layers);
         let held = engine.tokens + engine.remote_tokens;
         let tokens = held + need.held();
-        if need.held() > room || tokens > KV_USED * room {
-            return None;
-        }
+        let has_room = need.held() <= room && tokens <= KV_USED * room;
         let each = f64::from(layers);
         // The requests of a chain are spread over its engines.
         let batch = running * model.share(layers) + 1.0;
@@ -87,9 +124,11 @@
         let taken = (need.held() / room).powf(known) * model.share(layers).powf(1.0 - known);
         let has_place = running < SLOTS_USED * f64::from(engine.entry.slots);
         let bias = 1.0 + SPREAD * chance(cx.draw, key);
-        Some(Candidate {
+        let candidate = Candidate {
             key,
             engine,
+            layers: engine.entry.layers.clone(),
+            is_kept: false,
             takes_more: has_place && !cx.is_kept_from(engine),
             price: bias * PRICE_GROWTH.powf(growth) * taken,
             used,
@@ -97,7 +136,8 @@
             read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
             wait_ms: busy * model.read_ms(card, layers, waiting) / each,
             room_ms: lacking * cx.held.as_secs_f64() * 1000.0,
-        })
+        };
+        Some((candidate, has_room))
     }
 }
 
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -11,10 +11,12 @@
 mod back_off;
 mod candidate;
 mod judge;
+mod repair;
 mod shortage;
 mod ways;
 
 pub use back_off::served_after_back_off;
+pub use repair::repair;
 pub use shortage::{Shortage, shortage};
 
 use candidate::{Candidate, chance};
@@ -184,7 +186,7 @@
     if least.is_some() || trust == Trust::Drawn {
         return least.map(|(_, found)| found);
     }
-    let all: Vec<Candidate<'_>> = by_domain.values().flatten().copied().collect();
+    let all: Vec<Candidate<'_>> = by_domain.into_values().flatten().collect();
     best(&all, model, FAR_HOP_MS, need.aim).map(|(_, found)| found)
 }
 
--- a/reachtally-core/src/forward/select/ways.rs
+++ b/reachtally-core/src/forward/select/ways.rs
@@ -152,8 +152,11 @@
                 continue;
             }
             for (number, candidate) in candidates.iter().enumerate() {
-                let held = &candidate.engine.entry.layers;
-                if !held.contains(&(at as u32)) || (at == 0 && !candidate.takes_more) {
+                let layers = &candidate.layers;
+                if !layers.contains(&(at as u32)) || (at == 0 && !candidate.takes_more) {
+                    continue;
+                }
+                if candidate.is_kept && layers.start != at as u32 {
                     continue;
                 }
                 is_reached[reach.to(number)] = true;
@@ -165,7 +168,7 @@
 
     /// The layer after the last that a candidate runs.
     fn to(&self, number: usize) -> usize {
-        (self.candidates[number].engine.entry.layers.end as usize).min(self.end)
+        (self.candidates[number].layers.end as usize).min(self.end)
     }
 }
 
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -19,6 +19,8 @@
         streams_cut,
         /// Streams that went on over another chain.
         streams_resumed,
+        /// Times that streams went on over a repaired path.
+        streams_repaired,
         /// Sends to targets.
         sends,
         /// Sends that came back with the proof that nothing ran.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod quarantine;
 mod readers;
+mod repair;
 mod routes;
 mod select;
 mod setup;
--- /dev/null
+++ b/reachtally-core/tests/core/forward/repair.rs
@@ -0,0 +1,130 @@
+//! What holds of a repaired path whatever the fleet and its load.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use reachtally_core::forward::cost::Layers;
+use reachtally_core::forward::fleet::{EngineKey, Entry, Fleet};
+use reachtally_core::forward::path::{Part, Path};
+use reachtally_core::forward::select::{Choice, Circumstance, repair};
+
+use super::setup::{NEED, SERVICE, cx, entry, fleet, model};
+
+/// A path over the first engines of a fleet, with all that they hold.
+fn path_over(fleet: &Fleet, keys: &[EngineKey]) -> Path {
+    let parts = keys.iter().map(|key| {
+        let entry = &fleet.get(*key).expect("it was put in").entry;
+        Part {
+            engine: *key,
+            address: entry.address,
+            layers: entry.layers.clone(),
+        }
+    });
+    Path::prove(parts.collect(), 80).expect("it is whole")
+}
+
+fn repaired(
+    fleet: &Fleet,
+    current: &Path,
+    dead: &[EngineKey],
+    cx: Circumstance<'_>,
+) -> Option<Choice> {
+    repair(fleet, SERVICE, &model(), NEED, &cx, current, dead)
+}
+
+/// The path that stands in for the middle one of three engines, with `spares` beside them.
+fn stand_in(spares: impl IntoIterator<Item = Entry>) -> Option<Vec<Part>> {
+    let chain = [(0, 0..30), (1, 30..55), (2, 55..80)];
+    let chain = chain.map(|(number, layers)| entry(number, "a", "large", layers));
+    let (fleet, keys) = fleet(chain.into_iter().chain(spares));
+    let current = path_over(&fleet, &keys[..3]);
+    let choice = repaired(&fleet, &current, &keys[1..2], cx(&[]))?;
+    Some(choice.path.parts().to_vec())
+}
+
+fn layers_of(parts: &[Part]) -> Vec<Layers> {
+    parts.iter().map(|part| part.layers.clone()).collect()
+}
+
+#[test]
+fn a_new_part_ends_where_the_next_kept_one_begins() {
+    let parts = stand_in([entry(3, "a", "large", 20..60)]).expect("there is a path");
+    assert_eq!(layers_of(&parts), [0..30, 30..55, 55..80]);
+}
+
+#[test]
+fn another_failure_domain_stands_in_only_where_the_own_has_no_engine() {
+    let (near, far) = (
+        // Dearer, since it has less room beside its layers.
+        entry(3, "a", "large", 20..60),
+        entry(4, "b", "large", 30..55),
+    );
+    let port = |parts: Option<Vec<Part>>| parts.map(|parts| parts[1].address.port());
+    assert_eq!(port(stand_in([near, far.clone()])), Some(1003));
+    assert_eq!(port(stand_in([far])), Some(1004));
+    assert_eq!(port(stand_in([])), None);
+}
+
+/// An engine stands in a path only once, so the kept part between two lost ones is given up.
+#[test]
+fn one_engine_stands_in_for_two_that_died_around_a_third() {
+    let chain = [
+        (0, 0..40),
+        (1, 40..50),
+        (2, 50..60),
+        (3, 60..80),
+        (4, 40..80),
+    ];
+    let (fleet, keys) = fleet(chain.map(|(number, layers)| entry(number, "a", "large", layers)));
+    let current = path_over(&fleet, &keys[..4]);
+    let choice = repaired(&fleet, &current, &[keys[1], keys[3]], cx(&[]));
+    let path = choice.expect("there is a path").path;
+    assert_eq!(layers_of(path.parts()), [0..40, 40..80]);
+}
+
+/// Numbers of four, as bits.
+fn named(keys: &[EngineKey], bits: u8) -> Vec<EngineKey> {
+    let is_named = |(at, _): &(usize, &EngineKey)| bits >> at & 1 == 1;
+    let named = keys.iter().enumerate().filter(is_named);
+    named.map(|(_, key)| *key).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_lives_is_kept_and_the_rest_runs_on_others(
+        used in prop::collection::vec(0.0..1.2f64, 12), dead in 0u8..16, avoid: u16, draw: u64,
+    ) {
+        let entries = (0..12u16).map(|number| {
+            let from = u32::from(number % 4) * 20;
+            entry(number, if number < 8 { "a" } else { "b" }, "middle", from..from + 20)
+        });
+        let (mut fleet, keys) = fleet(entries);
+        let room = model().kv_tokens(&model().cards["middle"], 20);
+        for (key, used) in keys.iter().zip(&used) {
+            fleet.begin(&[*key], used * room);
+        }
+        let current = path_over(&fleet, &keys[..4]);
+        let dead = named(&keys[..4], dead);
+        let avoid = [named(&keys[4..8], avoid as u8), named(&keys[8..], (avoid >> 8) as u8)].concat();
+        let choice = repaired(&fleet, &current, &dead, Circumstance { draw, ..cx(&avoid) });
+        let has_stand_in = |key: &EngineKey| {
+            let at = keys.iter().position(|other| other == key).expect("it is one of them");
+            [at + 4, at + 8].iter().any(|at| !avoid.contains(&keys[*at]))
+        };
+        let is_expected = !dead.contains(&keys[0]) && dead.iter().all(has_stand_in);
+        prop_assert_eq!(choice.is_some(), is_expected);
+        let Some(choice) = choice else { return Ok(()) };
+        let parts = choice.path.parts();
+        prop_assert!(Path::prove(parts.to_vec(), 80).is_ok());
+        for (part, before) in parts.iter().zip(current.parts()) {
+            prop_assert!(!dead.contains(&part.engine) && !avoid.contains(&part.engine));
+            prop_assert!(part == before || dead.contains(&before.engine));
+        }
+        // Beside four hops, only new parts read.
+        let reads = choice.first - choice.token > Duration::from_millis(3);
+        prop_assert_eq!(reads, !dead.is_empty());
+    }
+}
