feat(relay): the path of a running stream is repaired

A stream whose later engine died was sent anew: it took a retry, all engines read its tokens again, and streams that may not be resumed were waited for until their callers gave up.

Where the first engine lives, the relay now orders it to go on over a path without the dead engines, within the same answer. Loads move to the new engines. The order goes through `store::Repair`, which the wire yields.

--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -28,8 +28,9 @@
     relay: Rc<Relay>,
     engines: Vec<EngineKey>,
     tokens: f64,
-    /// Tokens of its prompt that are not known to be read yet.
+    /// Tokens that are not known to be read yet, and the engines that read them.
     reading: f64,
+    readers: Vec<EngineKey>,
 }
 
 impl Occupied {
@@ -41,18 +42,33 @@
         fleet.begin_reading(&engines, prompt);
         Occupied {
             relay: relay.clone(),
+            readers: engines.clone(),
             engines,
             tokens,
             reading: prompt,
         }
     }
 
+    /// Count the request on `engines` from now on; those that are new read `prompt` tokens first.
+    pub fn move_to(&mut self, engines: Vec<EngineKey>, prompt: f64) {
+        self.end_reading();
+        let is_new = |key: &EngineKey| !self.engines.contains(key);
+        self.readers = engines.iter().copied().filter(is_new).collect();
+        // Each engine of a path counts its part of the prompt.
+        self.reading = prompt * self.readers.len() as f64 / engines.len().max(1) as f64;
+        let mut fleet = self.relay.fleet.borrow_mut();
+        fleet.end(&self.engines, self.tokens);
+        fleet.begin(&engines, self.tokens);
+        fleet.begin_reading(&self.readers, self.reading);
+        self.engines = engines;
+    }
+
     /// The prompt was read.
     pub fn end_reading(&mut self) {
         let read = std::mem::take(&mut self.reading);
         if read > 0.0 {
             let mut fleet = self.relay.fleet.borrow_mut();
-            fleet.end_reading(&self.engines, read);
+            fleet.end_reading(&self.readers, read);
         }
     }
 
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -1,6 +1,8 @@
 //! The platform's store as the relay uses it, with typed answers.
 
 use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +10,7 @@
 use reachtally_core::forward::era::Era;
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{Engine, Entry};
+use reachtally_core::forward::path::Path;
 use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::placement::Move;
 use reachtally_core::forward::quarantine;
@@ -195,3 +198,25 @@
     /// How much longer an engine takes than it should, 1 if it is well; `None` if it does not tell.
     fn pace(&self, engine: &Engine) -> impl Future<Output = Told<Option<f64>>>;
 }
+
+/// What the first engine of a path answered to the order to repair it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepairAnswer {
+    /// The request goes on over the new path within the same answer.
+    Begun,
+    /// A part of the new path is not there or has no room: that of the engine at this address, if it was named.
+    Conflict(Option<SocketAddr>),
+    /// It refused for another reason; it may not know the request or the order.
+    Refused(u16),
+    /// No answer; the repair may be carried out, also later.
+    Lost,
+}
+
+/// The answer to an order to repair a path, once it is there.
+pub type Repairing = Pin<Box<dyn Future<Output = Told<RepairAnswer>>>>;
+
+/// Orders to repair the path of a request that is running. They are no sends: an engine runs nothing twice for one.
+pub trait Repair {
+    /// Lets the engine at `first` go on with its running request `id` over `path`, whose first part is the same as before.
+    fn repair(&self, first: SocketAddr, id: &str, path: &Path) -> Repairing;
+}
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::path::Path;
 use reachtally_core::forward::stall::Gaps;
 use tokio::sync::watch;
 
@@ -16,6 +17,7 @@
 use crate::occupied::Occupied;
 use crate::relay::Relay;
 use crate::serve::Call;
+use crate::stream::repair::{self, Outcome, Repair};
 use crate::stream::send;
 use crate::target::Connection;
 
@@ -47,6 +49,14 @@
     runs_ended: watch::Receiver<Vec<EngineKey>>,
     /// Tells of requests that get no more targets.
     stopped: watch::Receiver<u64>,
+    /// The path that the engines hand the request on along, if it has one.
+    path: Option<Path>,
+    /// Events that the caller had before this chain.
+    events_before: u64,
+    /// Repairs of the path that were ordered.
+    repairs: u32,
+    /// The repair that is under way.
+    repair: Option<Repair>,
 }
 
 /// What was expected of a chain, and what it did.
@@ -58,6 +68,8 @@
     first: Option<Duration>,
     longest: Duration,
     events: u32,
+    /// When the last event before a repair came.
+    paused_at: Option<Instant>,
 }
 
 impl Pace {
@@ -69,10 +81,12 @@
             first: None,
             longest: Duration::ZERO,
             events: 0,
+            paused_at: None,
         }
     }
 
     fn note(&mut self, now: Instant, since: Instant) {
+        let since = self.paused_at.take().unwrap_or(since);
         match self.first {
             None => self.first = Some(now.since(self.began)),
             Some(_) => self.longest = self.longest.max(now.since(since)),
@@ -144,11 +158,21 @@
             look_at: now,
             runs_ended: relay.runs_ended(),
             stopped: relay.stopped(),
+            path: None,
+            events_before: 0,
+            repairs: 0,
+            repair: None,
         };
         running.wait_from(now);
         running
     }
 
+    /// The engines hand the request on along `path`, which begins after the event `last`.
+    pub fn follow(&mut self, path: Option<Path>, last: Option<u64>) {
+        self.path = path;
+        self.events_before = last.unwrap_or(0);
+    }
+
     /// The chain's engines.
     pub fn engines(&self) -> &[EngineKey] {
         self.occupied.engines()
@@ -189,6 +213,10 @@
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
+                told = repair::answered(&mut self.repair) => {
+                    self.judge_repair(relay, call, attempts, told)?;
+                    continue;
+                }
                 // The sender lives as long as the relay. A stream whose engine started again gets no more of it.
                 Ok(()) = self.runs_ended.changed() => {
                     self.leave_ended(relay, call, attempts)?;
@@ -220,18 +248,83 @@
     }
 
     /// Targets started again: leave them at once if this stream ran there and can go on elsewhere.
-    fn leave_ended(&self, relay: &Relay, call: &Call, attempts: &Attempts) -> Result<(), Stopped> {
+    fn leave_ended(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        attempts: &Attempts,
+    ) -> Result<(), Stopped> {
         let lost: Vec<EngineKey> = {
             let ended = self.runs_ended.borrow();
             let engines = self.engines().iter().copied();
             engines.filter(|key| ended.contains(key)).collect()
         };
-        if !lost.is_empty() && send::may_go_elsewhere(relay, call, attempts, &lost) {
+        if lost.is_empty() || self.begin_repair(relay, call, attempts, &lost) {
+            return Ok(());
+        }
+        if send::may_go_elsewhere(relay, call, attempts, &lost) {
             return Err(Stopped::Dead(lost));
         }
         Ok(())
     }
 
+    /// Whether the path is repaired without the engines `dead`; their order is given if none is under way.
+    fn begin_repair(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        attempts: &Attempts,
+        dead: &[EngineKey],
+    ) -> bool {
+        if self.repair.is_none() && repair::may_repair(relay, call, self.repairs, self.events()) {
+            let events = self.events_before + u64::from(self.events());
+            let path = self.path.as_ref();
+            self.repair = path.and_then(|path| {
+                Repair::begin(relay, call, attempts, &self.first, path, events, dead)
+            });
+            self.repairs += u32::from(self.repair.is_some());
+        }
+        if self.repair.is_some() {
+            self.look_at = relay.now() + repair::LONGEST;
+        }
+        self.repair.is_some()
+    }
+
+    /// The first engine answered to the order under way, or did not.
+    fn judge_repair(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        attempts: &Attempts,
+        told: repair::Told,
+    ) -> Result<(), Stopped> {
+        let Some(repair) = self.repair.take() else {
+            return Ok(());
+        };
+        let now = relay.now();
+        let silent_for = now.since(self.since);
+        match repair.judge(relay, call, &self.first, told, silent_for) {
+            Outcome::Again(repair) => {
+                self.repair = Some(repair);
+                self.look_at = now + repair::LONGEST;
+            }
+            Outcome::Repaired(done) => {
+                self.pace.paused_at.get_or_insert(self.since);
+                self.occupied.move_to(done.choice.path.engines(), done.read);
+                self.path = Some(done.choice.path);
+                self.wait_from(now);
+                self.look_at = self.look_at + done.choice.first;
+            }
+            Outcome::Failed(dead) => {
+                if send::may_go_elsewhere(relay, call, attempts, &dead) {
+                    return Err(Stopped::Dead(dead));
+                }
+                self.look_at = now + self.gaps.overdue_after();
+            }
+        }
+        Ok(())
+    }
+
     /// No event came in time: is the final answer due, or are engines dead?
     async fn look(
         &mut self,
@@ -244,6 +337,9 @@
         }
         let silence = self.gaps.overdue_after();
         let dead = dead_of_silent(relay, self.engines(), silence).await;
+        if !dead.is_empty() && self.begin_repair(relay, call, attempts, &dead) {
+            return Ok(());
+        }
         if !dead.is_empty() && send::may_go_elsewhere(relay, call, attempts, &dead) {
             return Err(Stopped::Dead(dead));
         }
@@ -281,7 +377,7 @@
 }
 
 /// The runs of engines, for the log.
-fn engine_names(relay: &Relay, engines: &[EngineKey]) -> String {
+pub(super) fn engine_names(relay: &Relay, engines: &[EngineKey]) -> String {
     let fleet = relay.fleet.borrow();
     let name = |key: &EngineKey| fleet.get(*key).map_or("gone", |engine| &*engine.entry.id);
     engines.iter().map(name).collect::<Vec<&str>>().join(",")
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Events are passed on as they come, only whole and only in order. When the engines break off or are
 //! found dead, a stream that may be resumed goes on over another chain within the same answer, after
-//! the last event that the caller got.
+//! the last event that the caller got. Where the first engine lives it is asked to repair the path instead.
 
 mod chain;
+mod repair;
 mod send;
 
 use std::rc::Rc;
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -49,7 +49,7 @@
     Failure(Response<Body>),
 }
 
-fn need(call: &Call) -> Need {
+pub(super) fn need(call: &Call) -> Need {
     let most = call.head.most_answer_tokens;
     let answer = call.head.answer_hint.unwrap_or(most);
     let ms = |time: Duration| time.as_secs_f64() * 1000.0;
@@ -169,7 +169,11 @@
     let pace = Pace::new(relay.now(), pick.first, pick.gap);
     let req = exchange::request(relay, call, &add);
     let answer = head(relay, call, &pick, to.address, req, attempts, pace.began).await?;
-    judge(relay, call, answer, to, occupied, pace, attempts).await
+    let mut answered = judge(relay, call, answer, to, occupied, pace, attempts).await?;
+    if let Answered::Stream(answer) = &mut answered {
+        answer.1.follow(pick.path, last);
+    }
+    Ok(answered)
 }
 
 /// Wait for the head. While it is overdue, engines that are silent for all streams are looked at.
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -8,6 +8,8 @@
 use reachtally_core::forward::path::Path;
 use reachtally_core::forward::routes::Table;
 
+use crate::store::Repair;
+
 /// A request's head, decoded.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CallHead {
@@ -131,4 +133,9 @@
 
     /// The headers of an answer that concern the caller.
     fn backward(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Orders to repair paths, if engines take them.
+    fn repairs(&self) -> Option<&dyn Repair> {
+        None
+    }
 }
