--- a/reachtally-journal/src/losses.rs
+++ b/reachtally-journal/src/losses.rs
@@ -6,12 +6,13 @@
 use crate::ranking::{ranked, total};
 
 /// Events of a request that may make it late or lose it, before it ends.
-const TROUBLES: [&str; 6] = [
+const TROUBLES: [&str; 7] = [
     "no-path",
     "no-permit",
     "not-run",
     "lost",
     "stage-dead",
+    "repaired",
     "broke",
 ];
 
@@ -68,6 +69,7 @@
         "not-run" => "turned away by an engine".to_owned(),
         "lost" => "an answer was lost".to_owned(),
         "stage-dead" => "an engine of the stream died".to_owned(),
+        "repaired" => "the path of the stream was repaired".to_owned(),
         _ => "the stream broke off".to_owned(),
     }
 }
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -100,6 +100,18 @@
     assert_eq!(first, Some(expected));
 }
 
+#[test]
+fn a_stream_that_was_late_after_a_repair_of_its_path_is_counted_as_such() {
+    let log = [
+        r#"{"t":1,"event":"repaired","id":"r1"}"#,
+        r#"{"t":2,"event":"answered","id":"r1","late":true}"#,
+    ];
+    let text = losses(log).to_string();
+    let expected =
+        "      1  100.0%  late between events, first the path of the stream was repaired";
+    assert_eq!(text.lines().next(), Some(expected));
+}
+
 #[test]
 fn engines_that_requests_crowd_on_are_told_with_what_was_believed_of_them() {
     let late = |expected, took, targets| {
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -167,9 +167,10 @@
         running
     }
 
-    /// The engines hand the request on along `path`, which begins after the event `last`.
-    pub fn follow(&mut self, path: Option<Path>, last: Option<u64>) {
+    /// The engines hand the request on along `path`, which was repaired so often, and begin after the event `last`.
+    pub fn follow(&mut self, path: Option<Path>, last: Option<u64>, repairs: u32) {
         self.path = path;
+        self.repairs = repairs;
         self.events_before = last.unwrap_or(0);
     }
 
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -1,16 +1,13 @@
 //! One send of a request for a stream: which engines, and what comes of it.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
-use reachtally_core::Instant;
+use hyper::{Response, StatusCode};
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
 use reachtally_core::forward::select::{self, Aim, Circumstance, Limits, Need, Shortage};
@@ -24,6 +21,7 @@
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::chain::{FIRST_SLACK, Pace, Running, dead_of_silent};
+use crate::stream::repair::{self, Outcome, Repair};
 use crate::target::{self, Answer, SendError};
 use crate::wire::{Addition, AnswerHead};
 
@@ -39,6 +37,8 @@
     gap: Duration,
     /// Expected time until the first.
     first: Duration,
+    /// Repairs of the path that were ordered.
+    repairs: u32,
 }
 
 /// What engines answered.
@@ -90,6 +90,7 @@
             engines: vec![key],
             gap: FIRST_SLACK,
             first: FIRST_SLACK,
+            repairs: 0,
         });
     };
     let found = select::path(&fleet, &call.service_name, model, need(call), &cx)?;
@@ -98,6 +99,7 @@
         path: Some(found.path),
         gap: found.token.mul_f64(model.stride.max(1.0)),
         first: found.first,
+        repairs: 0,
     })
 }
 
@@ -149,7 +151,7 @@
 pub(super) async fn send(
     relay: &Rc<Relay>,
     call: &Call,
-    pick: Pick,
+    mut pick: Pick,
     last: Option<u64>,
     attempts: &mut Attempts,
 ) -> Result<Answered, Unanswered> {
@@ -157,21 +159,12 @@
     attempts.begin(relay, key, record(relay, call, &pick));
     let to = exchange::recipient(relay, key)?;
     let need = need(call);
-    let occupied = Occupied::new(relay, pick.engines.clone(), need.held(), need.prompt);
-    let add = Addition {
-        deadline: call.left(relay),
-        target_run: &to.run.id,
-        account: call.account.as_deref(),
-        priority: call.priority,
-        path: pick.path.as_ref(),
-        last_event: last,
-    };
+    let mut occupied = Occupied::new(relay, pick.engines.clone(), need.held(), need.prompt);
     let pace = Pace::new(relay.now(), pick.first, pick.gap);
-    let req = exchange::request(relay, call, &add);
-    let answer = head(relay, call, &pick, to.address, req, attempts, pace.began).await?;
+    let answer = head(relay, call, &mut pick, &mut occupied, &to, last, attempts).await?;
     let mut answered = judge(relay, call, answer, to, occupied, pace, attempts).await?;
     if let Answered::Stream(answer) = &mut answered {
-        answer.1.follow(pick.path, last);
+        answer.1.follow(pick.path, last, pick.repairs);
     }
     Ok(answered)
 }
@@ -180,13 +173,22 @@
 async fn head(
     relay: &Rc<Relay>,
     call: &Call,
-    pick: &Pick,
-    address: SocketAddr,
-    req: Request<Full<Bytes>>,
+    pick: &mut Pick,
+    occupied: &mut Occupied,
+    to: &Recipient,
+    last: Option<u64>,
     attempts: &mut Attempts,
-    began: Instant,
 ) -> Result<Answer, Unanswered> {
-    let key = pick.engines[0];
+    let (key, address, began) = (to.key, to.address, relay.now());
+    let add = Addition {
+        deadline: call.left(relay),
+        target_run: &to.run.id,
+        account: call.account.as_deref(),
+        priority: call.priority,
+        path: pick.path.as_ref(),
+        last_event: last,
+    };
+    let req = exchange::request(relay, call, &add);
     let kept = match call.route.is_repeatable() {
         true => relay.connections.take(address, relay.now()),
         false => None,
@@ -200,7 +202,9 @@
     });
     let mut stopped = relay.stopped();
     let mut quarantined = std::pin::pin!(relay.until_quarantined(call, &mut stopped));
-    let mut patience = pick.first.mul_f64(stall::MOST_GAPS) + FIRST_SLACK;
+    let patience_for = |first: Duration| first.mul_f64(stall::MOST_GAPS) + FIRST_SLACK;
+    let mut patience = patience_for(pick.first);
+    let mut repair: Option<Repair> = None;
     loop {
         let until = call.due.min(relay.now() + patience);
         let sent = tokio::select! {
@@ -210,6 +214,24 @@
                 let why = "engines ended under it elsewhere".to_owned();
                 return Err(Unanswered::Lost(why));
             }
+            told = repair::answered(&mut repair) => {
+                let silent_for = relay.now().since(began);
+                let outcome = repair.take().map(|repair| repair.judge(relay, call, to, told, silent_for));
+                match outcome {
+                    Some(Outcome::Repaired(done)) => {
+                        patience = patience_for(done.choice.first);
+                        occupied.move_to(done.choice.path.engines(), done.read);
+                        pick.engines = done.choice.path.engines();
+                        pick.path = Some(done.choice.path);
+                    }
+                    Some(Outcome::Again(again)) => repair = Some(again),
+                    Some(Outcome::Failed(dead)) if may_go_elsewhere(relay, call, attempts, &dead) => {
+                        return Err(left_silent(attempts, dead));
+                    }
+                    Some(Outcome::Failed(_)) | None => {}
+                }
+                continue;
+            }
         };
         match sent {
             Ok(Ok(answer)) => return Ok(answer),
@@ -220,6 +242,7 @@
             Ok(Err(SendError::Broken(why))) => return Err(failed(relay, key, attempts, why)),
             Ok(Err(SendError::Stale(why))) => return Err(Unanswered::Lost(why)),
             Err(_) if relay.now() >= call.due => return Err(Unanswered::Late),
+            Err(_) if repair.is_some() => continue,
             Err(_) => {}
         }
         let is_mute = relay.now().since(began) > MUTE_AFTER;
@@ -228,6 +251,16 @@
             return Err(Unanswered::Lost(why));
         }
         let mut stuck = dead_of_silent(relay, &pick.engines, patience).await;
+        if !stuck.is_empty() && repair::may_repair(relay, call, pick.repairs, 0) {
+            let path = pick.path.as_ref();
+            let events = last.unwrap_or(0);
+            repair = path
+                .and_then(|path| Repair::begin(relay, call, attempts, to, path, events, &stuck));
+            if repair.is_some() {
+                pick.repairs += 1;
+                continue;
+            }
+        }
         if stuck.is_empty() && is_mute {
             let silent = relay.progress.borrow().silent_since(&pick.engines, began);
             stuck = if silent.len() == pick.engines.len() {
@@ -237,14 +270,18 @@
             };
         }
         if !stuck.is_empty() && may_go_elsewhere(relay, call, attempts, &stuck) {
-            attempts.avoid.extend(stuck);
-            let why = "no first event, and its engines are silent".to_owned();
-            return Err(Unanswered::Lost(why));
+            return Err(left_silent(attempts, stuck));
         }
         patience = FIRST_SLACK;
     }
 }
 
+/// The request is left where it is, since these engines are silent.
+fn left_silent(attempts: &mut Attempts, silent: Vec<EngineKey>) -> Unanswered {
+    attempts.avoid.extend(silent);
+    Unanswered::Lost("no first event, and its engines are silent".to_owned())
+}
+
 /// What the head of an answer says.
 async fn judge(
     relay: &Rc<Relay>,
