--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -21,7 +21,7 @@
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::chain::{FIRST_SLACK, Pace, Running, dead_of_silent};
-use crate::stream::repair::{self, Outcome, Repair};
+use crate::stream::repair::{self, Done, Outcome, Repair};
 use crate::target::{self, Answer, SendError};
 use crate::wire::{Addition, AnswerHead};
 
@@ -41,6 +41,16 @@
     repairs: u32,
 }
 
+impl Pick {
+    /// The request goes on over a repaired path.
+    fn follow(&mut self, done: Done, occupied: &mut Occupied) {
+        let path = done.choice.path;
+        self.engines = path.engines();
+        occupied.move_to(path.engines(), done.read);
+        self.path = Some(path);
+    }
+}
+
 /// What engines answered.
 pub(super) enum Answered {
     /// The head of a stream, which follows.
@@ -220,9 +230,7 @@
                 match outcome {
                     Some(Outcome::Repaired(done)) => {
                         patience = patience_for(done.choice.first);
-                        occupied.move_to(done.choice.path.engines(), done.read);
-                        pick.engines = done.choice.path.engines();
-                        pick.path = Some(done.choice.path);
+                        pick.follow(done, occupied);
                     }
                     Some(Outcome::Again(again)) => repair = Some(again),
                     Some(Outcome::Failed(dead)) if may_go_elsewhere(relay, call, attempts, &dead) => {
