feat(relay): engines that crash are found within the pause that callers allow

Half of that was detection: a stream looked at its engines after two gaps of its own (160 ms where an event comes each 80), each stream by itself, and an engine that had crashed without a word cost 80 ms more.

A stream now looks after 1.6 gaps where all streams of the box over an engine (three or more) are silent; streams leave an engine at once that another of the box found dead; and of engines checked together those that are silent 25 ms after another answered count as dead.

--- a/reachtally-core/src/forward/stall.rs
+++ b/reachtally-core/src/forward/stall.rs
@@ -18,6 +18,9 @@
 const LEAST_GAPS: f64 = 2.0;
 /// Most silence that is waited for, in expected gaps.
 pub const MOST_GAPS: f64 = 4.0;
+/// Silence after which the engines of a stream are looked at if all other streams there are silent too, in expected gaps. That is
+/// stronger evidence than one stream's, and callers allow few gaps without an event.
+const LEAST_GAPS_OF_ALL: f64 = 1.6;
 /// Deviations of the gaps that are waited for beside the mean one, as in the retransmission timer of TCP. Where
 /// gaps come unevenly, since KV or reading binds, a fixed number of gaps would ask twice as often.
 const DEVIATIONS: f64 = 4.0;
@@ -74,6 +77,12 @@
         self.mean += GAP_WEIGHT * error;
     }
 
+    /// Time without an event after which the stream is overdue if all others over the same engine are silent as well.
+    pub fn due_after(&self) -> Duration {
+        let silence = Duration::from_secs_f64(LEAST_GAPS_OF_ALL * self.mean);
+        silence.max(LEAST_SILENCE).min(self.overdue_after())
+    }
+
     /// Time without an event after which the stream is overdue.
     pub fn overdue_after(&self) -> Duration {
         let silence = self.mean + DEVIATIONS * self.deviation;
--- a/reachtally-core/tests/core/forward/stall.rs
+++ b/reachtally-core/tests/core/forward/stall.rs
@@ -57,3 +57,14 @@
     let wild = after(40, &[0, 400, 0, 0, 0, 0, 0]);
     assert!(wild <= Duration::from_millis(400), "{wild:?}");
 }
+
+/// A stream alone waits longer than all streams over an engine together.
+#[test]
+fn the_silence_of_all_streams_counts_before_that_of_one() {
+    for gap_ms in [5, 45, 80, 400] {
+        let gaps = Gaps::expected(Duration::from_millis(gap_ms));
+        assert!(gaps.due_after() <= gaps.overdue_after());
+        assert!(gaps.due_after() >= LEAST_SILENCE);
+        assert!(gaps.due_after() >= Duration::from_millis(gap_ms * 3 / 2));
+    }
+}
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod store;
 mod stream;
 pub mod target;
-mod targets;
+pub mod targets;
 mod whole;
 pub mod wire;
 
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -260,6 +260,10 @@
             let engines = self.engines().iter().copied();
             engines.filter(|key| ended.contains(key)).collect()
         };
+        // Its own next event is not due yet: what a check found may be a lost packet.
+        if relay.now() < self.since + self.gaps.due_after() && !relay.has_ended(&lost) {
+            return Ok(());
+        }
         if lost.is_empty() || self.begin_repair(relay, call, attempts, &lost) {
             return Ok(());
         }
@@ -336,15 +340,25 @@
         if relay.now() >= call.due {
             return Err(Stopped::Late);
         }
-        let silence = self.gaps.overdue_after();
-        let dead = dead_of_silent(relay, self.engines(), silence).await;
+        let overdue_at = self.since + self.gaps.overdue_after();
+        let dead = match relay.now() < overdue_at {
+            true => {
+                let silent = relay.silent_for_all(self.engines(), self.gaps.due_after());
+                relay.dead_of(&silent).await
+            }
+            false => dead_of_silent(relay, self.engines(), self.gaps.overdue_after()).await,
+        };
         if !dead.is_empty() && self.begin_repair(relay, call, attempts, &dead) {
             return Ok(());
         }
         if !dead.is_empty() && send::may_go_elsewhere(relay, call, attempts, &dead) {
             return Err(Stopped::Dead(dead));
         }
-        self.look_at = relay.now() + self.gaps.overdue_after();
+        let now = relay.now();
+        self.look_at = match now < overdue_at {
+            true => overdue_at,
+            false => now + self.gaps.overdue_after(),
+        };
         Ok(())
     }
 
@@ -360,7 +374,7 @@
         }
         self.gaps.note(gap);
         self.since = now;
-        self.look_at = now + self.gaps.overdue_after();
+        self.look_at = now + self.gaps.due_after();
     }
 
     /// The body has ended in order. A part of an event shows that the engine did not mean to.
--- a/reachtally-relay/src/targets/mod.rs
+++ b/reachtally-relay/src/targets/mod.rs
@@ -2,5 +2,6 @@
 //! connections.
 
 mod answers;
+pub mod check;
 mod entries;
 mod presence;
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -10,26 +10,76 @@
 
 use crate::relay::Relay;
 use crate::target;
+use crate::targets::check;
 
 /// Time for which the result of a check holds, so that the streams of one engine
 /// check once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Streams of this box over one engine whose silence together shows as much as the longer silence of one.
+const SEVERAL_STREAMS: u32 = 3;
 /// Least time between two checks of a whole failure domain: a few dozen connections each.
 const DOMAIN_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// What is known of a target's presence.
+enum Presence {
+    Alive,
+    Dead,
+    /// It has to be asked at this address.
+    Unknown(SocketAddr),
+}
+
 impl Relay {
-    /// Marks a target as dead: it accepted no connection.
+    /// Marks a target as dead: it accepted no connection. Streams over it are told.
     pub fn target_dead(&self, key: EngineKey) {
+        self.targets_dead(&[key]);
+    }
+
+    fn targets_dead(&self, keys: &[EngineKey]) {
         let now = self.now();
+        let mut found = Vec::new();
         let mut fleet = self.fleet.borrow_mut();
-        let Some(engine) = fleet.get_mut(key) else {
-            return;
-        };
-        if !engine.health.is_dead() {
-            log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address; "a target takes no connections");
-            self.count(|tally| tally.targets_found_dead += 1);
+        for key in keys {
+            let Some(engine) = fleet.get_mut(*key) else {
+                continue;
+            };
+            if !engine.health.is_dead() {
+                log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address; "a target takes no connections");
+                self.count(|tally| tally.targets_found_dead += 1);
+                found.push(*key);
+            }
+            engine.health.found_dead(now);
+        }
+        drop(fleet);
+        if !found.is_empty() {
+            self.runs_ended.send_replace(found);
         }
-        engine.health.found_dead(now);
+    }
+
+    /// Whether all of these targets are gone, or took no connection and another run took their place.
+    pub(crate) fn has_ended(&self, keys: &[EngineKey]) -> bool {
+        let fleet = self.fleet.borrow();
+        keys.iter().all(|key| {
+            fleet
+                .get(*key)
+                .is_none_or(|engine| !engine.health.is_silent())
+        })
+    }
+
+    /// Those of `engines` over which several streams of this box run, none of which had an event for `silence`.
+    pub(crate) fn silent_for_all(
+        &self,
+        engines: &[EngineKey],
+        silence: Duration,
+    ) -> Vec<EngineKey> {
+        let since = self.now().before(silence);
+        let fleet = self.fleet.borrow();
+        let has_several = |key: &EngineKey| {
+            fleet
+                .get(*key)
+                .is_some_and(|engine| engine.running >= SEVERAL_STREAMS)
+        };
+        let silent = self.progress.borrow().silent_since(engines, since);
+        silent.into_iter().filter(has_several).collect()
     }
 
     /// Handles a connection attempt without an answer. A packet may have been lost, or the whole failure
@@ -86,38 +136,42 @@
     /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
     pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
         let now = self.now();
-        let checks = engines.iter().map(|key| async move {
-            let known = self
-                .fleet
-                .borrow()
-                .get(*key)
-                .map(|engine| (engine.entry.address, engine.health));
-            let Some((address, health)) = known else {
-                return Some(*key);
-            };
-            let is_recent = |at: Instant| now.since(at) < CHECK_INTERVAL;
-            if health.is_dead() {
-                return Some(*key);
-            }
-            if health.alive_at().is_some_and(is_recent) {
-                return None;
+        let mut dead = Vec::new();
+        let mut asked = Vec::new();
+        for key in engines {
+            match self.presence(*key, now) {
+                Presence::Dead => dead.push(*key),
+                Presence::Alive => {}
+                Presence::Unknown(address) => asked.push((*key, address)),
             }
-            match target::is_there(address).await {
-                true => {
-                    self.target_there(*key);
-                    None
-                }
-                false => {
-                    self.target_dead(*key);
-                    Some(*key)
-                }
-            }
-        });
-        futures::future::join_all(checks)
-            .await
-            .into_iter()
-            .flatten()
-            .collect()
+        }
+        let check = |(key, address)| async move { (key, target::is_there(address).await) };
+        let present = check::present(asked.iter().copied().map(check)).await;
+        present.iter().for_each(|key| self.target_there(*key));
+        let silent: Vec<EngineKey> = asked
+            .iter()
+            .map(|(key, _)| *key)
+            .filter(|key| !present.contains(key))
+            .collect();
+        self.targets_dead(&silent);
+        dead.extend(silent);
+        dead
+    }
+
+    /// What is known of a target's presence without asking.
+    fn presence(&self, key: EngineKey, now: Instant) -> Presence {
+        let fleet = self.fleet.borrow();
+        let Some(engine) = fleet.get(key) else {
+            return Presence::Dead;
+        };
+        let is_recent = |at: Instant| now.since(at) < CHECK_INTERVAL;
+        if engine.health.is_dead() {
+            return Presence::Dead;
+        }
+        match engine.health.alive_at().is_some_and(is_recent) {
+            true => Presence::Alive,
+            false => Presence::Unknown(engine.entry.address),
+        }
     }
 
     /// Those of `engines` that are gone or known to be dead, here or by several other boxes.
