feat(core,relay): requests are admitted by rank where a service has several

Where callers want more than a service can answer, each box sent whatever came first, so urgent requests waited behind less urgent ones at the engines. A request's first choice is now admitted while the believed use of its path or instance leaves what more urgent requests take up within 0.5 s; beyond that it waits in a queue of the box ordered by class, account and deadline, or is refused with a scheduled Retry-After. Choices tell the use they are based on. Services with one rank are served as before.

--- /dev/null
+++ b/reachtally-core/src/forward/admission/offer.rs
@@ -0,0 +1,34 @@
+//! What a choice offers to a request.
+
+use std::time::Duration;
+
+use super::{LEAST_HELD, Offer};
+use crate::forward::select::{Choice, Instance};
+
+/// Most rounds of requests that may wait at an instance of a plain service beside those it runs, as far as admission goes. The
+/// load of an instance is known from its last answer only, so more would be counted on numbers that are long outdated.
+const MOST_ROUNDS: f64 = 2.0;
+/// Longest time expected; keeps times finite where numbers are without reason.
+const LONGEST_FIRST: Duration = Duration::from_secs(3600);
+
+/// The offer of a path.
+pub fn path_offer(choice: &Choice) -> Offer {
+    Offer {
+        used: choice.used,
+        first: choice.first,
+    }
+}
+
+/// The offer of an instance of a plain service, where requests take `held` on average once they run. Its slots are not all of its
+/// capacity: it queues requests, and as many rounds of them as fit the objective are still answered in time.
+pub fn instance_offer(instance: &Instance, held: Duration, objective: Duration) -> Offer {
+    let held_s = held.max(LEAST_HELD).as_secs_f64();
+    let rounds = objective.as_secs_f64() / held_s;
+    // The larger of a number and 0 is a number.
+    let in_use = instance.used.max(0.0);
+    let first_s = (held_s * in_use.max(1.0)).min(LONGEST_FIRST.as_secs_f64());
+    Offer {
+        used: in_use / rounds.clamp(1.0, MOST_ROUNDS),
+        first: Duration::from_secs_f64(first_s),
+    }
+}
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -8,6 +8,9 @@
 
 /// Time for which a reported pace holds: slowdowns last some seconds, and asking costs little.
 const PACE_LIFE: Duration = Duration::from_millis(2500);
+/// Time for which the requests count that an instance of a plain service reported with an answer: as long as reports of boxes take to be
+/// known everywhere, and a few times as long as its requests run.
+const TOLD_LIFE: Duration = Duration::from_millis(500);
 /// Upper bound on the pace of an engine; beyond it the engine is as good as silent.
 const SLOWEST_PACE: f64 = 1000.0;
 /// Time for which entries of earlier runs under an id are ignored after an entry of its run: longer than the three heartbeats, of
@@ -36,6 +39,8 @@
     pub remote_reading: f64,
     /// Requests that the target itself last reported, less those of this box.
     pub others_told: f64,
+    /// When it reported them.
+    pub others_told_at: Instant,
     /// The slowdown factor that it last reported to this box, and when.
     pace: Option<(f64, Instant)>,
     /// The largest slowdown factor that other boxes report.
@@ -66,6 +71,7 @@
             remote_tokens: 0.0,
             remote_reading: 0.0,
             others_told: 0.0,
+            others_told_at: now,
             pace: None,
             remote_pace: None,
             remote_silent: 0,
@@ -107,6 +113,14 @@
         now.since(self.heard_at) < RUN_SHIELDED
     }
 
+    /// Returns the requests of others that the target reported within [`TOLD_LIFE`], else 0.
+    pub fn others_told_lately(&self, now: Instant) -> f64 {
+        match now.since(self.others_told_at) < TOLD_LIFE {
+            true => self.others_told,
+            false => 0.0,
+        }
+    }
+
     /// Removes what other boxes reported.
     pub(super) fn clear_remote(&mut self) {
         self.remote_running = 0.0;
--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! decisions: which route a request takes, which engines run it, whether it may be sent a second
 //! time, which layers an engine should hold. Nothing here knows a wire format.
 
+pub mod admission;
 pub mod budget;
 pub mod changes;
 pub mod cost;
--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether some of its requests go to `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.services.iter().any(|(name, _)| &**name == service)
+    }
+
     /// The service for a request, by weight; `draw` is any well-spread number of the request.
     pub fn service(&self, draw: u64) -> Option<&Arc<str>> {
         let total: u64 = self
@@ -191,6 +196,26 @@
         ends.filter_map(|end| by_prefix.get(&path[..end])).next()
     }
 
+    /// The distinct priorities that requests for a service may have, the most urgent first. An account's priority goes before that of
+    /// the route, which counts where some request has no account, or one without a priority.
+    pub fn ranks(&self, service: &str) -> Vec<u8> {
+        let of_accounts: Vec<Option<u8>> = match &self.accounts {
+            Some(accounts) => accounts.values().map(|account| account.priority).collect(),
+            None => vec![None],
+        };
+        let mut ranks: Vec<u8> = Vec::new();
+        let routes = self.routes.values().flat_map(HashMap::values);
+        for route in routes.filter(|route| route.serves(service)) {
+            ranks.extend(of_accounts.iter().copied().flatten());
+            if route.public || of_accounts.contains(&None) {
+                ranks.push(route.priority);
+            }
+        }
+        ranks.sort_unstable();
+        ranks.dedup();
+        ranks
+    }
+
     /// Whether requests carry keys.
     pub fn has_keys(&self) -> bool {
         self.accounts.is_some()
--- a/reachtally-core/src/forward/select/candidate.rs
+++ b/reachtally-core/src/forward/select/candidate.rs
@@ -42,6 +42,10 @@
     pub price: f64,
     /// Part of its room or places that is believed to be in use with the request.
     pub used: f64,
+    /// Part of its room that is known to be in use with the request: without boxes that were not heard of yet.
+    pub room_used: f64,
+    /// The same of its places, which requests take that are sent to it.
+    pub places_used: f64,
     pub token_ms: f64,
     /// Time to read the request's own prompt.
     pub read_ms: f64,
@@ -77,9 +81,11 @@
         let rate = running / cx.held.as_secs_f64();
         let busy =
             model.reading_slowdown(card, layers, rate) * WAIT_FACTOR * engine.slowness(cx.now);
-        let places = running / (SLOTS_USED * f64::from(engine.entry.slots.max(1)));
+        let slots = SLOTS_USED * f64::from(engine.entry.slots.max(1));
+        let places = running / slots;
         let supposed = (held * cx.unheard + need.held()) / room;
-        let used = supposed.min(MOST_SUPPOSED).max(tokens / room).max(places);
+        let room_used = tokens / room;
+        let used = supposed.min(MOST_SUPPOSED).max(room_used).max(places);
         let growth = used.min(MOST_PRICED).powi(PRICE_POWER);
         let waiting = engine.reading + engine.remote_reading;
         let lacking = (tokens / room - 1.0).max(0.0);
@@ -93,6 +99,8 @@
             takes_more: has_place && !cx.is_kept_from(engine),
             price: bias * PRICE_GROWTH.powf(growth) * taken,
             used,
+            room_used,
+            places_used: (running + 1.0) / slots,
             token_ms: busy * model.step_ms(card, layers, batch) / each,
             read_ms: busy * model.read_ms(card, layers, need.prompt) / each,
             wait_ms: busy * model.read_ms(card, layers, waiting) / each,
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -116,6 +116,18 @@
     pub token: Duration,
     /// Expected time until the first token.
     pub first: Duration,
+    /// Largest part of any engine's KV or places that is believed to be in use, this request included. KV is booked beyond 1, and
+    /// requests of boxes that were not heard of yet are left out.
+    pub used: f64,
+}
+
+/// An instance of a plain service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Instance {
+    /// The instance.
+    pub engine: EngineKey,
+    /// Requests there in parts of its slots, this one included, as lately known. Above 1 some wait.
+    pub used: f64,
 }
 
 /// Which engines a choice looks at, the strictest first.
@@ -211,7 +223,7 @@
     service: &str,
     most_connections: u32,
     cx: &Circumstance<'_>,
-) -> Option<EngineKey> {
+) -> Option<Instance> {
     instance_of(fleet, service, most_connections, cx, Trust::Sound)
         .or_else(|| instance_of(fleet, service, most_connections, cx, Trust::Any))
 }
@@ -222,7 +234,7 @@
     most_connections: u32,
     cx: &Circumstance<'_>,
     trust: Trust,
-) -> Option<EngineKey> {
+) -> Option<Instance> {
     let work = |engine: &Engine| {
         let others = engine.remote_running.max(engine.others_told);
         let running = f64::from(engine.running) + others;
@@ -243,5 +255,17 @@
         .filter(|(_, engine)| work(engine) <= least + f64::EPSILON)
         .map(|(key, _)| *key)
         .collect();
-    near.get(cx.draw as usize % near.len()).copied()
+    let key = near.get(cx.draw as usize % near.len()).copied()?;
+    Some(Instance {
+        engine: key,
+        used: slots_used(fleet.get(key)?, cx.now),
+    })
+}
+
+/// Part of an instance's slots that is in use with one request more. What it told in an answer counts only while it is recent: a
+/// number that no new answer corrects would keep requests away for good.
+fn slots_used(engine: &Engine, now: Instant) -> f64 {
+    let others = engine.remote_running.max(engine.others_told_lately(now));
+    let running = f64::from(engine.running) + others + 1.0;
+    running / f64::from(engine.entry.slots.max(1))
 }
--- a/reachtally-core/src/forward/select/ways.rs
+++ b/reachtally-core/src/forward/select/ways.rs
@@ -43,6 +43,8 @@
     pub price: f64,
     /// The largest part of an engine's room that is believed to be in use.
     pub used: f64,
+    /// The largest part of an engine's room, or of the first one's places, that is known to be in use.
+    pub known: f64,
     /// Time of a token.
     pub token_ms: f64,
     /// Time to read the prompt, with all that waits before it.
@@ -71,6 +73,7 @@
             path,
             token: Duration::from_secs_f64(self.sums.token_ms / 1000.0),
             first,
+            used: self.sums.known,
         })
     }
 }
@@ -94,6 +97,7 @@
         sums: Sums {
             price: 0.0,
             used: 0.0,
+            known: 0.0,
             token_ms: 0.0,
             read_ms: 0.0,
         },
@@ -112,6 +116,13 @@
     ) -> Way {
         let token_ms = candidate.token_ms * layers + hop_ms;
         let read_ms = (candidate.read_ms + candidate.wait_ms) * layers + candidate.room_ms + hop_ms;
+        // Later engines get their work from the first, whose places bound it.
+        let places_used = if from == 0 {
+            candidate.places_used
+        } else {
+            0.0
+        };
+        let known = candidate.room_used.max(places_used);
         let cost =
             weights.price * candidate.price + weights.token * token_ms + weights.first * read_ms;
         Way {
@@ -119,6 +130,7 @@
             sums: Sums {
                 price: self.sums.price + candidate.price,
                 used: self.sums.used.max(candidate.used),
+                known: self.sums.known.max(known),
                 token_ms: self.sums.token_ms + token_ms,
                 read_ms: self.sums.read_ms + read_ms,
             },
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -33,6 +33,10 @@
         permit_waits,
         /// Requests refused because of rate limits alone.
         requests_limited,
+        /// Requests that waited in this box for their service to have room.
+        requests_queued,
+        /// Requests refused because others of their service come before them, or none is served in time.
+        requests_shed,
         /// Answers that asked for such a time.
         rests_asked,
         /// Sends whose answer was lost or spoilt.
--- a/reachtally-core/src/life.rs
+++ b/reachtally-core/src/life.rs
@@ -55,6 +55,8 @@
     NeverStarted,
     /// Engines that began to run it ended, one after the other.
     Quarantined,
+    /// Its service has no room for requests of its rank in time.
+    Shed,
 }
 
 /// The proven statement that no target ran any of the request.
--- a/reachtally-core/tests/core/forward/limit.rs
+++ b/reachtally-core/tests/core/forward/limit.rs
@@ -8,10 +8,10 @@
     Allocator, Demand, DemandPart, DemandRate, Extent, LimitReport, LimitedTarget, PERMIT_LIFE,
     PermitRequest, Permits, RateLimit, ServiceDemand, StatedLimit, apply, changes, page,
 };
-use reachtally_core::forward::select::{Circumstance, Limits, instance, path};
+use reachtally_core::forward::select::{Circumstance, Limits, path};
 use reachtally_core::ids::Incarnation;
 
-use super::setup::{NEED, SERVICE, cx, entry, fleet, model};
+use super::setup::{NEED, SERVICE, cx, entry, fleet, instance, model};
 
 /// Time between two requests of a box.
 const REQUEST_MS: u64 = 200;
--- a/reachtally-core/tests/core/forward/notice.rs
+++ b/reachtally-core/tests/core/forward/notice.rs
@@ -5,10 +5,10 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet, TargetRun};
 use reachtally_core::forward::select::{
-    Circumstance, Shortage, instance, path, served_after_back_off, shortage,
+    Circumstance, Shortage, path, served_after_back_off, shortage,
 };
 
-use super::setup::{NEED, SERVICE, cx, entry, fleet, model, run_entry};
+use super::setup::{NEED, SERVICE, cx, entry, fleet, instance, model, run_entry};
 
 fn at(ms: u64) -> Instant {
     Instant::from_elapsed(Duration::from_millis(ms))
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -6,11 +6,9 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::LayerModel;
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, Fleet};
-use reachtally_core::forward::select::{
-    Aim, Choice, Circumstance, Need, Shortage, instance, path, shortage,
-};
+use reachtally_core::forward::select::{Aim, Choice, Circumstance, Need, Shortage, path, shortage};
 
-use super::setup::{AIM, NEED, SERVICE, cx, entry, fleet, model};
+use super::setup::{AIM, NEED, SERVICE, cx, entry, fleet, instance, model};
 
 fn choose(fleet: &Fleet, avoid: &[EngineKey]) -> Option<Choice> {
     path(fleet, SERVICE, &model(), NEED, &cx(avoid))
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -7,7 +7,7 @@
 use reachtally_core::forward::cost::{Card, LayerModel, Layers};
 use reachtally_core::forward::fleet::{Born, EngineKey, Entry, Evidence, Fleet};
 use reachtally_core::forward::placement::Host;
-use reachtally_core::forward::select::{Aim, Circumstance, Limits, Need};
+use reachtally_core::forward::select::{self, Aim, Circumstance, Limits, Need};
 
 /// The service of all engines here.
 pub const SERVICE: &str = "pool";
@@ -126,3 +126,13 @@
         .collect();
     (fleet, keys)
 }
+
+/// The instance that a request for a plain service goes to.
+pub fn instance(
+    fleet: &Fleet,
+    service: &str,
+    most_connections: u32,
+    cx: &Circumstance<'_>,
+) -> Option<EngineKey> {
+    select::instance(fleet, service, most_connections, cx).map(|found| found.engine)
+}
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -228,6 +228,11 @@
             "never-started",
             "every target refused the request before it started",
         ),
+        Refusal::Shed => (
+            Status::ServiceUnavailable,
+            "shed",
+            "there is no room for requests of this rank",
+        ),
         Refusal::Quarantined => (
             Status::UnprocessableEntity,
             "quarantined",
--- a/reachtally-relay/src/answer.rs
+++ b/reachtally-relay/src/answer.rs
@@ -86,6 +86,8 @@
         Refusal::Stopping | Refusal::Paused => ELSEWHERE,
         // Whoever came back would be refused again.
         Refusal::Quarantined => left,
+        // The schedule of returns has spread them already.
+        Refusal::Shed => Duration::ZERO,
         _ => left.mul_f64(RETURN_SHARE).min(LATEST_RETURN),
     };
     let spread = (draw % 1000) as f64 / 1000.0;
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -42,6 +42,8 @@
     pub avoid: Vec<EngineKey>,
     is_late: bool,
     is_quarantined: bool,
+    /// When the caller of a request that was not admitted may return.
+    shed: Option<Duration>,
 }
 
 impl Attempts {
@@ -54,6 +56,7 @@
             avoid: Vec::new(),
             is_late: false,
             is_quarantined: false,
+            shed: None,
         }
     }
 
@@ -89,6 +92,11 @@
         }
     }
 
+    /// The request is not admitted; its caller may return after this time.
+    pub fn shed(&mut self, after: Duration) {
+        self.shed = Some(after);
+    }
+
     /// A send to the target `key` begins.
     pub fn begin(&mut self, relay: &Relay, key: EngineKey, record: SendRecord) {
         relay.count(|tally| tally.sends += 1);
@@ -142,9 +150,11 @@
         };
         let refusal = match self.records.is_empty() {
             _ if self.is_quarantined => Refusal::Quarantined,
+            _ if self.shed.is_some() => Refusal::Shed,
             true => Refusal::NoTarget,
             false => Refusal::NeverStarted,
         };
+        let back_off = self.shed.or(back_off);
         let end = self.state.give_up(refusal, unknown);
         let left = call.left(relay);
         match &end {
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -92,6 +92,7 @@
     if let (Some(load), Some(engine)) = (head.load, fleet.get_mut(from.key)) {
         let others = (load.running + load.waiting).saturating_sub(engine.running);
         engine.others_told = f64::from(others);
+        engine.others_told_at = relay.now();
     }
     drop(fleet);
     relay.target_said(&from.run, head.said);
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -153,6 +153,7 @@
         }
         let mut remote_loads = self.relay.remote_loads.borrow_mut();
         remote_loads.remove_expired(&mut self.relay.fleet.borrow_mut(), now);
+        self.relay.admission.wake_all();
     }
 
     /// Whether others may report here. A box without a collector only has its own report, which says nothing of the
@@ -325,6 +326,7 @@
     fn take(&self, others: Others, now: Instant) {
         let mut remote_loads = self.relay.remote_loads.borrow_mut();
         remote_loads.hear(others, &mut self.relay.fleet.borrow_mut(), now);
+        self.relay.admission.loads_received(now);
     }
 
     fn note_malformed(&mut self, from: IpAddr, why: &load::LoadError, now: Instant) {
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -12,6 +12,7 @@
 #![deny(missing_docs)]
 
 mod accept;
+mod admission;
 pub mod answer;
 mod attempts;
 pub mod configuration;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -8,7 +8,8 @@
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::{encode_eof, encode_registry};
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
-use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
@@ -36,15 +37,52 @@
     pub longest_gap: Histogram,
     /// Until the end of a whole answer.
     pub answer: Histogram,
+    /// Requests of services with several ranks.
+    pub by_rank: ByRank,
+}
+
+/// The rank of a request: 0 is the most urgent, `beyond` is beyond its account's share.
+pub type RankLabel = [(&'static str, String); 1];
+
+/// Requests by rank, for services with several.
+#[derive(Debug)]
+pub struct ByRank {
+    /// That were decided on.
+    pub offered: Family<RankLabel, Counter>,
+    /// That were admitted, at once or later.
+    pub admitted: Family<RankLabel, Counter>,
+    /// That waited in this box.
+    pub queued: Family<RankLabel, Counter>,
+    /// That were refused.
+    pub shed: Family<RankLabel, Counter>,
+    /// Time that admitted ones had waited.
+    pub wait: Family<RankLabel, Histogram, fn() -> Histogram>,
+}
+
+impl Default for ByRank {
+    fn default() -> Self {
+        ByRank {
+            offered: Family::default(),
+            admitted: Family::default(),
+            queued: Family::default(),
+            shed: Family::default(),
+            wait: Family::new_with_constructor(seconds),
+        }
+    }
+}
+
+/// A histogram of times.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
 }
 
 impl Default for Times {
     fn default() -> Self {
-        let times = || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
         Times {
-            first_event: times(),
-            longest_gap: times(),
-            answer: times(),
+            first_event: seconds(),
+            longest_gap: seconds(),
+            answer: seconds(),
+            by_rank: ByRank::default(),
         }
     }
 }
@@ -124,6 +162,33 @@
         "Time to the end of an answer",
         times.answer.clone(),
     );
+    let by_rank = &times.by_rank;
+    let counters = [
+        (
+            "admission_offered",
+            "Requests of services with several ranks, by rank",
+            &by_rank.offered,
+        ),
+        (
+            "admission_admitted",
+            "Those that were admitted",
+            &by_rank.admitted,
+        ),
+        (
+            "admission_queued",
+            "Those that waited in this box",
+            &by_rank.queued,
+        ),
+        ("admission_shed", "Those that were refused", &by_rank.shed),
+    ];
+    for (name, meaning, counter) in counters {
+        registry.register(name, meaning, counter.clone());
+    }
+    registry.register(
+        "admission_wait_seconds",
+        "Time that admitted requests had waited, by rank",
+        by_rank.wait.clone(),
+    );
     registry
 }
 
--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -65,9 +65,16 @@
 impl Drop for Occupied {
     fn drop(&mut self) {
         self.end_reading();
-        self.relay
-            .fleet
-            .borrow_mut()
-            .end(&self.engines, self.tokens);
+        let mut fleet = self.relay.fleet.borrow_mut();
+        fleet.end(&self.engines, self.tokens);
+        if self.relay.admission.is_idle() {
+            return;
+        }
+        let first = self.engines.first().and_then(|key| fleet.get(*key));
+        match first {
+            Some(engine) => self.relay.admission.wake(&engine.entry.service),
+            // The target is not known any more, and neither is its service.
+            None => self.relay.admission.wake_all(),
+        }
     }
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -25,6 +25,7 @@
 use reachtally_protocol::packed;
 use tokio::sync::watch;
 
+use crate::admission::Admission;
 use crate::configuration::Configuration;
 use crate::connections::Connections;
 use crate::lifecycle::Lifecycle;
@@ -98,6 +99,8 @@
     pub(crate) suspicion: Suspicion,
     /// Rate limits of targets.
     pub(crate) limits: LimitState,
+    /// Admission by rank.
+    pub(crate) admission: Admission,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -165,6 +168,7 @@
             slow_engines: SlowEngines::default(),
             suspicion: Suspicion::default(),
             limits: LimitState::default(),
+            admission: Admission::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
@@ -424,6 +428,11 @@
         taken
     }
 
+    /// Mean time that requests ran on their engines.
+    pub(crate) fn held(&self) -> Duration {
+        self.held.get()
+    }
+
     /// Note how long a request ran on its engines.
     pub fn note_held(&self, held: Duration) {
         let mean = self.held.get().as_secs_f64();
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -16,6 +16,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::routes::Shape;
 
+use crate::admission::Decision;
 use crate::answer::{Body, CutShort};
 use crate::attempts::Attempts;
 use crate::events::Splitter;
@@ -34,6 +35,7 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let last = call.head.last_event;
+    let mut is_admitted = false;
     loop {
         let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
             let would_serve = send::would_serve(relay, &call, &attempts.avoid);
@@ -43,6 +45,20 @@
             send::log_shortage(relay, &call, &attempts.avoid);
             break;
         };
+        if !is_admitted {
+            let look = || Some(send::choose(relay, &call, &attempts.avoid)?.offer);
+            match relay.admit(&call, pick.offer, look).await {
+                Decision::Admitted => is_admitted = true,
+                Decision::AdmittedLater => {
+                    is_admitted = true;
+                    continue;
+                }
+                Decision::Refused(after) => {
+                    attempts.shed(after);
+                    break;
+                }
+            }
+        }
         if !attempts.may_send(relay, &call) {
             break;
         }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -11,6 +11,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use reachtally_core::Instant;
+use reachtally_core::forward::admission::{self, Offer};
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
 use reachtally_core::forward::select::{self, Aim, Circumstance, Limits, Need, Shortage};
@@ -39,6 +40,8 @@
     gap: Duration,
     /// Expected time until the first.
     first: Duration,
+    /// What it offers to the request.
+    pub offer: Offer,
 }
 
 /// What engines answered.
@@ -84,16 +87,18 @@
     };
     let Some(model) = &call.service.model else {
         let most = relay.most_connections(&call.service);
-        let key = select::instance(&fleet, &call.service_name, most, &cx)?;
+        let found = select::instance(&fleet, &call.service_name, most, &cx)?;
         return Some(Pick {
             path: None,
-            engines: vec![key],
+            offer: admission::instance_offer(&found, relay.held(), call.route.objective),
+            engines: vec![found.engine],
             gap: FIRST_SLACK,
             first: FIRST_SLACK,
         });
     };
     let found = select::path(&fleet, &call.service_name, model, need(call), &cx)?;
     Some(Pick {
+        offer: admission::path_offer(&found),
         engines: found.path.engines(),
         path: Some(found.path),
         gap: found.token.mul_f64(model.stride.max(1.0)),
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -6,10 +6,12 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body as _, Incoming};
+use reachtally_core::forward::admission::{self, Offer};
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::forward::select::{self, Circumstance, Limits};
+use reachtally_core::forward::select::{self, Circumstance, Instance, Limits};
 use reachtally_core::life::NeverStarted;
 
+use crate::admission::Decision;
 use crate::answer::{self, Body, CutShort};
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, Unanswered};
@@ -28,22 +30,45 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: &Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let mut failure: Option<Response<Body>> = None;
+    let mut is_admitted = false;
     loop {
-        let Some(key) = choose(relay, call, &attempts.avoid, Limits::Enforced) else {
+        let Some(found) = choose(relay, call, &attempts.avoid, Limits::Enforced) else {
             let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
             if relay.await_permits(call, would_serve).await {
                 continue;
             }
             break;
         };
+        if !is_admitted {
+            let look = || {
+                let found = choose(relay, call, &attempts.avoid, Limits::Enforced)?;
+                Some(offer(relay, call, &found))
+            };
+            match relay.admit(call, offer(relay, call, &found), look).await {
+                Decision::Admitted => is_admitted = true,
+                Decision::AdmittedLater => {
+                    is_admitted = true;
+                    continue;
+                }
+                Decision::Refused(after) => {
+                    attempts.shed(after);
+                    break;
+                }
+            }
+        }
         if !attempts.may_send(relay, call) {
             break;
         }
+        let key = found.engine;
         attempts.begin(relay, key, record(relay, call, key));
         attempts.avoid.push(key);
+        let sent_at = relay.now();
         match send(relay, call, key).await {
             Ok(response) => {
                 attempts.answered();
+                let took = relay.now().since(sent_at);
+                let admission = &relay.admission;
+                admission.note_held(&call.service_name, took, found.used);
                 if !is_retried(call, &response, &attempts) {
                     return answered(relay, call, response);
                 }
@@ -86,7 +111,13 @@
     }
 }
 
-fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<EngineKey> {
+/// What an instance offers to a request.
+fn offer(relay: &Relay, call: &Call, found: &Instance) -> Offer {
+    let held = relay.admission.plain_held(&call.service_name);
+    admission::instance_offer(found, held, call.route.objective)
+}
+
+fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<Instance> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
     let cx = Circumstance {
