feat(core,relay): near the limit a box admits at a pace, so that boxes do not overshoot together

Loads of others are 0.2 to 0.4 s old.

Requests of plain services also wait for one of the box's own connections. Tests: the rule, the queue, returns and the play in the core; waiting, refusal, disconnecting callers, suspension and one rank against stand-ins.

--- a/reachtally-core/src/forward/admission/mix.rs
+++ b/reachtally-core/src/forward/admission/mix.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
+use super::rate::{Rate, left};
 use crate::time::Instant;
 
-/// Time constant with which earlier requests count less: the mix has followed a step in demand after two of them, in which the system is
-/// to be steady again.
-const SMOOTHING: Duration = Duration::from_millis(1000);
+/// Time constant of the mix. A box with few requests of the most urgent rank must not forget between two of them that they come.
+const SMOOTHING: Duration = Duration::from_millis(4000);
 
 /// Recent requests for one service, counted with exponential decay.
 #[derive(Debug, Clone, Default)]
 pub struct Mix {
     /// By class, the most urgent first.
     offered: Vec<f64>,
-    admitted: f64,
+    admitted: Rate,
     at: Instant,
 }
 
@@ -29,8 +29,7 @@
 
     /// Counts a request that was admitted.
     pub fn count_admitted(&mut self, now: Instant) {
-        self.decay(now);
-        self.admitted += 1.0;
+        self.admitted.add(now);
     }
 
     /// Fractions of the recent requests by class; all 0 before the first.
@@ -43,18 +42,12 @@
 
     /// Mean rate of admitted requests, a second.
     pub fn admitted_rate(&self, now: Instant) -> f64 {
-        self.admitted * self.left(now) / SMOOTHING.as_secs_f64()
-    }
-
-    /// What is left of the counts at `now`.
-    fn left(&self, now: Instant) -> f64 {
-        (-now.since(self.at).as_secs_f64() / SMOOTHING.as_secs_f64()).exp()
+        self.admitted.per_second(now)
     }
 
     fn decay(&mut self, now: Instant) {
-        let left = self.left(now);
+        let left = left(self.at, now, SMOOTHING);
         self.at = self.at.max(now);
-        self.admitted *= left;
         self.offered.iter_mut().for_each(|count| *count *= left);
     }
 }
--- a/reachtally-core/src/forward/admission/mod.rs
+++ b/reachtally-core/src/forward/admission/mod.rs
@@ -8,15 +8,19 @@
 
 mod mix;
 mod offer;
+mod pacer;
 mod queue;
+mod rate;
 mod reserve;
 mod returns;
 mod schedule;
 
 pub use mix::Mix;
-pub use offer::{instance_offer, path_offer};
+pub use offer::{instance_offer, no_connection_offer, path_offer};
+pub use pacer::{Pace, Pacer, Running};
 pub use queue::{Bounds, Entrant, Full, Order, Queue};
 pub use reserve::{MOST_RESERVED, reserve};
+use reserve::{level_needed, wanted_before};
 pub use returns::Returns;
 pub use schedule::{LATEST_RETURN, Schedule};
 
@@ -26,6 +30,8 @@
 pub const WAIT_PART: f64 = 0.5;
 /// Longest time that an excess is taken to drain in; keeps times finite where numbers are without reason.
 const LONGEST_DRAIN: Duration = Duration::from_secs(60);
+/// Most of the capacity below which a box goes by its pace: with less in use, requests that it refused would find room.
+const MOST_GROWTH: f64 = 0.5;
 /// Least mean duration of requests, so that rates stay finite.
 const LEAST_HELD: Duration = Duration::from_millis(1);
 
@@ -51,6 +57,8 @@
     pub standing: Standing,
     /// Whether its caller has had a part of the answer.
     pub is_resumed: bool,
+    /// Whether this box refused it before, and it returns no earlier than it was told.
+    pub is_return: bool,
 }
 
 impl Class {
@@ -61,21 +69,13 @@
             Standing::Beyond => ranks,
         }
     }
-
-    /// The class of a request that returns not earlier than it was told: the next more urgent rank. A request beyond its account's
-    /// share stays so, or a flood would gain by returning.
-    pub fn returned(self) -> Self {
-        Class {
-            rank: Rank(self.rank.0.saturating_sub(1)),
-            ..self
-        }
-    }
 }
 
 /// What the best known path or instance offers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Offer {
-    /// Largest fraction of any engine's room or slots in use, including this request, as believed. May exceed 1.
+    /// Largest fraction of any engine's room or slots in use, including this request, as believed. May exceed 1; infinite where nothing
+    /// can be sent before something ends.
     pub used: f64,
     /// Expected time to the first event, or to the answer of a plain service.
     pub first: Duration,
@@ -94,6 +94,10 @@
     pub objective: Duration,
     /// Time since arrival.
     pub waited: Duration,
+    /// How this box is placed to admit requests near the limit.
+    pub pace: Pace,
+    /// Requests of the service that wait in this box before it.
+    pub ahead: usize,
 }
 
 impl Conditions<'_> {
@@ -106,7 +110,7 @@
 /// When a refused caller may return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Retry {
-    /// Time in which the excess drains to the limit of the request's class.
+    /// Time until there is probably room for a request of its class.
     pub after: Duration,
 }
 
@@ -115,7 +119,7 @@
 pub enum Verdict {
     /// It is sent.
     Admit,
-    /// It waits; the excess is expected to drain in this time.
+    /// It waits; there is probably room for it after this time.
     Wait(Duration),
     /// It is refused without having run.
     Refuse(Retry),
@@ -130,17 +134,17 @@
         let after = cx.held.min(LONGEST_DRAIN);
         return Verdict::Refuse(Retry { after });
     };
-    let reserved = reserve(class, cx);
-    let excess = offer.used - (1.0 - reserved);
+    let growth = cx.pace.growth.clamp(0.0, MOST_GROWTH);
+    let kept = reserve(class, cx).max(growth);
+    let excess = offer.used - (1.0 - kept);
     // A use that is no number says nothing against a path that was found.
     if excess.is_nan() || excess <= 0.0 {
         return Verdict::Admit;
     }
-    // Use beyond 1 takes from nobody more urgent here; it only has to be served in time.
-    if reserved <= 0.0 && cx.waited.saturating_add(offer.first) <= cx.objective {
+    if excess.is_finite() && lacking(class, cx) <= 0.0 {
         return Verdict::Admit;
     }
-    let drain = drain(excess, cx);
+    let drain = drain(class, cx);
     let patience = patience(cx.objective).saturating_sub(cx.waited);
     match drain <= patience {
         true => Verdict::Wait(drain),
@@ -154,9 +158,22 @@
     objective.mul_f64(WAIT_PART)
 }
 
-/// Time in which an excess of use drains: in the mean duration of requests all that now run have ended.
-fn drain(excess: f64, cx: &Conditions<'_>) -> Duration {
-    let seconds = excess * cx.held_s();
+/// Requests that the pace lacks to admit one of this class after those that wait before it.
+fn lacking(class: Class, cx: &Conditions<'_>) -> f64 {
+    let Pace { level, kept, .. } = cx.pace;
+    (level_needed(class, cx) - level) * kept + cx.ahead as f64
+}
+
+/// Time until the pace admits a request of this class, by what it leaves beside more urgent requests.
+fn drain(class: Class, cx: &Conditions<'_>) -> Duration {
+    // Also where none has ended lately, one of those that run will within their mean duration.
+    let rate = cx.pace.rate.max(1.0 / cx.held_s());
+    let left = rate * (1.0 - wanted_before(class, cx));
+    let seconds = lacking(class, cx) / left;
     let most = LONGEST_DRAIN.as_secs_f64();
-    Duration::from_secs_f64(seconds.clamp(0.0, most))
+    // Where more urgent requests want all of it, there is no such time.
+    match left > 0.0 && seconds.is_finite() {
+        true => Duration::from_secs_f64(seconds.clamp(0.0, most)),
+        false => LONGEST_DRAIN,
+    }
 }
--- a/reachtally-core/src/forward/admission/offer.rs
+++ b/reachtally-core/src/forward/admission/offer.rs
@@ -8,6 +8,8 @@
 /// Most rounds of requests that may wait at an instance of a plain service beside those it runs, as far as admission goes. The
 /// load of an instance is known from its last answer only, so more would be counted on numbers that are long outdated.
 const MOST_ROUNDS: f64 = 2.0;
+/// Part of the objective that fits the rounds: requests run longer than the mean, and loads are outdated when they are known.
+const WAIT_SHARE: f64 = 0.33;
 /// Longest time expected; keeps times finite where numbers are without reason.
 const LONGEST_FIRST: Duration = Duration::from_secs(3600);
 
@@ -23,7 +25,7 @@
 /// capacity: it queues requests, and as many rounds of them as fit the objective are still answered in time.
 pub fn instance_offer(instance: &Instance, held: Duration, objective: Duration) -> Offer {
     let held_s = held.max(LEAST_HELD).as_secs_f64();
-    let rounds = objective.as_secs_f64() / held_s;
+    let rounds = WAIT_SHARE * objective.as_secs_f64() / held_s;
     // The larger of a number and 0 is a number.
     let in_use = instance.used.max(0.0);
     let first_s = (held_s * in_use.max(1.0)).min(LONGEST_FIRST.as_secs_f64());
@@ -32,3 +34,11 @@
         first: Duration::from_secs_f64(first_s),
     }
 }
+
+/// The offer of instances to which this box has all of its part of the connections in use, where requests take `held` on average.
+pub fn no_connection_offer(held: Duration) -> Offer {
+    Offer {
+        used: f64::INFINITY,
+        first: held.min(LONGEST_FIRST).saturating_mul(2),
+    }
+}
--- a/reachtally-core/src/forward/admission/queue.rs
+++ b/reachtally-core/src/forward/admission/queue.rs
@@ -101,6 +101,17 @@
         self.entries.contains_key(order)
     }
 
+    /// Number of requests for `service` that are before `order`; before a new one at `position` if that is not given.
+    pub fn ahead(&self, service: &str, position: usize, order: Option<&Order>) -> usize {
+        let is_ahead = |other: &Order| match order {
+            Some(order) => other < order,
+            None => other.position <= position,
+        };
+        let each = self.entries.iter();
+        each.filter(|(other, (entrant, _))| &*entrant.service == service && is_ahead(other))
+            .count()
+    }
+
     /// What wakes the first request for `service`, of those after `after` if that is given.
     pub fn first(&self, service: &str, after: Option<&Order>) -> Option<&T> {
         let mut of_service = self.entries.iter().filter(|(order, (entrant, _))| {
--- /dev/null
+++ b/reachtally-core/tests/core/forward/admission.rs
@@ -0,0 +1,585 @@
+//! Admission by rank: the rule, the queue, returns, and what callers get of a service that they want more of than there is.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use reachtally_core::Instant;
+use reachtally_core::forward::admission::{
+    Bounds, Class, Conditions, Entrant, Full, LATEST_RETURN, MOST_RESERVED, Mix, Offer, Order,
+    Pace, Pacer, Queue, REACTION, Rank, Returns, Running, Schedule, Standing, Verdict, admit,
+    instance_offer, patience, reserve,
+};
+use reachtally_core::forward::fingerprint::{FINGERPRINT_BYTES, Fingerprint};
+use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::select::Instance;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn at(after: u64) -> Instant {
+    Instant::from_elapsed(ms(after))
+}
+
+fn class(rank: u8) -> Class {
+    Class {
+        rank: Rank(rank),
+        standing: Standing::Within,
+        is_resumed: false,
+        is_return: false,
+    }
+}
+
+/// A service that ten boxes send to, with slots for requests of all of them together.
+struct Service {
+    slots: usize,
+    /// Mean time that a request runs once it has a slot.
+    held: Duration,
+    objective: Duration,
+    /// Whether instances queue requests beyond their slots, as plain services do.
+    is_plain: bool,
+}
+
+/// Engines that hold requests for seconds.
+const STREAMS: Service = Service {
+    slots: 600,
+    held: Duration::from_millis(3_000),
+    objective: Duration::from_millis(500),
+    is_plain: false,
+};
+/// Instances of a plain service.
+const PLAIN: Service = Service {
+    slots: 120,
+    held: Duration::from_millis(60),
+    objective: Duration::from_millis(200),
+    is_plain: true,
+};
+const BOXES: usize = 10;
+/// Time between two reports of loads, which are known one report later.
+const REPORT_MS: u64 = 200;
+const STEP_MS: u64 = 2;
+/// The play's time; its first quarter does not count.
+const PLAYED_MS: u64 = 20_000;
+
+#[derive(Clone, Copy)]
+struct Request {
+    rank: u8,
+    arrived: u64,
+    is_return: bool,
+    number: u64,
+}
+
+struct PlayedBox {
+    /// Requests of this box that run or wait at the service.
+    own: usize,
+    /// Those of the others, as last told.
+    others: usize,
+    mix: Mix,
+    pacer: Pacer,
+    schedule: Schedule,
+    queue: Queue<Request>,
+    waiting: Vec<(Order, Request)>,
+}
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Outcome {
+    offered: [u32; 3],
+    in_time: [u32; 3],
+    /// Refusals, of requests that return too.
+    refused: u32,
+    /// Mean part of the slots in use.
+    used: f64,
+}
+
+impl Outcome {
+    fn share(&self, rank: usize) -> f64 {
+        f64::from(self.in_time[rank]) / f64::from(self.offered[rank])
+    }
+}
+
+struct Play<'a> {
+    service: &'a Service,
+    has_admission: bool,
+    rng: ChaCha8Rng,
+    boxes: Vec<PlayedBox>,
+    running: BinaryHeap<Reverse<(u64, usize)>>,
+    waiting: VecDeque<(Request, usize)>,
+    returns: BinaryHeap<Reverse<(u64, u64, u8, usize)>>,
+    outcome: Outcome,
+    count: u64,
+}
+
+impl Play<'_> {
+    fn offer(&self, at: usize) -> Offer {
+        let known = (self.boxes[at].own + self.boxes[at].others + 1) as f64;
+        let used = known / self.service.slots as f64;
+        match self.service.is_plain {
+            true => {
+                let engine = EngineKey::default();
+                let found = Instance { engine, used };
+                instance_offer(&found, self.service.held, self.service.objective)
+            }
+            false => Offer {
+                used,
+                first: self.service.held.mul_f64((used - 1.0).max(0.0)),
+            },
+        }
+    }
+
+    fn verdict(&mut self, at: usize, req: &Request, order: Option<&Order>, now: u64) -> Verdict {
+        let judged_as = Class {
+            is_return: req.is_return,
+            ..class(req.rank)
+        };
+        let offer = self.offer(at);
+        let each = &mut self.boxes[at];
+        let running = Running {
+            own: each.own as f64,
+            all: (each.own + each.others) as f64,
+            boxes: BOXES as u32,
+        };
+        let ahead = each.queue.ahead("s", usize::from(req.rank), order);
+        let pace = each.pacer.look(
+            offer.used,
+            running,
+            REACTION,
+            Instant::from_elapsed(ms(now)),
+        );
+        let cx = Conditions {
+            pace,
+            ahead,
+            held: self.service.held,
+            reaction: REACTION,
+            mix: &self.boxes[at].mix.fractions(),
+            objective: self.service.objective,
+            waited: ms(now - req.arrived),
+        };
+        match self.has_admission {
+            true => admit(judged_as, Some(offer), &cx),
+            false => Verdict::Admit,
+        }
+    }
+
+    fn arrive(&mut self, rank: u8, at: usize, is_return: bool, now: u64) {
+        self.count += 1;
+        let req = Request {
+            rank,
+            arrived: now,
+            is_return,
+            number: self.count,
+        };
+        if !is_return && now > PLAYED_MS / 4 {
+            self.outcome.offered[usize::from(rank)] += 1;
+        }
+        self.boxes[at].pacer.offered(Instant::from_elapsed(ms(now)));
+        let mix = &mut self.boxes[at].mix;
+        mix.count(usize::from(rank), 4, Instant::from_elapsed(ms(now)));
+        match self.verdict(at, &req, None, now) {
+            Verdict::Admit => self.send(at, req, now),
+            Verdict::Wait(_) => self.wait(at, req, now),
+            Verdict::Refuse(retry) => self.refuse(at, &req, retry.after, now),
+        }
+    }
+
+    fn wait(&mut self, at: usize, req: Request, now: u64) {
+        let entrant = Entrant {
+            service: "s".into(),
+            is_resumed: false,
+            position: usize::from(req.rank),
+            account: None,
+            deadline: Instant::from_elapsed(ms(now + 10_000)),
+            bytes: 1000,
+        };
+        match self.boxes[at].queue.join(entrant, req) {
+            Ok((order, replaced)) => {
+                self.boxes[at].waiting.push((order, req));
+                for other in replaced {
+                    self.boxes[at]
+                        .waiting
+                        .retain(|(_, each)| each.number != other.number);
+                    self.refuse(at, &other, Duration::ZERO, now);
+                }
+            }
+            Err(_) => self.refuse(at, &req, Duration::ZERO, now),
+        }
+    }
+
+    fn refuse(&mut self, at: usize, req: &Request, drain: Duration, now: u64) {
+        let each = &mut self.boxes[at];
+        let time = Instant::from_elapsed(ms(now));
+        let rate = each.mix.admitted_rate(time);
+        let draw = self.rng.random();
+        let left = ms(15_000);
+        let after = each
+            .schedule
+            .next(drain, rate, left, draw, time)
+            .as_millis() as u64;
+        self.outcome.refused += 1;
+        // Callers return once.
+        if req.is_return {
+            return;
+        }
+        self.returns
+            .push(Reverse((now + after, req.number, req.rank, at)));
+    }
+
+    fn send(&mut self, at: usize, req: Request, now: u64) {
+        self.boxes[at].own += 1;
+        self.boxes[at].pacer.admitted();
+        let time = Instant::from_elapsed(ms(now));
+        self.boxes[at].mix.count_admitted(time);
+        self.waiting.push_back((req, at));
+    }
+
+    /// Lets those that wait in a box in, in order, while they are admitted.
+    fn look(&mut self, at: usize, now: u64) {
+        self.boxes[at].waiting.sort_by_key(|(order, _)| *order);
+        for (order, req) in self.boxes[at].waiting.clone() {
+            let over = req.arrived + patience(self.service.objective).as_millis() as u64;
+            let is_admitted = self.verdict(at, &req, Some(&order), now) == Verdict::Admit;
+            if now < over && !is_admitted {
+                continue;
+            }
+            self.boxes[at].queue.leave(&order);
+            self.boxes[at].waiting.retain(|(each, _)| *each != order);
+            match now < over {
+                true => self.send(at, req, now),
+                false => self.refuse(at, &req, Duration::ZERO, now),
+            }
+        }
+    }
+
+    /// Ends what is over and gives free slots to those that wait at the service.
+    fn serve(&mut self, now: u64) {
+        while let Some(&Reverse((end, at))) = self.running.peek()
+            && end <= now
+        {
+            self.running.pop();
+            self.boxes[at].own -= 1;
+            self.boxes[at].pacer.ended(Instant::from_elapsed(ms(now)));
+            self.look(at, now);
+        }
+        while self.running.len() < self.service.slots
+            && let Some((req, at)) = self.waiting.pop_front()
+        {
+            let part = -(1.0 - self.rng.random::<f64>()).ln();
+            let runs = self.service.held.mul_f64(part).as_millis() as u64;
+            self.running.push(Reverse((now + runs.max(1), at)));
+            let answered = now - req.arrived + if self.service.is_plain { runs } else { 0 };
+            let is_late = ms(answered) > self.service.objective;
+            if now > PLAYED_MS / 4 && !is_late {
+                self.outcome.in_time[usize::from(req.rank)] += 1;
+            }
+        }
+    }
+
+    fn report(&mut self, told: &mut Vec<usize>) {
+        let all: usize = told.iter().sum();
+        for (each, own) in self.boxes.iter_mut().zip(told.iter()) {
+            each.others = all - own;
+        }
+        *told = self.boxes.iter().map(|each| each.own).collect();
+    }
+}
+
+/// Callers want `times` of what the service can answer, by rank in these parts.
+fn play(service: &Service, times: f64, parts: [f64; 3], has_admission: bool) -> Outcome {
+    let new_box = || PlayedBox {
+        own: 0,
+        others: 0,
+        mix: Mix::default(),
+        pacer: Pacer::default(),
+        schedule: Schedule::default(),
+        queue: Queue::new(Bounds {
+            count: 64,
+            bytes: 1 << 24,
+        }),
+        waiting: Vec::new(),
+    };
+    let mut play = Play {
+        service,
+        has_admission,
+        rng: ChaCha8Rng::seed_from_u64(7),
+        boxes: (0..BOXES).map(|_| new_box()).collect(),
+        running: BinaryHeap::new(),
+        waiting: VecDeque::new(),
+        returns: BinaryHeap::new(),
+        outcome: Outcome::default(),
+        count: 0,
+    };
+    let capacity = service.slots as f64 / service.held.as_secs_f64();
+    let mut told = vec![0; BOXES];
+    let mut looked = 0;
+    for now in (0..PLAYED_MS).step_by(STEP_MS as usize) {
+        play.serve(now);
+        if now % REPORT_MS == 0 {
+            play.report(&mut told);
+            (0..BOXES).for_each(|at| play.look(at, now));
+        }
+        while let Some(&Reverse((due, _, rank, at))) = play.returns.peek()
+            && due <= now
+        {
+            play.returns.pop();
+            play.arrive(rank, at, true, now);
+        }
+        for (rank, part) in parts.iter().enumerate() {
+            let mut rate = capacity * times * part * STEP_MS as f64 / 1000.0;
+            while rate > 0.0 {
+                if play.rng.random::<f64>() < rate {
+                    let at = play.rng.random_range(0..BOXES);
+                    play.arrive(rank as u8, at, false, now);
+                }
+                rate -= 1.0;
+            }
+        }
+        if now > PLAYED_MS / 4 {
+            looked += 1;
+            play.outcome.used += play.running.len() as f64 / service.slots as f64;
+        }
+    }
+    play.outcome.used /= f64::from(looked);
+    play.outcome
+}
+
+const MIXED: [f64; 3] = [0.2, 0.3, 0.5];
+const MOSTLY_LEAST: [f64; 3] = [0.05, 0.05, 0.9];
+
+/// Without admission nobody is answered in time; with it the most urgent are, and nobody is behind a less urgent rank.
+#[test]
+fn under_overload_ranks_are_served_in_order_and_capacity_is_used() {
+    for service in [&STREAMS, &PLAIN] {
+        let before = play(service, 1.7, MIXED, false);
+        assert!(before.share(0) < 0.1, "{before:?}");
+        let idle = play(service, 0.5, MIXED, true);
+        for (times, parts) in [
+            (1.2, MIXED),
+            (1.7, MIXED),
+            (2.3, MIXED),
+            (4.0, MOSTLY_LEAST),
+        ] {
+            let outcome = play(service, times, parts, true);
+            let seen = format!("{times} {parts:?}: {outcome:?}");
+            assert!(outcome.share(0) >= 0.97 * idle.share(0), "{seen}");
+            assert!(outcome.share(1) >= outcome.share(2) - 0.02, "{seen}");
+            assert!(outcome.used >= 0.95, "{seen}");
+        }
+    }
+}
+
+#[test]
+fn nothing_is_refused_while_capacity_is_free() {
+    for service in [&STREAMS, &PLAIN] {
+        let outcome = play(service, 0.8, MIXED, true);
+        assert_eq!(outcome.refused, 0, "{outcome:?}");
+    }
+}
+
+/// Numbers without reason, among others.
+fn numbers() -> impl Strategy<Value = f64> {
+    prop_oneof![
+        4 => 0.0..2.0f64,
+        1 => prop::num::f64::ANY,
+    ]
+}
+
+fn durations() -> impl Strategy<Value = Duration> {
+    prop_oneof![
+        4 => (0u64..10_000).prop_map(ms),
+        1 => Just(Duration::MAX),
+        1 => Just(Duration::ZERO),
+    ]
+}
+
+prop_compose! {
+    fn paces()(level in numbers(), demand in numbers(), growth in numbers(), rate in numbers(), kept in numbers()) -> Pace {
+        Pace { level, demand, growth, rate, kept }
+    }
+}
+
+prop_compose! {
+    fn offers()(used in numbers(), first in durations()) -> Offer {
+        Offer { used, first }
+    }
+}
+
+/// How far a verdict is from admitting.
+fn severity(verdict: Verdict) -> u8 {
+    match verdict {
+        Verdict::Admit => 0,
+        Verdict::Wait(_) => 1,
+        Verdict::Refuse(_) => 2,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(12), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_more_urgent_rank_never_does_worse_under_the_same_offer(
+        used in 0.0..3.0f64, level in -1.5..1.5f64, demand in 0.0..5.0f64, growth in 0.0..2.0f64, rate in 0.0..50.0f64,
+        mix in prop::collection::vec(0.0..1.0f64, 4), held in 1u64..5_000, waited in 0u64..500, ahead in 0usize..5, is_return: bool,
+    ) {
+        let cx = Conditions {
+            held: ms(held),
+            reaction: REACTION,
+            mix: &mix,
+            objective: ms(500),
+            waited: ms(waited),
+            pace: Pace { level, demand, growth, rate, kept: 1.0 + rate * 0.1 },
+            ahead,
+        };
+        let offer = Some(Offer { used, first: ms(100) });
+        let beyond = Class { standing: Standing::Beyond, ..class(0) };
+        let classes = [class(0), class(1), class(2), beyond];
+        let verdicts = classes.map(|class| severity(admit(Class { is_return, ..class }, offer, &cx)));
+        prop_assert!(verdicts.is_sorted(), "{verdicts:?}");
+    }
+
+    #[test]
+    fn use_below_the_limit_always_admits(part in 0.0..1.0f64, mix in prop::collection::vec(0.0..1.0f64, 3), held in durations(), rank in 0u8..3) {
+        let pace = Pace { level: -2.0, demand: 9.0, growth: 0.0, rate: 0.0, kept: 1.0 };
+        let cx = Conditions { held, reaction: REACTION, mix: &mix, objective: ms(500), waited: ms(10), pace, ahead: 9 };
+        let used = part * (1.0 - reserve(class(rank), &cx));
+        let offer = Offer { used, first: Duration::MAX };
+        prop_assert_eq!(admit(class(rank), Some(offer), &cx), Verdict::Admit);
+        prop_assert!(reserve(class(rank), &cx) <= MOST_RESERVED);
+        prop_assert_eq!(reserve(class(0), &cx), 0.0);
+    }
+
+    #[test]
+    fn numbers_without_reason_do_no_harm(
+        offer in prop::option::of(offers()), mix in prop::collection::vec(numbers(), 0..5), held in durations(), reaction in durations(),
+        objective in durations(), waited in durations(), pace in paces(), ahead: usize, rank: u8, is_return: bool, is_resumed: bool,
+        slots_used in numbers(), own in numbers(), all in numbers(), boxes: u32,
+    ) {
+        let cx = Conditions { held, reaction, mix: &mix, objective, waited, pace, ahead };
+        let class = Class { is_return, is_resumed, ..class(rank) };
+        match admit(class, offer, &cx) {
+            Verdict::Admit => {}
+            Verdict::Wait(left) => prop_assert!(left <= patience(objective)),
+            Verdict::Refuse(retry) => prop_assert!(!is_resumed && retry.after <= ms(60_000)),
+        }
+        let found = Instance { engine: EngineKey::default(), used: slots_used };
+        instance_offer(&found, held, objective);
+        let mut pacer = Pacer::default();
+        let looked = pacer.look(slots_used, Running { own, all, boxes }, reaction, at(5));
+        pacer.admitted();
+        prop_assert!(looked.kept >= 1.0 && looked.kept.is_finite(), "{looked:?}");
+        let after = Schedule::default().next(held, looked.rate, objective, 7, at(5));
+        prop_assert!(after <= LATEST_RETURN);
+    }
+}
+
+fn entrant(position: usize, account: &str, deadline: u64) -> Entrant {
+    Entrant {
+        service: "s".into(),
+        is_resumed: false,
+        position,
+        account: Some(account.into()),
+        deadline: at(deadline),
+        bytes: 100,
+    }
+}
+
+/// The names of those that wait, in order.
+fn in_order(mut queue: Queue<&'static str>, orders: &[Order]) -> Vec<&'static str> {
+    let mut sorted = orders.to_vec();
+    sorted.sort();
+    sorted
+        .iter()
+        .filter_map(|order| queue.leave(order))
+        .collect()
+}
+
+#[test]
+fn the_queue_goes_by_resumed_streams_then_rank_then_account_then_deadline() {
+    let mut queue = Queue::new(Bounds {
+        count: 9,
+        bytes: 10_000,
+    });
+    let resumed = Entrant {
+        is_resumed: true,
+        ..entrant(1, "a", 900)
+    };
+    let joined = [
+        (entrant(1, "a", 100), "less urgent"),
+        (entrant(0, "a", 500), "first of a"),
+        (entrant(0, "a", 400), "second of a"),
+        (entrant(0, "b", 600), "first of b"),
+        (entrant(0, "c", 300), "first of c, due sooner"),
+        (resumed, "resumed"),
+    ];
+    let join = |(entrant, name)| queue.join(entrant, name).expect("it has a place").0;
+    let orders: Vec<Order> = joined.into_iter().map(join).collect();
+    let expected = [
+        "resumed",
+        "first of c, due sooner",
+        "first of a",
+        "first of b",
+        "second of a",
+        "less urgent",
+    ];
+    assert_eq!(in_order(queue, &orders), expected);
+}
+
+#[test]
+fn a_full_queue_takes_only_what_is_before_its_last() {
+    let mut queue = Queue::new(Bounds {
+        count: 2,
+        bytes: 250,
+    });
+    queue.join(entrant(1, "a", 100), "a").expect("it is empty");
+    let (last, _) = queue
+        .join(entrant(2, "b", 100), "b")
+        .expect("there is room");
+    assert_eq!(queue.join(entrant(2, "c", 200), "c"), Err(Full));
+    let (_, replaced) = queue
+        .join(entrant(0, "d", 900), "d")
+        .expect("it is more urgent");
+    assert_eq!(replaced, ["b"]);
+    assert!(!queue.has(&last));
+    let large = Entrant {
+        bytes: 200,
+        ..entrant(0, "e", 1)
+    };
+    let (_, replaced) = queue.join(large, "e").expect("it is before all");
+    assert_eq!(replaced, ["a", "d"]);
+    assert_eq!((queue.len(), queue.bytes()), (1, 200));
+    let huge = Entrant {
+        bytes: 251,
+        ..entrant(0, "f", 0)
+    };
+    assert_eq!(queue.join(huge, "f"), Err(Full));
+}
+
+#[test]
+fn callers_return_one_after_the_other_and_within_a_third_of_their_time() {
+    let mut schedule = Schedule::default();
+    let mut next = |draw| schedule.next(ms(100), 50.0, ms(6_000), draw, at(1_000));
+    let first: Vec<u128> = (0..3).map(|draw| next(draw).as_millis()).collect();
+    assert_eq!(first, [120, 140, 160]);
+    let mut late: Vec<u128> = (0..1_000).map(|draw| next(draw).as_millis()).collect();
+    late.sort();
+    let most = late.windows(100).map(|window| window[99] - window[0]).min();
+    assert!(most >= Some(90), "a hundred return within {most:?} ms");
+    assert!(late.last() <= Some(&2_000));
+}
+
+#[test]
+fn a_request_returns_once_and_not_earlier_than_told() {
+    let request = |number| Fingerprint([number; FINGERPRINT_BYTES]);
+    let mut returns = Returns::default();
+    returns.tell(request(1), at(500), at(0));
+    returns.tell(request(2), at(500), at(0));
+    assert!(!returns.take(request(1), at(499)));
+    assert!(returns.take(request(1), at(500)));
+    assert!(!returns.take(request(1), at(501)));
+    assert!(!returns.take(request(2), at(10_000)), "it is forgotten");
+    assert!(returns.is_empty());
+}
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Forwarded requests: tables, choices and placement.
 
+mod admission;
 mod budget;
 mod changes;
 mod choice_properties;
--- a/reachtally-core/tests/core/forward/routes.rs
+++ b/reachtally-core/tests/core/forward/routes.rs
@@ -95,3 +95,27 @@
     let one = (0..1000).filter(|draw| &**route.service(*draw).expect("there are two") == "one");
     assert_eq!(one.count(), 900);
 }
+
+/// Admission is switched on by several ranks, so accounts that override the routes' must not leave those in.
+#[test]
+fn ranks_of_a_service_are_the_priorities_that_its_requests_may_have() {
+    let mut table = Table::new(1);
+    table.add_route("shop.example", "/a/", route("a", false));
+    let other = Route {
+        priority: 7,
+        services: vec![("three".into(), 1)],
+        ..route("b", false)
+    };
+    table.add_route("shop.example", "/b/", other);
+    assert_eq!(table.ranks("one"), [1]);
+    assert!(table.ranks("none").is_empty());
+    let account = |priority| Account {
+        name: "acme".into(),
+        priority,
+    };
+    table.add_key("first", account(Some(0)));
+    assert_eq!(table.ranks("one"), [0]);
+    table.add_key("second", account(None));
+    assert_eq!(table.ranks("one"), [0, 1]);
+    assert_eq!(table.ranks("three"), [0, 7]);
+}
--- a/reachtally-relay/src/admission.rs
+++ b/reachtally-relay/src/admission.rs
@@ -8,8 +8,8 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::admission::{
-    Bounds, Class, Conditions, Entrant, Full, Mix, Offer, Order, Queue, REACTION, Rank, Retry,
-    Returns, Schedule, Standing, Verdict, admit, patience,
+    Bounds, Class, Conditions, Entrant, Full, Mix, Offer, Order, Pacer, Queue, REACTION, Rank,
+    Retry, Returns, Running, Schedule, Standing, Verdict, admit, patience,
 };
 use reachtally_core::forward::routes::Table;
 use tokio::sync::Notify;
@@ -39,6 +39,7 @@
     version: Option<u64>,
     ranks: Vec<u8>,
     mix: Mix,
+    pacer: Pacer,
     schedule: Schedule,
     /// Mean time that its requests run, for plain services.
     held: Option<Duration>,
@@ -100,9 +101,15 @@
         self.wake_all();
     }
 
-    /// Whether no request waits.
-    pub fn is_idle(&self) -> bool {
-        self.queue.borrow().is_empty()
+    /// A request was sent to a target of `service`.
+    pub fn sent(&self, service: &Arc<str>) {
+        self.with(service, |state| state.pacer.admitted());
+    }
+
+    /// A request that was sent to a target of `service` has ended there.
+    pub fn ended(&self, service: &Arc<str>, now: Instant) {
+        self.with(service, |state| state.pacer.ended(now));
+        self.wake(service);
     }
 
     /// Notes how long a request of a plain service ran, where `used` of the instance's slots were in use: beyond 1 it waited there for
@@ -158,15 +165,13 @@
 struct Case<'a> {
     call: &'a Call,
     class: Class,
-    /// The class whose limit and place in the queue it has: a more urgent one where it returns as it was told.
-    judged_as: Class,
     /// Number of ranks of its service.
     ranks: usize,
 }
 
 impl Case<'_> {
     fn position(&self) -> usize {
-        self.judged_as.position(self.ranks)
+        self.class.position(self.ranks)
     }
 
     /// Its rank for metrics.
@@ -179,6 +184,11 @@
 }
 
 impl Relay {
+    /// Number of requests that wait in this box.
+    pub fn requests_waiting(&self) -> usize {
+        self.admission.queue.borrow().len()
+    }
+
     /// Whether a request is within its account's share of a service.
     fn standing(
         &self,
@@ -206,9 +216,9 @@
             .get_or_create(&rank_label(&case))
             .inc();
         if self.is_return(call) {
-            case.judged_as = case.class.returned();
+            case.class.is_return = true;
         }
-        match self.judge(&case, first) {
+        match self.judge(&case, first, None) {
             Verdict::Admit => {
                 self.count_admitted(&case);
                 Decision::Admitted
@@ -229,17 +239,18 @@
             rank: Rank(rank as u8),
             standing: self.standing(service, call.account.as_deref(), call.draw, now),
             is_resumed: call.head.last_event.is_some(),
+            is_return: false,
         };
         let case = Case {
             call,
             class,
-            judged_as: class,
             ranks: ranks.len(),
         };
         let classes = case.ranks + 1;
         let is_active = ranks.len() > 1 || class.standing == Standing::Beyond;
         self.admission.with(service, |state| {
             state.mix.count(case.position(), classes, now);
+            state.pacer.offered(now);
             if !is_active {
                 state.mix.count_admitted(now);
             }
@@ -253,19 +264,45 @@
         !returns.is_empty() && returns.take(call.fingerprint(), self.now())
     }
 
-    fn judge(&self, case: &Case<'_>, offer: Offer) -> Verdict {
+    /// Judges a request by what it is offered now; `order` is its place if it waits.
+    fn judge(&self, case: &Case<'_>, offer: Offer, order: Option<&Order>) -> Verdict {
         let call = case.call;
-        let mix = self
-            .admission
-            .with(&call.service_name, |state| state.mix.fractions());
+        let service = &call.service_name;
+        let now = self.now();
+        let running = self.running(service);
+        let (mix, pace) = self.admission.with(service, |state| {
+            let pace = state.pacer.look(offer.used, running, REACTION, now);
+            (state.mix.fractions(), pace)
+        });
+        let queue = self.admission.queue.borrow();
         let cx = Conditions {
             held: self.held_of(call),
             reaction: REACTION,
             mix: &mix,
             objective: call.route.objective,
-            waited: self.now().since(call.arrived),
+            waited: now.since(call.arrived),
+            pace,
+            ahead: queue.ahead(service, case.position(), order),
+        };
+        admit(case.class, Some(offer), &cx)
+    }
+
+    /// Requests for a service, by the targets that they are sent to.
+    fn running(&self, service: &str) -> Running {
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let targets = fleet.of_service(service).map(|(_, engine)| engine);
+        let mut running = Running {
+            own: 0.0,
+            all: 0.0,
+            boxes: self.boxes(),
         };
-        admit(case.judged_as, Some(offer), &cx)
+        for engine in targets.filter(|engine| engine.is_entry_point()) {
+            let own = f64::from(engine.running);
+            running.own += own;
+            running.all += own + engine.remote_running.max(engine.others_told_lately(now));
+        }
+        running
     }
 
     /// Mean time that requests of the call's service run.
@@ -331,10 +368,10 @@
             // What nothing serves at present may have room again before its time is over.
             if let Some(found) = look() {
                 offer = found;
-                match self.judge(case, offer) {
+                match self.judge(case, offer, Some(&place.order)) {
                     Verdict::Admit => break,
-                    Verdict::Wait(left) => drain = left,
-                    Verdict::Refuse(retry) => return self.refuse(case, offer, retry),
+                    // Estimates vary, and it has waited already: it stays until its time is over.
+                    Verdict::Wait(left) | Verdict::Refuse(Retry { after: left }) => drain = left,
                 }
             }
             place.pass_on();
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -142,6 +142,13 @@
         "Targets that state a rate limit for all boxes together",
         limited,
     );
+    let waiting = Gauge::<i64>::default();
+    waiting.set(i64::try_from(relay.requests_waiting()).unwrap_or(i64::MAX));
+    registry.register(
+        "requests_waiting",
+        "Requests that wait in this box for room",
+        waiting,
+    );
     registry
 }
 
--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -1,6 +1,7 @@
 //! Guards that count connections and requests while they live.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use reachtally_core::forward::fleet::EngineKey;
 
@@ -26,6 +27,8 @@
 /// Counts a request on its engines until it is dropped.
 pub struct Occupied {
     relay: Rc<Relay>,
+    /// The service of its targets.
+    service: Option<Arc<str>>,
     engines: Vec<EngineKey>,
     tokens: f64,
     /// Tokens of its prompt that are not known to be read yet.
@@ -39,8 +42,14 @@
         let mut fleet = relay.fleet.borrow_mut();
         fleet.begin(&engines, tokens);
         fleet.begin_reading(&engines, prompt);
+        let first = engines.first().and_then(|key| fleet.get(*key));
+        let service = first.map(|first| first.entry.service.clone());
+        if let Some(service) = &service {
+            relay.admission.sent(service);
+        }
         Occupied {
             relay: relay.clone(),
+            service,
             engines,
             tokens,
             reading: prompt,
@@ -67,14 +76,9 @@
         self.end_reading();
         let mut fleet = self.relay.fleet.borrow_mut();
         fleet.end(&self.engines, self.tokens);
-        if self.relay.admission.is_idle() {
-            return;
-        }
-        let first = self.engines.first().and_then(|key| fleet.get(*key));
-        match first {
-            Some(engine) => self.relay.admission.wake(&engine.entry.service),
-            // The target is not known any more, and neither is its service.
-            None => self.relay.admission.wake_all(),
+        drop(fleet);
+        if let Some(service) = &self.service {
+            self.relay.admission.ended(service, self.relay.now());
         }
     }
 }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -37,7 +37,20 @@
     let last = call.head.last_event;
     let mut is_admitted = false;
     loop {
-        let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
+        let pick = send::choose(relay, &call, &attempts.avoid);
+        if !is_admitted && let Some(offered) = pick.as_ref().map(|pick| pick.offer) {
+            is_admitted = true;
+            let look = || Some(send::choose(relay, &call, &[])?.offer);
+            match relay.admit(&call, offered, look).await {
+                Decision::Admitted => {}
+                Decision::AdmittedLater => continue,
+                Decision::Refused(after) => {
+                    attempts.shed(after);
+                    break;
+                }
+            }
+        }
+        let Some(pick) = pick else {
             let would_serve = send::would_serve(relay, &call, &attempts.avoid);
             if relay.await_permits(&call, would_serve).await {
                 continue;
@@ -45,20 +58,6 @@
             send::log_shortage(relay, &call, &attempts.avoid);
             break;
         };
-        if !is_admitted {
-            let look = || Some(send::choose(relay, &call, &attempts.avoid)?.offer);
-            match relay.admit(&call, pick.offer, look).await {
-                Decision::Admitted => is_admitted = true,
-                Decision::AdmittedLater => {
-                    is_admitted = true;
-                    continue;
-                }
-                Decision::Refused(after) => {
-                    attempts.shed(after);
-                    break;
-                }
-            }
-        }
         if !attempts.may_send(relay, &call) {
             break;
         }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -32,30 +32,26 @@
     let mut failure: Option<Response<Body>> = None;
     let mut is_admitted = false;
     loop {
-        let Some(found) = choose(relay, call, &attempts.avoid, Limits::Enforced) else {
-            let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
-            if relay.await_permits(call, would_serve).await {
-                continue;
-            }
-            break;
-        };
-        if !is_admitted {
-            let look = || {
-                let found = choose(relay, call, &attempts.avoid, Limits::Enforced)?;
-                Some(offer(relay, call, &found))
-            };
-            match relay.admit(call, offer(relay, call, &found), look).await {
-                Decision::Admitted => is_admitted = true,
-                Decision::AdmittedLater => {
-                    is_admitted = true;
-                    continue;
-                }
+        let found = choose(relay, call, &attempts.avoid, Limits::Enforced);
+        if !is_admitted && let Some(offered) = offer(relay, call, found) {
+            is_admitted = true;
+            let look = || offer(relay, call, choose(relay, call, &[], Limits::Enforced));
+            match relay.admit(call, offered, look).await {
+                Decision::Admitted => {}
+                Decision::AdmittedLater => continue,
                 Decision::Refused(after) => {
                     attempts.shed(after);
                     break;
                 }
             }
         }
+        let Some(found) = found else {
+            let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
+            if relay.await_permits(call, would_serve).await {
+                continue;
+            }
+            break;
+        };
         if !attempts.may_send(relay, call) {
             break;
         }
@@ -111,25 +107,40 @@
     }
 }
 
-/// What an instance offers to a request.
-fn offer(relay: &Relay, call: &Call, found: &Instance) -> Offer {
+/// What a choice offers to a request; where only this box's part of the connections keeps it from an instance, one of them is
+/// free soon.
+fn offer(relay: &Relay, call: &Call, found: Option<Instance>) -> Option<Offer> {
     let held = relay.admission.plain_held(&call.service_name);
-    admission::instance_offer(found, held, call.route.objective)
+    if let Some(found) = found {
+        return Some(admission::instance_offer(
+            &found,
+            held,
+            call.route.objective,
+        ));
+    }
+    let any = choose_with(relay, call, &[], Limits::Enforced, u32::MAX);
+    any.map(|_| admission::no_connection_offer(held))
 }
 
 fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<Instance> {
+    let most = relay.most_connections(&call.service);
+    choose_with(relay, call, tried, limits, most)
+}
+
+fn choose_with(
+    relay: &Relay,
+    call: &Call,
+    tried: &[EngineKey],
+    limits: Limits,
+    most_connections: u32,
+) -> Option<Instance> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
     let cx = Circumstance {
         limits,
         ..relay.circumstance(&settings, tried, call.draw)
     };
-    select::instance(
-        &fleet,
-        &call.service_name,
-        relay.most_connections(&call.service),
-        &cx,
-    )
+    select::instance(&fleet, &call.service_name, most_connections, &cx)
 }
 
 /// Returns the time until instances that this box backs off from can serve the request.
