--- a/reachtally-core/tests/core/forward/admission.rs
+++ b/reachtally-core/tests/core/forward/admission.rs
@@ -439,6 +439,11 @@
         let classes = [class(0), class(1), class(2), beyond];
         let verdicts = classes.map(|class| severity(admit(Class { is_return, ..class }, offer, &cx)));
         prop_assert!(verdicts.is_sorted(), "{verdicts:?}");
+        // A request that returns does no worse than before, and no better than the next more urgent rank.
+        let of = |rank, is_return| severity(admit(Class { is_return, ..class(rank) }, offer, &cx));
+        for rank in 1..3 {
+            prop_assert!((of(rank - 1, false)..=of(rank, false)).contains(&of(rank, true)));
+        }
     }
 
     #[test]
--- a/reachtally-journal/src/losses.rs
+++ b/reachtally-journal/src/losses.rs
@@ -6,7 +6,8 @@
 use crate::ranking::{ranked, total};
 
 /// Events of a request that may make it late or lose it, before it ends.
-const TROUBLES: [&str; 6] = [
+const TROUBLES: [&str; 7] = [
+    "admission",
     "no-path",
     "no-permit",
     "not-run",
@@ -64,6 +65,11 @@
 fn trouble(line: &Line) -> String {
     match line.text("event") {
         "no-path" => format!("no path ({})", line.text("lacks")),
+        "admission" if line.text("verdict") == "refused" => {
+            let rank = line.number("rank").unwrap_or_default();
+            format!("not admitted (rank {rank})")
+        }
+        "admission" => "waited for room in the box".to_owned(),
         "no-permit" => "rate limits of targets".to_owned(),
         "not-run" => "turned away by an engine".to_owned(),
         "lost" => "an answer was lost".to_owned(),
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -100,6 +100,23 @@
     assert_eq!(first, Some(expected));
 }
 
+#[test]
+fn requests_that_were_not_admitted_are_counted_by_rank() {
+    let log = [
+        r#"{"t":1,"event":"admission","id":"r1","rank":2,"verdict":"refused"}"#,
+        r#"{"t":2,"event":"refused","id":"r1","why":"Shed"}"#,
+        r#"{"t":3,"event":"admission","id":"r2","rank":0,"verdict":"admitted"}"#,
+        r#"{"t":4,"event":"answered","id":"r2","late":true,"first_late":true}"#,
+    ];
+    let text = losses(log).to_string();
+    let lines: Vec<&str> = text.lines().take(2).collect();
+    let expected = [
+        "      1   50.0%  late with the first event, first waited for room in the box",
+        "      1   50.0%  refused (Shed), first not admitted (rank 2)",
+    ];
+    assert_eq!(lines, expected);
+}
+
 #[test]
 fn engines_that_requests_crowd_on_are_told_with_what_was_believed_of_them() {
     let late = |expected, took, targets| {
