fix(core): the pace follows a lull less, and chance does not look like demand that grows

Plain services run requests that are shorter than what is known of loads, so a pace of what ended lately held them below capacity for seconds, and the difference of two rates, by chance or by a few returns, lowered the limit.

A new test plays bursts of 2 to 4 times for 4 s and counts what is refused below capacity once callers have returned.

--- a/reachtally-core/src/forward/admission/pacer.rs
+++ b/reachtally-core/src/forward/admission/pacer.rs
@@ -2,7 +2,7 @@
 //!
 //! What others have admitted since their last reports is not known. Boxes that all admit whatever comes while a limit is not
 //! reached, by numbers that old, go far beyond it together and then admit nothing. So near the limit each box admits at a rate: as many
-//! as end of its own, and its part of what is still free, spread over the time after which it hears of the others.
+//! as would end of its own at full use, and its part of what is still free, spread over the time after which it hears of the others.
 
 use std::time::Duration;
 
@@ -14,6 +14,8 @@
 const KEPT: Duration = Duration::from_millis(100);
 /// Least part of the capacity that counts as in use; keeps rates finite where nothing is.
 const LEAST_USED: f64 = 0.05;
+/// Most by which more requests end at full use than do now, as far as the pace goes: rates are means over a second, use is newer.
+const MOST_SCALED: f64 = 2.0;
 
 /// Most requests that count; keeps rates finite where numbers are without reason.
 const MOST_RUNNING: f64 = 1e9;
@@ -82,11 +84,14 @@
         let reaction_s = reaction.as_secs_f64().max(0.001);
         let ended = self.ended.per_second(now);
         let offered = self.offered.per_second(now);
-        self.rate = (ended + (1.0 - used) * part / reaction_s).max(0.0);
+        // Without this, requests that are shorter than the reaction time would be held at the rate of a passing lull.
+        let at_full_use = (ended / used.min(1.0)).min(ended * MOST_SCALED);
+        self.rate = (at_full_use + (1.0 - used) * part / reaction_s).max(0.0);
         let passed = now.since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         let kept = self.kept();
-        let growth = (offered - ended).max(0.0) * reaction_s / part;
+        // Chance makes rates differ by as much as the root of a count, and returns of a few refused requests as well.
+        let growth = (offered - ended - offered.sqrt()).max(0.0) * reaction_s / part;
         // What is admitted while capacity is free takes nothing from what may be admitted later.
         let is_free = used <= 1.0 - growth.min(MOST_GROWTH);
         self.tokens = match is_free {
