fix(core,relay): the most urgent rank may wait where a box may admit nothing

With a pace of 0 the part of it that more urgent requests want was no number and counted as all of it, so the most urgent rank was refused at once while less urgent requests waited. Found by a test that lets both wait; the property test now covers it (it fails without the change). Requests that wait are looked at less often the more are before them, and quarantined ones are not judged.

--- a/reachtally-core/src/forward/admission/pacer.rs
+++ b/reachtally-core/src/forward/admission/pacer.rs
@@ -17,6 +17,8 @@
 /// Most by which more requests end at full use than do now, as far as the pace goes: rates are means over a second, use is newer.
 const MOST_SCALED: f64 = 2.0;
 
+/// Most that is offered in parts of the pace; keeps it finite where nothing may be admitted.
+const MOST_DEMAND: f64 = 1e6;
 /// Most requests that count; keeps rates finite where numbers are without reason.
 const MOST_RUNNING: f64 = 1e9;
 
@@ -100,7 +102,7 @@
         };
         Pace {
             level: self.tokens / kept,
-            demand: offered / self.rate.max(f64::MIN_POSITIVE),
+            demand: (offered / self.rate.max(f64::MIN_POSITIVE)).min(MOST_DEMAND),
             growth,
             rate: self.rate,
             kept,
--- a/reachtally-core/src/forward/admission/reserve.rs
+++ b/reachtally-core/src/forward/admission/reserve.rs
@@ -20,8 +20,13 @@
 
 /// The fraction of the pace that more urgent requests want.
 pub(super) fn wanted_before(class: Class, cx: &Conditions<'_>) -> f64 {
-    // The lesser of a number and 1 is a number.
-    (more_urgent(class, cx) * cx.pace.demand.max(0.0)).min(1.0)
+    let more_urgent = more_urgent(class, cx);
+    match more_urgent > 0.0 {
+        // The lesser of a number and 1 is a number.
+        true => (more_urgent * cx.pace.demand.max(0.0)).min(1.0),
+        // Also where nothing may be admitted, which no part of makes a number.
+        false => 0.0,
+    }
 }
 
 /// The fraction of the recent requests that is more urgent. For a request that returns as it was told, halfway to that of the next more
--- a/reachtally-core/tests/core/forward/admission.rs
+++ b/reachtally-core/tests/core/forward/admission.rs
@@ -439,7 +439,7 @@
 
     #[test]
     fn a_more_urgent_rank_never_does_worse_under_the_same_offer(
-        used in 0.0..3.0f64, level in -1.5..1.5f64, demand in 0.0..5.0f64, growth in 0.0..2.0f64, rate in 0.0..50.0f64,
+        used in 0.0..3.0f64, level in -1.5..1.5f64, demand in prop_oneof![9 => 0.0..5.0f64, 1 => Just(f64::INFINITY)], growth in 0.0..2.0f64, rate in 0.0..50.0f64,
         mix in prop::collection::vec(0.0..1.0f64, 4), held in 1u64..5_000, waited in 0u64..500, ahead in 0usize..5, is_return: bool,
     ) {
         let cx = Conditions {
@@ -456,6 +456,8 @@
         let classes = [class(0), class(1), class(2), beyond];
         let verdicts = classes.map(|class| severity(admit(Class { is_return, ..class }, offer, &cx)));
         prop_assert!(verdicts.is_sorted(), "{verdicts:?}");
+        // Others leave the most urgent as much as it may take in advance, also while nothing may be admitted.
+        prop_assert!(verdicts[0] == 0 || level < -1.0 || ahead > 0);
         // A request that returns does no worse than before, and no better than the next more urgent rank.
         let of = |rank, is_return| severity(admit(Class { is_return, ..class(rank) }, offer, &cx));
         for rank in 1..3 {
--- a/reachtally-relay/src/admission.rs
+++ b/reachtally-relay/src/admission.rs
@@ -25,7 +25,8 @@
 /// Requests that are looked at after one that can't be sent yet, each time that something ended. They are less urgent, so that they
 /// seldom can either, and a look is a search over all engines.
 const MOST_PASSES: u32 = 4;
-/// Least time between two looks at a request without news.
+/// Least time between two looks at the first request without news; at the second one twice as much, and so on, since a look is a search
+/// over all engines.
 const LEAST_LOOK: Duration = Duration::from_millis(20);
 /// Time that a request of a plain service is assumed to run before the first one has ended.
 const PLAIN_HELD_ASSUMED: Duration = Duration::from_millis(100);
@@ -136,8 +137,8 @@
         change(services.entry(service.clone()).or_default())
     }
 
-    /// The ranks of a service by the configuration in force.
-    fn ranks(&self, service: &Arc<str>, table: Option<&Table>) -> Vec<u8> {
+    /// The rank of a priority, and the number of ranks of the service, by the configuration in force.
+    fn rank(&self, service: &Arc<str>, table: Option<&Table>, priority: u8) -> (Rank, usize) {
         self.with(service, |state| {
             if let Some(table) = table
                 && state.version != Some(table.version)
@@ -145,7 +146,8 @@
                 state.version = Some(table.version);
                 state.ranks = table.ranks(service);
             }
-            state.ranks.clone()
+            let rank = state.ranks.partition_point(|other| *other < priority);
+            (Rank(rank as u8), state.ranks.len())
         })
     }
 }
@@ -189,7 +191,7 @@
         self.admission.queue.borrow().len()
     }
 
-    /// Whether a request is within its account's share of a service.
+    /// Whether a request is within its account's share of a service. No shares are computed, so each is.
     fn standing(
         &self,
         _service: &str,
@@ -228,26 +230,24 @@
         }
     }
 
-    /// Counts a request and classifies it; `None` if its service has one rank and the account takes no more than its share.
+    /// Counts a request and classifies it; `None` if admission does not concern it: its service has one rank and the account takes no
+    /// more than its share.
     fn case<'a>(&self, call: &'a Call) -> Option<Case<'a>> {
         let now = self.now();
         let service = &call.service_name;
         let table = self.configuration.table();
-        let ranks = self.admission.ranks(service, table.as_deref());
-        let rank = ranks.partition_point(|priority| *priority < call.priority);
+        let (rank, ranks) = self
+            .admission
+            .rank(service, table.as_deref(), call.priority);
         let class = Class {
-            rank: Rank(rank as u8),
+            rank,
             standing: self.standing(service, call.account.as_deref(), call.draw, now),
             is_resumed: call.head.last_event.is_some(),
             is_return: false,
         };
-        let case = Case {
-            call,
-            class,
-            ranks: ranks.len(),
-        };
+        let case = Case { call, class, ranks };
         let classes = case.ranks + 1;
-        let is_active = ranks.len() > 1 || class.standing == Standing::Beyond;
+        let is_active = ranks > 1 || class.standing == Standing::Beyond;
         self.admission.with(service, |state| {
             state.mix.count(case.position(), classes, now);
             state.pacer.offered(now);
@@ -255,7 +255,8 @@
                 state.mix.count_admitted(now);
             }
         });
-        is_active.then_some(case)
+        // What is quarantined is refused whatever room there is.
+        (is_active && !self.is_quarantined(call)).then_some(case)
     }
 
     /// Whether this box refused the request before, and it comes back no earlier than it was told.
@@ -359,7 +360,7 @@
         let by_rank = &self.times.by_rank;
         by_rank.queued.get_or_create(&rank_label(case)).inc();
         loop {
-            let look_at = until.min(self.now() + drain.max(LEAST_LOOK));
+            let look_at = until.min(self.now() + drain.max(place.least_look()));
             self.until_due(look_at, place.turn.notify.notified()).await;
             // Its time may have passed while the machine was suspended.
             if self.now() >= until || !place.is_held() {
@@ -403,7 +404,7 @@
         let used = (offer.used * 1000.0).round() / 1000.0;
         log::info!(
             event = "admission", id = &*call.head.id, service = &*call.service_name, rank = class.rank.0, standing:? = class.standing,
-            account = call.account.as_deref().unwrap_or_default(), used = used, age_ms:? = age, first_ms = ms(offer.first),
+            account = call.account.as_deref().unwrap_or_default(), returns = class.is_return, used = used, age_ms:? = age, first_ms = ms(offer.first),
             waited_ms = ms(now.since(call.arrived)), retry_ms:? = retry.map(ms), verdict = verdict;
             "a request waited for room or was refused for want of it"
         );
@@ -452,6 +453,13 @@
         self.relay.admission.queue.borrow().has(&self.order)
     }
 
+    /// Least time until the next look without news.
+    fn least_look(&self) -> Duration {
+        let queue = self.relay.admission.queue.borrow();
+        let ahead = queue.ahead(&self.service, 0, Some(&self.order));
+        LEAST_LOOK * (ahead as u32 + 1)
+    }
+
     /// Lets the next request be looked at, if some still may.
     fn pass_on(&self) {
         if let Some(left) = self.turn.passes.take().checked_sub(1) {
