fix(core,relay): instances of a plain service are judged by the service's shortest objective

By their own objectives, less urgent requests with more time would have filled the queues of instances in which more urgent ones with less time are late. Found in review; a test covers the table, none plays the case.

--- a/reachtally-core/src/forward/admission/offer.rs
+++ b/reachtally-core/src/forward/admission/offer.rs
@@ -5,7 +5,7 @@
 use super::{LEAST_HELD, Offer};
 use crate::forward::select::{Choice, Instance};
 
-/// Most rounds of requests that may wait at an instance of a plain service beside those it runs, as far as admission goes. The
+/// Most rounds of requests at an instance of a plain service, those that it runs included, as far as admission goes. The
 /// load of an instance is known from its last answer only, so more would be counted on numbers that are long outdated.
 const MOST_ROUNDS: f64 = 2.0;
 /// Part of the objective that fits the rounds: requests run longer than the mean, and loads are outdated when they are known.
@@ -22,7 +22,8 @@
 }
 
 /// The offer of an instance of a plain service, where requests take `held` on average once they run. Its slots are not all of its
-/// capacity: it queues requests, and as many rounds of them as fit the objective are still answered in time.
+/// capacity: it queues requests, and as many rounds of them as fit a third of `objective`, the shortest of the service, are answered in
+/// time.
 pub fn instance_offer(instance: &Instance, held: Duration, objective: Duration) -> Offer {
     let held_s = held.max(LEAST_HELD).as_secs_f64();
     let rounds = WAIT_SHARE * objective.as_secs_f64() / held_s;
--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -216,6 +216,13 @@
         ranks
     }
 
+    /// The shortest objective of the routes that lead to a service; `None` if none does.
+    pub fn shortest_objective(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        let of_service = routes.filter(|route| route.serves(service));
+        of_service.map(|route| route.objective).min()
+    }
+
     /// Whether requests carry keys.
     pub fn has_keys(&self) -> bool {
         self.accounts.is_some()
--- a/reachtally-core/tests/core/forward/routes.rs
+++ b/reachtally-core/tests/core/forward/routes.rs
@@ -119,3 +119,16 @@
     assert_eq!(table.ranks("one"), [0, 1]);
     assert_eq!(table.ranks("three"), [0, 7]);
 }
+
+#[test]
+fn the_shortest_objective_of_a_service_is_that_of_any_of_its_routes() {
+    let mut table = table();
+    let slow = Route {
+        objective: Duration::from_secs(4),
+        ..route("slow", false)
+    };
+    table.add_route("shop.example", "/slow/", slow);
+    let shortest = table.shortest_objective("one");
+    assert_eq!(shortest, Some(Duration::from_millis(300)));
+    assert_eq!(table.shortest_objective("none"), None);
+}
--- a/reachtally-relay/src/admission.rs
+++ b/reachtally-relay/src/admission.rs
@@ -9,9 +9,11 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::admission::{
     Bounds, Class, Conditions, Entrant, Full, Mix, Offer, Order, Pacer, Queue, REACTION, Rank,
-    Retry, Returns, Running, Schedule, Standing, Verdict, admit, patience,
+    Retry, Returns, Running, Schedule, Standing, Verdict, admit, instance_offer,
+    no_connection_offer, patience,
 };
 use reachtally_core::forward::routes::Table;
+use reachtally_core::forward::select::Instance;
 use tokio::sync::Notify;
 
 use crate::relay::Relay;
@@ -39,6 +41,8 @@
     /// Version of the configuration that the ranks are of.
     version: Option<u64>,
     ranks: Vec<u8>,
+    /// The shortest objective of its routes.
+    objective: Option<Duration>,
     mix: Mix,
     pacer: Pacer,
     schedule: Schedule,
@@ -46,6 +50,19 @@
     held: Option<Duration>,
 }
 
+impl ServiceState {
+    /// Takes over what a new version of the configuration tells of the service.
+    fn follow(&mut self, service: &str, table: Option<&Table>) {
+        if let Some(table) = table
+            && self.version != Some(table.version)
+        {
+            self.version = Some(table.version);
+            self.ranks = table.ranks(service);
+            self.objective = table.shortest_objective(service);
+        }
+    }
+}
+
 /// Wakes a request that waits.
 #[derive(Debug, Default)]
 struct Turn {
@@ -140,12 +157,7 @@
     /// The rank of a priority, and the number of ranks of the service, by the configuration in force.
     fn rank(&self, service: &Arc<str>, table: Option<&Table>, priority: u8) -> (Rank, usize) {
         self.with(service, |state| {
-            if let Some(table) = table
-                && state.version != Some(table.version)
-            {
-                state.version = Some(table.version);
-                state.ranks = table.ranks(service);
-            }
+            state.follow(service, table);
             let rank = state.ranks.partition_point(|other| *other < priority);
             (Rank(rank as u8), state.ranks.len())
         })
@@ -191,6 +203,23 @@
         self.admission.queue.borrow().len()
     }
 
+    /// What an instance offers to a request for its plain service. The shortest objective of the service counts for all of its requests: by
+    /// their own, less urgent ones with more time would fill the queues in which the others are late.
+    pub(crate) fn instance_offer(&self, call: &Call, found: Option<Instance>) -> Offer {
+        let service = &call.service_name;
+        let table = self.configuration.table();
+        let shortest = self.admission.with(service, |state| {
+            state.follow(service, table.as_deref());
+            state.objective
+        });
+        let objective = shortest.unwrap_or(call.route.objective);
+        let held = self.admission.plain_held(service);
+        match found {
+            Some(found) => instance_offer(&found, held, objective),
+            None => no_connection_offer(held),
+        }
+    }
+
     /// Whether a request is within its account's share of a service. No shares are computed, so each is.
     fn standing(
         &self,
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body as _, Incoming};
-use reachtally_core::forward::admission::{self, Offer};
+use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::select::{self, Circumstance, Instance, Limits};
 use reachtally_core::life::NeverStarted;
@@ -110,16 +110,9 @@
 /// What a choice offers to a request; where only this box's part of the connections keeps it from an instance, one of them is
 /// free soon.
 fn offer(relay: &Relay, call: &Call, found: Option<Instance>) -> Option<Offer> {
-    let held = relay.admission.plain_held(&call.service_name);
-    if let Some(found) = found {
-        return Some(admission::instance_offer(
-            &found,
-            held,
-            call.route.objective,
-        ));
-    }
-    let any = choose_with(relay, call, &[], Limits::Enforced, u32::MAX);
-    any.map(|_| admission::no_connection_offer(held))
+    let is_offered =
+        found.is_some() || choose_with(relay, call, &[], Limits::Enforced, u32::MAX).is_some();
+    is_offered.then(|| relay.instance_offer(call, found))
 }
 
 fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<Instance> {
