--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether some of its requests go to `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.services.iter().any(|(name, _)| &**name == service)
+    }
+
     /// The service for a request, by weight; `draw` is any well-spread number of the request.
     pub fn service(&self, draw: u64) -> Option<&Arc<str>> {
         let total: u64 = self
@@ -122,6 +127,15 @@
     pub priority: Option<u8>,
 }
 
+/// Whether requests of routes have keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Keys {
+    /// All of them, where accounts are configured.
+    Needed,
+    /// Some route is served without.
+    Optional,
+}
+
 /// How urgent a request is; the least is the most urgent. The account's priority goes before the route's, which orders requests of
 /// accounts with the same priority, so that a kind of request is not served behind a less urgent one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -156,8 +170,8 @@
     /// What callers may send.
     pub limits: Option<CallerLimits>,
     /// Distinct priorities of the routes of each service.
-    route_priorities: HashMap<Arc<str>, BTreeSet<u8>>,
-    /// Distinct priorities of accounts; `None` stands for accounts without one, and for requests without an account.
+    route_priorities: HashMap<Arc<str>, BTreeMap<u8, Keys>>,
+    /// Distinct priorities of accounts; `None` stands for accounts without one.
     account_priorities: BTreeSet<Option<u8>>,
 }
 
@@ -183,10 +197,10 @@
     pub fn add_route(&mut self, host: &str, prefix: &str, route: Route) {
         for (service, _) in &route.services {
             let priorities = self.route_priorities.entry(service.clone()).or_default();
-            priorities.insert(route.priority);
-        }
-        if route.public {
-            self.account_priorities.insert(None);
+            let keys = priorities.entry(route.priority).or_insert(Keys::Needed);
+            if route.public {
+                *keys = Keys::Optional;
+            }
         }
         let by_prefix = self
             .routes
@@ -210,15 +224,15 @@
     /// Returns the distinct urgencies that requests for a service may have, the most urgent first.
     pub fn urgencies(&self, service: &str) -> Vec<Urgency> {
         let routes = self.route_priorities.get(service);
-        let routes = routes.into_iter().flatten().copied();
-        let accounts: Vec<Option<u8>> = match &self.accounts {
-            Some(_) => self.account_priorities.iter().copied().collect(),
-            None => vec![None],
+        let of_route = |(route, keys): (&u8, &Keys)| {
+            let has_none = self.accounts.is_none() || *keys == Keys::Optional;
+            let without = has_none.then_some(None);
+            let accounts = self.account_priorities.iter().copied();
+            let each = accounts.chain(without);
+            each.map(|account| Urgency::new(account, *route))
+                .collect::<Vec<Urgency>>()
         };
-        let each = routes.flat_map(|route| {
-            let of_account = move |account: &Option<u8>| Urgency::new(*account, route);
-            accounts.iter().map(of_account).collect::<Vec<Urgency>>()
-        });
+        let each = routes.into_iter().flatten().flat_map(of_route);
         let distinct: BTreeSet<Urgency> = each.collect();
         distinct.into_iter().collect()
     }
@@ -256,6 +270,13 @@
         ends.filter_map(|end| by_prefix.get(&path[..end])).next()
     }
 
+    /// The shortest objective of the routes that lead to a service; `None` if none does.
+    pub fn shortest_objective(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        let of_service = routes.filter(|route| route.serves(service));
+        of_service.map(|route| route.objective).min()
+    }
+
     /// Whether requests carry keys.
     pub fn has_keys(&self) -> bool {
         self.accounts.is_some()
--- a/reachtally-core/tests/core/forward/routes.rs
+++ b/reachtally-core/tests/core/forward/routes.rs
@@ -146,3 +146,41 @@
     assert_eq!((priority(1), priority(7)), (1, 7));
     assert_eq!(table.urgencies("elsewhere"), []);
 }
+
+/// Admission is switched on by several ranks, so accounts that override the routes' priorities must not leave those in.
+#[test]
+fn urgencies_of_a_service_are_those_that_its_requests_may_have() {
+    let mut table = Table::new(1);
+    table.add_route("shop.example", "/a/", route("a", false));
+    let other = Route {
+        priority: 7,
+        services: vec![("three".into(), 1)],
+        ..route("b", true)
+    };
+    table.add_route("shop.example", "/b/", other);
+    let urgency = |account, route| Urgency { account, route };
+    assert_eq!(table.urgencies("one"), [urgency(1, 1)]);
+    assert!(table.urgencies("none").is_empty());
+    let account = |priority| Account {
+        name: "acme".into(),
+        priority,
+    };
+    table.add_key("first", account(Some(0)));
+    assert_eq!(table.urgencies("one"), [urgency(0, 1)]);
+    assert_eq!(table.urgencies("three"), [urgency(0, 7), urgency(7, 7)]);
+    table.add_key("second", account(None));
+    assert_eq!(table.urgencies("one"), [urgency(0, 1), urgency(1, 1)]);
+}
+
+#[test]
+fn the_shortest_objective_of_a_service_is_that_of_any_of_its_routes() {
+    let mut table = table();
+    let slow = Route {
+        objective: Duration::from_secs(4),
+        ..route("slow", false)
+    };
+    table.add_route("shop.example", "/slow/", slow);
+    let shortest = table.shortest_objective("one");
+    assert_eq!(shortest, Some(Duration::from_millis(300)));
+    assert_eq!(table.shortest_objective("none"), None);
+}
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -94,6 +94,7 @@
         let others = (load.running + load.waiting).saturating_sub(engine.running);
         engine.others_told = f64::from(others);
         engine.queues.state(load.waiting, now);
+        engine.others_told_at = now;
     }
     drop(fleet);
     relay.target_said(&from.run, head.said);
--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -1,6 +1,7 @@
 //! Guards that count connections and requests while they live.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use reachtally_core::forward::fleet::EngineKey;
 
@@ -26,6 +27,8 @@
 /// Counts a request on its engines until it is dropped.
 pub struct Occupied {
     relay: Rc<Relay>,
+    /// The service of its targets.
+    service: Option<Arc<str>>,
     engines: Vec<EngineKey>,
     tokens: f64,
     /// Tokens that are not known to be read yet, and the engines that read them.
@@ -40,9 +43,15 @@
         let mut fleet = relay.fleet.borrow_mut();
         fleet.begin(&engines, tokens);
         fleet.begin_reading(&engines, prompt);
+        let first = engines.first().and_then(|key| fleet.get(*key));
+        let service = first.map(|first| first.entry.service.clone());
+        if let Some(service) = &service {
+            relay.admission.sent(service);
+        }
         Occupied {
             relay: relay.clone(),
             readers: engines.clone(),
+            service,
             engines,
             tokens,
             reading: prompt,
@@ -81,9 +90,11 @@
 impl Drop for Occupied {
     fn drop(&mut self) {
         self.end_reading();
-        self.relay
-            .fleet
-            .borrow_mut()
-            .end(&self.engines, self.tokens);
+        let mut fleet = self.relay.fleet.borrow_mut();
+        fleet.end(&self.engines, self.tokens);
+        drop(fleet);
+        if let Some(service) = &self.service {
+            self.relay.admission.ended(service, self.relay.now());
+        }
     }
 }
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -39,6 +39,8 @@
     pub route: Arc<Route>,
     /// The caller's account.
     pub account: Option<Arc<str>>,
+    /// How urgent it is among the requests for its service.
+    pub urgency: Urgency,
     /// Its priority for targets, 0 is the most urgent.
     pub priority: u8,
     /// Name of the service it goes to.
@@ -145,6 +147,7 @@
     let of_account = account.as_ref().and_then(|account| account.priority);
     let urgency = Urgency::new(of_account, route.priority);
     Ok(Call {
+        urgency,
         priority: table.priority(&service_name, urgency),
         due: deadline.min(arrived + route.timeout),
         account: account.map(|account| account.name),
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -17,6 +17,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::routes::Shape;
 
+use crate::admission::Decision;
 use crate::answer::{Body, CutShort};
 use crate::attempts::Attempts;
 use crate::events::Splitter;
@@ -35,8 +36,22 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let last = call.head.last_event;
+    let mut is_admitted = false;
     loop {
-        let Some(pick) = send::choose(relay, &call, &attempts.avoid) else {
+        let pick = send::choose(relay, &call, &attempts.avoid);
+        if !is_admitted && let Some(offered) = pick.as_ref().map(|pick| pick.offer) {
+            is_admitted = true;
+            let look = || Some(send::choose(relay, &call, &[])?.offer);
+            match relay.admit(&call, offered, look).await {
+                Decision::Admitted => {}
+                Decision::AdmittedLater => continue,
+                Decision::Refused(after) => {
+                    attempts.shed(after);
+                    break;
+                }
+            }
+        }
+        let Some(pick) = pick else {
             let would_serve = send::would_serve(relay, &call, &attempts.avoid);
             if relay.await_permits(&call, would_serve).await {
                 continue;
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -6,10 +6,12 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body as _, Incoming};
+use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::forward::select::{self, Circumstance, Limits};
+use reachtally_core::forward::select::{self, Circumstance, Instance, Limits};
 use reachtally_core::life::NeverStarted;
 
+use crate::admission::Decision;
 use crate::answer::{self, Body, CutShort};
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, Unanswered};
@@ -28,8 +30,22 @@
 pub(crate) async fn relay(relay: &Rc<Relay>, call: &Call) -> Response<Body> {
     let mut attempts = Attempts::new();
     let mut failure: Option<Response<Body>> = None;
+    let mut is_admitted = false;
     loop {
-        let Some(key) = choose(relay, call, &attempts.avoid, Limits::Enforced) else {
+        let found = choose(relay, call, &attempts.avoid, Limits::Enforced);
+        if !is_admitted && let Some(offered) = offer(relay, call, found) {
+            is_admitted = true;
+            let look = || offer(relay, call, choose(relay, call, &[], Limits::Enforced));
+            match relay.admit(call, offered, look).await {
+                Decision::Admitted => {}
+                Decision::AdmittedLater => continue,
+                Decision::Refused(after) => {
+                    attempts.shed(after);
+                    break;
+                }
+            }
+        }
+        let Some(found) = found else {
             let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
             if relay.await_permits(call, would_serve).await {
                 continue;
@@ -39,11 +55,16 @@
         if !attempts.may_send(relay, call) {
             break;
         }
+        let key = found.engine;
         attempts.begin(relay, key, record(relay, call, key));
         attempts.avoid.push(key);
+        let sent_at = relay.now();
         match send(relay, call, key).await {
             Ok(response) => {
                 attempts.answered();
+                let took = relay.now().since(sent_at);
+                let admission = &relay.admission;
+                admission.note_held(&call.service_name, took, found.used);
                 if !is_retried(call, &response, &attempts) {
                     return answered(relay, call, response);
                 }
@@ -86,19 +107,33 @@
     }
 }
 
-fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<EngineKey> {
+/// What a choice offers to a request; where only this box's part of the connections keeps it from an instance, one of them is
+/// free soon.
+fn offer(relay: &Relay, call: &Call, found: Option<Instance>) -> Option<Offer> {
+    let is_offered =
+        found.is_some() || choose_with(relay, call, &[], Limits::Enforced, u32::MAX).is_some();
+    is_offered.then(|| relay.instance_offer(call, found))
+}
+
+fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<Instance> {
+    let most = relay.most_connections(&call.service);
+    choose_with(relay, call, tried, limits, most)
+}
+
+fn choose_with(
+    relay: &Relay,
+    call: &Call,
+    tried: &[EngineKey],
+    limits: Limits,
+    most_connections: u32,
+) -> Option<Instance> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
     let cx = Circumstance {
         limits,
         ..relay.circumstance(&settings, tried, call.draw)
     };
-    select::instance(
-        &fleet,
-        &call.service_name,
-        relay.most_connections(&call.service),
-        &cx,
-    )
+    select::instance(&fleet, &call.service_name, most_connections, &cx)
 }
 
 /// Returns the time until instances that this box backs off from can serve the request.
