--- a/reachtally-core/src/forward/limit/demand.rs
+++ b/reachtally-core/src/forward/limit/demand.rs
@@ -2,14 +2,14 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::ServiceDemand;
+use crate::forward::rate::MeanRate;
 use crate::time::Instant;
 
-/// Time constant of the mean rate. The parts of a limit move between failure domains as slowly, so that what collectors know late of each
+/// Time constant of the mean rate, in ms. The parts of a limit move between failure domains as slowly, so that what collectors know late of each
 /// other does not count twice.
-const SMOOTHING: Duration = Duration::from_millis(1000);
+const SMOOTHING_MS: u64 = 1000;
 /// Rate below which a service counts as without demand, in requests a second.
 const LEAST_RATE: f64 = 0.01;
 /// Upper bound on the rate that one sender can report, in requests a second; rejects corrupt reports.
@@ -40,33 +40,15 @@
     }
 }
 
-/// Mean rate of the requests for one service.
-#[derive(Debug, Clone, Copy)]
-struct Mean {
-    per_second: f64,
-    at: Instant,
-}
-
-impl Mean {
-    fn at(&self, now: Instant) -> f64 {
-        let passed = now.since(self.at).as_secs_f64() / SMOOTHING.as_secs_f64();
-        self.per_second * (-passed).exp()
-    }
-}
-
 /// The requests that callers of a box have, by service.
 #[derive(Debug, Default)]
-pub struct Demand(HashMap<Arc<str>, Mean>);
+pub struct Demand(HashMap<Arc<str>, MeanRate<SMOOTHING_MS>>);
 
 impl Demand {
     /// Counts a request for `service`.
     pub fn count(&mut self, service: &Arc<str>, now: Instant) {
-        let before = self.0.get(service).map_or(0.0, |mean| mean.at(now));
-        let mean = Mean {
-            per_second: before + 1.0 / SMOOTHING.as_secs_f64(),
-            at: now,
-        };
-        self.0.insert(service.clone(), mean);
+        let mean = self.0.entry(service.clone()).or_default();
+        mean.count(now);
     }
 
     /// Returns the services with demand, without the permits held; services without demand are removed.
--- /dev/null
+++ b/reachtally-core/src/forward/rate.rs
@@ -0,0 +1,28 @@
+//! Mean rates with exponential decay.
+
+use std::time::Duration;
+
+use crate::time::Instant;
+
+/// A mean rate of events with a time constant of `MS` milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct MeanRate<const MS: u64> {
+    per_second: f64,
+    at: Instant,
+}
+
+impl<const MS: u64> MeanRate<MS> {
+    const TIME: Duration = Duration::from_millis(MS);
+
+    /// Counts an event.
+    pub fn count(&mut self, now: Instant) {
+        self.per_second = self.at(now) + 1.0 / Self::TIME.as_secs_f64();
+        self.at = now;
+    }
+
+    /// Events a second.
+    pub fn at(&self, now: Instant) -> f64 {
+        let passed = now.since(self.at).as_secs_f64() / Self::TIME.as_secs_f64();
+        self.per_second * (-passed).exp()
+    }
+}
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -19,5 +19,6 @@
 mod routes;
 mod select;
 mod setup;
+mod shares;
 mod stall;
 mod stewardship;
