feat(relay): rates and shares of client accounts between boxes

Cause: shares need what all boxes know of an account; the collectors' datagrams carried loads, suspects and limits only.

Change: messages `AccountRates` (kind 10) and `AccountShares` (kind 11), split into datagrams by encoded size. Boxes report rates with each report of loads while a service is contended, and at once when it becomes so; collectors exchange the sums and answer reports with the shares. Nothing is sent without client accounts or contention. `Relay` offers `note_offered`, `note_admitted`, `note_contended` and `standing`; the first two are called from the request path, `note_contended` and `standing` are for admission, so nothing is contended yet. Log lines `account-beyond-share` and `account-within-share` at the collector, counter `requests_beyond_share`, gauge `accounts_beyond_share`. Accounts are packed in two columns: 239 bytes for a box's report of 32 accounts, 505 for a collector's of 64, 186 for an answer that lists 32.

Tests: four boxes in three domains over loopback agree on the account that exceeds its share and forget it with the contention; a collector that does not run; nothing sent without contention or accounts; counts of the request path.

--- a/reachtally-bench/src/choice/play.rs
+++ b/reachtally-bench/src/choice/play.rs
@@ -331,12 +331,14 @@
                 entrance.collector.hear_part(part, ip(from), now);
             }
             Message::Leave(run) => entrance.collector.leave(run),
-            // No target ends under a request here, and none states a limit.
+            // No target ends under a request here, none states a limit, and callers have no accounts.
             Message::Suspects(_)
             | Message::Limits(_)
             | Message::PermitRequest(_)
             | Message::Grants(_)
-            | Message::DemandPart(_) => {}
+            | Message::DemandPart(_)
+            | Message::AccountRates(_)
+            | Message::AccountShares(_) => {}
             Message::Others(others) => {
                 entrance.remote_loads.hear(others, &mut entrance.fleet, now);
             }
--- a/reachtally-core/src/forward/loads/mod.rs
+++ b/reachtally-core/src/forward/loads/mod.rs
@@ -14,6 +14,7 @@
 use crate::forward::fleet::{RunMark, TargetRun};
 use crate::forward::limit::{DemandPart, Grants, LimitReport, PermitRequest};
 use crate::forward::quarantine::Told;
+use crate::forward::shares::{AccountRates, AccountShares};
 use crate::ids::Incarnation;
 
 mod collector;
@@ -176,4 +177,8 @@
     Grants(Grants),
     /// From a collector to another: the demand by which they share the limits.
     DemandPart(DemandPart),
+    /// From a box to its collector, and between collectors: rates of client accounts in contended services.
+    AccountRates(AccountRates),
+    /// From a collector to a box: the shares of client accounts.
+    AccountShares(AccountShares),
 }
--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -196,6 +196,12 @@
         self.accounts.is_some()
     }
 
+    /// Names of the accounts; an account with several keys comes several times.
+    pub fn account_names(&self) -> impl Iterator<Item = &Arc<str>> {
+        let accounts = self.accounts.iter().flat_map(HashMap::values);
+        accounts.map(|account| &account.name)
+    }
+
     /// The account of a request on `route` with this key; `None` if it needs none and has none.
     ///
     /// # Errors
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -33,6 +33,8 @@
         permit_waits,
         /// Requests refused because of rate limits alone.
         requests_limited,
+        /// Requests for contended services beyond the share of their account.
+        requests_beyond_share,
         /// Answers that asked for such a time.
         rests_asked,
         /// Sends whose answer was lost or spoilt.
--- a/reachtally-protocol/src/lib.rs
+++ b/reachtally-protocol/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod news;
 pub mod packed;
+pub mod shares;
 pub mod suspects;
 
 #[allow(missing_docs, clippy::all)]
--- a/reachtally-protocol/src/limits.rs
+++ b/reachtally-protocol/src/limits.rs
@@ -13,9 +13,9 @@
 /// Number of limits in one message. With names of a dozen bytes, and marks, it fits a datagram that is not split on the way.
 pub const LIMITS_IN_MESSAGE: usize = 36;
 /// Units of a rate on the wire, for a request a second.
-const PARTS: f64 = 1000.0;
+pub(crate) const PARTS: f64 = 1000.0;
 
-fn to_parts(per_second: f64) -> u64 {
+pub(crate) fn to_parts(per_second: f64) -> u64 {
     (per_second * PARTS).round() as u64
 }
 
--- a/reachtally-protocol/src/load.rs
+++ b/reachtally-protocol/src/load.rs
@@ -11,12 +11,13 @@
 
 use crate::generated::relay::{self, load_message::Kind};
 use crate::limits;
+use crate::shares;
 use crate::suspects::{self, SuspectError};
 
 /// Most bytes of a message; a datagram of this size is not split on usual links.
 pub const MESSAGE_MAX: usize = 1400;
 /// Bytes kept for the heads of the datagram and of the message within it, which take two to three each.
-const HEADS: usize = 8;
+pub(crate) const HEADS: usize = 8;
 
 /// Why a datagram does not decode.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,6 +51,8 @@
         Message::PermitRequest(req) => Kind::PermitRequest(limits::request_to_wire(req)),
         Message::Grants(grants) => Kind::Grants(limits::grants_to_wire(grants)),
         Message::DemandPart(part) => Kind::DemandPart(limits::part_to_wire(part)),
+        Message::AccountRates(rates) => Kind::AccountRates(shares::rates_to_wire(rates)),
+        Message::AccountShares(told) => Kind::AccountShares(shares::shares_to_wire(told)),
         Message::Leave(run) => Kind::Leave(relay::LoadLeave { run: run.0 }),
     };
     relay::LoadMessage { kind: Some(kind) }
@@ -112,6 +115,8 @@
         Kind::PermitRequest(req) => Ok(Message::PermitRequest(limits::request_from_wire(req))),
         Kind::Grants(grants) => Ok(Message::Grants(limits::grants_from_wire(grants))),
         Kind::DemandPart(part) => Ok(Message::DemandPart(limits::part_from_wire(part))),
+        Kind::AccountRates(rates) => Ok(Message::AccountRates(shares::rates_from_wire(rates))),
+        Kind::AccountShares(told) => Ok(Message::AccountShares(shares::shares_from_wire(told))),
         Kind::Others(others) => Ok(Message::Others(Others {
             counts: counts_from_wire(others.counts),
             loads: loads_from_wire(others.loads),
--- /dev/null
+++ b/reachtally-protocol/src/shares.rs
@@ -0,0 +1,184 @@
+//! Rates and shares of client accounts.
+
+use prost::Message as _;
+use reachtally_core::forward::limit::DemandRate;
+use reachtally_core::forward::quarantine::AccountDigest;
+use reachtally_core::forward::shares::{
+    ACCOUNTS_OF_DOMAIN, AccountFraction, AccountRate, AccountRates, AccountShares, MOST_SERVICES,
+    ServiceRates, ServiceShare,
+};
+use reachtally_core::ids::Incarnation;
+
+use crate::generated::relay;
+use crate::limits::{PARTS, to_parts};
+use crate::load::{HEADS, MESSAGE_MAX};
+
+/// Bytes of the head of a service within a message.
+const SERVICE_HEAD: usize = 3;
+
+fn rate(parts: u64) -> DemandRate {
+    DemandRate::new(parts as f64 / PARTS)
+}
+
+/// Splits a message into pages that fit a datagram each.
+pub fn pages_of_rates(rates: &AccountRates) -> Vec<AccountRates> {
+    let page = |services| AccountRates {
+        services,
+        ..head_of(rates)
+    };
+    let head = rates_to_wire(&head_of(rates)).encoded_len();
+    let length = |service: &ServiceRates| service_rates_to_wire(service).encoded_len();
+    let chunks = chunks(&rates.services, head, length);
+    chunks.into_iter().map(page).collect()
+}
+
+/// The same for shares.
+pub fn pages_of_shares(shares: &AccountShares) -> Vec<AccountShares> {
+    let page = |services| AccountShares {
+        number: shares.number,
+        services,
+    };
+    let head = shares_to_wire(&page(Vec::new())).encoded_len();
+    let length = |service: &ServiceShare| service_share_to_wire(service).encoded_len();
+    let chunks = chunks(&shares.services, head, length);
+    chunks.into_iter().map(page).collect()
+}
+
+fn head_of(rates: &AccountRates) -> AccountRates {
+    AccountRates {
+        run: rates.run,
+        number: rates.number,
+        domain: rates.domain.clone(),
+        services: Vec::new(),
+    }
+}
+
+/// Splits services into runs that fit a datagram each, beside a head of `head` bytes. A service that fits none is left out.
+fn chunks<T: Clone>(services: &[T], head: usize, length: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let room = MESSAGE_MAX.saturating_sub(head + HEADS);
+    let mut chunks: Vec<Vec<T>> = Vec::new();
+    let mut left = 0;
+    for service in services {
+        let length = length(service) + SERVICE_HEAD;
+        if length > room {
+            continue;
+        }
+        if length > left {
+            chunks.push(Vec::new());
+            left = room;
+        }
+        left -= length;
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(service.clone());
+        }
+    }
+    chunks
+}
+
+/// Services that fit beside a message of `length` bytes.
+fn that_fit<T: prost::Message>(
+    services: impl Iterator<Item = T>,
+    mut length: usize,
+) -> impl Iterator<Item = T> {
+    length += HEADS;
+    services.take_while(move |service| {
+        length += service.encoded_len() + SERVICE_HEAD;
+        length <= MESSAGE_MAX
+    })
+}
+
+pub(crate) fn rates_to_wire(rates: &AccountRates) -> relay::AccountRates {
+    let mut message = relay::AccountRates {
+        run: rates.run.0,
+        number: rates.number,
+        domain: rates.domain.clone(),
+        services: Vec::new(),
+    };
+    let services = rates.services.iter().map(service_rates_to_wire);
+    message.services = that_fit(services, message.encoded_len()).collect();
+    message
+}
+
+fn service_rates_to_wire(rates: &ServiceRates) -> relay::ServiceRates {
+    let accounts = rates.accounts.iter();
+    relay::ServiceRates {
+        service: rates.service.to_string(),
+        is_contended: rates.is_contended,
+        offered_milli: to_parts(rates.offered.per_second()),
+        admitted_milli: to_parts(rates.admitted.per_second()),
+        count: rates.count,
+        accounts: accounts.clone().map(|each| each.account.0).collect(),
+        rates_milli: accounts
+            .map(|each| to_parts(each.rate.per_second()))
+            .collect(),
+    }
+}
+
+pub(crate) fn rates_from_wire(rates: relay::AccountRates) -> AccountRates {
+    let services = rates.services.into_iter().take(MOST_SERVICES);
+    AccountRates {
+        run: Incarnation(rates.run),
+        number: rates.number,
+        domain: rates.domain,
+        services: services.map(service_rates_from_wire).collect(),
+    }
+}
+
+fn service_rates_from_wire(rates: relay::ServiceRates) -> ServiceRates {
+    let accounts = rates.accounts.into_iter().zip(rates.rates_milli);
+    let account = |(account, parts)| AccountRate {
+        account: AccountDigest(account),
+        rate: rate(parts),
+    };
+    ServiceRates {
+        service: rates.service.into(),
+        is_contended: rates.is_contended,
+        offered: rate(rates.offered_milli),
+        admitted: rate(rates.admitted_milli),
+        count: rates.count,
+        accounts: accounts.take(ACCOUNTS_OF_DOMAIN).map(account).collect(),
+    }
+}
+
+pub(crate) fn shares_to_wire(shares: &AccountShares) -> relay::AccountShares {
+    let mut message = relay::AccountShares {
+        number: shares.number,
+        services: Vec::new(),
+    };
+    let services = shares.services.iter().map(service_share_to_wire);
+    message.services = that_fit(services, message.encoded_len()).collect();
+    message
+}
+
+fn service_share_to_wire(share: &ServiceShare) -> relay::ServiceShare {
+    let accounts = share.accounts.iter();
+    relay::ServiceShare {
+        service: share.service.to_string(),
+        share_milli: share.share.map(|share| to_parts(share.per_second())),
+        accounts: accounts.clone().map(|each| each.account.0).collect(),
+        fractions_milli: accounts
+            .map(|each| (each.fraction.clamp(0.0, 1.0) * PARTS).round() as u32)
+            .collect(),
+    }
+}
+
+pub(crate) fn shares_from_wire(shares: relay::AccountShares) -> AccountShares {
+    let services = shares.services.into_iter().take(MOST_SERVICES);
+    AccountShares {
+        number: shares.number,
+        services: services.map(service_share_from_wire).collect(),
+    }
+}
+
+fn service_share_from_wire(share: relay::ServiceShare) -> ServiceShare {
+    let accounts = share.accounts.into_iter().zip(share.fractions_milli);
+    let account = |(account, parts): (u32, u32)| AccountFraction {
+        account: AccountDigest(account),
+        fraction: (f64::from(parts) / PARTS).min(1.0),
+    };
+    ServiceShare {
+        service: share.service.into(),
+        share: share.share_milli.map(rate),
+        accounts: accounts.take(ACCOUNTS_OF_DOMAIN).map(account).collect(),
+    }
+}
--- a/reachtally-protocol/tests/protocol/main.rs
+++ b/reachtally-protocol/tests/protocol/main.rs
@@ -85,3 +85,4 @@
 
 mod limits;
 mod relay;
+mod shares;
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -75,6 +75,9 @@
         }
         self.is_paid = self.is_paid || relay.take_second(&call.service_name);
         if self.is_paid {
+            if self.records.is_empty() {
+                relay.note_admitted(&call.service_name, relay.now());
+            }
             return true;
         }
         log::info!(event = "budget", id = &*call.head.id, service = &*call.service_name, boxes = relay.boxes(); "no second send left");
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -1,8 +1,9 @@
 //! Messages to and from the other boxes: loads, so that boxes which do not see each other's requests don't all choose the same
-//! engines; requests that crash targets, so that they are quarantined at all boxes; and rate limits of targets, which all boxes
-//! keep together.
+//! engines; requests that crash targets, so that they are quarantined at all boxes; rate limits of targets, which all boxes
+//! keep together; and rates of client accounts in contended services, by which the accounts get fair shares.
 
 mod limits;
+mod shares;
 mod suspects;
 
 use std::collections::BTreeSet;
@@ -16,6 +17,7 @@
 use reachtally_core::forward::loads::{self, Collector, Message, Others};
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::load::{self, MESSAGE_MAX};
+use shares::Shares;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -74,6 +76,7 @@
             () = relay.suspicion.news.notified() => gossip.spread_suspects(None),
             () = relay.limits.changed.notified() => gossip.spread_limits(None),
             () = relay.limits.wanted.notified() => gossip.request_permits(),
+            () = relay.shares.contended.notified() => gossip.report_rates(),
             received = gossip.socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => gossip.hear(&buf[..length], from.ip()),
                 Err(err) => log::debug!(event = "report-failed", why:% = err; "no message was received"),
@@ -107,6 +110,7 @@
     /// Issues the permits of those that report here.
     allocator: Allocator,
     requests: Requests,
+    shares: Shares,
 }
 
 impl Gossip {
@@ -126,6 +130,7 @@
             malformed_at: None,
             allocator: Allocator::default(),
             requests: Requests::default(),
+            shares: Shares::default(),
         })
     }
 
@@ -147,6 +152,7 @@
         self.tell_suspects();
         self.sum_up();
         self.report_limits();
+        self.report_rates();
         self.tell_peers();
         if self.target == Target::Here && self.is_collector() {
             self.take(self.collector.all_but(self.run), now);
@@ -178,6 +184,7 @@
         let now = self.relay.now();
         self.collector.sum_up(now);
         self.refill();
+        self.compute_shares();
     }
 
     /// Chooses where to report: the first reader of this failure domain that answers.
@@ -207,6 +214,7 @@
             Target::Here => {
                 self.collector.leave(self.run);
                 self.allocator.leave(self.run);
+                self.shares.aggregator.leave(self.run);
             }
             Target::Box(ip) => self.send(ip, &Message::Leave(self.run)),
         }
@@ -288,11 +296,13 @@
                 }
                 self.answer_suspects(from, number);
                 self.answer_limits(from, number);
+                self.answer_shares(from, number);
             }
             Ok(Message::Part(part)) => self.collector.hear_part(part, from, now),
             Ok(Message::Leave(run)) => {
                 self.collector.leave(run);
                 self.allocator.leave(run);
+                self.shares.aggregator.leave(run);
             }
             Ok(Message::Others(others)) => {
                 if self.target == Target::Box(from) {
@@ -317,6 +327,12 @@
                 }
             }
             Ok(Message::DemandPart(part)) => self.allocator.update_peer(part, now),
+            Ok(Message::AccountRates(rates)) => self.update_rates(rates, from),
+            Ok(Message::AccountShares(shares)) => {
+                if self.target == Target::Box(from) {
+                    self.relay.update_shares(shares);
+                }
+            }
             Err(err) => self.note_malformed(from, &err, now),
         }
     }
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod second_sends;
 pub mod serve;
 pub mod share;
+mod shares;
 pub mod slow_engines;
 pub mod steward;
 pub mod store;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -104,6 +104,13 @@
         "Targets that state a rate limit for all boxes together",
         limited,
     );
+    let beyond = Gauge::<i64>::default();
+    beyond.set(i64::try_from(relay.accounts_beyond_share()).unwrap_or(i64::MAX));
+    registry.register(
+        "accounts_beyond_share",
+        "Client accounts above their share of a contended service, as told to this box",
+        beyond,
+    );
     registry
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -35,6 +35,7 @@
 use crate::rhythm::Rhythm;
 use crate::second_sends::SecondSends;
 use crate::share::Pages;
+use crate::shares::ShareState;
 use crate::slow_engines::SlowEngines;
 use crate::wire::Wire;
 
@@ -98,6 +99,8 @@
     pub(crate) suspicion: Suspicion,
     /// Rate limits of targets.
     pub(crate) limits: LimitState,
+    /// Rates and shares of client accounts.
+    pub(crate) shares: ShareState,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -165,6 +168,7 @@
             slow_engines: SlowEngines::default(),
             suspicion: Suspicion::default(),
             limits: LimitState::default(),
+            shares: ShareState::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -95,6 +95,7 @@
 
 async fn forward(relay: &Rc<Relay>, call: Call) -> Response<Body> {
     relay.count_first(&call.service_name);
+    relay.note_offered(&call.service_name, call.account.as_deref(), relay.now());
     match call.route.shape {
         Shape::Whole => whole::relay(relay, &call).await,
         Shape::Events { .. } => stream::relay(relay, call).await,
