Merge fair shares among client accounts

Requests beyond their account's share are admitted after those of all ranks; a request that waits or is refused makes its service contended. Admission and shares use one type for a request's standing.

--- a/reachtally-core/src/forward/admission/mod.rs
+++ b/reachtally-core/src/forward/admission/mod.rs
@@ -24,6 +24,8 @@
 pub use returns::Returns;
 pub use schedule::{LATEST_RETURN, Schedule};
 
+pub use crate::forward::shares::Standing;
+
 /// Age of what a box believes of the requests of others: two reports, of 0.2 s each, and their ways.
 pub const REACTION: Duration = Duration::from_millis(500);
 /// Part of a request's objective, counted from its arrival, for which it waits in a box at most. The other half is for its answer.
@@ -39,15 +41,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank(pub u8);
 
-/// Whether a request is within its account's share of a contended service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// The account takes no more than its share.
-    Within,
-    /// The account takes more, and this is one of the requests beyond.
-    Beyond,
-}
-
 /// What admission distinguishes requests by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Class {
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -39,6 +39,8 @@
         requests_queued,
         /// Requests refused because others of their service come before them, or none is served in time.
         requests_shed,
+        /// Requests for contended services beyond the share of their account.
+        requests_beyond_share,
         /// Answers that asked for such a time.
         rests_asked,
         /// Sends whose answer was lost or spoilt.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -21,5 +21,6 @@
 mod routes;
 mod select;
 mod setup;
+mod shares;
 mod stall;
 mod stewardship;
--- a/reachtally-relay/src/admission.rs
+++ b/reachtally-relay/src/admission.rs
@@ -223,17 +223,6 @@
         }
     }
 
-    /// Whether a request is within its account's share of a service. No shares are computed, so each is.
-    fn standing(
-        &self,
-        _service: &str,
-        _account: Option<&str>,
-        _draw: u64,
-        _now: Instant,
-    ) -> Standing {
-        Standing::Within
-    }
-
     /// Decides on a request at its first choice, which offers `first`; while it waits, `look` tells what a choice would offer.
     pub(crate) async fn admit(
         self: &Rc<Self>,
@@ -366,6 +355,7 @@
         let mut returns = self.admission.returns.borrow_mut();
         returns.tell(call.fingerprint(), now + after, now);
         drop(returns);
+        self.note_contended(&call.service_name, now);
         self.count(|tally| tally.requests_shed += 1);
         let by_rank = &self.times.by_rank;
         by_rank.shed.get_or_create(&rank_label(case)).inc();
@@ -386,6 +376,7 @@
         let Ok(place) = Place::join(self, case) else {
             return self.refuse(case, offer, Retry { after: drain });
         };
+        self.note_contended(&call.service_name, self.now());
         self.count(|tally| tally.requests_queued += 1);
         let by_rank = &self.times.by_rank;
         by_rank.queued.get_or_create(&rank_label(case)).inc();
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -149,6 +149,13 @@
         "Requests that wait in this box for room",
         waiting,
     );
+    let beyond = Gauge::<i64>::default();
+    beyond.set(i64::try_from(relay.accounts_beyond_share()).unwrap_or(i64::MAX));
+    registry.register(
+        "accounts_beyond_share",
+        "Client accounts above their share of a contended service, as told to this box",
+        beyond,
+    );
     registry
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::rhythm::Rhythm;
 use crate::second_sends::SecondSends;
 use crate::share::Pages;
+use crate::shares::ShareState;
 use crate::slow_engines::SlowEngines;
 use crate::wire::Wire;
 
@@ -101,6 +102,8 @@
     pub(crate) limits: LimitState,
     /// Admission by rank.
     pub(crate) admission: Admission,
+    /// Rates and shares of client accounts.
+    pub(crate) shares: ShareState,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -169,6 +172,7 @@
             suspicion: Suspicion::default(),
             limits: LimitState::default(),
             admission: Admission::default(),
+            shares: ShareState::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
