feat(core): how far streams are read ahead, and when a slow caller is cut

A caller that reads slowly holds up its engine, which cuts off answers that are left unread for some seconds. Three tests without a network show the bounds and the attribution.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod placement;
 pub mod quarantine;
+pub mod read_ahead;
 pub mod readers;
 pub mod routes;
 pub mod select;
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -19,6 +19,8 @@
         streams_cut,
         /// Streams that went on over another chain.
         streams_resumed,
+        /// Callers cut off since they did not read their answers.
+        readers_cut,
         /// Sends to targets.
         sends,
         /// Sends that came back with the proof that nothing ran.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -15,6 +15,7 @@
 mod path;
 mod placement;
 mod quarantine;
+mod read_ahead;
 mod readers;
 mod routes;
 mod select;
--- /dev/null
+++ b/reachtally-core/tests/core/forward/read_ahead.rs
@@ -0,0 +1,48 @@
+//! How far streams are read ahead.
+
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use reachtally_core::forward::read_ahead::{
+    ENGINE_PATIENCE, Held, HeldUp, STREAM_BYTES, all_bytes, may_read,
+};
+
+/// One caller that does not read would take all of the memory.
+#[test]
+fn reading_stops_at_the_bound_of_the_stream_and_of_the_box() {
+    let most = all_bytes(8 * 1024 * 1024);
+    assert_eq!(most, 1024 * 1024);
+    let held = |stream, all| may_read(Held { stream, all }, most);
+    assert!(held(STREAM_BYTES - 1, STREAM_BYTES - 1));
+    assert!(!held(STREAM_BYTES, STREAM_BYTES));
+    assert!(held(1, most - 1));
+    assert!(!held(1, most));
+}
+
+/// Slow callers would hold up the others.
+#[test]
+fn a_stream_whose_caller_has_taken_everything_goes_on() {
+    let held = Held {
+        stream: 0,
+        all: usize::MAX,
+    };
+    assert!(may_read(held, 0));
+}
+
+/// A stream would be cut where its engine failed, or the engine blamed for a caller that did not read.
+#[test]
+fn an_engine_was_unread_only_after_a_long_time_behind_it() {
+    let at = |ms| Instant::ZERO + Duration::from_millis(ms);
+    let mut held_up = HeldUp::default();
+    assert!(!held_up.is_unread(at(60_000)));
+    held_up.paused(at(1000));
+    assert!(!held_up.is_unread(at(1000) + ENGINE_PATIENCE / 2));
+    // Data that piled up comes with short waits only.
+    held_up.waited(Duration::from_millis(20));
+    held_up.paused(at(1500));
+    assert!(held_up.is_unread(at(1000) + ENGINE_PATIENCE));
+    for _ in 0..10 {
+        held_up.waited(Duration::from_millis(20));
+    }
+    assert!(!held_up.is_unread(at(60_000)));
+}
