feat(relay): streams are read ahead of slow callers, and callers that take nothing are cut

Cause: reading from an engine stopped as soon as the HTTP library's buffer was full, while the system buffered megabytes for the caller, so an engine cut the answer off for a caller that was only slow, and that break led to a resume, a charge to the budget and a suspicion of slow engines. A caller that took nothing was kept until its deadline.

Change: a task of its own reads the engines into a queue; bytes count until the connection has handed them to the system. Beyond 64 KiB for a stream or an eighth of the memory (Limits.MemoryMb, 256 MiB if absent) reading stops. The system's buffer for a caller is 64 KiB. A write that makes no progress for 5 s resets the connection, for streams and for large plain answers, with a slow-reader line and readers_cut. A break after the engine was held up for a second, with its engines alive, cuts the stream without a resume; a resume waits until the caller takes something. Data that piled up says nothing of the engines' pace.

--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -126,6 +126,7 @@
         domains: 1,
         ip: Ipv4Addr::LOCALHOST.into(),
         link_mbps: 0,
+        memory: 256 * 1024 * 1024,
         seeds: Vec::new(),
         revoke_within: None,
         budget: BudgetBounds {
--- a/reachtally-relay/src/answer.rs
+++ b/reachtally-relay/src/answer.rs
@@ -8,6 +8,7 @@
 use hyper::{Response, StatusCode};
 use reachtally_core::life::{GivenUp, NotRun, Refusal, Unknown};
 use std::pin::Pin;
+use std::sync::Arc;
 
 /// Why a body ended before it was whole. The connection is closed, so that the caller sees it.
 #[derive(Debug)]
@@ -21,6 +22,10 @@
 
 impl std::error::Error for CutShort {}
 
+/// The id of the request that an answer belongs to, kept with the answer for the log.
+#[derive(Debug, Clone)]
+pub struct AnswerTo(pub Arc<str>);
+
 /// The body of an answer.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = CutShort>>>;
 
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod stream;
 pub mod target;
 mod targets;
+mod unread;
 mod whole;
 pub mod wire;
 
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -1,7 +1,8 @@
 //! The callers' listener: accepts connections, bounds heads and rest, and closes them when stopping.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -12,16 +13,18 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 use crate::accept;
-use crate::answer::{Body, CutShort};
+use crate::answer::{AnswerTo, Body, CutShort};
 use crate::lifecycle::Stage;
 use crate::relay::Relay;
 use crate::serve;
 use crate::target;
+use crate::unread::Unread;
 
 /// Bounds until a configuration is known.
 const HEADER_BYTES: usize = 16 * 1024;
@@ -32,6 +35,10 @@
 /// Added to the time that callers may rest, so that a request sent at the last moment is still read.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
+/// Bytes that the system buffers for each caller; it sets aside twice as much. Left to itself it buffers megabytes, which are
+/// not read ahead by any rule, and tells that a slow caller takes something only once a third of them is gone.
+const SEND_BUFFER: usize = 64 * 1024;
+
 /// Serve callers until the process ends.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
     let serve = |stream, _| connection(relay.clone(), stream);
@@ -53,6 +60,8 @@
 #[derive(Debug)]
 struct Watch {
     phase: Cell<(Phase, Instant)>,
+    /// The request whose answer was begun last.
+    answer_to: RefCell<Option<AnswerTo>>,
 }
 
 impl Watch {
@@ -64,16 +73,22 @@
 async fn connection(relay: Rc<Relay>, stream: TcpStream) {
     let _open = relay.connection();
     target::send_at_once(&stream);
+    if let Err(err) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER) {
+        log::debug!(event = "send-buffer", why:% = err; "the system decides what it buffers for a caller");
+    }
     let limits = relay.configuration.table().and_then(|table| table.limits);
     let header_bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes);
     let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| limits.header_timeout);
     let idle_timeout = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_SLACK;
     let watch = Rc::new(Watch {
         phase: Cell::new((Phase::Head, Instant::now())),
+        answer_to: RefCell::default(),
     });
     let io = TokioIo::new(Watched {
         stream,
         watch: watch.clone(),
+        relay: relay.clone(),
+        unread: Unread::default(),
     });
     let service = service_fn({
         let relay = relay.clone();
@@ -122,7 +137,9 @@
     req: Request<Incoming>,
 ) -> Result<Response<Answering>, Infallible> {
     watch.enter(Phase::Busy);
-    let response = serve::handle(relay, req).await;
+    let mut response = serve::handle(relay, req).await;
+    let answer_to = response.extensions_mut().remove::<AnswerTo>();
+    watch.answer_to.replace(answer_to);
     Ok(response.map(|body| Answering { body, watch }))
 }
 
@@ -158,10 +175,34 @@
     }
 }
 
-/// A connection that notes when the first byte of a head arrives.
+/// A connection that notes when the first byte of a head arrives, and ends where the caller takes nothing for too long.
 struct Watched {
     stream: TcpStream,
     watch: Rc<Watch>,
+    relay: Rc<Relay>,
+    unread: Unread,
+}
+
+impl Watched {
+    /// What a write came to, or the end of the connection.
+    fn judge(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<std::io::Result<usize>>,
+    ) -> Poll<std::io::Result<usize>> {
+        let Some(waited) = self.unread.note(cx, &written) else {
+            return written;
+        };
+        self.relay.count(|tally| tally.readers_cut += 1);
+        let answer_to = self.watch.answer_to.borrow();
+        let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
+        log::info!(event = "slow-reader", id = id, why = "it takes nothing", waited_ms = waited.as_millis() as u64, held = self.relay.read_ahead(); "a caller does not read its answer and is cut off");
+        // A reset frees what the system holds for the caller, and can't be taken for the end of an answer without a length.
+        if let Err(err) = self.stream.set_zero_linger() {
+            log::debug!(event = "linger", why:% = err; "a connection is closed in order");
+        }
+        Poll::Ready(Err(ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for Watched {
@@ -185,7 +226,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.judge(cx, written)
     }
 
     fn poll_write_vectored(
@@ -193,7 +235,8 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.judge(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::second_sends::SecondSends;
 use crate::share::Pages;
 use crate::slow_engines::SlowEngines;
+use crate::stream::Pool;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -51,6 +52,8 @@
     pub ip: IpAddr,
     /// Bandwidth of its link, in Mbit/s; 0 if it is not known.
     pub link_mbps: u32,
+    /// Memory that this process may use, in bytes. A part of it is for streams that are read ahead of their callers.
+    pub memory: u64,
     /// Boxes that may be asked before the group is known; they may be gone.
     pub seeds: Vec<IpAddr>,
     /// Time for which a configuration counts as the newest after it was confirmed; `None` if keys
@@ -98,6 +101,8 @@
     pub(crate) suspicion: Suspicion,
     /// Rate limits of targets.
     pub(crate) limits: LimitState,
+    /// What is read of streams ahead of their callers.
+    pub(crate) read_ahead: Arc<Pool>,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -165,6 +170,7 @@
             slow_engines: SlowEngines::default(),
             suspicion: Suspicion::default(),
             limits: LimitState::default(),
+            read_ahead: Arc::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
@@ -494,6 +500,11 @@
             })
     }
 
+    /// Bytes that are read of streams and not taken by their callers yet.
+    pub fn read_ahead(&self) -> usize {
+        self.read_ahead.held()
+    }
+
     /// Count a caller's connection while the guard lives.
     pub fn connection(self: &Rc<Self>) -> OpenConnection {
         OpenConnection::new(self)
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -19,7 +19,7 @@
 };
 use reachtally_core::life::{GivenUp, Life, Received, Refusal};
 
-use crate::answer::{self, Body};
+use crate::answer::{self, AnswerTo, Body};
 use crate::relay::Relay;
 use crate::wire::CallHead;
 use crate::{stream, whole};
@@ -82,7 +82,12 @@
 /// Serve a request.
 pub async fn handle(relay: Rc<Relay>, req: Request<Incoming>) -> Response<Body> {
     let mut response = match accept(&relay, req).await {
-        Ok(call) => forward(&relay, call).await,
+        Ok(call) => {
+            let id = AnswerTo(call.head.id.as_str().into());
+            let mut response = forward(&relay, call).await;
+            response.extensions_mut().insert(id);
+            response
+        }
         Err(response) => response,
     };
     if relay.lifecycle.is_leaving() {
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::read_ahead::HeldUp;
 use reachtally_core::forward::stall::Gaps;
 use tokio::sync::watch;
 
@@ -39,6 +40,7 @@
     /// Time between two events, as expected and corrected by those that came.
     gaps: Gaps,
     pace: Pace,
+    held_up: HeldUp,
     /// When the last event came, or when waiting began.
     since: Instant,
     /// When to look at the engines if no event comes.
@@ -114,6 +116,8 @@
     Whole,
     /// The engines broke off.
     Broke(String),
+    /// The engines broke off, which may be since the caller read too slowly.
+    Unread(String),
     /// These of its engines are dead.
     Dead(Vec<EngineKey>),
     /// The final answer is due.
@@ -140,6 +144,7 @@
             first,
             gaps: Gaps::expected(pace.expected_gap),
             pace,
+            held_up: HeldUp::default(),
             since: now,
             look_at: now,
             runs_ended: relay.runs_ended(),
@@ -175,6 +180,12 @@
         self.look_at = now + self.gaps.overdue_after() + FIRST_SLACK;
     }
 
+    /// Reading stopped at `from`, since the caller took nothing, and goes on at `now`.
+    pub fn paused(&mut self, from: Instant, now: Instant) {
+        self.held_up.paused(from);
+        self.wait_from(now);
+    }
+
     /// The next whole events that the caller lacks, or how the chain stopped.
     pub async fn next(
         &mut self,
@@ -184,6 +195,7 @@
         splitter: &mut Splitter,
     ) -> Result<Bytes, Stopped> {
         loop {
+            let asked = relay.now();
             let until = relay.timer(call.due.min(self.look_at));
             let has_events = self.events() > 0;
             let frame = tokio::select! {
@@ -191,6 +203,7 @@
                 frame = self.body.frame() => frame,
                 // The sender lives as long as the relay. A stream whose engine started again gets no more of it.
                 Ok(()) = self.runs_ended.changed() => {
+                    self.held_up.waited(relay.now().since(asked));
                     self.leave_ended(relay, call, attempts)?;
                     continue;
                 }
@@ -198,14 +211,16 @@
                     return Err(Stopped::Quarantined);
                 }
                 () = tokio::time::sleep_until(until) => {
+                    self.held_up.waited(relay.now().since(asked));
                     self.look(relay, call, attempts).await?;
                     continue;
                 }
             };
+            self.held_up.waited(relay.now().since(asked));
             let Some(frame) = frame else {
                 return Err(self.ended(relay, call, splitter));
             };
-            let frame = frame.map_err(|err| Stopped::Broke(err.to_string()))?;
+            let frame = frame.map_err(|err| self.broke(relay, err.to_string()))?;
             // Trailers say nothing of the events.
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -219,6 +234,13 @@
         }
     }
 
+    fn broke(&self, relay: &Relay, why: String) -> Stopped {
+        match self.held_up.is_unread(relay.now()) {
+            true => Stopped::Unread(why),
+            false => Stopped::Broke(why),
+        }
+    }
+
     /// Targets started again: leave them at once if this stream ran there and can go on elsewhere.
     fn leave_ended(&self, relay: &Relay, call: &Call, attempts: &Attempts) -> Result<(), Stopped> {
         let lost: Vec<EngineKey> = {
@@ -255,21 +277,26 @@
     fn note(&mut self, relay: &Relay) {
         let now = relay.now();
         self.occupied.end_reading();
-        relay.progress.borrow_mut().note(self.engines(), now);
         self.pace.note(now, self.since);
         let gap = now.since(self.since);
+        self.since = now;
+        self.look_at = now + self.gaps.overdue_after();
+        // What piled up while the caller did not read says nothing of the engines' pace, or whether they still run.
+        if self.held_up.is_behind() {
+            return;
+        }
+        relay.progress.borrow_mut().note(self.engines(), now);
         if gap > LEAST_SLOW && gap > self.pace.expected_gap.mul_f64(SLOW_GAPS) {
             relay.note_slow(self.engines());
         }
         self.gaps.note(gap);
-        self.since = now;
         self.look_at = now + self.gaps.overdue_after();
     }
 
     /// The body has ended in order. A part of an event shows that the engine did not mean to.
     fn ended(&mut self, relay: &Relay, call: &Call, splitter: &Splitter) -> Stopped {
         if splitter.has_part() {
-            return Stopped::Broke("it ended within an event".to_owned());
+            return self.broke(relay, "it ended within an event".to_owned());
         }
         self.pace.keep(relay, call, self.engines());
         relay.answered_whole(call);
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -3,7 +3,10 @@
 //! Events are passed on as they come, only whole and only in order. When the engines break off or are
 //! found dead, a stream that may be resumed goes on over another chain within the same answer, after
 //! the last event that the caller got.
+//!
+//! Engines are read ahead of the caller, up to a bound. Beyond it they are held up.
 
+mod ahead;
 mod chain;
 mod send;
 
@@ -22,6 +25,9 @@
 use crate::quarantine::Progress;
 use crate::relay::Relay;
 use crate::serve::Call;
+use crate::target::Driver;
+pub(crate) use ahead::Pool;
+use ahead::{Ahead, Item, Room};
 use chain::{Running, Stopped};
 use send::Answered;
 
@@ -67,7 +73,7 @@
     attempts.give_up(relay, &call, back_off)
 }
 
-/// An answer whose body follows chains until the stream is whole or can't go on.
+/// An answer whose body gets the events that a task of its own reads. Dropping the body ends the task.
 fn streamed(
     relay: Rc<Relay>,
     call: Call,
@@ -76,32 +82,19 @@
     attempts: Attempts,
 ) -> Response<Body> {
     let (parts, ()) = head.into_parts();
+    let (ahead, mut queue) = ahead::queue(&relay);
+    let reading = read(relay.clone(), call, running, attempts, ahead);
+    let reader = Driver(tokio::task::spawn_local(reading));
     let events = async_stream::stream! {
-        let mut running = running;
-        let mut attempts = attempts;
-        let mut splitter = Splitter::after(call.head.last_event);
+        let _reader = reader;
         loop {
-            let stopped = match running.next(&relay, &call, &attempts, &mut splitter).await {
-                Ok(events) => {
-                    yield Ok(Frame::data(events));
-                    continue;
-                }
-                Err(stopped) => stopped,
-            };
-            match go_on(&relay, &call, &mut attempts, &splitter, &running, stopped).await {
-                Next::Done => {
+            match queue.recv().await {
+                Some(Item::Events(events)) => yield Ok(Frame::data(events)),
+                Some(Item::Whole) => {
                     relay.count(|tally| tally.requests_answered += 1);
                     return;
                 }
-                Next::Other(other) => {
-                    running = *other;
-                    splitter.restart();
-                }
-                Next::Same => running.wait_from(relay.now()),
-                Next::Cut(why) => {
-                    relay.count(|tally| tally.streams_cut += 1);
-                    attempts.log(&relay, &call);
-                    log::info!(event = "cut", id = &*call.head.id, why = why, last:? = splitter.last(), sends = attempts.sends(); "the stream ends before it is whole");
+                None => {
                     yield Err(CutShort);
                     return;
                 }
@@ -111,6 +104,71 @@
     Response::from_parts(parts, Box::pin(StreamBody::new(events)))
 }
 
+/// Follow chains until the stream is whole or can't go on.
+async fn read(
+    relay: Rc<Relay>,
+    call: Call,
+    mut running: Running,
+    mut attempts: Attempts,
+    ahead: Ahead,
+) {
+    let mut splitter = Splitter::after(call.head.last_event);
+    loop {
+        let room = ahead.room(&relay, call.due).await;
+        if let Room::Since(paused) = room {
+            running.paused(paused, relay.now());
+        }
+        let next = match room {
+            Room::Late => Err(Stopped::Late),
+            Room::Now | Room::Since(_) => {
+                running.next(&relay, &call, &attempts, &mut splitter).await
+            }
+        };
+        let stopped = match next {
+            Ok(events) => {
+                ahead.push(events);
+                continue;
+            }
+            Err(stopped) => stopped,
+        };
+        let stream = Stream {
+            relay: &relay,
+            call: &call,
+            splitter: &splitter,
+            running: &running,
+            ahead: &ahead,
+        };
+        match go_on(&stream, &mut attempts, stopped).await {
+            Next::Done => return ahead.end(),
+            Next::Other(other) => {
+                running = *other;
+                splitter.restart();
+            }
+            Next::Same => running.wait_from(relay.now()),
+            Next::Cut(why) => {
+                relay.count(|tally| tally.streams_cut += 1);
+                attempts.log(&relay, &call);
+                log::info!(event = "cut", id = &*call.head.id, why = why, last:? = splitter.last(), sends = attempts.sends(); "the stream ends before it is whole");
+                return;
+            }
+            Next::Unread(why) => {
+                relay.count(|tally| tally.readers_cut += 1);
+                log::info!(event = "slow-reader", id = &*call.head.id, why = "its engine gave up", broke = &*why, last:? = splitter.last(), held = relay.read_ahead(); "a caller read too slowly and is cut off");
+                return;
+            }
+        }
+    }
+}
+
+/// A stream whose chain stopped.
+struct Stream<'a> {
+    relay: &'a Rc<Relay>,
+    call: &'a Call,
+    splitter: &'a Splitter,
+    running: &'a Running,
+    ahead: &'a Ahead,
+}
+
 /// How a stream goes on after its chain stopped.
 enum Next {
     /// It is whole.
@@ -121,21 +179,26 @@
     Same,
     /// Not at all.
     Cut(&'static str),
+    /// Not at all, since its caller read too slowly for the engine.
+    Unread(String),
 }
 
-async fn go_on(
-    relay: &Rc<Relay>,
-    call: &Call,
-    attempts: &mut Attempts,
-    splitter: &Splitter,
-    running: &Running,
-    stopped: Stopped,
-) -> Next {
+async fn go_on(stream: &Stream<'_>, attempts: &mut Attempts, stopped: Stopped) -> Next {
+    let Stream {
+        relay,
+        call,
+        splitter,
+        running,
+        ahead,
+    } = *stream;
     match stopped {
         Stopped::Whole => Next::Done,
         Stopped::Late => Next::Cut("it took as long as it may"),
         Stopped::Quarantined => Next::Cut("engines ended under it elsewhere"),
-        Stopped::Broke(why) => {
+        Stopped::Unread(why) if relay.dead_of(running.engines()).await.is_empty() => {
+            Next::Unread(why)
+        }
+        Stopped::Broke(why) | Stopped::Unread(why) => {
             log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(), events = running.events(), targets = &*running.names(relay), fingerprint:% = call.fingerprint(); "a stream broke off");
             note_end(relay, call, running).await;
             let dead = relay.dead_of(running.engines()).await;
@@ -143,6 +206,8 @@
                 true => attempts.avoid.extend(running.engines().first()),
                 false => attempts.avoid.extend(dead),
             }
+            // Another chain would be held up in its turn.
+            ahead.until_taken().await;
             let until = relay.now() + LOOK_FOR;
             match resume(relay, call, attempts, splitter, until).await {
                 Some(other) => Next::Other(Box::new(other)),
@@ -158,6 +223,7 @@
                 note_end(relay, call, running).await;
             }
             attempts.avoid.extend(engines);
+            ahead.until_taken().await;
             let now = relay.now();
             match resume(relay, call, attempts, splitter, now).await {
                 Some(other) => Next::Other(Box::new(other)),
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -83,9 +83,9 @@
     Stale(String),
 }
 
-/// Drives a connection; dropping it closes the connection, which cancels what runs there.
+/// Drives a connection, or the reading of a stream. Dropping it ends that, which cancels what runs at the other end.
 #[derive(Debug)]
-pub struct Driver(JoinHandle<()>);
+pub struct Driver(pub(crate) JoinHandle<()>);
 
 impl Drop for Driver {
     fn drop(&mut self) {
