--- a/reachtally-core/tests/core/forward/read_ahead.rs
+++ b/reachtally-core/tests/core/forward/read_ahead.rs
@@ -41,8 +41,10 @@
     held_up.waited(Duration::from_millis(20));
     held_up.paused(at(1500));
     assert!(held_up.is_unread(at(1000) + ENGINE_PATIENCE));
+    assert!(held_up.is_behind());
     for _ in 0..10 {
         held_up.waited(Duration::from_millis(20));
     }
     assert!(!held_up.is_unread(at(60_000)));
+    assert!(!held_up.is_behind());
 }
--- a/reachtally-journal/src/losses.rs
+++ b/reachtally-journal/src/losses.rs
@@ -79,6 +79,7 @@
         "refused" => Some(format!("refused ({why})")),
         "unknown" => Some(format!("failed ({why})")),
         "cut" => Some(format!("cut ({why})")),
+        "slow-reader" => Some(format!("cut off as a slow reader ({why})")),
         "answered" if line.is_true("first_late") => Some("late with the first event".to_owned()),
         "answered" if line.is_true("late") => Some("late between events".to_owned()),
         _ => None,
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -73,16 +73,18 @@
         r#"{"t":7,"event":"answered","id":"r3","late":true,"first_late":true}"#,
         r#"{"t":8,"event":"answered","id":"r4","late":false,"first_late":false}"#,
         r#"{"t":9,"event":"refused","id":"r5","why":"NoTarget"}"#,
+        r#"{"t":9,"event":"slow-reader","id":"r6","why":"it takes nothing"}"#,
         "not a line of ours",
     ];
     let text = losses(log).to_string();
     let lines: Vec<&str> = text.lines().collect();
     let expected = [
-        "      1   25.0%  late between events, first an engine of the stream died",
-        "      1   25.0%  late with the first event",
-        "      1   25.0%  refused (NoTarget)",
-        "      1   25.0%  refused (NoTarget), first no path (gap 1, unusable 0, full 2)",
-        "      4  100.0%  requests that were not served in time",
+        "      1   20.0%  cut off as a slow reader (it takes nothing)",
+        "      1   20.0%  late between events, first an engine of the stream died",
+        "      1   20.0%  late with the first event",
+        "      1   20.0%  refused (NoTarget)",
+        "      1   20.0%  refused (NoTarget), first no path (gap 1, unusable 0, full 2)",
+        "      5  100.0%  requests that were not served in time",
     ];
     assert_eq!(lines, expected);
 }
