fix(relay): a cut answer ends a connection of HTTP/1.0 with a reset

Cause: an answer without a length ends with its connection, and the connection of a stream that was cut closed in order. Change: where the body of such an answer ends early, the connection is reset, as for slow readers.

--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -62,6 +62,8 @@
     phase: Cell<(Phase, Instant)>,
     /// The request whose answer was begun last.
     answer_to: RefCell<Option<AnswerTo>>,
+    /// Whether the connection ends with a reset.
+    is_reset: Cell<bool>,
 }
 
 impl Watch {
@@ -83,6 +85,7 @@
     let watch = Rc::new(Watch {
         phase: Cell::new((Phase::Head, Instant::now())),
         answer_to: RefCell::default(),
+        is_reset: Cell::default(),
     });
     let io = TokioIo::new(Watched {
         stream,
@@ -137,16 +140,23 @@
     req: Request<Incoming>,
 ) -> Result<Response<Answering>, Infallible> {
     watch.enter(Phase::Busy);
+    let is_unframed = req.version() < Version::HTTP_11;
     let mut response = serve::handle(relay, req).await;
     let answer_to = response.extensions_mut().remove::<AnswerTo>();
     watch.answer_to.replace(answer_to);
-    Ok(response.map(|body| Answering { body, watch }))
+    Ok(response.map(|body| Answering {
+        body,
+        watch,
+        is_unframed,
+    }))
 }
 
 /// The body of an answer; the connection rests again once it is written or dropped.
 struct Answering {
     body: Body,
     watch: Rc<Watch>,
+    /// Whether it may end with its connection alone, as for callers of HTTP/1.0.
+    is_unframed: bool,
 }
 
 impl HttpBody for Answering {
@@ -157,7 +167,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        self.body.as_mut().poll_frame(cx)
+        let polled = self.body.as_mut().poll_frame(cx);
+        if self.is_unframed && matches!(polled, Poll::Ready(Some(Err(CutShort)))) {
+            self.watch.is_reset.set(true);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -197,11 +211,21 @@
         let answer_to = self.watch.answer_to.borrow();
         let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
         log::info!(event = "slow-reader", id = id, why = "it takes nothing", waited_ms = waited.as_millis() as u64, held = self.relay.read_ahead(); "a caller does not read its answer and is cut off");
-        // A reset frees what the system holds for the caller, and can't be taken for the end of an answer without a length.
+        // Frees what the system holds for the caller.
+        self.watch.is_reset.set(true);
+        Poll::Ready(Err(ErrorKind::TimedOut.into()))
+    }
+}
+
+impl Drop for Watched {
+    /// A reset can't be taken for the end of an answer without a length.
+    fn drop(&mut self) {
+        if !self.watch.is_reset.get() {
+            return;
+        }
         if let Err(err) = self.stream.set_zero_linger() {
             log::debug!(event = "linger", why:% = err; "a connection is closed in order");
         }
-        Poll::Ready(Err(ErrorKind::TimedOut.into()))
     }
 }
 
