fix(relay): a refusal that carries another request's id proves nothing

Cause: X-Not-Executed and 421 were believed before the id was looked at. Change: the id, where there is one, must be this request's; otherwise the answer is lost (502 for a request that may run once).

--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -107,6 +107,12 @@
     is_vouched && is_answer_to(call, head)
 }
 
+/// Whether an answer proves that the target ran nothing of this request. A refusal may come from what stands before the target
+/// and reads no ids, so it may lack one.
+pub(crate) fn proves_not_run(call: &Call, head: &AnswerHead) -> bool {
+    head.not_run && (head.id.is_none() || is_answer_to(call, head))
+}
+
 /// Whether an answer carries the id of this request.
 fn is_answer_to(call: &Call, head: &AnswerHead) -> bool {
     head.id.as_deref() == Some(call.head.id.as_str())
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -253,7 +253,7 @@
 ) -> Result<Answered, Unanswered> {
     let status = answer.response.status();
     let head = exchange::head_of(relay, call, &from, &answer.response);
-    if head.not_run {
+    if exchange::proves_not_run(call, &head) {
         return Err(not_run(relay, &occupied, &head, status, attempts).await);
     }
     if let Some(why) = exchange::mistrust(call, &head, &answer.response) {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -137,7 +137,7 @@
         Some(Ok(answer)) => answer,
     };
     let head = exchange::head_of(relay, call, &to, &answer.response);
-    if head.not_run {
+    if exchange::proves_not_run(call, &head) {
         let why = format!("status {}", answer.response.status());
         return Err(Unanswered::NotRun(NeverStarted::TargetSaidSo, why));
     }
