fix(relay): each piece that a caller takes wakes one stream that waits for memory

Cause: every event taken by any caller woke all streams that wait, also those at their own bound: with n slow callers each event cost n wake-ups. One is woken for each piece; one that finds room wakes the next. The test of the bound for all streams now also shows that all of them use more room; it fails where the next is not woken (trial on a mutated copy).

--- a/reachtally-relay/src/stream/ahead.rs
+++ b/reachtally-relay/src/stream/ahead.rs
@@ -52,7 +52,8 @@
         self.held.fetch_sub(count, Ordering::Relaxed);
         self.pool.held.fetch_sub(count, Ordering::Relaxed);
         self.taken.notify_waiters();
-        self.pool.room.notify_waiters();
+        // One for each piece: to wake all of them would cost each event as much as there are slow callers.
+        self.pool.room.notify_one();
     }
 }
 
@@ -142,14 +143,20 @@
             let taken = self.account.taken.notified();
             let room = self.account.pool.room.notified();
             let most = read_ahead::all_bytes(relay.settings.borrow().memory);
-            if read_ahead::may_read(self.account.held(), most) {
-                return since.map_or(Room::Now, Room::Since);
+            let held = self.account.held();
+            if read_ahead::may_read(held, most) {
+                let Some(since) = since else {
+                    return Room::Now;
+                };
+                // There may be room for another stream, too.
+                self.account.pool.room.notify_one();
+                return Room::Since(since);
             }
             since.get_or_insert(relay.now());
             let woken = async {
                 tokio::select! {
                     () = taken => {}
-                    () = room => {}
+                    () = room, if held.stream < read_ahead::STREAM_BYTES => {}
                 }
             };
             if relay.until_due(due, woken).await.is_none() {
