--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
+use bytes::BytesMut;
+use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::select::{self, Circumstance, Limits};
 use reachtally_core::life::NeverStarted;
@@ -172,7 +173,7 @@
     connection: Connection,
     occupied: Occupied,
 ) -> Result<Response<Body>, String> {
-    let (mut parts, body) = response.into_parts();
+    let (mut parts, mut body) = response.into_parts();
     parts.headers = relay.wire.backward(&parts.headers);
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > HELD_BYTES) {
@@ -182,7 +183,31 @@
         });
         return Ok(Response::from_parts(parts, Box::pin(passing)));
     }
-    let held = body.collect().await.map_err(|err| err.to_string())?;
-    relay.answered_whole(call);
-    Ok(Response::from_parts(parts, answer::whole(held.to_bytes())))
+    // One without a length may turn out to be larger.
+    let mut held = BytesMut::new();
+    while held.len() as u64 <= HELD_BYTES {
+        let Some(frame) = body.frame().await else {
+            relay.answered_whole(call);
+            return Ok(Response::from_parts(parts, answer::whole(held)));
+        };
+        let frame = frame.map_err(|err| err.to_string())?;
+        // Trailers are no part of the body.
+        held.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+    }
+    let passing = async_stream::stream! {
+        let _keep = (connection, occupied);
+        yield Ok(Frame::data(held.freeze()));
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| CutShort);
+            let is_cut = frame.is_err();
+            yield frame;
+            if is_cut {
+                return;
+            }
+        }
+    };
+    Ok(Response::from_parts(
+        parts,
+        Box::pin(StreamBody::new(passing)),
+    ))
 }
