fix(core): an engine was unread only after one long pause, and short pauses are none

Cause: an engine counted as held up since the first pause, so a caller that reads steadily but slower than the engine made any break after a second look like its doing; and while the box's bound was reached, pauses of scheduling kept a stream from saying that its engines make progress. Change: the longest pause since the stream caught up counts, and pauses below 20 ms do not. The test of the decision covers both; it replaces one that took instants.

--- a/reachtally-core/src/forward/read_ahead.rs
+++ b/reachtally-core/src/forward/read_ahead.rs
@@ -5,8 +5,6 @@
 
 use std::time::Duration;
 
-use crate::time::Instant;
-
 /// Most bytes read ahead for one stream: some 1,000 events, which is more than most answers have, so an engine that serves
 /// a slow caller is done in its usual time.
 pub const STREAM_BYTES: usize = 64 * 1024;
@@ -18,6 +16,8 @@
 /// Engines that cut off unread answers wait for longer than this, so a stream that was held up for less did not break for
 /// that reason.
 pub const ENGINE_PATIENCE: Duration = Duration::from_secs(1);
+/// Shorter pauses come from scheduling: a caller that reads takes each event within milliseconds.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
 /// Time without data from the engine that shows that a stream has caught up with it. Less passes between two packets of
 /// data that had piled up.
 const CAUGHT_UP_AFTER: Duration = Duration::from_millis(100);
@@ -42,37 +42,41 @@
     held.stream == 0 || (held.stream < STREAM_BYTES && held.all < most_of_all)
 }
 
-/// For how long a stream's engine has been held up by the caller.
+/// How a stream's engine has been held up by the caller.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HeldUp {
-    since: Option<Instant>,
-    /// Time spent waiting for the engine since then.
+    /// Longest pause since the stream had last caught up with the engine.
+    longest: Duration,
+    /// Time spent waiting for the engine since the last pause.
     waited: Duration,
 }
 
 impl HeldUp {
-    /// Reading stopped at `from` until now.
-    pub fn paused(&mut self, from: Instant) {
-        self.since.get_or_insert(from);
+    /// Reading stopped for this long. Returns whether the engine may have noticed.
+    pub fn paused(&mut self, time: Duration) -> bool {
+        if time < LEAST_PAUSE {
+            return false;
+        }
+        self.longest = self.longest.max(time);
         self.waited = Duration::ZERO;
+        true
     }
 
     /// The engine was waited for. Enough of it shows that nothing of its answer was left unread.
     pub fn waited(&mut self, time: Duration) {
         self.waited += time;
         if self.waited >= CAUGHT_UP_AFTER {
-            self.since = None;
+            *self = HeldUp::default();
         }
     }
 
     /// Whether data may have piled up that was not read yet.
     pub fn is_behind(&self) -> bool {
-        self.since.is_some()
+        !self.longest.is_zero()
     }
 
-    /// Whether the engine may have given up by now because its answer was left unread.
-    pub fn is_unread(&self, now: Instant) -> bool {
-        self.since
-            .is_some_and(|since| now.since(since) >= ENGINE_PATIENCE)
+    /// Whether the engine may have given up because its answer was left unread.
+    pub fn is_unread(&self) -> bool {
+        self.longest >= ENGINE_PATIENCE
     }
 }
--- a/reachtally-core/tests/core/forward/read_ahead.rs
+++ b/reachtally-core/tests/core/forward/read_ahead.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use reachtally_core::Instant;
 use reachtally_core::forward::read_ahead::{
     ENGINE_PATIENCE, Held, HeldUp, STREAM_BYTES, all_bytes, may_read,
 };
@@ -31,20 +30,25 @@
 
 /// A stream would be cut where its engine failed, or the engine blamed for a caller that did not read.
 #[test]
-fn an_engine_was_unread_only_after_a_long_time_behind_it() {
-    let at = |ms| Instant::ZERO + Duration::from_millis(ms);
+fn an_engine_was_unread_only_after_a_long_pause_that_was_not_caught_up() {
+    let ms = Duration::from_millis;
     let mut held_up = HeldUp::default();
-    assert!(!held_up.is_unread(at(60_000)));
-    held_up.paused(at(1000));
-    assert!(!held_up.is_unread(at(1000) + ENGINE_PATIENCE / 2));
-    // Data that piled up comes with short waits only.
-    held_up.waited(Duration::from_millis(20));
-    held_up.paused(at(1500));
-    assert!(held_up.is_unread(at(1000) + ENGINE_PATIENCE));
+    assert!(!held_up.paused(ms(1)));
+    assert!(!held_up.is_behind());
+    // A slow caller holds the engine up all the time, but never for long.
+    for _ in 0..10 {
+        assert!(held_up.paused(ENGINE_PATIENCE / 2));
+    }
     assert!(held_up.is_behind());
+    assert!(!held_up.is_unread());
+    held_up.paused(ENGINE_PATIENCE);
+    // Data that piled up comes with short waits only.
+    held_up.waited(ms(20));
+    held_up.paused(ms(50));
+    assert!(held_up.is_unread());
     for _ in 0..10 {
-        held_up.waited(Duration::from_millis(20));
+        held_up.waited(ms(20));
     }
-    assert!(!held_up.is_unread(at(60_000)));
+    assert!(!held_up.is_unread());
     assert!(!held_up.is_behind());
 }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -182,8 +182,9 @@
 
     /// Reading stopped at `from`, since the caller took nothing, and goes on at `now`.
     pub fn paused(&mut self, from: Instant, now: Instant) {
-        self.held_up.paused(from);
-        self.wait_from(now);
+        if self.held_up.paused(now.since(from)) {
+            self.wait_from(now);
+        }
     }
 
     /// The next whole events that the caller lacks, or how the chain stopped.
@@ -220,7 +221,7 @@
             let Some(frame) = frame else {
                 return Err(self.ended(relay, call, splitter));
             };
-            let frame = frame.map_err(|err| self.broke(relay, err.to_string()))?;
+            let frame = frame.map_err(|err| self.broke(err.to_string()))?;
             // Trailers say nothing of the events.
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -234,8 +235,8 @@
         }
     }
 
-    fn broke(&self, relay: &Relay, why: String) -> Stopped {
-        match self.held_up.is_unread(relay.now()) {
+    fn broke(&self, why: String) -> Stopped {
+        match self.held_up.is_unread() {
             true => Stopped::Unread(why),
             false => Stopped::Broke(why),
         }
@@ -296,7 +297,7 @@
     /// The body has ended in order. A part of an event shows that the engine did not mean to.
     fn ended(&mut self, relay: &Relay, call: &Call, splitter: &Splitter) -> Stopped {
         if splitter.has_part() {
-            return self.broke(relay, "it ended within an event".to_owned());
+            return self.broke("it ended within an event".to_owned());
         }
         self.pace.keep(relay, call, self.engines());
         relay.answered_whole(call);
