fix(relay): a caller that takes little at a time is not cut

Cause: the system wakes a writer only once a third of its buffer is free, some 43 KiB, so a caller behind a thin link looked as if it took nothing. Change: every half second without a wake-up the connection tries to send.

--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
+use reachtally_core::forward::read_ahead::CUT_AFTER;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -36,7 +37,7 @@
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
 /// Bytes that the system buffers for each caller; it sets aside twice as much. Left to itself it buffers megabytes, which are
-/// not read ahead by any rule, and tells that a slow caller takes something only once a third of them is gone.
+/// not read ahead by any rule.
 const SEND_BUFFER: usize = 64 * 1024;
 
 /// Serve callers until the process ends.
@@ -198,15 +199,24 @@
 }
 
 impl Watched {
-    /// What a write came to, or the end of the connection.
+    /// What a write of `buf` came to, or the end of the connection.
     fn judge(
         &mut self,
         cx: &mut Context<'_>,
+        buf: &[u8],
         written: Poll<std::io::Result<usize>>,
     ) -> Poll<std::io::Result<usize>> {
         let Some(waited) = self.unread.note(cx, &written) else {
             return written;
         };
+        // The system wakes a writer only once a third of its buffer is free. A caller that took less has taken something.
+        if let Ok(count) = SockRef::from(&self.stream).send(buf) {
+            self.unread = Unread::default();
+            return Poll::Ready(Ok(count));
+        }
+        if waited < CUT_AFTER {
+            return written;
+        }
         self.relay.count(|tally| tally.readers_cut += 1);
         let answer_to = self.watch.answer_to.borrow();
         let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
@@ -251,7 +261,7 @@
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.judge(cx, written)
+        self.judge(cx, buf, written)
     }
 
     fn poll_write_vectored(
@@ -260,7 +270,8 @@
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.judge(cx, written)
+        let buf = bufs.iter().find(|buf| !buf.is_empty());
+        self.judge(cx, buf.map_or(&[], |buf| buf), written)
     }
 
     fn is_write_vectored(&self) -> bool {
