--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -21,6 +21,8 @@
         streams_resumed,
         /// Times that streams went on over a repaired path.
         streams_repaired,
+        /// Callers cut off since they did not read their answers.
+        readers_cut,
         /// Sends to targets.
         sends,
         /// Sends that came back with the proof that nothing ran.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -16,6 +16,7 @@
 mod path;
 mod placement;
 mod quarantine;
+mod read_ahead;
 mod readers;
 mod repair;
 mod routes;
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod stream;
 pub mod target;
 pub mod targets;
+mod unread;
 mod whole;
 pub mod wire;
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -38,6 +38,7 @@
 use crate::share::Pages;
 use crate::shares::ShareState;
 use crate::slow_engines::SlowEngines;
+use crate::stream::Pool;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -53,6 +54,8 @@
     pub ip: IpAddr,
     /// Bandwidth of its link, in Mbit/s; 0 if it is not known.
     pub link_mbps: u32,
+    /// Memory that this process may use, in bytes. A part of it is for streams that are read ahead of their callers.
+    pub memory: u64,
     /// Boxes that may be asked before the group is known; they may be gone.
     pub seeds: Vec<IpAddr>,
     /// Time for which a configuration counts as the newest after it was confirmed; `None` if keys
@@ -104,6 +107,8 @@
     pub(crate) admission: Admission,
     /// Rates and shares of client accounts.
     pub(crate) shares: ShareState,
+    /// What is read of streams ahead of their callers.
+    pub(crate) read_ahead: Arc<Pool>,
     news: watch::Sender<()>,
     /// Rows of targets that were last found to have started again.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
@@ -173,6 +178,7 @@
             limits: LimitState::default(),
             admission: Admission::default(),
             shares: ShareState::default(),
+            read_ahead: Arc::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
@@ -507,6 +513,11 @@
             })
     }
 
+    /// Bytes that are read of streams and not taken by their callers yet.
+    pub fn read_ahead(&self) -> usize {
+        self.read_ahead.held()
+    }
+
     /// Count a caller's connection while the guard lives.
     pub fn connection(self: &Rc<Self>) -> OpenConnection {
         OpenConnection::new(self)
