--- a/reachtally-bench/src/choice.rs
+++ b/reachtally-bench/src/choice.rs
@@ -5,7 +5,6 @@
 //! after the other and refuse what their KV does not hold, datagrams that are late and sometimes lost. The
 //! fleet and its load stay the same while the number of boxes grows.
 
-mod boxes;
 pub mod engines;
 mod play;
 
--- a/reachtally-bench/src/choice/engines.rs
+++ b/reachtally-bench/src/choice/engines.rs
@@ -17,7 +17,7 @@
 /// Their kind of card.
 pub const CARD: &str = "middle";
 /// Time of a token from one engine to the next, in µs.
-const HOP_US: u64 = 500;
+pub const HOP_US: u64 = 500;
 
 /// The model that is served: 80 layers, with the figures of a mid-size card of the users' first site.
 pub fn model() -> LayerModel {
@@ -89,7 +89,7 @@
 
 impl Load {
     /// KV tokens that it holds on average.
-    fn held(&self) -> f64 {
+    pub fn held(&self) -> f64 {
         self.prompt + self.answer / 2.0
     }
 }
--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -3,6 +3,7 @@
 //! Each sub-command prints a table, or with `--json` one object. It exits non-zero where a promise
 //! broke, and with `--check` also where a goal is missed.
 
+mod boxes;
 mod choice;
 mod claims;
 mod control;
