feat(bench): a simulation of admission under overload

`reachtally-bench admission` plays the shipped choice, loads and admission on a virtual clock, before engines that queue at the first stage and refuse at the others, beside no admission and probabilities that collectors compute.

Demand and use are in parts of a measured capacity: what one box that knows all gets answered in time if it sends what fits. Shares of accounts are computed from all rates at once, since their messages are another part.

--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -3,6 +3,7 @@
 //! Each sub-command prints a table, or with `--json` one object. It exits non-zero where a promise
 //! broke, and with `--check` also where a goal is missed.
 
+mod admission;
 mod boxes;
 mod choice;
 mod claims;
@@ -73,6 +74,9 @@
     /// Rate limits that hold for all boxes together: how well they are kept and used, by ways to share them
     #[bpaf(command)]
     Limits(#[bpaf(external(limits::options))] limits::Options),
+    /// Requests that want more than the engines can do in time: who is answered, by ways to admit them
+    #[bpaf(command)]
+    Admission(#[bpaf(external(admission::options))] admission::Options),
     /// Requests that may run once: how many share an append, and that none runs twice
     #[bpaf(command)]
     Claims(#[bpaf(external(claims::options))] claims::Options),
@@ -101,6 +105,7 @@
         Experiment::Path(options) => path::run(&options),
         Experiment::Limits(options) => limits::run(&options),
         Experiment::Suspects(options) => suspects::run(&options),
+        Experiment::Admission(options) => admission::run(&options),
         Experiment::Claims(options) => claims::run(&options),
     };
     match result {
