feat(core): prompt tokens that a pass reads at most are part of the model

A pass with requests that decode reads at most `chunk` prompt tokens, so reading cannot slow decoding without bound and an engine that decodes cannot read at its full speed. The configuration names the chunk; it was not read.

`LayerModel::chunk` (0: no bound) is decoded from the service's engine. `reading_slowdown` is bounded by the part of a pass that a whole chunk takes, and `most_read_per_s` yields how fast an engine reads beside a batch. Without a chunk nothing changes.

--- a/reachtally-bench/src/choice/engines.rs
+++ b/reachtally-bench/src/choice/engines.rs
@@ -35,6 +35,7 @@
         context_ms_per_k: 0.00956,
         read_per_s: 105_000.0,
         stride: 3.0,
+        chunk: 0.0,
         slots: 192,
         usual_prompt: 774.0,
         usual_answer: 200.0,
--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -80,6 +80,7 @@
         kv_token_mb: 0.1,
         step_ms: 1.0,
         stride: 1.0,
+        chunk: 0.0,
         slots: 100_000,
         usual_prompt: 10.0,
         usual_answer: 10.0,
--- a/reachtally-core/src/forward/cost.rs
+++ b/reachtally-core/src/forward/cost.rs
@@ -39,6 +39,8 @@
     pub read_per_s: f64,
     /// Token steps that one pass plays.
     pub stride: f64,
+    /// Most prompt tokens that one pass reads; 0 for no bound.
+    pub chunk: f64,
     /// Requests that the first engine of a chain takes at once.
     pub slots: u32,
     /// Mean tokens of a prompt.
@@ -86,10 +88,34 @@
     }
 
     /// How much longer everything takes on an engine of `layers` layers that also reads the prompts of
-    /// `rate` requests a second.
+    /// `rate` requests a second. Where a pass reads a bounded number of tokens, what is decoded waits for no more.
     pub fn reading_slowdown(&self, card: &Card, layers: u32, rate: f64) -> f64 {
         let busy = rate * self.read_ms(card, layers, self.usual_prompt) / 1000.0;
-        1.0 / (1.0 - busy.min(MOST_READING))
+        let most = MOST_READING.min(self.chunk_part(card, layers));
+        1.0 / (1.0 - busy.min(most))
+    }
+
+    /// Part of a pass that reads a whole chunk, beside token steps for one request.
+    fn chunk_part(&self, card: &Card, layers: u32) -> f64 {
+        let read_ms = self.read_ms(card, layers, self.chunk);
+        let pass_ms = read_ms + self.stride.max(1.0) * self.step_ms(card, layers, 1.0);
+        match read_ms > 0.0 && pass_ms > 0.0 {
+            true => read_ms / pass_ms,
+            false => 1.0,
+        }
+    }
+
+    /// Prompt tokens a second that an engine of `layers` layers reads at most while each of its passes also plays
+    /// token steps for `running` requests. Infinite where reading takes no time.
+    pub fn most_read_per_s(&self, card: &Card, layers: u32, running: f64) -> f64 {
+        let (tokens, decode_ms) = match self.chunk > 0.0 {
+            true => (
+                self.chunk,
+                self.stride.max(1.0) * self.step_ms(card, layers, running),
+            ),
+            false => (1.0, 0.0),
+        };
+        tokens * 1000.0 / (self.read_ms(card, layers, tokens) + decode_ms)
     }
 
     /// Mean tokens that a request holds in KV while it runs.
--- /dev/null
+++ b/reachtally-core/tests/core/forward/cost.rs
@@ -0,0 +1,40 @@
+//! What reading prompts costs an engine that also decodes.
+
+use reachtally_core::forward::cost::LayerModel;
+
+use super::setup::model;
+
+/// Guards against expecting decoded tokens to wait for all prompts that arrive, where a pass reads only a chunk.
+#[test]
+fn a_bounded_pass_bounds_how_much_reading_slows_decoding() {
+    let free = model();
+    let bounded = LayerModel {
+        chunk: 512.0,
+        ..free.clone()
+    };
+    let card = free.cards["small"];
+    let few = (
+        free.reading_slowdown(&card, 8, 1.0),
+        bounded.reading_slowdown(&card, 8, 1.0),
+    );
+    assert_eq!(few.0, few.1, "a pass that is not filled is not bounded");
+    let many = bounded.reading_slowdown(&card, 8, 1000.0);
+    assert!(many < free.reading_slowdown(&card, 8, 1000.0), "{many}");
+    let chunk_ms = bounded.read_ms(&card, 8, 512.0);
+    let steps_ms = 3.0 * bounded.step_ms(&card, 8, 1.0);
+    let worst = 1.0 + chunk_ms / steps_ms;
+    assert!((many - worst).abs() < 1e-9, "{many}, not {worst}");
+}
+
+/// Guards against counting on an engine's whole reading speed while it decodes.
+#[test]
+fn an_engine_that_decodes_reads_a_chunk_in_the_time_of_a_pass() {
+    let model = LayerModel {
+        chunk: 512.0,
+        ..model()
+    };
+    let card = model.cards["large"];
+    let pass_ms = model.read_ms(&card, 20, 512.0) + 3.0 * model.step_ms(&card, 20, 30.0);
+    let rate = model.most_read_per_s(&card, 20, 30.0);
+    assert!((rate * pass_ms / 1000.0 - 512.0).abs() < 1e-6, "{rate}");
+}
--- a/reachtally-core/tests/core/forward/heavy.rs
+++ b/reachtally-core/tests/core/forward/heavy.rs
@@ -63,6 +63,7 @@
         context_ms_per_k: 0.002_85,
         read_per_s: 353_000.0,
         stride: 2.0,
+        chunk: 0.0,
         usual_answer: 138.0,
         cards: cards.iter().map(card).collect(),
         ..setup::model()
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod changes;
 mod choice_properties;
+mod cost;
 mod count;
 mod era;
 mod fingerprint;
