feat(core): evaluator of layer plans

A plan was judged by the flow of each chain over its holding time, which knows neither paths over engines of several chains nor objectives nor what is left after a loss.

`placement::evaluate` fills paths as the router may choose them, under all limits at once: places, KV, reading, batch, hops and objectives.

--- a/reachtally-core/src/forward/placement/mod.rs
+++ b/reachtally-core/src/forward/placement/mod.rs
@@ -7,6 +7,7 @@
 //! engines that can be spared are moved there.
 
 mod chains;
+pub mod evaluate;
 mod repair;
 
 use std::collections::BTreeMap;
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -23,9 +23,9 @@
 
 /// Time that a token takes from one engine to the next within a failure domain, in ms. Links there
 /// take under a millisecond, and the engine's queue adds as much again.
-const HOP_MS: f64 = 0.5;
+pub(super) const HOP_MS: f64 = 0.5;
 /// Time that a token takes more between failure domains, in ms.
-const FAR_HOP_MS: f64 = 2.0;
+pub(super) const FAR_HOP_MS: f64 = 2.0;
 /// What another failure domain's chain must be cheaper by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
 /// Part of the engines that a request considers first, drawn for each request. What other boxes have sent since
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -6,6 +6,7 @@
 mod cost;
 mod count;
 mod era;
+mod evaluate;
 mod fingerprint;
 mod fleet;
 mod freshness;
