--- a/reachtally-bench/src/main.rs
+++ b/reachtally-bench/src/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod overhead;
 mod path;
+mod placement;
 mod process;
 mod recovery;
 mod relay;
@@ -66,6 +67,9 @@
     /// What the decisions on the path of a request cost, against the number of engines
     #[bpaf(command)]
     Path(#[bpaf(external(path::options))] path::Options),
+    /// What plans of layers serve, whole and after losses, against simple plans and a bound
+    #[bpaf(command)]
+    Placement(#[bpaf(external(placement::options))] placement::Options),
     /// Requests that crash engines: how many one costs, and how soon all boxes know it
     #[bpaf(command)]
     Suspects(#[bpaf(external(suspects::options))] suspects::Options),
@@ -98,6 +102,7 @@
         Experiment::RelayBox(options) => run_box(options),
         Experiment::Choice(options) => choice::run(&options),
         Experiment::Path(options) => path::run(&options),
+        Experiment::Placement(options) => placement::run(&options),
         Experiment::Limits(options) => limits::run(&options),
         Experiment::Suspects(options) => suspects::run(&options),
         Experiment::Claims(options) => claims::run(&options),
--- /dev/null
+++ b/reachtally-bench/src/placement/cuts.rs
@@ -0,0 +1,133 @@
+//! Simple plans to compare with: equal cuts, and cuts in proportion to memory.
+
+use std::collections::BTreeMap;
+
+use reachtally_core::forward::cost::LayerModel;
+use reachtally_core::forward::path::MOST_PARTS;
+use reachtally_core::forward::placement::evaluate::capacity;
+use reachtally_core::forward::placement::{Host, moves};
+
+use super::fleets::{AIM, Case};
+
+/// Rounds of repair after which a plan is taken as it is.
+const REPAIRS: usize = 20;
+
+/// What the shipped placement makes of empty engines, repairs included.
+pub fn shipped(case: &Case) -> Vec<Host> {
+    let mut hosts = case.hosts.clone();
+    for _ in 0..REPAIRS {
+        let next = moves(&case.model, &hosts);
+        if next.is_empty() {
+            break;
+        }
+        let layers: BTreeMap<_, _> = next
+            .into_iter()
+            .map(|placed| (placed.engine, placed.layers))
+            .collect();
+        for host in &mut hosts {
+            if let Some(layers) = layers.get(&host.engine) {
+                host.layers = layers.clone();
+            }
+        }
+    }
+    hosts
+}
+
+/// The better of equal cuts and cuts in proportion to memory, each with the number of parts or chains that serves
+/// most, by failure domain.
+pub fn simple(case: &Case) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for group in groups(case) {
+        let parts = (1..=MOST_PARTS).map(|parts| equal(&case.model, &group, parts));
+        let most = (group.len() / 2).clamp(1, 40);
+        let chains = (1..=most).map(|chains| proportional(&case.model, &group, chains));
+        let options = parts.chain(chains);
+        let valued = options.map(|option| (capacity(&case.model, &option, AIM), option));
+        let best = valued.max_by(|a, b| a.0.total_cmp(&b.0));
+        hosts.extend(best.map_or(group, |(_, best)| best));
+    }
+    hosts
+}
+
+/// Engines by failure domain; those of domains that cannot hold the model alone are one group.
+fn groups(case: &Case) -> Vec<Vec<Host>> {
+    let mut by_domain: BTreeMap<&str, Vec<Host>> = BTreeMap::new();
+    for host in &case.hosts {
+        by_domain
+            .entry(&host.domain)
+            .or_default()
+            .push(host.clone());
+    }
+    let kv = 12.0 * case.model.usual_context();
+    let is_whole = |group: &Vec<Host>| {
+        let most = group
+            .iter()
+            .map(|host| case.model.most_layers(&host.card, kv));
+        most.sum::<u32>() >= case.model.layers
+    };
+    let (mut groups, rest): (Vec<_>, Vec<_>) = by_domain.into_values().partition(is_whole);
+    groups.push(rest.concat());
+    groups.retain(|group| !group.is_empty());
+    groups
+}
+
+/// Layers cut into `parts` equal parts, each engine at the one that has least room so far.
+fn equal(model: &LayerModel, group: &[Host], parts: usize) -> Vec<Host> {
+    let cut = |part: usize| (part * model.layers as usize / parts) as u32;
+    let mut rooms = vec![0.0; parts];
+    let mut hosts = group.to_vec();
+    hosts.sort_by(|a, b| b.card.memory_mb.total_cmp(&a.card.memory_mb));
+    for host in &mut hosts {
+        let least = (0..parts).min_by(|a, b| f64::total_cmp(&rooms[*a], &rooms[*b]));
+        let part = least.unwrap_or(0);
+        let layers = cut(part)..cut(part + 1);
+        let room = model.kv_tokens(&host.card, layers.len() as u32);
+        if room > model.usual_context() {
+            rooms[part] += room;
+            host.layers = layers;
+        }
+    }
+    hosts
+}
+
+/// Engines dealt to `chains` chains by size, each with layers in proportion to its part of the chain's memory.
+fn proportional(model: &LayerModel, group: &[Host], chains: usize) -> Vec<Host> {
+    let mut hosts = group.to_vec();
+    hosts.sort_by(|a, b| b.card.memory_mb.total_cmp(&a.card.memory_mb));
+    for chain in 0..chains {
+        let members: Vec<usize> = (chain..hosts.len()).step_by(chains).collect();
+        let total: f64 = members.iter().map(|at| hosts[*at].card.memory_mb).sum();
+        let (mut memory, mut from) = (0.0, 0);
+        for at in members {
+            memory += hosts[at].card.memory_mb;
+            let to = (memory / total * f64::from(model.layers)).round() as u32;
+            if model.kv_tokens(&hosts[at].card, to - from) > 0.0 {
+                hosts[at].layers = from..to;
+            }
+            from = to;
+        }
+    }
+    hosts
+}
+
+/// A bound on what any plan serves. An engine with `x` of `N` layers and room for `n` requests contributes at most `n x / N`
+/// of a request for as long as a path of engines like it takes, since 1 over the time of a path is at most the mean of that
+/// over its engines by their layers. Objectives, places and reading by others are left out.
+pub fn bound(case: &Case) -> f64 {
+    let model = &case.model;
+    let engine = |host: &Host| {
+        let each = (1..=model.layers).map(|layers| {
+            let room = model.kv_tokens(&host.card, layers) / model.usual_context();
+            if room <= 0.0 {
+                return 0.0;
+            }
+            let share = model.share(layers);
+            let batch = (room * share).max(1.0);
+            let step_ms = 1.5 * model.step_ms(&host.card, layers, batch) + 0.5;
+            let read_ms = 1.5 * model.read_ms(&host.card, layers, model.usual_prompt) + 0.5;
+            room * share * share * 1000.0 / (read_ms + model.usual_answer * step_ms)
+        });
+        each.fold(0.0, f64::max)
+    };
+    case.hosts.iter().map(engine).sum()
+}
