feat(core): the evaluator bounds the batch for each failure domain, and yields flows by engine

Each domain is filled with the bound that is best there; `flows` yields the requests through each engine, and the losses that are tried are those of the busiest engines. `reachtally-bench path` times a repair and an evaluation.

--- a/reachtally-bench/src/path.rs
+++ b/reachtally-bench/src/path.rs
@@ -1,5 +1,5 @@
 //! What the decisions on the path of a request cost a box, against the number of engines: the choice of engines, the
-//! report of loads, the sums of a collector, and the plan of layers.
+//! report of loads, the sums of a collector, and the plan of layers with its evaluation.
 //!
 //! The shipped functions on one thread, in memory; a box of the users has an eighth to a half of such a core.
 
@@ -13,6 +13,7 @@
 use reachtally_core::forward::cost::LayerModel;
 use reachtally_core::forward::fleet::{Entry, Evidence, Fleet};
 use reachtally_core::forward::loads::{Collector, own_report};
+use reachtally_core::forward::placement::evaluate::capacity;
 use reachtally_core::forward::placement::{Host, moves};
 use reachtally_core::forward::select::{self, Aim, Circumstance, Need};
 use reachtally_core::ids::Incarnation;
@@ -76,6 +77,15 @@
             black_box(moves(&model, &hosts));
         });
         report.add(&name("plan"), plan / 1000.0, "ms", Goal::AtMost(PLAN_MOST));
+        let placed = placed(&fleet, &hosts);
+        let repair = mean_us(3, |_| {
+            black_box(moves(&model, &placed));
+        });
+        report.add(&name("repair"), repair / 1000.0, "ms", Goal::None);
+        let evaluation = mean_us(3, |_| {
+            black_box(capacity(&model, &placed, Aim::default()));
+        });
+        report.add(&name("evaluation"), evaluation / 1000.0, "ms", Goal::None);
     }
     Ok(())
 }
@@ -145,6 +155,17 @@
     collector
 }
 
+/// The engines with the layers that they hold.
+fn placed(fleet: &Fleet, hosts: &[Host]) -> Vec<Host> {
+    let held = |host: &Host| Host {
+        layers: fleet
+            .get(host.engine)
+            .map_or(0..0, |row| row.entry.layers.clone()),
+        ..host.clone()
+    };
+    hosts.iter().map(held).collect()
+}
+
 /// Empty engines, for a plan.
 fn hosts(fleet: &Fleet, model: &LayerModel) -> Vec<Host> {
     let host = |(engine, row): (_, &reachtally_core::forward::fleet::Engine)| Host {
--- a/reachtally-bench/src/placement.rs
+++ b/reachtally-bench/src/placement.rs
@@ -5,12 +5,11 @@
 mod cuts;
 mod fleets;
 
-use std::collections::BTreeSet;
 use std::time::Instant;
 
 use bpaf::Bpaf;
 use reachtally_core::forward::placement::Host;
-use reachtally_core::forward::placement::evaluate::{capacity, chains, served};
+use reachtally_core::forward::placement::evaluate::{Flows, capacity, chains, flows, served};
 
 use crate::report::{Goal, Report};
 use fleets::{AIM, Case};
@@ -104,7 +103,8 @@
 }
 
 fn judge(case: &Case, hosts: &[Host]) -> Judged {
-    let whole = capacity(&case.model, hosts, AIM);
+    let flows = flows(&case.model, hosts, AIM);
+    let whole = flows.per_s;
     let without = |lost: &[usize]| {
         let left = hosts.iter().enumerate();
         let left: Vec<Host> = left
@@ -113,7 +113,7 @@
             .collect();
         capacity(&case.model, &left, AIM)
     };
-    let engines: Vec<f64> = losses(case, hosts)
+    let engines: Vec<f64> = losses(&flows, hosts)
         .iter()
         .map(|one| without(&[*one]))
         .collect();
@@ -131,35 +131,10 @@
     }
 }
 
-/// The engines whose loss is tried, one of those that are alike: those with the largest part of the requests that run
-/// at once in their failure domain, and others.
-fn losses(case: &Case, hosts: &[Host]) -> Vec<usize> {
-    let mut seen = BTreeSet::new();
-    let is_new = |number: &usize| {
-        let host = &hosts[*number];
-        let kind = (
-            host.card.memory_mb.to_bits(),
-            host.card.step_factor.to_bits(),
-        );
-        let range = (host.layers.start, host.layers.end);
-        !host.layers.is_empty() && seen.insert((&host.domain, range, kind))
-    };
-    let mut all: Vec<usize> = (0..hosts.len()).filter(is_new).collect();
-    if all.len() <= LOSSES {
-        return all;
-    }
-    let part = |number: usize| {
-        let host = &hosts[number];
-        let room = |host: &Host| case.model.kv_tokens(&host.card, host.layers.len() as u32);
-        let beside = host.layers.clone().map(|layer| {
-            let of = hosts.iter().filter(|other| other.domain == host.domain);
-            let of = of.filter(|other| other.layers.contains(&layer));
-            of.map(room).sum::<f64>()
-        });
-        room(host) / beside.fold(f64::INFINITY, f64::min)
-    };
-    all.sort_by(|a, b| part(*b).total_cmp(&part(*a)));
-    let (first, rest) = all.split_at(LOSSES / 2);
+/// The engines whose loss is tried, one of those that are alike: those that most requests pass, and others.
+fn losses(flows: &Flows, hosts: &[Host]) -> Vec<usize> {
+    let all = flows.busiest(hosts, hosts.len());
+    let (first, rest) = all.split_at(all.len().min(LOSSES / 2));
     let step = rest.len().div_ceil(LOSSES / 2).max(1);
     first
         .iter()
--- a/reachtally-core/src/forward/placement/evaluate.rs
+++ b/reachtally-core/src/forward/placement/evaluate.rs
@@ -6,18 +6,17 @@
 //! places of first engines, KV of the smallest stage, reading, time of steps for a batch, hops, and the objectives.
 //!
 //! Times are those for a bound on the batch that depends on the layers only. Several bounds are tried and the best
-//! counts, so that neither more memory nor a faster card makes other requests slower and lowers the value.
+//! counts in each failure domain, so that neither more memory nor a faster card makes other requests slower and lowers the value.
 
 mod fill;
 
+use std::collections::BTreeSet;
+
 use crate::forward::cost::LayerModel;
 use crate::forward::select::Aim;
 
 use super::Host;
-use fill::{Cost, Fleet};
-
-/// Bounds on the requests of an engine that are tried, in parts of those for which first engines have places.
-const BOUNDS: [f64; 8] = [2.0, 1.4, 1.0, 0.7, 0.5, 0.35, 0.25, 0.15];
+use fill::Fleet;
 
 /// What callers in one failure domain ask for, of one size.
 #[derive(Debug, Clone, PartialEq)]
@@ -71,19 +70,59 @@
 /// Most requests a second of the model's usual sizes that engines serve within the objectives; 0 where some layer is
 /// held by none.
 pub fn capacity(model: &LayerModel, hosts: &[Host], aim: Aim) -> f64 {
-    let fleet = Fleet::of(model, hosts, aim);
-    let filled = BOUNDS.iter().flat_map(|bound| {
-        let costs = [Cost::Run, Cost::Held];
-        costs.map(|cost| fleet.fill(*bound, cost).per_s)
-    });
-    filled.fold(0.0, f64::max)
+    flows(model, hosts, aim).per_s
+}
+
+/// The flows with which engines serve [`capacity`].
+pub fn flows(model: &LayerModel, hosts: &[Host], aim: Aim) -> Flows {
+    let best = Fleet::of(model, hosts, aim).fill();
+    let mut by_engine = vec![0.0; hosts.len()];
+    for (engines, per_s) in &best.paths {
+        engines
+            .iter()
+            .for_each(|engine| by_engine[*engine] += per_s);
+    }
+    Flows {
+        per_s: best.per_s,
+        by_engine,
+    }
+}
+
+/// Requests a second through all engines together, and through each.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Flows {
+    /// All together.
+    pub per_s: f64,
+    /// Through each engine, in the order of the hosts.
+    pub by_engine: Vec<f64>,
+}
+
+impl Flows {
+    /// Up to `count` engines, by their numbers in `hosts`, that most requests pass; of engines that are alike one.
+    pub fn busiest(&self, hosts: &[Host], count: usize) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..hosts.len()).collect();
+        all.sort_by(|a, b| self.by_engine[*b].total_cmp(&self.by_engine[*a]));
+        let mut seen = BTreeSet::new();
+        all.retain(|number| {
+            let host = &hosts[*number];
+            let range = (host.layers.start, host.layers.end);
+            let kind = (
+                host.card.memory_mb.to_bits(),
+                host.card.step_factor.to_bits(),
+            );
+            !host.layers.is_empty() && seen.insert((&host.domain, range, kind))
+        });
+        all.truncate(count);
+        all
+    }
 }
 
-/// The engines of each chain along which [`capacity`] fills a fleet first, by their numbers in `hosts`: each engine is
+/// The engines of each chain along which [`capacity`] fills a fleet, by their numbers in `hosts`: each engine is
 /// in one chain at most.
 pub fn chains(model: &LayerModel, hosts: &[Host], aim: Aim) -> Vec<Vec<usize>> {
     let mut seen = vec![false; hosts.len()];
-    let mut chains = Fleet::of(model, hosts, aim).fill(1.0, Cost::Run).paths;
+    let paths = Fleet::of(model, hosts, aim).fill().paths;
+    let mut chains: Vec<Vec<usize>> = paths.into_iter().map(|path| path.0).collect();
     chains.retain(|chain| {
         let is_new = chain.iter().all(|number| !seen[*number]);
         if is_new {
--- a/reachtally-core/src/forward/placement/evaluate/fill.rs
+++ b/reachtally-core/src/forward/placement/evaluate/fill.rs
@@ -5,6 +5,8 @@
 use crate::forward::placement::Host;
 use crate::forward::select::{Aim, FAR_HOP_MS, HOP_MS};
 
+/// Bounds on the requests of an engine that are tried, in parts of those for which first engines have places.
+const BOUNDS: [f64; 8] = [2.0, 1.4, 1.0, 0.7, 0.5, 0.35, 0.25, 0.15];
 /// Rounds in which a path's times and the rate of prompts that slows them settle.
 const ROUNDS: usize = 10;
 /// Most places of a first engine that count, where the configuration has no bound.
@@ -14,7 +16,7 @@
 
 /// What the next path is chosen by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Cost {
+enum Cost {
     /// The time that its parts take.
     Run,
     /// The time that all layers would take which its engines hold, so that no engine's room goes for a few of its
@@ -23,11 +25,24 @@
 }
 
 /// A fleet that was filled.
+#[derive(Default)]
 pub(super) struct Filled {
     /// Requests a second within the objectives.
     pub per_s: f64,
-    /// The engines of each path, in the order in which they were filled.
-    pub paths: Vec<Vec<usize>>,
+    /// The engines of each path with its requests a second, in the order in which they were filled.
+    pub paths: Vec<(Vec<usize>, f64)>,
+}
+
+impl Filled {
+    /// Add what a group of engines serves; yields the states that result, or those from before.
+    fn add(&mut self, group: Option<(Filled, Vec<State>)>, before: Vec<State>) -> Vec<State> {
+        let Some((filled, states)) = group else {
+            return before;
+        };
+        self.per_s += filled.per_s;
+        self.paths.extend(filled.paths);
+        states
+    }
 }
 
 /// Engines that hold layers.
@@ -116,22 +131,47 @@
         }
     }
 
-    /// Fill all engines, each up to `bound` of its places at most.
-    pub fn fill(&self, bound: f64, cost: Cost) -> Filled {
+    /// Fill all engines: those of each failure domain with the bound that is best there, then what is left of all.
+    pub fn fill(&self) -> Filled {
         let numbers = 0..self.engines.len();
-        let mut states: Vec<State> = numbers.map(|engine| self.state(engine, bound)).collect();
-        let mut filled = Filled {
-            per_s: 0.0,
-            paths: Vec::new(),
-        };
+        let mut states: Vec<State> = numbers
+            .clone()
+            .map(|engine| self.state(engine, 1.0))
+            .collect();
+        let mut all = Filled::default();
         for domain in &self.domains {
-            self.fill_group(domain, HOP_MS, cost, &mut states, &mut filled);
+            let bounds = BOUNDS.iter().map(|bound| {
+                let mut states = states.clone();
+                for engine in domain {
+                    states[*engine] = self.state(*engine, *bound);
+                }
+                self.better(domain, HOP_MS, states)
+            });
+            states = all.add(
+                bounds.max_by(|a, b| a.0.per_s.total_cmp(&b.0.per_s)),
+                states,
+            );
         }
         if self.domains.len() > 1 {
-            let all: Vec<usize> = (0..self.engines.len()).collect();
-            self.fill_group(&all, FAR_HOP_MS, cost, &mut states, &mut filled);
+            let engines: Vec<usize> = numbers.collect();
+            all.add(Some(self.better(&engines, FAR_HOP_MS, states)), Vec::new());
+        }
+        all
+    }
+
+    /// Fill some engines by the cost that serves more.
+    fn better(&self, group: &[usize], hop_ms: f64, states: Vec<State>) -> (Filled, Vec<State>) {
+        let [run, held] = [Cost::Run, Cost::Held].map(|cost| {
+            let mut states = states.clone();
+            let mut filled = Filled::default();
+            self.fill_group(group, hop_ms, cost, &mut states, &mut filled);
+            (filled, states)
+        });
+        if run.0.per_s >= held.0.per_s {
+            run
+        } else {
+            held
         }
-        filled
     }
 
     fn state(&self, engine: usize, bound: f64) -> State {
@@ -205,7 +245,7 @@
             }
             filled.per_s += per_s;
             let numbers = path.parts.iter().map(|part| self.engines[part.engine].0);
-            filled.paths.push(numbers.collect());
+            filled.paths.push((numbers.collect(), per_s));
         }
     }
 
