--- a/reachtally-core/src/forward/placement/evaluate/fill.rs
+++ b/reachtally-core/src/forward/placement/evaluate/fill.rs
@@ -218,19 +218,17 @@
         filled: &mut Filled,
     ) {
         let mut holders: Vec<Vec<(usize, f64)>> = vec![Vec::new(); self.model.layers as usize];
+        let has_room = |state: &State| state.at_once > LEAST && state.per_s > LEAST;
         for engine in group {
+            if !has_room(&states[*engine]) {
+                continue;
+            }
             let layer_ms = self.layer_ms(*engine, &states[*engine]);
             for layer in self.engines[*engine].1.layers.clone() {
                 holders[layer as usize].push((*engine, layer_ms));
             }
         }
         loop {
-            for of_layer in &mut holders {
-                of_layer.retain(|(engine, _)| {
-                    let state = &states[*engine];
-                    state.at_once > LEAST && state.per_s > LEAST
-                });
-            }
             let Some(parts) = self.cheapest(&holders, hop_ms, cost) else {
                 return;
             };
@@ -242,6 +240,11 @@
                 let state = &mut states[part.engine];
                 state.at_once -= at_once;
                 state.per_s -= per_s;
+                if !has_room(state) {
+                    for layer in self.engines[part.engine].1.layers.clone() {
+                        holders[layer as usize].retain(|(engine, _)| *engine != part.engine);
+                    }
+                }
             }
             filled.per_s += per_s;
             let numbers = path.parts.iter().map(|part| self.engines[part.engine].0);
