perf(core): a plan that cannot be worth more than the best so far is not evaluated further

What is served after a loss is at most what is served whole, so most cuts are settled by one evaluation. A group in which nothing meets the objectives is still planned; a new test asserts it.

--- a/reachtally-core/src/forward/placement/plan.rs
+++ b/reachtally-core/src/forward/placement/plan.rs
@@ -45,13 +45,13 @@
         let own = chain_room(model, chains).unwrap_or(usual);
         for goal in [usual, own] {
             let hosts = with_rest(model, empty, chains, goal, usual);
-            let value = judge(model, &hosts);
-            let least = least.get_or_insert(value);
-            let is_better = best
-                .as_ref()
-                .is_none_or(|(worth, _)| value.worth() > *worth);
-            if is_better && value.is_at_least(least, LEAST_PART) {
-                best = Some((value.worth(), hosts));
+            // Below any worth, so that a group is planned also where nothing meets the objectives.
+            let most = best.as_ref().map_or(-1.0, |(worth, _)| *worth);
+            if let Some(value) = judge(model, &hosts, most) {
+                let least = least.get_or_insert(value);
+                if value.is_at_least(least, LEAST_PART) {
+                    best = Some((value.worth(), hosts));
+                }
             }
             if own == usual {
                 break;
@@ -110,18 +110,22 @@
     }
 }
 
-fn judge(model: &LayerModel, hosts: &[Host]) -> Value {
+/// What engines serve; `None` where that can't be worth more than `least`.
+fn judge(model: &LayerModel, hosts: &[Host], least: f64) -> Option<Value> {
     let flows = flows(model, hosts, AIM);
-    let losses = flows.busiest(hosts, LOSSES).into_iter();
-    let left = losses.map(|lost| {
+    let mut value = Value {
+        whole: flows.per_s,
+        after_loss: flows.per_s,
+    };
+    for lost in flows.busiest(hosts, LOSSES) {
+        if value.worth() <= least {
+            return None;
+        }
         let mut left = hosts.to_vec();
         left.remove(lost);
-        capacity(model, &left, AIM)
-    });
-    Value {
-        after_loss: left.fold(f64::INFINITY, f64::min),
-        whole: flows.per_s,
+        value.after_loss = value.after_loss.min(capacity(model, &left, AIM));
     }
+    (value.worth() > least).then_some(value)
 }
 
 fn place<'a>(hosts: &mut [Host], moves: impl IntoIterator<Item = &'a Move>) {
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -98,6 +98,15 @@
     }
 }
 
+/// Guards against a group that is left empty because every plan of it is worth nothing to the evaluator.
+#[test]
+fn a_group_too_slow_for_any_objective_is_planned() {
+    let mut model = model();
+    model.step_ms *= 100.0;
+    let hosts = hosts("e", &[("small", 30)]);
+    assert!(!plan(&model, &hosts).is_empty());
+}
+
 #[test]
 fn a_group_that_is_in_order_is_left_alone() {
     let model = model();
