--- a/reachtally-core/src/forward/placement/chains.rs
+++ b/reachtally-core/src/forward/placement/chains.rs
@@ -1,4 +1,4 @@
-//! Chains filled one after the other, for several amounts of KV.
+//! Whole chains over engines that are all empty.
 
 use super::{GiveUp, Host, LEAST_REQUESTS, Move, by_speed};
 use crate::forward::cost::{LayerModel, WAIT_FACTOR};
@@ -14,6 +14,16 @@
 /// Time of a hop between engines of a group, in ms.
 const HOP_MS: f64 = 0.5;
 
+/// Chains over empty engines.
+pub fn plan(model: &LayerModel, empty: &[Host]) -> Vec<Move> {
+    let chains = best_chains(model, empty);
+    chains
+        .into_iter()
+        .flatten()
+        .map(|(_, placed)| placed)
+        .collect()
+}
+
 /// The chains that engines would form if all were empty, with the amount of KV that makes them worth
 /// most.
 pub(super) fn best_chains<'a>(model: &LayerModel, hosts: &'a [Host]) -> Vec<Vec<Placed<'a>>> {
--- a/reachtally-core/src/forward/placement/mod.rs
+++ b/reachtally-core/src/forward/placement/mod.rs
@@ -1,25 +1,24 @@
 //! Which layers each engine should hold.
 //!
-//! An empty group of engines is planned whole: several plans of chains are evaluated, and the one that serves most, whole
-//! and after the loss of an engine, wins. Fast cards together give short requests, which hold KV for less time. A group that already holds layers is only repaired:
+//! An empty group of engines is planned whole: chains are filled with the fastest cards first, for
+//! several amounts of KV, and the amount that makes them worth most wins. Fast cards together give
+//! short requests, which hold KV for less time. A group that already holds layers is only repaired:
 //! an empty engine takes the layers that lack KV most, and where a layer has much less of it than usual
 //! engines that can be spared are moved there.
 
 mod chains;
 pub mod evaluate;
-mod plan;
 mod repair;
-mod runs;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::forward::cost::{Card, LayerModel, Layers};
 use crate::forward::fleet::EngineKey;
-use chains::{Placed, best_chains};
+use chains::best_chains;
 use repair::Room;
 
-pub use plan::plan;
+pub use chains::plan;
 
 /// Least KV of an engine, in usual requests; below it every second request would not fit.
 const LEAST_REQUESTS: f64 = 6.0;
@@ -100,7 +99,7 @@
         .filter(|host| host.layers.is_empty())
         .cloned()
         .collect();
-    let Some(usual) = usual_room(model, &best_chains(model, group)) else {
+    let Some(usual) = usual_room(model, group) else {
         return Vec::new();
     };
     let room = Room::of(model, group, usual);
@@ -113,25 +112,14 @@
     repair::repair(model, group, usual)
 }
 
-/// KV tokens that a layer of a group should have, by the first of the chains that are filled one after the other: no more
-/// than the requests need for which a first engine has places. `None` if the group can't hold the model.
-fn usual_room(model: &LayerModel, filled: &[Vec<Placed<'_>>]) -> Option<f64> {
-    let most = f64::from(model.slots) * model.usual_context();
-    chain_room(model, filled).map(|tokens| tokens.min(most))
-}
-
-/// KV tokens that the first of some chains has for the layer with least of them.
-fn chain_room(model: &LayerModel, chains: &[Vec<Placed<'_>>]) -> Option<f64> {
-    let first = chains.first()?;
-    let tokens = |layer: u32| -> f64 {
-        let holders = first
-            .iter()
-            .filter(|(_, placed)| placed.layers.contains(&layer));
-        let room =
-            |host: &Host, placed: &Move| model.kv_tokens(&host.card, placed.layers.len() as u32);
-        holders.map(|(host, placed)| room(host, placed)).sum()
-    };
-    (0..model.layers).map(tokens).min_by(f64::total_cmp)
+/// KV tokens of the smallest engine in the chain that an empty group would get first; `None` if the
+/// group can't hold the model.
+fn usual_room(model: &LayerModel, group: &[Host]) -> Option<f64> {
+    let chains = best_chains(model, group);
+    let first = chains.first().into_iter().flatten();
+    let tokens =
+        first.map(|(host, placed)| model.kv_tokens(&host.card, placed.layers.len() as u32));
+    tokens.min_by(f64::total_cmp)
 }
 
 /// The fastest first, then the largest, then by id.
