--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -110,7 +110,7 @@
     /// What is read of streams ahead of their callers.
     pub(crate) read_ahead: Arc<Pool>,
     news: watch::Sender<()>,
-    /// Rows of targets that were last found to have started again.
+    /// Rows of targets that were last found to have started again, or to be dead.
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
     /// Whether this box is the one of its failure domain that should read the store.
     pub is_reader: Cell<bool>,
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -47,7 +47,7 @@
     since: Instant,
     /// When to look at the engines if no event comes.
     look_at: Instant,
-    /// Tells of targets that started again.
+    /// Changes when targets started again or are found dead.
     runs_ended: watch::Receiver<Vec<EngineKey>>,
     /// Tells of requests that get no more targets.
     stopped: watch::Receiver<u64>,
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -29,7 +29,7 @@
 }
 
 impl Relay {
-    /// Marks a target as dead: it accepted no connection. Streams over it are told.
+    /// Marks a target as dead: it accepted no connection. Wakes the streams over it.
     pub fn target_dead(&self, key: EngineKey) {
         self.targets_dead(&[key]);
     }
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Whether all of these targets are gone, or took no connection and another run took their place.
+    /// Whether all of these targets are gone or started again, other than being found dead by a check.
     pub(crate) fn has_ended(&self, keys: &[EngineKey]) -> bool {
         let fleet = self.fleet.borrow();
         keys.iter().all(|key| {
