--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -1,6 +1,6 @@
 //! The table of targets that requests are forwarded to.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +36,8 @@
     by_address: HashMap<SocketAddr, EngineKey>,
     /// Notices of runs without a row.
     notices: Notices,
+    /// Failure domains of which this box reaches no target.
+    unreachable: BTreeSet<Arc<str>>,
 }
 
 impl Fleet {
@@ -63,7 +65,10 @@
         let id = entry.id.clone();
         let address = entry.address;
         let notice = self.notices.take(&entry.run());
-        let key = self.engines.insert(Engine::new(entry, notice, now));
+        let mut engine = Engine::new(entry, notice, now);
+        let is_reachable = !self.unreachable.contains(&engine.entry.domain);
+        engine.health.set_reachable(is_reachable, now);
+        let key = self.engines.insert(engine);
         self.by_id.insert(id, key);
         self.take_address(address, key, evidence, now);
         key
@@ -85,6 +90,8 @@
             engine.health.entry_changed();
         }
         let before = std::mem::replace(&mut engine.entry, entry).address;
+        let is_reachable = !self.unreachable.contains(&engine.entry.domain);
+        engine.health.set_reachable(is_reachable, now);
         let address = engine.entry.address;
         if before != address || is_back {
             self.release_address(before, key);
@@ -170,13 +177,44 @@
         self.by_id.keys().cloned().collect()
     }
 
-    /// Targets that accept no connections, without those whose address was taken over.
+    /// Targets that accept no connections, without those whose address was taken over or whose failure domain is unreachable.
     pub fn dead(&self) -> Vec<EngineKey> {
-        let dead = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| engine.health.is_silent());
-        dead.map(|(key, _)| key).collect()
+        let dead = self.engines.iter();
+        dead.filter(|(_, engine)| engine.health.is_alone_silent())
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// At most `most` dead targets that are due for a probe, those that have waited longest first.
+    pub fn due_for_probe(&self, now: Instant, most: usize) -> Vec<EngineKey> {
+        let due = |(key, engine): (EngineKey, &Engine)| {
+            let at = engine.health.probe_at()?;
+            (at <= now).then_some((at, key))
+        };
+        let mut due: Vec<(Instant, EngineKey)> = self.engines.iter().filter_map(due).collect();
+        due.sort();
+        due.truncate(most);
+        due.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Sets whether this box reaches the targets of a failure domain. Returns whether that is a change.
+    pub fn set_reachable(&mut self, domain: &Arc<str>, is_reachable: bool, now: Instant) -> bool {
+        let is_change = match is_reachable {
+            true => self.unreachable.remove(domain),
+            false => self.unreachable.insert(domain.clone()),
+        };
+        if is_change {
+            let there = self.engines.values_mut();
+            there
+                .filter(|engine| engine.entry.domain == *domain)
+                .for_each(|engine| engine.health.set_reachable(is_reachable, now));
+        }
+        is_change
+    }
+
+    /// Failure domains of which this box reaches no target.
+    pub fn unreachable(&self) -> &BTreeSet<Arc<str>> {
+        &self.unreachable
     }
 
     /// A target by row.
--- a/reachtally-core/src/forward/fleet/health.rs
+++ b/reachtally-core/src/forward/fleet/health.rs
@@ -19,6 +19,13 @@
 /// An entry that is read this long after its target was found dead was written by a live target:
 /// entries are read within a second.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(1300);
+/// Time until a dead target is probed again; doubles with each probe that fails.
+const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(600);
+/// Longest such time.
+const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(2400);
+/// A target that was found dead within this time before its failure domain was found unreachable is taken to be dead for that
+/// reason alone.
+const CUT_DELAY: Duration = Duration::from_secs(1);
 
 /// Failures of a target and what was concluded.
 #[derive(Debug, Clone, Copy, Default)]
@@ -31,6 +38,11 @@
     failed_at: Option<Instant>,
     /// Since when it takes no connections.
     dead_since: Option<Instant>,
+    /// When it is probed next while it is dead.
+    probe_at: Instant,
+    probe_pause: Duration,
+    /// Since when this box reaches no target of its failure domain.
+    unreachable_since: Option<Instant>,
     /// When it was last seen to take a connection or write its entry.
     alive_at: Option<Instant>,
     /// Until when it is left alone because it does not hold what its entry says.
@@ -52,12 +64,44 @@
 
     /// Whether the target takes no connections, as far as is known.
     pub fn is_dead(&self) -> bool {
-        self.dead_since.is_some() || self.superseded_at.is_some()
+        self.dead_since.is_some() || self.is_unreachable() || self.superseded_at.is_some()
     }
 
-    /// Whether this box found that the target takes no connections.
+    /// Whether this box found that the target takes no connections, or that it reaches no target of its failure domain.
     pub fn is_silent(&self) -> bool {
-        self.dead_since.is_some() && self.superseded_at.is_none()
+        (self.dead_since.is_some() || self.is_unreachable()) && self.superseded_at.is_none()
+    }
+
+    /// Whether this box reaches no target of its failure domain.
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable_since.is_some()
+    }
+
+    /// Whether the target itself was found dead while its failure domain is reachable.
+    pub fn is_alone_silent(&self) -> bool {
+        self.is_silent() && !self.is_unreachable()
+    }
+
+    /// When a dead target is probed next; `None` if it needs no probe of its own.
+    pub fn probe_at(&self) -> Option<Instant> {
+        self.is_alone_silent().then_some(self.probe_at)
+    }
+
+    /// A dead target was probed in vain.
+    pub fn probed_in_vain(&mut self, now: Instant) {
+        self.probe_at = now + self.probe_pause;
+        self.probe_pause = (self.probe_pause * 2).min(LONGEST_PROBE_PAUSE);
+    }
+
+    /// This box reaches the failure domain of the target, or no longer does.
+    pub(super) fn set_reachable(&mut self, is_reachable: bool, now: Instant) {
+        if !is_reachable {
+            self.unreachable_since.get_or_insert(now);
+            return;
+        }
+        if let Some(since) = self.unreachable_since.take() {
+            self.dead_since.take_if(|at| *at + CUT_DELAY >= since);
+        }
     }
 
     /// Whether the target lately turned out not to hold what its entry says.
@@ -72,7 +116,11 @@
 
     /// The target took no connection.
     pub fn found_dead(&mut self, now: Instant) {
-        self.dead_since.get_or_insert(now);
+        if self.dead_since.is_none() {
+            self.dead_since = Some(now);
+            self.probe_pause = FIRST_PROBE_PAUSE;
+            self.probed_in_vain(now);
+        }
     }
 
     /// The target took a connection.
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -53,6 +53,8 @@
         second_sends_denied,
         /// Targets found to take no connections.
         targets_found_dead,
+        /// Connections opened only to see whether a target accepts them.
+        targets_probed,
         /// Ends of targets under requests, each that this box saw first.
         ends_under_requests,
         /// Requests refused because targets that began to run them ended.
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -1,7 +1,6 @@
 //! The relay's state, shared by its connections and loops on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,6 +38,7 @@
 use crate::shares::ShareState;
 use crate::slow_engines::SlowEngines;
 use crate::stream::Pool;
+use crate::targets::DomainChecks;
 use crate::wire::Wire;
 
 /// Bounds and identity of this box.
@@ -91,8 +91,8 @@
     pub remote_loads: RefCell<RemoteLoads>,
     /// Boxes in the group.
     pub members: RefCell<Vec<Member>>,
-    /// When the targets of each failure domain were last asked whether they are there.
-    pub(crate) domains_checked: RefCell<HashMap<Arc<str>, Instant>>,
+    /// Failure domains that may be unreachable.
+    pub(crate) domain_checks: DomainChecks,
     /// Generation of the group that these boxes are of.
     group_generation: Cell<Generation>,
     second_sends: SecondSends,
@@ -168,7 +168,7 @@
             progress: RefCell::default(),
             remote_loads: RefCell::default(),
             members: RefCell::default(),
-            domains_checked: RefCell::default(),
+            domain_checks: DomainChecks::default(),
             group_generation: Cell::default(),
             second_sends: SecondSends::default(),
             held: Cell::new(HELD_ASSUMED),
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -24,15 +24,31 @@
 /// Time for a connection that only shows whether a target is there.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Whether a target takes connections.
-pub async fn is_there(address: SocketAddr) -> bool {
-    dial(address, CHECK_TIMEOUT).await.is_ok()
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// The target accepts connections.
+    Accepted,
+    /// Its machine is there, and nothing listens.
+    Refused,
+    /// No answer, or a failure of this system.
+    Silent,
+}
+
+/// Opens a connection to `address` only to see whether it is accepted.
+pub async fn probe(address: SocketAddr) -> Probe {
+    match dial(address, CHECK_TIMEOUT).await {
+        Ok(_) => Probe::Accepted,
+        Err(DialError::Refused(err)) if err.kind() == ErrorKind::ConnectionRefused => {
+            Probe::Refused
+        }
+        Err(_) => Probe::Silent,
+    }
 }
 
 /// Whether nothing listens at `address` any more: a machine is there and says so.
 pub(crate) async fn listens_no_more(address: SocketAddr) -> bool {
-    let dialled = dial(address, CHECK_TIMEOUT).await;
-    matches!(dialled, Err(DialError::Refused(err)) if err.kind() == ErrorKind::ConnectionRefused)
+    probe(address).await == Probe::Refused
 }
 
 /// Why no connection came about.
--- a/reachtally-relay/src/targets/mod.rs
+++ b/reachtally-relay/src/targets/mod.rs
@@ -3,5 +3,8 @@
 
 mod answers;
 pub mod check;
+mod domains;
 mod entries;
 mod presence;
+
+pub(crate) use domains::DomainChecks;
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -1,7 +1,7 @@
 //! Whether targets accept connections.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use reachtally_core::forward::fleet::EngineKey;
 
 use crate::relay::Relay;
-use crate::target;
+use crate::target::{self, Probe};
 use crate::targets::check;
 
 /// Time for which the result of a check holds, so that the streams of one engine
@@ -17,8 +17,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Streams of this box over one engine whose silence together shows as much as the longer silence of one.
 const SEVERAL_STREAMS: u32 = 3;
-/// Least time between two checks of a whole failure domain: a few dozen connections each.
-const DOMAIN_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Silent targets that are probed together without any answer from which on their failure domains may be unreachable.
+const SEVERAL_TARGETS: usize = 2;
+/// Most dead targets that are probed at a time.
+const MOST_PROBED: usize = 16;
 
 /// What is known of a target's presence.
 enum Presence {
@@ -28,6 +30,17 @@
     Unknown(SocketAddr),
 }
 
+/// What a check of several targets showed.
+#[derive(Debug, Default)]
+pub(super) struct Checked {
+    /// Those that take no connections.
+    pub dead: Vec<EngineKey>,
+    /// Those of them that were probed for it.
+    pub silent: Vec<EngineKey>,
+    /// Whether the machine of any answered.
+    pub is_answered: bool,
+}
+
 impl Relay {
     /// Marks a target as dead: it accepted no connection. Wakes the streams over it.
     pub fn target_dead(&self, key: EngineKey) {
@@ -82,22 +95,10 @@
         silent.into_iter().filter(has_several).collect()
     }
 
-    /// Handles a connection attempt without an answer. A packet may have been lost, or the whole failure
-    /// domain may be cut off; so all targets there are checked at once, and none is used until it answered.
-    pub fn target_silent(self: &Rc<Self>, key: EngineKey) {
+    /// Handles a connection attempt without an answer. A packet may have been lost, or the whole failure domain may be unreachable.
+    pub fn target_silent(&self, key: EngineKey) {
         self.target_refused(key);
-        let Some(domain) = self.domain_of(key) else {
-            return;
-        };
-        if !self.may_check(&domain) {
-            return;
-        }
-        let relay = self.clone();
-        tokio::task::spawn_local(async move {
-            let targets = relay.targets_in(&domain);
-            let dead = relay.dead_of(&targets).await.len();
-            log::info!(event = "domain-checked", domain = &*domain, targets = targets.len(), dead = dead; "a target was silent, so all of its failure domain were asked");
-        });
+        self.suspect_domains(&[key]);
     }
 
     /// Returns the address of a target, if it is known.
@@ -106,56 +107,48 @@
         fleet.get(key).map(|engine| engine.entry.address)
     }
 
-    fn domain_of(&self, key: EngineKey) -> Option<Arc<str>> {
+    pub(super) fn domain_of(&self, key: EngineKey) -> Option<Arc<str>> {
         let fleet = self.fleet.borrow();
         fleet.get(key).map(|engine| engine.entry.domain.clone())
     }
 
-    /// Returns the targets of a failure domain that are not known to be dead.
-    fn targets_in(&self, domain: &str) -> Vec<EngineKey> {
-        let fleet = self.fleet.borrow();
-        let there = fleet
-            .iter()
-            .filter(|(_, engine)| &*engine.entry.domain == domain && !engine.health.is_dead());
-        there.map(|(key, _)| key).collect()
-    }
-
-    /// Whether a failure domain is due for a check; if so, notes that it is checked now.
-    fn may_check(&self, domain: &Arc<str>) -> bool {
-        let now = self.now();
-        let mut checked = self.domains_checked.borrow_mut();
-        let is_due = checked
-            .get(domain)
-            .is_none_or(|at| now.since(*at) >= DOMAIN_CHECK_INTERVAL);
-        if is_due {
-            checked.insert(domain.clone(), now);
+    /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
+    pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
+        let checked = self.check(engines).await;
+        if !checked.is_answered && checked.silent.len() >= SEVERAL_TARGETS {
+            self.suspect_domains(&checked.silent);
         }
-        is_due
+        checked.dead
     }
 
-    /// Those of `engines` that take no connections. Each is asked at most every [`CHECK_INTERVAL`].
-    pub async fn dead_of(&self, engines: &[EngineKey]) -> Vec<EngineKey> {
+    /// Probes those of `engines` of which nothing is known.
+    pub(super) async fn check(&self, engines: &[EngineKey]) -> Checked {
         let now = self.now();
-        let mut dead = Vec::new();
+        let mut checked = Checked::default();
         let mut asked = Vec::new();
         for key in engines {
             match self.presence(*key, now) {
-                Presence::Dead => dead.push(*key),
-                Presence::Alive => {}
+                Presence::Dead => checked.dead.push(*key),
+                Presence::Alive => checked.is_answered = true,
                 Presence::Unknown(address) => asked.push((*key, address)),
             }
         }
-        let check = |(key, address)| async move { (key, target::is_there(address).await) };
-        let present = check::present(asked.iter().copied().map(check)).await;
+        self.count(|tally| tally.targets_probed += asked.len() as u64);
+        let is_refused = Cell::new(false);
+        let is_refused = &is_refused;
+        let probe = |(key, address)| async move {
+            let answer = target::probe(address).await;
+            is_refused.set(is_refused.get() || answer == Probe::Refused);
+            (key, answer == Probe::Accepted)
+        };
+        let present = check::present(asked.iter().copied().map(probe)).await;
         present.iter().for_each(|key| self.target_there(*key));
-        let silent: Vec<EngineKey> = asked
-            .iter()
-            .map(|(key, _)| *key)
-            .filter(|key| !present.contains(key))
-            .collect();
-        self.targets_dead(&silent);
-        dead.extend(silent);
-        dead
+        checked.is_answered |= is_refused.get() || !present.is_empty();
+        let asked = asked.iter().map(|(key, _)| *key);
+        checked.silent = asked.filter(|key| !present.contains(key)).collect();
+        self.targets_dead(&checked.silent);
+        checked.dead.extend(&checked.silent);
+        checked
     }
 
     /// What is known of a target's presence without asking.
@@ -185,14 +178,22 @@
         engines.iter().filter(is_dead).copied().collect()
     }
 
-    /// Ask a dead target whether it is back.
-    pub async fn ask_dead(&self, key: EngineKey) {
+    /// Probes the dead targets that are due.
+    pub(crate) async fn probe_dead(&self) {
+        let due = self.fleet.borrow().due_for_probe(self.now(), MOST_PROBED);
+        self.count(|tally| tally.targets_probed += due.len() as u64);
+        futures::future::join_all(due.into_iter().map(|key| self.probe_dead_target(key))).await;
+    }
+
+    async fn probe_dead_target(&self, key: EngineKey) {
         let Some(address) = self.address_of(key) else {
             return;
         };
-        if target::is_there(address).await {
+        if target::probe(address).await == Probe::Accepted {
             log::info!(event = "target-back", address:% = address; "a dead target takes connections again");
             self.target_there(key);
+        } else if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            engine.health.probed_in_vain(self.now());
         }
     }
 
