feat(core): requests stay in their failure domain while it has room and is fast enough

With noise of up to six times on prices and a bonus of a tenth for home, four in five streams crossed failure domains where five have the same engines. A cut then ended them, and a choice searched the engines of all domains. Home's drawn engines are searched first, and used if the path uses less than half of their room and is expected within half of each objective.

Tests: requests_leave_their_failure_domain_only_where_it_lacks_room, which failed before, and requests_leave_their_failure_domain_where_it_is_too_slow.

--- a/reachtally-core/src/forward/select/judge.rs
+++ b/reachtally-core/src/forward/select/judge.rs
@@ -17,6 +17,15 @@
 /// Rounds in which the weights follow the way found.
 const ROUNDS: usize = 3;
 
+/// Part of an objective up to which the expected time meets it with ease.
+const EASE: f64 = 0.5;
+
+/// Whether a way meets the objectives with ease.
+pub(super) fn is_in_time(sums: &Sums, model: &LayerModel, aim: Aim) -> bool {
+    let totals = Totals::of(sums, model, aim);
+    totals.first_part <= EASE && totals.gap_part <= EASE
+}
+
 /// The chance to miss an objective with an expected time of `part` of it.
 fn miss(part: f64) -> f64 {
     let power = part.powf(MISS_POWER);
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -20,7 +20,7 @@
 pub use shortage::{Shortage, shortage};
 
 use candidate::{Candidate, chance};
-use judge::best;
+use judge::{best, is_in_time};
 use ways::Found;
 
 /// Time that a token takes from one engine to the next within a failure domain, in ms. Links there
@@ -30,6 +30,8 @@
 pub(super) const FAR_HOP_MS: f64 = 2.0;
 /// What another failure domain's chain must be cheaper by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
+/// Part of the room of the engines of a path at home up to which other failure domains are not looked at.
+const HOME_ROOM: f64 = 0.5;
 /// Part of the engines that a request considers first, drawn for each request. What other boxes have sent since
 /// the last report is not known, and boxes with the same knowledge would all fill the cheapest chain.
 const DRAWN_PART: f64 = 0.5;
@@ -151,6 +153,9 @@
     need: Need,
     cx: &Circumstance<'_>,
 ) -> Option<Choice> {
+    if let Some(home) = way_at_home(fleet, service, model, need, cx) {
+        return home.prove(model);
+    }
     let cheapest = |trust| cheapest_way(fleet, service, model, need, cx, trust);
     // All engines are looked at only where the drawn ones don't do: a search takes the longer the more there are.
     let drawn = match cheapest(Trust::Drawn) {
@@ -167,6 +172,27 @@
         .prove(model)
 }
 
+/// A way over drawn engines of the home domain, if they have room for it and it meets the objectives with ease. Requests that cross
+/// failure domains end with the link between them, and a search over all domains takes the longer the more there are.
+fn way_at_home(
+    fleet: &Fleet,
+    service: &str,
+    model: &LayerModel,
+    need: Need,
+    cx: &Circumstance<'_>,
+) -> Option<Found> {
+    let at_home = fleet
+        .of_service(service)
+        .filter(|(_, engine)| &*engine.entry.domain == cx.home)
+        .filter(|(key, engine)| is_usable(*key, engine, cx, Trust::Drawn));
+    let candidates: Vec<Candidate<'_>> = at_home
+        .filter_map(|(key, engine)| Candidate::new(key, engine, model, need, cx))
+        .collect();
+    let (_, found) = best(&candidates, model, HOP_MS, need.aim)?;
+    let is_enough = found.sums.used < HOME_ROOM && is_in_time(&found.sums, model, need.aim);
+    is_enough.then_some(found)
+}
+
 /// The way that costs least among the engines that are trusted so far.
 fn cheapest_way(
     fleet: &Fleet,
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -65,6 +65,56 @@
     assert_eq!(choice.path.engines(), &keys[0..4]);
 }
 
+/// Equal chains in each of two failure domains, of which the second has the faster cards, and the rows of the first.
+fn many_chains() -> (Fleet, Vec<EngineKey>) {
+    const CHAINS: u16 = 10;
+    let chain = |number: u16, domain: &'static str, card: &'static str| {
+        let layers = [0..18, 18..36, 36..54, 54..72, 72..80];
+        let parts = layers.into_iter().zip(number * 5..);
+        parts.map(move |(layers, number)| entry(number, domain, card, layers))
+    };
+    let home = (0..CHAINS).flat_map(|number| chain(number, "a", "middle"));
+    let abroad = (CHAINS..2 * CHAINS).flat_map(|number| chain(number, "b", "large"));
+    let (fleet, keys) = fleet(home.chain(abroad));
+    let home = keys[..keys.len() / 2].to_vec();
+    (fleet, home)
+}
+
+/// Requests of 1,000 that leave their failure domain.
+fn share_abroad(fleet: &Fleet, home: &[EngineKey]) -> u32 {
+    let firsts = first_engines(fleet, NEED, cx(&[]));
+    let abroad = firsts.iter().filter(|(first, _)| !home.contains(first));
+    abroad.map(|(_, count)| count).sum()
+}
+
+#[test]
+fn requests_leave_their_failure_domain_only_where_it_lacks_room() {
+    let abroad_at = |used: f64| {
+        let (mut fleet, home) = many_chains();
+        for key in &home {
+            let layers = fleet.get(*key).expect("it is known").entry.layers.len();
+            let room = model().kv_tokens(&model().cards["middle"], layers as u32);
+            fleet.begin(&[*key], used * room);
+        }
+        share_abroad(&fleet, &home)
+    };
+    // For a few requests nobody at home is drawn for some layer.
+    assert!(abroad_at(0.0) <= 20, "{}", abroad_at(0.0));
+    assert!(abroad_at(0.3) <= 20, "{}", abroad_at(0.3));
+    assert!(abroad_at(0.7) > 500, "{}", abroad_at(0.7));
+}
+
+#[test]
+fn requests_leave_their_failure_domain_where_it_is_too_slow() {
+    let (mut fleet, home) = many_chains();
+    for key in &home {
+        let engine = fleet.get_mut(*key).expect("it is known");
+        engine.told_pace(12.0, cx(&[]).now);
+    }
+    let abroad = share_abroad(&fleet, &home);
+    assert!(abroad > 900, "{abroad}");
+}
+
 /// A chain that may begin on either of two equal engines.
 fn two_beginnings() -> (Fleet, Vec<EngineKey>) {
     fleet([
