feat(core): a group with far more engines than it needs leaves the rest empty

Empty engines are now placed until each layer has the room of 16 usual chains, and four times the room in use; the rest is a reserve, which is placed as load grows or engines are lost. Groups with less are planned as before. No move is looked for where nothing is lacking.

Tests: a_group_with_many_times_the_engines_that_it_needs_keeps_a_reserve, more_load_takes_from_the_reserve_and_less_load_gives_nothing_back, lost_engines_are_replaced_from_the_reserve; all failed before.

--- a/reachtally-core/src/forward/placement/chains.rs
+++ b/reachtally-core/src/forward/placement/chains.rs
@@ -14,6 +14,28 @@
 /// Time of a hop between engines of a group, in ms.
 const HOP_MS: f64 = 0.5;
 
+/// Chains over empty engines, in the order in which they are filled, until their smallest engines have `wanted` KV tokens together.
+pub(super) fn plan_for(model: &LayerModel, empty: &[Host], wanted: f64) -> Vec<Move> {
+    let mut planned = Vec::new();
+    let mut room = 0.0;
+    for chain in best_chains(model, empty) {
+        if room >= wanted {
+            break;
+        }
+        room += least_kv(model, &chain);
+        planned.extend(chain.into_iter().map(|(_, placed)| placed));
+    }
+    planned
+}
+
+/// KV tokens of the smallest engine of a chain.
+fn least_kv(model: &LayerModel, chain: &[Placed<'_>]) -> f64 {
+    let each = chain
+        .iter()
+        .map(|(host, placed)| model.kv_tokens(&host.card, placed.layers.len() as u32));
+    each.fold(f64::INFINITY, f64::min)
+}
+
 /// Chains over empty engines.
 pub fn plan(model: &LayerModel, empty: &[Host]) -> Vec<Move> {
     let chains = best_chains(model, empty);
@@ -87,11 +109,7 @@
 /// Requests a second of one chain, by its places or its KV and the time that a request holds it, over
 /// that time in seconds. The time depends on the flow, since engines read prompts in between.
 fn chain_worth(model: &LayerModel, chain: &[Placed<'_>]) -> f64 {
-    let kv = chain
-        .iter()
-        .map(|(host, placed)| model.kv_tokens(&host.card, placed.layers.len() as u32));
-    let kv = kv.fold(f64::INFINITY, f64::min);
-    let at_once = (kv / model.usual_context()).min(f64::from(model.slots));
+    let at_once = (least_kv(model, chain) / model.usual_context()).min(f64::from(model.slots));
     let batch = (at_once / chain.len() as f64).max(1.0);
     let mut flow = 0.0;
     let mut held_ms = 1.0;
--- a/reachtally-core/src/forward/placement/mod.rs
+++ b/reachtally-core/src/forward/placement/mod.rs
@@ -5,6 +5,8 @@
 //! short requests, which hold KV for less time. A group that already holds layers is only repaired:
 //! an empty engine takes the layers that lack KV most, and where a layer has much less of it than usual
 //! engines that can be spared are moved there.
+//!
+//! A group with far more engines than it needs leaves the rest empty, as a reserve for losses and for more load.
 
 mod chains;
 pub mod evaluate;
@@ -23,6 +25,12 @@
 /// Least KV of an engine, in usual requests; below it every second request would not fit.
 const LEAST_REQUESTS: f64 = 6.0;
 
+/// Room for each layer up to which empty engines are placed whatever is in use, in that of the usual chain. Load can multiply within
+/// the time of a load of weights, and engines are lost in groups.
+const READY_CHAINS: f64 = 16.0;
+/// The same in parts of the room that is in use.
+const HEADROOM: f64 = 4.0;
+
 /// An engine that may hold layers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Host {
@@ -102,14 +110,30 @@
     let Some(usual) = usual_room(model, group) else {
         return Vec::new();
     };
+    let wanted = wanted_room(model, group, usual);
     let room = Room::of(model, group, usual);
     if room.least() == 0.0 && empty.len() * 2 >= group.len() {
-        let planned = plan(model, &empty);
+        let planned = chains::plan_for(model, &empty, wanted);
         if !planned.is_empty() {
             return planned;
         }
     }
-    repair::repair(model, group, usual)
+    repair::repair(model, group, usual, wanted)
+}
+
+/// KV tokens for each layer up to which empty engines are placed.
+fn wanted_room(model: &LayerModel, group: &[Host], usual: f64) -> f64 {
+    let mut in_use = vec![0.0; model.layers as usize];
+    for host in group {
+        let tokens = host.running * model.usual_context();
+        for layer in host.layers.clone() {
+            if let Some(held) = in_use.get_mut(layer as usize) {
+                *held += tokens;
+            }
+        }
+    }
+    let most = in_use.into_iter().fold(0.0, f64::max);
+    (READY_CHAINS * usual).max(HEADROOM * most)
 }
 
 /// KV tokens of the smallest engine in the chain that an empty group would get first; `None` if the
--- a/reachtally-core/src/forward/placement/repair.rs
+++ b/reachtally-core/src/forward/placement/repair.rs
@@ -152,8 +152,8 @@
 
 /// Give empty engines the layers that lack room most, and move engines whose layers have enough room
 /// without them; any engine, where nobody holds some layer. Moving others would only carry the lack to
-/// another place, while requests pass there.
-pub(super) fn repair(model: &LayerModel, group: &[Host], usual: f64) -> Vec<Move> {
+/// another place, while requests pass there. Once each layer has `wanted` tokens, empty engines stay empty.
+pub(super) fn repair(model: &LayerModel, group: &[Host], usual: f64, wanted: f64) -> Vec<Move> {
     let mut hosts: Vec<Host> = group.to_vec();
     hosts.sort_by(by_speed);
     let mut room = Room::of(model, &hosts, usual);
@@ -163,6 +163,9 @@
         tokens: usual * SPARE_GOAL,
     };
     for host in hosts.iter_mut().filter(|host| host.layers.is_empty()) {
+        if room.least() >= wanted {
+            break;
+        }
         let layers = match room.least() >= spare.tokens {
             true => most_useful(model, host, &room),
             false => spare.best_layers(host, &room).map(|best| best.layers),
@@ -176,6 +179,9 @@
         tokens: usual * MOVE_GOAL,
     };
     for _ in 0..MOST_MOVES {
+        if room.lack(goal.tokens) <= 0.0 {
+            break;
+        }
         let Some((at, best)) = best_move(&goal, &hosts, &room, &moves) else {
             break;
         };
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -265,3 +265,59 @@
     let scarcest = without.iter().min().expect("there are layers");
     assert!(cover(&model, &hosts).iter().min() >= Some(scarcest));
 }
+
+/// A failure domain with many times the engines that its load needs.
+fn rich() -> Vec<Host> {
+    hosts("a", &[("large", 31), ("middle", 90), ("small", 120)])
+}
+
+fn placed(hosts: &[Host]) -> usize {
+    hosts.iter().filter(|host| !host.layers.is_empty()).count()
+}
+
+#[test]
+fn a_group_with_many_times_the_engines_that_it_needs_keeps_a_reserve() {
+    let model = model();
+    let mut hosts = rich();
+    settle(&model, &mut hosts);
+    let cover = cover(&model, &hosts);
+    assert!(cover.iter().all(|count| *count >= 8), "{cover:?}");
+    let placed = placed(&hosts);
+    assert!(placed * 2 < hosts.len(), "{placed} of {}", hosts.len());
+}
+
+#[test]
+fn more_load_takes_from_the_reserve_and_less_load_gives_nothing_back() {
+    let model = model();
+    let mut hosts = rich();
+    settle(&model, &mut hosts);
+    let ready = placed(&hosts);
+    let mut before = ready;
+    for running in [10.0, 40.0, 80.0, 120.0, 0.0] {
+        for host in hosts.iter_mut().filter(|host| !host.layers.is_empty()) {
+            host.running = running;
+        }
+        settle(&model, &mut hosts);
+        let now = placed(&hosts);
+        assert!(now >= before, "{now} after {before} at {running}");
+        before = now;
+    }
+    assert!(before > ready + ready / 4, "{before} after {ready}");
+}
+
+#[test]
+fn lost_engines_are_replaced_from_the_reserve() {
+    let model = model();
+    let mut hosts = rich();
+    settle(&model, &mut hosts);
+    let before = least_room(&model, &hosts);
+    let mut number = 0;
+    hosts.retain(|host| {
+        number += 1;
+        host.layers.is_empty() || number % 4 != 0
+    });
+    assert!(least_room(&model, &hosts) < before);
+    settle(&model, &mut hosts);
+    let after = least_room(&model, &hosts);
+    assert!(after > 0.9 * before, "{after} of {before}");
+}
