--- a/reachtally-relay/src/targets/entries.rs
+++ b/reachtally-relay/src/targets/entries.rs
@@ -1,5 +1,6 @@
 //! Entries of targets, as they are read or reported.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use reachtally_core::forward::fleet::{EngineKey, Entry, Evidence, RunOrder};
@@ -105,10 +106,10 @@
     /// Replaces the targets by a whole list.
     pub fn replace_targets(&self, entries: Vec<Entry>, may_lapse: bool) {
         let known = self.fleet.borrow().ids();
-        let listed: Vec<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listed: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         let shown = entries.into_iter().map(|entry| (entry, Evidence::Listed));
         self.targets_shown(shown.collect());
-        for id in known.iter().filter(|id| !listed.contains(id)) {
+        for id in known.iter().filter(|id| !listed.contains(*id)) {
             self.target_gone(id, may_lapse);
         }
     }
