--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -172,7 +172,7 @@
             group_generation: Cell::default(),
             second_sends: SecondSends::default(),
             held: Cell::new(HELD_ASSUMED),
-            direct: watch::Sender::new(true),
+            direct: watch::Sender::new(false),
             slow_engines: SlowEngines::default(),
             suspicion: Suspicion::default(),
             limits: LimitState::default(),
@@ -268,7 +268,7 @@
         }
     }
 
-    /// Wait until this box reads the store itself.
+    /// Wait until this box reads the store itself, which it does not before [`Relay::set_direct`] says so.
     pub async fn until_direct(&self) {
         let mut direct = self.direct.subscribe();
         // The sender lives as long as this value, so the wait ends only when it is so.
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -77,7 +77,6 @@
     let mut source: Option<Source> = None;
     let mut avoid: Vec<Avoided> = Vec::new();
     let mut is_lost = false;
-    relay.set_direct(false);
     wait_for_group(&relay).await;
     loop {
         drop_expired(&relay, &mut avoid);
