feat(core): of equal instances of a plain service, those at home go first

Four in five requests for plain services crossed failure domains though all have equally idle instances. Behind a cut they tried one unreachable domain after the other, 150 ms each, against an objective of 120 ms.

Test: a_plain_request_leaves_its_failure_domain_only_for_an_instance_with_less_work, which failed before.

--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -245,7 +245,8 @@
     }
 }
 
-/// The instance of a plain service with the least work for its slots; the draw breaks ties.
+/// The instance of a plain service with the least work for its slots; of equal ones those of the home domain go first, and the draw
+/// breaks ties.
 pub fn instance(
     fleet: &Fleet,
     service: &str,
@@ -278,9 +279,15 @@
         .iter()
         .map(|(_, engine)| work(engine))
         .min_by(f64::total_cmp)?;
-    let near: Vec<EngineKey> = usable
+    let least: Vec<&(EngineKey, &Engine)> = usable
         .iter()
         .filter(|(_, engine)| work(engine) <= least + f64::EPSILON)
+        .collect();
+    let is_home = |(_, engine): &(EngineKey, &Engine)| &*engine.entry.domain == cx.home;
+    let has_home = least.iter().any(|each| is_home(each));
+    let near: Vec<EngineKey> = least
+        .into_iter()
+        .filter(|each| !has_home || is_home(each))
         .map(|(key, _)| *key)
         .collect();
     let key = near.get(cx.draw as usize % near.len()).copied()?;
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -1,6 +1,6 @@
 //! Which engines a request runs on.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use reachtally_core::Instant;
@@ -281,6 +281,21 @@
     assert_eq!(choice.path.parts()[1].layers, 40..55);
 }
 
+#[test]
+fn a_plain_request_leaves_its_failure_domain_only_for_an_instance_with_less_work() {
+    let domains = ["b", "a", "b", "a", "b"];
+    let entries = domains.into_iter().zip(0..);
+    let (mut fleet, keys) =
+        fleet(entries.map(|(domain, number)| entry(number, domain, "small", 0..0)));
+    let chosen = |fleet: &Fleet| -> BTreeSet<EngineKey> {
+        let of = |draw| instance(fleet, SERVICE, 10, &Circumstance { draw, ..cx(&[]) });
+        (0..50).filter_map(of).collect()
+    };
+    assert_eq!(chosen(&fleet), BTreeSet::from([keys[1], keys[3]]));
+    fleet.begin(&[keys[1], keys[3]], 0.0);
+    assert_eq!(chosen(&fleet), BTreeSet::from([keys[0], keys[2], keys[4]]));
+}
+
 #[test]
 fn a_plain_request_goes_to_the_instance_with_the_least_work() {
     let plain = |number| Entry {
