feat(core): requests leave home from a quarter of its room on, and plain ones where few instances are idle

Home is searched first while it bears four times its load, as its reserve of engines does; instances at home go first from four equally loaded ones on, since boxes that believe the same meet at fewer.

--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -30,8 +30,12 @@
 pub(super) const FAR_HOP_MS: f64 = 2.0;
 /// What another failure domain's chain must be cheaper by, so that requests stay at home.
 const HOME_BONUS: f64 = 0.9;
-/// Part of the room of the engines of a path at home up to which other failure domains are not looked at.
-const HOME_ROOM: f64 = 0.5;
+/// Part of the room of the engines of a path at home up to which other failure domains are not looked at: home then bears four times
+/// its load.
+const HOME_ROOM: f64 = 0.25;
+/// Equally loaded instances of a plain service at home from which on requests stay there. Boxes that believe the same would meet at
+/// fewer.
+const HOME_INSTANCES: usize = 4;
 /// Part of the engines that a request considers first, drawn for each request. What other boxes have sent since
 /// the last report is not known, and boxes with the same knowledge would all fill the cheapest chain.
 const DRAWN_PART: f64 = 0.5;
@@ -245,8 +249,8 @@
     }
 }
 
-/// The instance of a plain service with the least work for its slots; of equal ones those of the home domain go first, and the draw
-/// breaks ties.
+/// The instance of a plain service with the least work for its slots. Of equal ones those of the home domain go first if there are
+/// several, and the draw breaks ties.
 pub fn instance(
     fleet: &Fleet,
     service: &str,
@@ -284,10 +288,10 @@
         .filter(|(_, engine)| work(engine) <= least + f64::EPSILON)
         .collect();
     let is_home = |(_, engine): &(EngineKey, &Engine)| &*engine.entry.domain == cx.home;
-    let has_home = least.iter().any(|each| is_home(each));
+    let at_home = least.iter().filter(|each| is_home(each)).count();
     let near: Vec<EngineKey> = least
         .into_iter()
-        .filter(|each| !has_home || is_home(each))
+        .filter(|each| at_home < HOME_INSTANCES || is_home(each))
         .map(|(key, _)| *key)
         .collect();
     let key = near.get(cx.draw as usize % near.len()).copied()?;
