fix(relay): a box finds a source sooner at a start of all boxes

A box that no longer reads the store itself at its start was served targets 0.44 s later where all start at once: a seed that was still down cost 200 ms, one that had read the configuration and no targets yet was left alone for 500 ms. Now a reader without targets is waited for, sources are asked again after 100 ms while the box is young, seeds are tried side by side, and a box of which no seed accepts a connection within 120 ms reads the store once.

--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -59,10 +59,15 @@
 async fn answer(relay: &Relay, ask: &Ask, run: Incarnation) -> News {
     let mut changed = relay.news();
     let waiting = async {
-        while relay.configuration.table().is_some() && !is_sound(relay) {
-            sleep(SOUND_LOOK).await;
+        loop {
+            // Also a box that has just read its first configuration: without targets it would be no source.
+            while relay.configuration.table().is_some() && !is_sound(relay) {
+                sleep(SOUND_LOOK).await;
+            }
+            if is_news(relay, ask, run) || changed.changed().await.is_err() {
+                return;
+            }
         }
-        while !is_news(relay, ask, run) && changed.changed().await.is_ok() {}
     };
     // Running out of time is an answer as good as any: nothing is new.
     let _ = timeout(ANSWER_WAIT, waiting).await;
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -27,6 +27,8 @@
 const AVOID_SOURCE: Duration = Duration::from_secs(5);
 /// The same where a source may be of use again soon.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// The same while this box has just started: others start too, at different moments.
+const ASK_AGAIN_AT_START: Duration = Duration::from_millis(100);
 /// The same for one that knows nothing new, where this box does not read the store: as long as it takes to ask
 /// half a dozen others.
 const STALE_AGAIN: Duration = Duration::from_secs(2);
@@ -41,6 +43,12 @@
 const GROUP_WAIT: Duration = Duration::from_millis(600);
 /// Time between two looks meanwhile: a call to the store takes a few ms.
 const GROUP_LOOK: Duration = Duration::from_millis(25);
+/// Time at the start in which some seed must accept a connection. Seeds may start at the same time as this box, or be gone.
+const SEED_WAIT: Duration = Duration::from_millis(120);
+/// Time between two attempts to connect to a seed meanwhile.
+const SEED_AGAIN: Duration = Duration::from_millis(20);
+/// Time for which a box reads the store itself whose seeds did not accept a connection: for one read of each kind.
+const FIRST_READS: Duration = Duration::from_millis(60);
 
 /// A box that is asked.
 struct Source {
@@ -78,6 +86,10 @@
     let mut avoid: Vec<Avoided> = Vec::new();
     let mut is_lost = false;
     wait_for_group(&relay).await;
+    if is_without_seed(&relay, port).await {
+        relay.set_direct(true);
+        sleep(FIRST_READS).await;
+    }
     loop {
         drop_expired(&relay, &mut avoid);
         let ip = match origin(&relay, run, &avoid) {
@@ -120,6 +132,35 @@
     }
 }
 
+/// Whether a box that has just started finds no seed to ask. A seed that is there goes first from now on.
+async fn is_without_seed(relay: &Relay, port: u16) -> bool {
+    let (ip, seeds) = {
+        let settings = relay.settings.borrow();
+        (settings.ip, settings.seeds.clone())
+    };
+    if seeds.is_empty() || seeds.contains(&ip) {
+        return false;
+    }
+    let accepting = seeds.into_iter().map(|seed| Box::pin(accepts(seed, port)));
+    let Ok((first, ..)) = timeout(SEED_WAIT, futures::future::select_all(accepting)).await else {
+        return true;
+    };
+    let mut settings = relay.settings.borrow_mut();
+    settings.seeds.sort_by_key(|seed| *seed != first);
+    false
+}
+
+/// Waits until a box accepts a connection.
+async fn accepts(ip: IpAddr, port: u16) -> IpAddr {
+    while target::dial(SocketAddr::new(ip, port), SEED_WAIT)
+        .await
+        .is_err()
+    {
+        sleep(SEED_AGAIN).await;
+    }
+    ip
+}
+
 /// Forget failures that are long enough ago.
 fn drop_expired(relay: &Relay, avoid: &mut Vec<Avoided>) {
     let now = relay.now();
@@ -130,7 +171,9 @@
 /// store's return, and asking it costs no call; while this box is young, others start too.
 fn avoided(relay: &Relay, ip: IpAddr, why: &AskError) -> Avoided {
     let is_stale = matches!(why, AskError::Stale(_));
-    let avoid_for = if relay.store_away.get() || is_young(relay) {
+    let avoid_for = if is_young(relay) {
+        ASK_AGAIN_AT_START
+    } else if relay.store_away.get() {
         ASK_AGAIN
     } else if is_stale && !relay.is_direct() {
         STALE_AGAIN
