feat(core): admission books less room while engines refuse, and refused sends free none

The trace of the known failure: admission began at 1.25 of the calculated room whatever engines said, so under overload it admitted all, half of the sends were refused by engines whatever their rank, and each refusal counted as a request that had ended, which let the box send another. The bound now falls from 1.25 to 1.0 as engines refuse 0.05 to 0.3 of the recent sends, and what was refused frees no pace.

Tests: less_is_booked_while_engines_refuse_and_as_much_as_before_once_they_do_not, one_refusal_on_a_box_with_few_requests_changes_little, and the play under_overload_the_most_urgent_rank_gets_most_and_few_sends_are_refused.

--- a/reachtally-bench/src/admission/play.rs
+++ b/reachtally-bench/src/admission/play.rs
@@ -437,9 +437,12 @@
     /// Decides on a request that is in its box; yields whether it has left it.
     fn consider(&mut self, number: usize) -> bool {
         let choice = self.choose(number);
-        let offer = choice.as_ref().map(path_offer);
         let class = self.class(number);
         let request = &self.requests[number];
+        let booked = self.entrances[request.at]
+            .booking
+            .bound(self.timeline.clock());
+        let offer = choice.as_ref().map(|choice| path_offer(choice, booked));
         let waited = Duration::from_micros(self.timeline.now_us() - request.tried);
         let case = Case {
             rank: usize::from(request.job.rank),
@@ -540,7 +543,9 @@
             request.sends += 1;
             request.sent = now;
             let rows = entrance.rows(&request.job.path);
-            self.entrances[request.at].pacer.admitted();
+            let sender = &mut self.entrances[request.at];
+            sender.pacer.admitted();
+            sender.booking.sent(self.timeline.clock());
             entrance.fleet.begin(&rows, request.job.load.held());
             entrance.fleet.begin_reading(&rows, request.job.load.prompt);
             self.seen.sends += 1;
@@ -571,14 +576,15 @@
         let rows = entrance.rows(&request.job.path);
         entrance.fleet.end_reading(&rows, request.job.load.prompt);
         entrance.fleet.end(&rows, request.job.load.held());
-        let now = self.timeline.clock();
-        self.entrances[request.at].pacer.ended(now);
     }
 
     fn sent_refused(&mut self, number: usize, full: usize) {
         self.seen.sends_refused += 1;
         self.take_off(number);
         let now = self.timeline.clock();
+        self.entrances[self.requests[number].at]
+            .booking
+            .refused(now);
         let entrance = &mut self.exchange.boxes[self.requests[number].at];
         if let Some(engine) = entrance.fleet.get_mut(entrance.keys[full]) {
             engine.health.refused(now);
--- a/reachtally-bench/src/admission/tests.rs
+++ b/reachtally-bench/src/admission/tests.rs
@@ -85,3 +85,29 @@
         assert_eq!(first, second);
     }
 }
+
+/// Sends that engines refused fed the pace of admission, so that a box sent again what had no room, whatever its rank.
+#[test]
+fn under_overload_the_most_urgent_rank_gets_most_and_few_sends_are_refused() {
+    let setting = Setting {
+        scenario: Scenario::Demand(3.0),
+        way: Way::Reserve,
+        boxes: 8,
+        chains: 4,
+        capacity: 94.4,
+        shares: Shares::Even,
+        second_sends: 0.1,
+        seed: 1,
+    };
+    let seen = Play::new(setting).run();
+    let [first, second, third] = [0, 1, 2].map(|rank| seen.rank(rank).share());
+    assert!(
+        first > 1.2 * second && second > 1.2 * third,
+        "{first} {second} {third}"
+    );
+    assert!(
+        seen.sends_refused_part() < 0.5,
+        "{}",
+        seen.sends_refused_part()
+    );
+}
--- a/reachtally-bench/src/admission/ways.rs
+++ b/reachtally-bench/src/admission/ways.rs
@@ -4,8 +4,8 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::admission::{
-    Bounds, Class, Conditions, Mix, Offer, Order, Pacer, Queue, REACTION, Retry, Running, Schedule,
-    Verdict, admit,
+    Booking, Bounds, Class, Conditions, Mix, Offer, Order, Pacer, Queue, REACTION, Retry, Running,
+    Schedule, Verdict, admit,
 };
 use reachtally_core::forward::budget::SharedBudget;
 
@@ -68,6 +68,8 @@
     pub mix: Mix,
     /// The rate at which it admits near the limit.
     pub pacer: Pacer,
+    /// How far the room of paths is booked.
+    pub booking: Booking,
     /// Return times of refused requests.
     schedule: Schedule,
     /// Requests that wait, by number.
@@ -87,6 +89,7 @@
             held: HELD_ASSUMED,
             mix: Mix::default(),
             pacer: Pacer::default(),
+            booking: Booking::default(),
             schedule: Schedule::default(),
             queue: Queue::new(QUEUE_BOUNDS),
             budget: SharedBudget::default(),
--- a/reachtally-core/src/forward/admission/mod.rs
+++ b/reachtally-core/src/forward/admission/mod.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+mod booking;
 mod mix;
 mod offer;
 mod pacer;
@@ -15,6 +16,7 @@
 mod returns;
 mod schedule;
 
+pub use booking::Booking;
 pub use mix::Mix;
 pub use offer::{instance_offer, no_connection_offer, path_offer};
 pub use pacer::{Pace, Pacer, Running};
--- a/reachtally-core/src/forward/admission/offer.rs
+++ b/reachtally-core/src/forward/admission/offer.rs
@@ -5,9 +5,6 @@
 use super::{LEAST_HELD, Offer};
 use crate::forward::select::{Choice, Instance};
 
-/// Part of the calculated room of a path that requests may book. First engines queue what exceeds the room for a moment, the most
-/// urgent first, and answers are still in time; refusing it instead serves fewer callers under a light overload.
-const BOOKED: f64 = 1.25;
 /// Most rounds of requests at an instance of a plain service, those that it runs included, as far as admission goes. The
 /// load of an instance is known from its last answer only, so more would be counted on numbers that are long outdated.
 const MOST_ROUNDS: f64 = 2.0;
@@ -16,10 +13,10 @@
 /// Longest time expected; keeps times finite where numbers are without reason.
 const LONGEST_FIRST: Duration = Duration::from_secs(3600);
 
-/// The offer of a path: its use in parts of what may be booked.
-pub fn path_offer(choice: &Choice) -> Offer {
+/// The offer of a path, of whose calculated room the part `booked` may be booked: its use in parts of that.
+pub fn path_offer(choice: &Choice, booked: f64) -> Offer {
     Offer {
-        used: choice.used / BOOKED,
+        used: choice.used / booked,
         first: choice.first,
     }
 }
--- a/reachtally-core/tests/core/forward/admission.rs
+++ b/reachtally-core/tests/core/forward/admission.rs
@@ -10,9 +10,9 @@
 use rand_chacha::ChaCha8Rng;
 use reachtally_core::Instant;
 use reachtally_core::forward::admission::{
-    Bounds, Class, Conditions, Entrant, Full, LATEST_RETURN, MOST_RESERVED, Mix, Offer, Order,
-    Pace, Pacer, Queue, REACTION, Rank, Returns, Running, Schedule, Standing, Verdict, admit,
-    instance_offer, patience, reserve,
+    Booking, Bounds, Class, Conditions, Entrant, Full, LATEST_RETURN, MOST_RESERVED, Mix, Offer,
+    Order, Pace, Pacer, Queue, REACTION, Rank, Returns, Running, Schedule, Standing, Verdict,
+    admit, instance_offer, patience, reserve,
 };
 use reachtally_core::forward::fingerprint::{FINGERPRINT_BYTES, Fingerprint};
 use reachtally_core::forward::fleet::EngineKey;
@@ -623,3 +623,36 @@
         assert!(refused * 1000 <= offered, "{refused} of {offered}");
     }
 }
+
+/// The bound after `seconds` of 20 sends a second, of which each `refused_of`th is refused.
+fn booked_after(booking: &mut Booking, from_ms: u64, seconds: u64, refused_of: u64) -> f64 {
+    let sends = (0..seconds * 20).map(|number| (number, at(from_ms + number * 50)));
+    for (number, now) in sends {
+        booking.sent(now);
+        if number % refused_of == 0 {
+            booking.refused(now);
+        }
+    }
+    booking.bound(at(from_ms + seconds * 1000))
+}
+
+#[test]
+fn less_is_booked_while_engines_refuse_and_as_much_as_before_once_they_do_not() {
+    let mut booking = Booking::default();
+    let most = booking.bound(at(0));
+    assert!(most > 1.2, "{most}");
+    assert_eq!(booked_after(&mut booking, 0, 5, 50), most);
+    let some = booked_after(&mut booking, 5_000, 3, 6);
+    assert!(some > 1.0 && some < most, "{some}");
+    assert_eq!(booked_after(&mut booking, 8_000, 3, 2), 1.0);
+    assert_eq!(booked_after(&mut booking, 11_000, 6, 1_000), most);
+}
+
+#[test]
+fn one_refusal_on_a_box_with_few_requests_changes_little() {
+    let mut booking = Booking::default();
+    let most = booking.bound(at(0));
+    booking.sent(at(0));
+    booking.refused(at(0));
+    assert!(booking.bound(at(0)) > 0.8 * most);
+}
--- a/reachtally-relay/src/admission.rs
+++ b/reachtally-relay/src/admission.rs
@@ -8,8 +8,8 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::admission::{
-    Bounds, Class, Conditions, Entrant, Full, Mix, Offer, Order, Pacer, Queue, REACTION, Rank,
-    Retry, Returns, Running, Schedule, Standing, Verdict, admit, instance_offer,
+    Booking, Bounds, Class, Conditions, Entrant, Full, Mix, Offer, Order, Pacer, Queue, REACTION,
+    Rank, Retry, Returns, Running, Schedule, Standing, Verdict, admit, instance_offer,
     no_connection_offer, patience,
 };
 use reachtally_core::forward::routes::{Table, Urgency};
@@ -45,6 +45,7 @@
     /// The shortest objective of its routes.
     objective: Option<Duration>,
     mix: Mix,
+    booking: Booking,
     pacer: Pacer,
     schedule: Schedule,
     /// Mean time that its requests run, for plain services.
@@ -121,8 +122,21 @@
     }
 
     /// A request was sent to a target of `service`.
-    pub fn sent(&self, service: &Arc<str>) {
-        self.with(service, |state| state.pacer.admitted());
+    pub fn sent(&self, service: &Arc<str>, now: Instant) {
+        self.with(service, |state| {
+            state.pacer.admitted();
+            state.booking.sent(now);
+        });
+    }
+
+    /// An engine of `service` refused a request for want of room.
+    pub fn refused(&self, service: &Arc<str>, now: Instant) {
+        self.with(service, |state| state.booking.refused(now));
+    }
+
+    /// Part of the calculated room of a path that requests for `service` may book.
+    pub fn booked(&self, service: &Arc<str>, now: Instant) -> f64 {
+        self.with(service, |state| state.booking.bound(now))
     }
 
     /// A request that was sent to a target of `service` has ended there.
--- a/reachtally-relay/src/occupied.rs
+++ b/reachtally-relay/src/occupied.rs
@@ -1,5 +1,6 @@
 //! Guards that count connections and requests while they live.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -34,6 +35,7 @@
     /// Tokens that are not known to be read yet, and the engines that read them.
     reading: f64,
     readers: Vec<EngineKey>,
+    was_refused: Cell<bool>,
 }
 
 impl Occupied {
@@ -46,7 +48,7 @@
         let first = engines.first().and_then(|key| fleet.get(*key));
         let service = first.map(|first| first.entry.service.clone());
         if let Some(service) = &service {
-            relay.admission.sent(service);
+            relay.admission.sent(service, relay.now());
         }
         Occupied {
             relay: relay.clone(),
@@ -55,6 +57,15 @@
             engines,
             tokens,
             reading: prompt,
+            was_refused: Cell::default(),
+        }
+    }
+
+    /// Notes that an engine refused the request for want of room. It has run nowhere, so its end leaves no room for another.
+    pub fn refused(&self) {
+        self.was_refused.set(true);
+        if let Some(service) = &self.service {
+            self.relay.admission.refused(service, self.relay.now());
         }
     }
 
@@ -93,8 +104,10 @@
         let mut fleet = self.relay.fleet.borrow_mut();
         fleet.end(&self.engines, self.tokens);
         drop(fleet);
-        if let Some(service) = &self.service {
-            self.relay.admission.ended(service, self.relay.now());
+        match &self.service {
+            Some(service) if self.was_refused.get() => self.relay.admission.wake(service),
+            Some(service) => self.relay.admission.ended(service, self.relay.now()),
+            None => {}
         }
     }
 }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -109,7 +109,10 @@
     };
     let found = select::path(&fleet, &call.service_name, model, need(call), &cx)?;
     Some(Pick {
-        offer: admission::path_offer(&found),
+        offer: admission::path_offer(
+            &found,
+            relay.admission.booked(&call.service_name, relay.now()),
+        ),
         engines: found.path.engines(),
         path: Some(found.path),
         gap: found.token.mul_f64(model.stride.max(1.0)),
@@ -351,6 +354,7 @@
         relay.target_contradicted(blamed);
     } else {
         relay.target_refused(blamed);
+        occupied.refused();
         relay.dead_of(&[blamed]).await;
     }
     let address = relay.address_of(blamed);
