fix(relay): a box that starts again reads what is quarantined itself

Since boxes begin without reading the store, a box that started again knew nothing of quarantined requests until its collector told it, and sent them on meanwhile. It reads them once, unless the settings say that the whole system starts for the first time: nothing can be kept then, and a fleet of any size makes no call for it.

Test: a_box_that_starts_again_reads_what_is_quarantined_before_it_knows_others, which failed before.

--- a/reachtally-relay/src/follow/suspects.rs
+++ b/reachtally-relay/src/follow/suspects.rs
@@ -20,17 +20,21 @@
     tokio::join!(take_over(&relay, &store), keep(&relay, &store));
 }
 
-/// Read what is kept at the start, and again when the store was away: a box that started meanwhile may know no other box that could
-/// tell it.
+/// Read what is kept at the start, unless nothing can be kept yet, and again when the store was away: a box that started meanwhile may
+/// know no other box that could tell it.
 async fn take_over<S: Store>(relay: &Relay, store: &S) {
-    loop {
+    let is_first_start = relay.settings.borrow().is_first_start;
+    if is_first_start {
         relay.until_direct().await;
+    }
+    loop {
         let kept = read(relay, store).await;
         let (over, kept): (Vec<Told>, Vec<Told>) =
             kept.into_iter().partition(|told| told.life.is_zero());
         relay.take_over_suspects(&kept);
         drop_from_store(store, &over).await;
         relay.suspicion.store_back.notified().await;
+        relay.until_direct().await;
     }
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -56,6 +56,8 @@
     pub link_mbps: u32,
     /// Memory that this process may use, in bytes. A part of it is for streams that are read ahead of their callers.
     pub memory: u64,
+    /// Whether the whole system starts for the first time, so that the store keeps nothing of an earlier run.
+    pub is_first_start: bool,
     /// Boxes that may be asked before the group is known; they may be gone.
     pub seeds: Vec<IpAddr>,
     /// Time for which a configuration counts as the newest after it was confirmed; `None` if keys
