refactor(core): one decaying mean rate

Admission had a mean rate of its own beside the one of rate limits and account shares: the same decay with a time constant of 1 s, under other names. It uses MeanRate now, and the mix of classes the decay beside it. A time that goes back no longer moves MeanRate's reference back, as admission's did not.

--- a/reachtally-core/src/forward/admission/booking.rs
+++ b/reachtally-core/src/forward/admission/booking.rs
@@ -4,7 +4,7 @@
 //! first engines queue the excess for a moment. Where engines refuse, each refused send costs a retry whatever the rank of its request, so
 //! that admission has to begin earlier.
 
-use super::rate::Rate;
+use super::Rate;
 use crate::time::Instant;
 
 /// Part of the calculated room that may be booked where engines refuse little.
@@ -28,17 +28,17 @@
 impl Booking {
     /// Counts a send.
     pub fn sent(&mut self, now: Instant) {
-        self.sent.add(now);
+        self.sent.count(now);
     }
 
     /// Counts a send that an engine refused for want of room.
     pub fn refused(&mut self, now: Instant) {
-        self.refused.add(now);
+        self.refused.count(now);
     }
 
     /// Part of the calculated room of a path that may be booked.
     pub fn bound(&self, now: Instant) -> f64 {
-        let refused = self.refused.per_second(now) / (self.sent.per_second(now) + PRIOR_SENDS);
+        let refused = self.refused.at(now) / (self.sent.at(now) + PRIOR_SENDS);
         let excess = (refused - TOLERATED) / (EXCESSIVE - TOLERATED);
         MOST_BOOKED - (MOST_BOOKED - LEAST_BOOKED) * excess.clamp(0.0, 1.0)
     }
--- a/reachtally-core/src/forward/admission/mix.rs
+++ b/reachtally-core/src/forward/admission/mix.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::rate::{Rate, left};
+use super::Rate;
+use crate::forward::rate::left;
 use crate::time::Instant;
 
 /// Time constant of the mix. A box with few requests of the most urgent rank must not forget between two of them that they come.
@@ -29,7 +30,7 @@
 
     /// Counts a request that was admitted.
     pub fn count_admitted(&mut self, now: Instant) {
-        self.admitted.add(now);
+        self.admitted.count(now);
     }
 
     /// Fractions of the recent requests by class; all 0 before the first.
@@ -42,7 +43,7 @@
 
     /// Mean rate of admitted requests, a second.
     pub fn admitted_rate(&self, now: Instant) -> f64 {
-        self.admitted.per_second(now)
+        self.admitted.at(now)
     }
 
     fn decay(&mut self, now: Instant) {
--- a/reachtally-core/src/forward/admission/mod.rs
+++ b/reachtally-core/src/forward/admission/mod.rs
@@ -6,12 +6,13 @@
 
 use std::time::Duration;
 
+use crate::forward::rate::MeanRate;
+
 mod booking;
 mod mix;
 mod offer;
 mod pacer;
 mod queue;
-mod rate;
 mod reserve;
 mod returns;
 mod schedule;
@@ -32,6 +33,11 @@
 pub const REACTION: Duration = Duration::from_millis(500);
 /// Part of a request's objective, counted from its arrival, for which it waits in a box at most. The other half is for its answer.
 pub const WAIT_PART: f64 = 0.5;
+/// Time constant, in ms, with which earlier events count less: rates have followed a step in demand after two of them, in which the
+/// system is to be steady again.
+const SMOOTHING_MS: u64 = 1000;
+/// Mean rate of recent events.
+type Rate = MeanRate<SMOOTHING_MS>;
 /// Longest time that an excess is taken to drain in; keeps times finite where numbers are without reason.
 const LONGEST_DRAIN: Duration = Duration::from_secs(60);
 /// Most of the capacity below which a box goes by its pace: with less in use, requests that it refused would find room.
--- a/reachtally-core/src/forward/admission/pacer.rs
+++ b/reachtally-core/src/forward/admission/pacer.rs
@@ -6,8 +6,7 @@
 
 use std::time::Duration;
 
-use super::MOST_GROWTH;
-use super::rate::Rate;
+use super::{MOST_GROWTH, Rate};
 use crate::time::Instant;
 
 /// Time for which unused permission is kept: bursts that are shorter are admitted as they come.
@@ -63,12 +62,12 @@
 impl Pacer {
     /// Counts a request that a caller has.
     pub fn offered(&mut self, now: Instant) {
-        self.offered.add(now);
+        self.offered.count(now);
     }
 
     /// Counts a request that has ended at its targets.
     pub fn ended(&mut self, now: Instant) {
-        self.ended.add(now);
+        self.ended.count(now);
     }
 
     /// Counts a request that is admitted.
@@ -84,8 +83,8 @@
         // This box's part of the capacity, in requests.
         let part = running.own.max(even).clamp(1.0, MOST_RUNNING) / used;
         let reaction_s = reaction.as_secs_f64().max(0.001);
-        let ended = self.ended.per_second(now);
-        let offered = self.offered.per_second(now);
+        let ended = self.ended.at(now);
+        let offered = self.offered.at(now);
         // Without this, requests that are shorter than the reaction time would be held at the rate of a passing lull.
         let at_full_use = (ended / used.min(1.0)).min(ended * MOST_SCALED);
         self.rate = (at_full_use + (1.0 - used) * part / reaction_s).max(0.0);
--- a/reachtally-core/src/forward/rate.rs
+++ b/reachtally-core/src/forward/rate.rs
@@ -4,6 +4,11 @@
 
 use crate::time::Instant;
 
+/// What is left at `now` of a count made at `before`, which decays with the time constant `time`.
+pub(crate) fn left(before: Instant, now: Instant, time: Duration) -> f64 {
+    (-now.since(before).as_secs_f64() / time.as_secs_f64()).exp()
+}
+
 /// A mean rate of events with a time constant of `MS` milliseconds.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct MeanRate<const MS: u64> {
@@ -17,12 +22,11 @@
     /// Counts an event.
     pub fn count(&mut self, now: Instant) {
         self.per_second = self.at(now) + 1.0 / Self::TIME.as_secs_f64();
-        self.at = now;
+        self.at = self.at.max(now);
     }
 
     /// Events a second.
     pub fn at(&self, now: Instant) -> f64 {
-        let passed = now.since(self.at).as_secs_f64() / Self::TIME.as_secs_f64();
-        self.per_second * (-passed).exp()
+        self.per_second * left(self.at, now, Self::TIME)
     }
 }
