refactor(core): one plan, one filter of candidates, probes of dead targets by Fleet::dead

placement::plan was left to a test when plans got an amount of room; it takes that amount now, and the test asks for all of it (its assertion is the same). The search at home and the one over all domains filter engines by the same function. Fleet::dead was left to tests too; the targets that are due for a probe are chosen from it. A row follows its failure domain's reachability in one place.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -65,10 +65,8 @@
         let id = entry.id.clone();
         let address = entry.address;
         let notice = self.notices.take(&entry.run());
-        let mut engine = Engine::new(entry, notice, now);
-        let is_reachable = !self.unreachable.contains(&engine.entry.domain);
-        engine.health.set_reachable(is_reachable, now);
-        let key = self.engines.insert(engine);
+        let key = self.engines.insert(Engine::new(entry, notice, now));
+        self.follow_domain(key, now);
         self.by_id.insert(id, key);
         self.take_address(address, key, evidence, now);
         key
@@ -90,9 +88,8 @@
             engine.health.entry_changed();
         }
         let before = std::mem::replace(&mut engine.entry, entry).address;
-        let is_reachable = !self.unreachable.contains(&engine.entry.domain);
-        engine.health.set_reachable(is_reachable, now);
         let address = engine.entry.address;
+        self.follow_domain(key, now);
         if before != address || is_back {
             self.release_address(before, key);
             self.take_address(address, key, evidence, now);
@@ -101,6 +98,13 @@
         is_changed || was_missing || is_back
     }
 
+    /// Lets a target be reachable as its failure domain is.
+    fn follow_domain(&mut self, key: EngineKey, now: Instant) {
+        let engine = &mut self.engines[key];
+        let is_reachable = !self.unreachable.contains(&engine.entry.domain);
+        engine.health.set_reachable(is_reachable, now);
+    }
+
     /// Assigns `address` to a target. Of two that claim it, the run that started later has it, or else the one that wrote last: a late
     /// entry of an earlier run must not displace its successor. The other is superseded; its entry stays until it expires.
     fn take_address(
@@ -187,14 +191,12 @@
 
     /// At most `most` dead targets that are due for a probe, those that have waited longest first.
     pub fn due_for_probe(&self, now: Instant, most: usize) -> Vec<EngineKey> {
-        let due = |(key, engine): (EngineKey, &Engine)| {
-            let at = engine.health.probe_at()?;
-            (at <= now).then_some((at, key))
-        };
-        let mut due: Vec<(Instant, EngineKey)> = self.engines.iter().filter_map(due).collect();
-        due.sort();
+        let probe_at = |key: &EngineKey| self.engines[*key].health.probe_at();
+        let mut due = self.dead();
+        due.retain(|key| probe_at(key) <= now);
+        due.sort_by_key(|key| (probe_at(key), *key));
         due.truncate(most);
-        due.into_iter().map(|(_, key)| key).collect()
+        due
     }
 
     /// Sets whether this box reaches the targets of a failure domain. Returns whether that is a change.
--- a/reachtally-core/src/forward/fleet/health.rs
+++ b/reachtally-core/src/forward/fleet/health.rs
@@ -82,9 +82,9 @@
         self.is_silent() && !self.is_unreachable()
     }
 
-    /// When a dead target is probed next; `None` if it needs no probe of its own.
-    pub fn probe_at(&self) -> Option<Instant> {
-        self.is_alone_silent().then_some(self.probe_at)
+    /// When the target is probed next while it is dead.
+    pub fn probe_at(&self) -> Instant {
+        self.probe_at
     }
 
     /// A dead target was probed in vain.
--- a/reachtally-core/src/forward/placement/chains.rs
+++ b/reachtally-core/src/forward/placement/chains.rs
@@ -15,7 +15,7 @@
 const HOP_MS: f64 = 0.5;
 
 /// Chains over empty engines, in the order in which they are filled, until their smallest engines have `wanted` KV tokens together.
-pub(super) fn plan_for(model: &LayerModel, empty: &[Host], wanted: f64) -> Vec<Move> {
+pub fn plan(model: &LayerModel, empty: &[Host], wanted: f64) -> Vec<Move> {
     let mut planned = Vec::new();
     let mut room = 0.0;
     for chain in best_chains(model, empty) {
@@ -36,16 +36,6 @@
     each.fold(f64::INFINITY, f64::min)
 }
 
-/// Chains over empty engines.
-pub fn plan(model: &LayerModel, empty: &[Host]) -> Vec<Move> {
-    let chains = best_chains(model, empty);
-    chains
-        .into_iter()
-        .flatten()
-        .map(|(_, placed)| placed)
-        .collect()
-}
-
 /// The chains that engines would form if all were empty, with the amount of KV that makes them worth
 /// most.
 pub(super) fn best_chains<'a>(model: &LayerModel, hosts: &'a [Host]) -> Vec<Vec<Placed<'a>>> {
--- a/reachtally-core/src/forward/placement/mod.rs
+++ b/reachtally-core/src/forward/placement/mod.rs
@@ -113,7 +113,7 @@
     let wanted = wanted_room(model, group, usual);
     let room = Room::of(model, group, usual);
     if room.least() == 0.0 && empty.len() * 2 >= group.len() {
-        let planned = chains::plan_for(model, &empty, wanted);
+        let planned = plan(model, &empty, wanted);
         if !planned.is_empty() {
             return planned;
         }
--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -187,10 +187,9 @@
 ) -> Option<Found> {
     let at_home = fleet
         .of_service(service)
-        .filter(|(_, engine)| &*engine.entry.domain == cx.home)
-        .filter(|(key, engine)| is_usable(*key, engine, cx, Trust::Drawn));
+        .filter(|(_, engine)| &*engine.entry.domain == cx.home);
     let candidates: Vec<Candidate<'_>> = at_home
-        .filter_map(|(key, engine)| Candidate::new(key, engine, model, need, cx))
+        .filter_map(|row| candidate(row, model, need, cx, Trust::Drawn))
         .collect();
     let (_, found) = best(&candidates, model, HOP_MS, need.aim)?;
     let is_enough = found.sums.used < HOME_ROOM && is_in_time(&found.sums, model, need.aim);
@@ -207,15 +206,10 @@
     trust: Trust,
 ) -> Option<Found> {
     let mut by_domain: BTreeMap<&str, Vec<Candidate<'_>>> = BTreeMap::new();
-    for (key, engine) in fleet.of_service(service) {
-        if !is_usable(key, engine, cx, trust) {
-            continue;
-        }
-        let Some(candidate) = Candidate::new(key, engine, model, need, cx) else {
-            continue;
-        };
+    let rows = fleet.of_service(service);
+    for candidate in rows.filter_map(|row| candidate(row, model, need, cx, trust)) {
         by_domain
-            .entry(&engine.entry.domain)
+            .entry(&candidate.engine.entry.domain)
             .or_default()
             .push(candidate);
     }
@@ -232,6 +226,20 @@
     best(&all, model, FAR_HOP_MS, need.aim).map(|(_, found)| found)
 }
 
+/// An engine with what a request takes of it, if it is trusted and has room.
+fn candidate<'a>(
+    (key, engine): (EngineKey, &'a Engine),
+    model: &LayerModel,
+    need: Need,
+    cx: &Circumstance<'_>,
+    trust: Trust,
+) -> Option<Candidate<'a>> {
+    if !is_usable(key, engine, cx, trust) {
+        return None;
+    }
+    Candidate::new(key, engine, model, need, cx)
+}
+
 fn is_usable(key: EngineKey, engine: &Engine, cx: &Circumstance<'_>, trust: Trust) -> bool {
     let health = &engine.health;
     let is_gone = engine.is_leaving() || health.is_dead() || health.is_contradicted(cx.now);
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -77,7 +77,7 @@
 fn fast_cards_form_a_chain_of_their_own() {
     let model = model();
     let mut hosts = hosts("a", &[("large", 1), ("middle", 3), ("small", 8)]);
-    let planned = plan(&model, &hosts);
+    let planned = plan(&model, &hosts, f64::INFINITY);
     place(&mut hosts, &planned);
     let slow = hosts.iter().filter(|host| host.card.step_factor > 10.0);
     let slow_layers: usize = slow.map(|host| host.layers.len()).sum();
