refactor(relay): probes are counted where they are made, and a seed that accepted is asked over that connection

Three places counted probes beside making them. A starting box connected to its seeds, closed, and connected again; and it sorted the operator's settings to remember which seed had answered, which a reload undid. The loop keeps the connection and the seed itself. No decision changes; a start takes one connection to a seed less.

--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -1,7 +1,6 @@
 //! What requests with one body and requests for streams share of an exchange with a target.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -52,7 +51,7 @@
 }
 
 /// No connection to a target came about.
-pub(crate) fn not_connected(relay: &Rc<Relay>, key: EngineKey, why: &DialError) -> Unanswered {
+pub(crate) fn not_connected(relay: &Relay, key: EngineKey, why: &DialError) -> Unanswered {
     match why {
         DialError::Refused(_) => relay.target_dead(key),
         DialError::Silent => relay.target_silent(key),
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -82,17 +82,14 @@
 
 /// Ask other boxes, or let this one read the store itself, until the process ends.
 pub async fn ask(relay: Rc<Relay>, port: u16, run: Incarnation) {
-    let mut source: Option<Source> = None;
     let mut avoid: Vec<Avoided> = Vec::new();
     let mut is_lost = false;
     wait_for_group(&relay).await;
-    if is_without_seed(&relay, port).await {
-        relay.set_direct(true);
-        sleep(FIRST_READS).await;
-    }
+    let mut source = first_seed(&relay, port).await;
+    let first_seed = source.as_ref().map(|source| source.ip);
     loop {
         drop_expired(&relay, &mut avoid);
-        let ip = match origin(&relay, run, &avoid) {
+        let ip = match origin(&relay, run, &avoid, first_seed) {
             Origin::Box(ip) => ip,
             Origin::Store => {
                 relay.set_direct(true);
@@ -132,33 +129,36 @@
     }
 }
 
-/// Whether a box that has just started finds no seed to ask. A seed that is there goes first from now on.
-async fn is_without_seed(relay: &Relay, port: u16) -> bool {
+/// The first seed that accepts a connection of a box that has just started. Where none does, the box reads the store once.
+async fn first_seed(relay: &Relay, port: u16) -> Option<Source> {
     let (ip, seeds) = {
         let settings = relay.settings.borrow();
         (settings.ip, settings.seeds.clone())
     };
     if seeds.is_empty() || seeds.contains(&ip) {
-        return false;
+        return None;
+    }
+    let accepting = seeds
+        .into_iter()
+        .map(|seed| Box::pin(accepting(SocketAddr::new(seed, port))));
+    match timeout(SEED_WAIT, futures::future::select_all(accepting)).await {
+        Ok((first, ..)) => Some(first),
+        Err(_) => {
+            relay.set_direct(true);
+            sleep(FIRST_READS).await;
+            None
+        }
     }
-    let accepting = seeds.into_iter().map(|seed| Box::pin(accepts(seed, port)));
-    let Ok((first, ..)) = timeout(SEED_WAIT, futures::future::select_all(accepting)).await else {
-        return true;
-    };
-    let mut settings = relay.settings.borrow_mut();
-    settings.seeds.sort_by_key(|seed| *seed != first);
-    false
 }
 
 /// Waits until a box accepts a connection.
-async fn accepts(ip: IpAddr, port: u16) -> IpAddr {
-    while target::dial(SocketAddr::new(ip, port), SEED_WAIT)
-        .await
-        .is_err()
-    {
-        sleep(SEED_AGAIN).await;
+async fn accepting(address: SocketAddr) -> Source {
+    loop {
+        match open(address).await {
+            Ok(source) => return source,
+            Err(_) => sleep(SEED_AGAIN).await,
+        }
     }
-    ip
 }
 
 /// Forget failures that are long enough ago.
@@ -191,9 +191,16 @@
     relay.now().elapsed() < FIRST_FROM_SEED
 }
 
-/// Where to look next; also notes whether this box is the first reader.
-fn origin(relay: &Relay, run: Incarnation, avoid: &[Avoided]) -> Origin {
+/// Where to look next, `first_seed` before other seeds; also notes whether this box is the first reader.
+fn origin(
+    relay: &Relay,
+    run: Incarnation,
+    avoid: &[Avoided],
+    first_seed: Option<IpAddr>,
+) -> Origin {
     let settings = relay.settings.borrow();
+    let mut seeds = settings.seeds.clone();
+    seeds.sort_by_key(|seed| Some(*seed) != first_seed);
     let members = relay.members.borrow();
     let (stale, silent): (Vec<&Avoided>, Vec<&Avoided>) =
         avoid.iter().partition(|avoided| avoided.is_stale);
@@ -206,7 +213,7 @@
         home: &settings.domain,
         run,
         ip: settings.ip,
-        seeds: &settings.seeds,
+        seeds: &seeds,
         avoid: &silent,
         stale: &stale,
         is_young: is_young(relay),
--- a/reachtally-relay/src/targets/domains.rs
+++ b/reachtally-relay/src/targets/domains.rs
@@ -9,11 +9,11 @@
 
 use rand::seq::IteratorRandom;
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::fleet::{Engine, EngineKey};
 use tokio::sync::Notify;
 
 use crate::relay::Relay;
-use crate::target::{self, Probe};
+use crate::target::Probe;
 
 /// Targets by which a domain is judged that may be unreachable: enough that all of them are dead by themselves only where nearly
 /// all of the domain are.
@@ -105,8 +105,8 @@
     async fn probe_domain(&self, domain: &Arc<str>) {
         let sample = self.sample(domain, PROBES, |_| true);
         let addresses = sample.iter().filter_map(|key| self.address_of(*key));
-        self.count(|tally| tally.targets_probed += sample.len() as u64);
-        let answers = futures::future::join_all(addresses.map(target::probe)).await;
+        let probes = addresses.map(|address| self.probe(address));
+        let answers = futures::future::join_all(probes).await;
         // A domain whose targets all left is no longer known to be unreachable.
         if sample.is_empty() || answers.iter().any(|answer| *answer != Probe::Silent) {
             self.set_reachable(domain, true);
@@ -135,14 +135,12 @@
             return;
         }
         log::info!(event = "domain", domain = &**domain, reachable = is_reachable; "whether the targets of a failure domain are reachable changed");
-        let is_left = |key: &EngineKey| {
-            let engine = fleet.get(*key);
-            engine.is_some_and(|engine| engine.entry.domain == *domain && engine.running > 0)
-        };
-        let left: Vec<EngineKey> = match is_reachable {
-            true => Vec::new(),
-            false => fleet.iter().map(|(key, _)| key).filter(is_left).collect(),
-        };
+        if is_reachable {
+            return;
+        }
+        let is_left = |engine: &Engine| engine.entry.domain == *domain && engine.running > 0;
+        let left = fleet.iter().filter(|(_, engine)| is_left(engine));
+        let left: Vec<EngineKey> = left.map(|(key, _)| key).collect();
         drop(fleet);
         if !left.is_empty() {
             self.runs_ended.send_replace(left);
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -133,11 +133,10 @@
                 Presence::Unknown(address) => asked.push((*key, address)),
             }
         }
-        self.count(|tally| tally.targets_probed += asked.len() as u64);
         let is_refused = Cell::new(false);
         let is_refused = &is_refused;
         let probe = |(key, address)| async move {
-            let answer = target::probe(address).await;
+            let answer = self.probe(address).await;
             is_refused.set(is_refused.get() || answer == Probe::Refused);
             (key, answer == Probe::Accepted)
         };
@@ -178,10 +177,15 @@
         engines.iter().filter(is_dead).copied().collect()
     }
 
+    /// Probes a target.
+    pub(super) async fn probe(&self, address: SocketAddr) -> Probe {
+        self.count(|tally| tally.targets_probed += 1);
+        target::probe(address).await
+    }
+
     /// Probes the dead targets that are due.
     pub(crate) async fn probe_dead(&self) {
         let due = self.fleet.borrow().due_for_probe(self.now(), MOST_PROBED);
-        self.count(|tally| tally.targets_probed += due.len() as u64);
         futures::future::join_all(due.into_iter().map(|key| self.probe_dead_target(key))).await;
     }
 
@@ -189,7 +193,7 @@
         let Some(address) = self.address_of(key) else {
             return;
         };
-        if target::probe(address).await == Probe::Accepted {
+        if self.probe(address).await == Probe::Accepted {
             log::info!(event = "target-back", address:% = address; "a dead target takes connections again");
             self.target_there(key);
         } else if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
