fix(core): a starting box takes over the whole age of what other boxes confirmed

Callers saw: within a second or two of a start, a box could authorize with a key up to 1.2 s longer than the bound on revocations allows. Cause: an instant could not lie before the start of the process. A box that started 10 ms ago and was told of a confirmation 900 ms old recorded it as 10 ms old; so for the targets. Fix: instants are signed, so every age that another box reports is kept as it is, also that of a rollback of the store.

--- a/reachtally-core/src/time.rs
+++ b/reachtally-core/src/time.rs
@@ -3,10 +3,11 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
-/// A point on the daemon's monotonic clock, in microseconds since the daemon started.
+/// A point on the daemon's monotonic clock, in microseconds since the daemon started. It may lie before the start, since other
+/// boxes report the age of what they know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Instant {
-    micros: u64,
+    micros: i64,
 }
 
 impl Instant {
@@ -16,34 +17,40 @@
     /// Return the instant `elapsed` after the start of the daemon.
     pub fn from_elapsed(elapsed: Duration) -> Self {
         Instant {
-            micros: elapsed.as_micros() as u64,
+            micros: micros(elapsed),
         }
     }
 
-    /// Return the time since the start of the daemon.
+    /// Return the time since the start of the daemon, or zero before the start.
     pub fn elapsed(self) -> Duration {
-        Duration::from_micros(self.micros)
+        self.since(Instant::ZERO)
     }
 
     /// Return the time since `earlier`, or zero if `earlier` is later than `self`.
     pub fn since(self, earlier: Instant) -> Duration {
-        Duration::from_micros(self.micros.saturating_sub(earlier.micros))
+        let micros = self.micros.saturating_sub(earlier.micros);
+        Duration::from_micros(u64::try_from(micros).unwrap_or_default())
     }
 
-    /// Return the instant `span` before this one, or the start of the daemon if that is later.
+    /// Return the instant `span` before this one.
     pub fn before(self, span: Duration) -> Instant {
         Instant {
-            micros: self.micros.saturating_sub(span.as_micros() as u64),
+            micros: self.micros.saturating_sub(micros(span)),
         }
     }
 }
 
+/// Return a time span in microseconds, or the longest that an instant can hold.
+fn micros(span: Duration) -> i64 {
+    i64::try_from(span.as_micros()).unwrap_or(i64::MAX)
+}
+
 impl Add<Duration> for Instant {
     type Output = Instant;
 
     fn add(self, rhs: Duration) -> Instant {
         Instant {
-            micros: self.micros.saturating_add(rhs.as_micros() as u64),
+            micros: self.micros.saturating_add(micros(rhs)),
         }
     }
 }
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -263,20 +263,15 @@
         Some(ages) => {
             let end = update.targets_end;
             if apply(relay, &mut source, update).map_err(SourceError::Silent)? {
-                relay.record_targets_read(before(started_at, ages.targets), end);
+                relay.record_targets_read(started_at.before(ages.targets), end);
             }
-            let confirmed = before(started_at, ages.configuration);
+            let confirmed = started_at.before(ages.configuration);
             relay.configuration.confirm_by(address.ip(), confirmed);
         }
     }
     Ok(source)
 }
 
-/// Returns the moment `age` before `started_at`, but not before the start of this box.
-fn before(started_at: Instant, age: Duration) -> Instant {
-    Instant::from_elapsed(started_at.elapsed().saturating_sub(age))
-}
-
 /// Sends a request and reads the answer.
 async fn request_update(relay: &Relay, source: &mut Source) -> Result<Update, String> {
     let request = UpdateRequest {
