fix(relay): readers that know no configuration read the store instead of each other

Callers saw: where boxes start before the first configuration is published, all of them answer 503 for seconds after it. Cause: a first reader without a configuration asked the first readers of other domains, whose answers that there is none counted as those of a working source, so that all of them stopped reading for up to four seconds after their start. Fix: a reader without a configuration reads the store as long as the store answers it.

--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -45,7 +45,8 @@
     pub stale: &'a [IpAddr],
     /// Whether this box has just started, so that others may have too.
     pub has_just_started: bool,
-    /// Whether the data that this box itself reads from the store is recent enough.
+    /// Whether a reader may keep reading the store itself: what it holds is recent enough, or nobody
+    /// has published anything yet as far as it knows.
     pub is_store_current: bool,
 }
 
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -226,12 +226,17 @@
         avoid: &silent,
         stale: &stale,
         has_just_started: has_just_started(relay),
-        is_store_current: is_fresh(relay),
+        is_store_current: is_fresh(relay) || is_unconfigured(relay),
     };
     relay.is_reader.set(view.is_first());
     view.origin()
 }
 
+/// Whether this box reaches the store as far as it knows and has found no configuration. No box is a better source then.
+fn is_unconfigured(relay: &Relay) -> bool {
+    relay.configuration.table().is_none() && !relay.is_store_unreachable.get()
+}
+
 /// Logs the loss of a source; repeated failures are logged at debug level.
 fn log_lost(from: IpAddr, why: &SourceError, is_repeated: bool) {
     match is_repeated {
