fix(relay): a read that does not reach the end of the log confirms nothing

Callers saw nothing that was reported; a revoked key could work on, or a leaving target get requests, while a box catches up with a log of more than one answer (1 MB: three large configurations, or the heartbeats of three thousand targets over a second or two). Cause: the end of the log in an answer was not read, and each answer counted as confirming the newest state as of its start. Evidence: follow::a_read_that_does_not_reach_the_end_of_the_log_confirms_no_configuration_and_no_targets failed before: version 4 of 4 and 5 was confirmed. Fix: an answer tells whether it reaches the end; one that does not is applied, and the next read follows at once.

--- a/reachtally-relay/src/follow/config.rs
+++ b/reachtally-relay/src/follow/config.rs
@@ -98,7 +98,8 @@
     if from.is_some() && !feed.items.is_empty() {
         relay.note_configured(next.era);
     }
-    if relay.configuration.table().is_some() && !relay.may_lack_configuration() {
+    let is_newest = feed.is_complete && !relay.may_lack_configuration();
+    if relay.configuration.table().is_some() && is_newest {
         relay.configuration.confirm(started_at);
     }
     Ok(next)
--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -101,11 +101,14 @@
         match read {
             Ok(applied) => {
                 self.succeeded(now);
-                if applied != Applied::Merged {
-                    return NextRead::AfterInterval;
+                match applied {
+                    Applied::Entries | Applied::Nothing => NextRead::AfterInterval,
+                    Applied::Part => NextRead::Immediately,
+                    Applied::Merged => {
+                        self.recheck_at = Some(now + ENTRY_REWRITE_TIME);
+                        NextRead::Immediately
+                    }
                 }
-                self.recheck_at = Some(now + ENTRY_REWRITE_TIME);
-                NextRead::Immediately
             }
             // The backoff restarts at its initial delay, as in the configuration loop.
             Err(StoreError::EraChanged) => {
@@ -139,9 +142,11 @@
 enum Applied {
     /// All entries.
     Entries,
+    /// The changes up to a position before the end of the log.
+    Part,
     /// Only entries that are newer than the known ones, since the store was restored from an older copy.
     Merged,
-    /// Nothing, since later changes are already known.
+    /// Nothing: later changes are already known, or the answer held none.
     Nothing,
 }
 
@@ -220,6 +225,13 @@
     }
     relay.update_targets(written);
     relay.log_malformed_entries(&malformed);
+    if !feed.is_complete {
+        relay.record_targets_end(end);
+        return Ok(match end > from {
+            true => Applied::Part,
+            false => Applied::Nothing,
+        });
+    }
     relay.record_targets_read(started_at, end);
     Ok(Applied::Entries)
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -385,6 +385,11 @@
     pub fn record_targets_read(&self, began: Instant, end: Position) {
         self.targets_read
             .set(self.targets_read.get().max(Some(began)));
+        self.record_targets_end(end);
+    }
+
+    /// Records that the targets are known up to position `end`, from a read that did not reach the end of the log.
+    pub(crate) fn record_targets_end(&self, end: Position) {
         self.targets_end.set(self.targets_end.get().max(end));
     }
 
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -69,6 +69,8 @@
     pub items: Vec<T>,
     /// Offset at which to continue reading.
     pub next: Offset,
+    /// Whether the read reached the end of the log, so that it shows the newest state as of its start.
+    pub is_complete: bool,
     /// Era named in the response.
     pub era: Option<Era>,
 }
