fix(relay): boxes that lost the store at their start find others that reach it

Callers saw: boxes that lost the store right after their start refused every request as stale until the store was back, beside boxes that had the configuration. Cause: such a box knows the first members of the group, or none, and a seed without members only ever read the store. Sources that had just failed came out of their cooldown before the others were asked, so these never were. Fix: while a box's own reads fail it also asks the seeds and the boxes that last requested updates from it (requests name their box), and without a current source a failed one is asked again only after all others.

--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -43,6 +43,9 @@
     pub avoid: &'a [IpAddr],
     /// Boxes that recently answered with outdated data.
     pub stale: &'a [IpAddr],
+    /// Boxes to ask after all readers; empty unless this box's own reads of the store fail. They
+    /// may reach the store, or boxes that do.
+    pub contacts: &'a [IpAddr],
     /// Whether this box has just started, so that others may have too.
     pub has_just_started: bool,
     /// Whether a reader may keep reading the store itself: what it holds is recent enough, or nobody
@@ -152,6 +155,11 @@
 
     /// Selects the source if no reader is usable.
     fn fallback_origin(&self) -> ReadSource {
+        let is_untried =
+            |ip: &&IpAddr| **ip != self.ip && !self.avoid.contains(ip) && !self.stale.contains(ip);
+        if let Some(contact) = self.contacts.iter().find(is_untried) {
+            return ReadSource::Box(*contact);
+        }
         if self.is_reader() {
             return ReadSource::Store;
         }
@@ -162,8 +170,7 @@
                 false => ReadSource::Unavailable,
             };
         }
-        let is_usable = |ip: &&IpAddr| !self.avoid.contains(ip) && !self.stale.contains(ip);
-        match self.seeds.iter().find(is_usable) {
+        match self.seeds.iter().find(is_untried) {
             Some(seed) => ReadSource::Box(*seed),
             None if self.has_just_started && !self.seeds.is_empty() => ReadSource::Unavailable,
             None => ReadSource::Store,
--- a/reachtally-core/tests/core/forward/readers.rs
+++ b/reachtally-core/tests/core/forward/readers.rs
@@ -40,6 +40,7 @@
         seeds: &[],
         avoid: &avoid,
         stale: &[],
+        contacts: &[],
         has_just_started: false,
         is_store_current,
     }
@@ -56,6 +57,7 @@
         seeds,
         avoid,
         stale: &[],
+        contacts: &[],
         has_just_started: false,
         is_store_current: false,
     }
@@ -128,6 +130,36 @@
     assert_eq!(reader.origin(), ReadSource::Store);
 }
 
+#[test]
+fn box_that_has_lost_the_store_asks_its_contacts_after_all_readers_it_knows() {
+    let group = usual();
+    let all = [1, 2, 3, 21, 31].map(ip);
+    let contacts = [ip(1), ip(50), ip(51)];
+    let cut = GroupView {
+        contacts: &contacts,
+        ..view(&group, 1)
+    };
+    assert_eq!(cut.origin(), ReadSource::Box(ip(2)));
+    let after_readers = GroupView { stale: &all, ..cut };
+    assert_eq!(after_readers.origin(), ReadSource::Box(ip(50)));
+    let after_one = GroupView {
+        avoid: &contacts[..2],
+        ..after_readers
+    };
+    assert_eq!(after_one.origin(), ReadSource::Box(ip(51)));
+    let after_all = GroupView {
+        avoid: &contacts,
+        ..after_readers
+    };
+    assert_eq!(after_all.origin(), ReadSource::Store);
+    let seeds = [ip(1)];
+    let unlisted = GroupView {
+        contacts: &contacts,
+        ..first_view(1, &seeds, &[])
+    };
+    assert_eq!(unlisted.origin(), ReadSource::Box(ip(50)));
+}
+
 #[test]
 fn box_does_not_ask_its_own_earlier_run() {
     let group = usual();
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -1,5 +1,6 @@
 //! Requests for updates of the configuration, the targets and the group of boxes, and the answers to them.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,8 @@
     pub targets_end: Position,
     /// Generation of the held group membership; the least one for none.
     pub group_generation: Generation,
+    /// Address of the requesting box, if it names it.
+    pub ip: Option<IpAddr>,
 }
 
 /// The state that is newer than what the requesting box holds.
@@ -121,6 +124,7 @@
             targets_era: self.targets_end.era.0,
             group_generation: self.group_generation.number,
             group_era: self.group_generation.era.0,
+            ip: self.ip.map(|ip| ip.to_string()).unwrap_or_default(),
         };
         message.encode_to_vec().into()
     }
@@ -128,7 +132,7 @@
     /// Decodes the content of a frame.
     ///
     /// # Errors
-    /// [`Error::Decode`].
+    /// [`Error::Decode`], or [`Error::Missing`] for an invalid address.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
         let message = generated::AskMessage::decode(bytes).map_err(Error::Decode)?;
         Ok(UpdateRequest {
@@ -139,10 +143,20 @@
             },
             targets_end: position(message.targets_era, message.targets_end),
             group_generation: generation(message.group_era, message.group_generation),
+            ip: decode_optional_ip(&message.ip)?,
         })
     }
 }
 
+/// Decodes an address that may be left out.
+fn decode_optional_ip(text: &str) -> Result<Option<IpAddr>, Error> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let ip = text.parse().map_err(|_| Error::Missing("ip"))?;
+    Ok(Some(ip))
+}
+
 impl Update {
     /// Encodes the content of a frame.
     pub fn encode(&self) -> Bytes {
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -59,6 +59,7 @@
         },
         config_version: 9,
         targets: Cursor { run: 5, next: 77 },
+        ip: Some(std::net::Ipv4Addr::new(10, 1, 0, 7).into()),
     };
     assert_eq!(
         UpdateRequest::decode(&request.encode()).expect("the request is valid"),
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -93,6 +93,8 @@
     pub remote_loads: RefCell<RemoteLoads>,
     /// Members of the group of boxes.
     pub members: RefCell<Vec<Member>>,
+    /// Boxes that most recently requested updates from this one, the latest last.
+    pub(crate) requesters: RefCell<Vec<IpAddr>>,
     /// Reachability checks of failure domains.
     pub(crate) domain_checks: DomainChecks,
     /// Generation of the group that `members` was read at.
@@ -138,6 +140,8 @@
     clock: Clock,
 }
 
+/// Number of boxes remembered that requested updates from this one.
+const MAX_REQUESTERS: usize = 4;
 /// Maximum time between two checks of a deadline against the clock.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Assumed run time of requests until the first one completes.
@@ -171,6 +175,7 @@
             progress: RefCell::default(),
             remote_loads: RefCell::default(),
             members: RefCell::default(),
+            requesters: RefCell::default(),
             domain_checks: DomainChecks::default(),
             group_generation: Cell::default(),
             second_sends: SecondSends::default(),
@@ -316,6 +321,16 @@
         self.notify_changed();
     }
 
+    /// Records that the box at `ip` requested an update.
+    pub(crate) fn note_requester(&self, ip: IpAddr) {
+        let mut requesters = self.requesters.borrow_mut();
+        requesters.retain(|other| *other != ip);
+        requesters.push(ip);
+        if requesters.len() > MAX_REQUESTERS {
+            requesters.remove(0);
+        }
+    }
+
     /// Returns whether the known members list this box as a store reader of its failure domain.
     pub(crate) fn is_listed_reader(&self, run: Incarnation) -> bool {
         self.with_view(run, &[], |view| view.is_reader())
@@ -349,6 +364,7 @@
             seeds: &settings.seeds,
             avoid,
             stale: &[],
+            contacts: &[],
             has_just_started: false,
             is_store_current: true,
         })
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -51,6 +51,9 @@
         };
         let frame = frame.map_err(|err| err.to_string())?;
         let request = UpdateRequest::decode(&frame).map_err(|err| err.to_string())?;
+        if let Some(ip) = request.ip {
+            relay.note_requester(ip);
+        }
         let update = answer(relay, &request, run).await;
         link.send(update.encode())
             .await
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -93,8 +93,15 @@
     let mut source = first_seed(relay, port).await;
     let first_seed = source.as_ref().map(|source| source.ip);
     loop {
-        drop_expired(relay, &mut cooldowns);
-        let ip = match origin(relay, run, &cooldowns, first_seed) {
+        if is_fresh(relay) {
+            drop_expired(relay, &mut cooldowns);
+        }
+        let origin = origin(relay, run, &cooldowns, first_seed);
+        if !matches!(origin, ReadSource::Box(_)) {
+            // Without a current source, a failed one is asked again only after all others.
+            drop_expired(relay, &mut cooldowns);
+        }
+        let ip = match origin {
             ReadSource::Box(ip) => ip,
             ReadSource::Store => {
                 relay.set_direct(true);
@@ -217,6 +224,11 @@
         cooldowns.into_iter().map(|cooldown| cooldown.ip).collect()
     };
     let (stale, silent) = (ips(stale), ips(silent));
+    let mut contacts = Vec::new();
+    if relay.is_store_unreachable.get() {
+        contacts.extend_from_slice(&relay.requesters.borrow());
+        contacts.extend_from_slice(&seeds);
+    }
     let view = GroupView {
         members: &members,
         home: &settings.domain,
@@ -225,6 +237,7 @@
         seeds: &seeds,
         avoid: &silent,
         stale: &stale,
+        contacts: &contacts,
         has_just_started: has_just_started(relay),
         is_store_current: is_fresh(relay) || is_unconfigured(relay),
     };
@@ -291,6 +304,7 @@
         targets: source.targets,
         targets_end: relay.targets_end.get(),
         group_generation: relay.group_generation(),
+        ip: Some(relay.settings.borrow().ip),
     };
     let sent = source.link.send(request.encode()).await;
     sent.map_err(|err| err.to_string())?;
