fix(relay): a box that was behind confirms its configuration with its first read

Callers saw: after each outage, and wherever a box begins to read the store, half a second more of refusals as stale at it and at the boxes that follow it, though the store answered. Cause: the first read waited for a change like any other, and confirms nothing until it returns. Evidence: follow::a_box_that_resumes_reading_is_confirmed_without_waiting_for_a_change failed before (age above 50 ms). Fix: a read after a failed one, or after a time without reads, does not wait.

--- a/reachtally-relay/src/follow/config.rs
+++ b/reachtally-relay/src/follow/config.rs
@@ -23,14 +23,19 @@
     let mut backoff = Backoff::new();
     let mut dependency = Dependency::new("configuration");
     let mut wait = relay.rhythm().config_wait;
+    // Whether the last read failed, or this box has not read for some time. The next read then does not wait for a change: until
+    // it returns, nothing is confirmed.
+    let mut is_behind = true;
     loop {
+        is_behind |= !relay.is_direct();
         relay.until_direct().await;
         let started_at = relay.now();
         let read = match next {
             None => store.config().await,
+            Some(from) if is_behind => store.config_from(Offset(from.offset), Duration::ZERO).await,
             Some(from) => store.config_from(Offset(from.offset), wait).await,
         };
-        if read.as_ref().is_ok_and(|feed| feed.items.is_empty()) {
+        if !is_behind && read.as_ref().is_ok_and(|feed| feed.items.is_empty()) {
             wait = next_wait(
                 relay.now().since(started_at),
                 wait,
@@ -38,6 +43,7 @@
             );
         }
         let is_first = next.is_none();
+        is_behind = read.is_err();
         let applied = read.and_then(|feed| apply_config(&relay, feed, next, started_at));
         relay
             .is_store_unreachable
