--- a/reachtally-core/src/forward/freshness.rs
+++ b/reachtally-core/src/forward/freshness.rs
@@ -47,11 +47,13 @@
 }
 
 impl Freshness {
-    /// Records a confirmation; returns the one that it replaces, or `None` if it is not later than
-    /// the last one.
-    pub fn confirm(&mut self, confirmation: Confirmation) -> Option<Option<Confirmation>> {
+    /// Records a confirmation unless the last one is as recent; returns whether it was recorded.
+    pub fn confirm(&mut self, confirmation: Confirmation) -> bool {
         let is_later = self.last.is_none_or(|last| last.began < confirmation.began);
-        is_later.then(|| self.last.replace(confirmation))
+        if is_later {
+            self.last = Some(confirmation);
+        }
+        is_later
     }
 
     /// Returns the last confirmation, if any.
--- a/reachtally-relay/src/configuration.rs
+++ b/reachtally-relay/src/configuration.rs
@@ -79,11 +79,11 @@
     /// Records a confirmation, and logs it if it comes from another source than the last one or after a long gap.
     fn record(&self, confirmation: Confirmation) {
         let mut freshness = self.freshness.get();
-        let replaced = freshness.confirm(confirmation);
-        self.freshness.set(freshness);
-        let Some(last) = replaced else {
+        let last = freshness.last();
+        if !freshness.confirm(confirmation) {
             return;
-        };
+        }
+        self.freshness.set(freshness);
         let gap = last.map(|last| confirmation.began.since(last.began));
         let is_usual = last.is_some_and(|last| last.by == confirmation.by)
             && gap.is_some_and(|gap| gap <= LOGGED_GAP);
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -20,7 +20,7 @@
 use crate::target;
 
 /// Time after the start during which a source may lack a configuration, since boxes may start before the first one is published.
-const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(4);
+pub(super) const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(4);
 /// The same for a seed while the group is unknown. It is shorter, since the seed may be cut off from the store.
 const SEED_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Cooldown of a failed source; longer than the group needs to detect that a box is gone.
--- a/reachtally-relay/src/share/overdue.rs
+++ b/reachtally-relay/src/share/overdue.rs
@@ -7,9 +7,8 @@
 use tokio::time::sleep;
 
 use crate::relay::Relay;
+use crate::share::ask::FIRST_CONFIGURATION_TIMEOUT;
 
-/// Time after its start from which a box that was never told of a confirmation reads the store.
-const FIRST_CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time over which the reads of boxes that are no store readers are spread. They lose their sources at the same moment.
 const SPREAD: Duration = Duration::from_millis(300);
 /// Number of different moments within that time.
@@ -41,6 +40,10 @@
 
 /// Returns when this box must read the store itself unless it learns of a later read before.
 fn due(relay: &Relay, run: Incarnation) -> Instant {
+    // No read confirms anything then, and readers pass a new configuration on all the same.
+    if relay.may_lack_configuration() {
+        return relay.now() + CHECK_INTERVAL;
+    }
     let rhythm = relay.rhythm();
     let delay = match relay.is_listed_reader(run) {
         true => Duration::ZERO,
@@ -48,7 +51,7 @@
     };
     let confirmed = relay.configuration.last_confirmation();
     let Some(confirmed) = confirmed else {
-        return Instant::ZERO + FIRST_CONFIRMATION_TIMEOUT + delay;
+        return Instant::ZERO + FIRST_CONFIGURATION_TIMEOUT + delay;
     };
     let configuration = confirmed.began + rhythm.max_age;
     let targets = relay.targets_read.get();
