fix(relay): the wait for an update does not add to the age that the source states

Cause: an answer stated its ages as of its end, and the requesting box counts from the moment of the request, so each long poll of 0.35 s counted twice. A box with a working source reached ages of 1.76 s. Evidence: in_force::boxes_that_follow_a_working_source_do_not_read_the_store failed before. Fix: ages are stated as of the arrival of the request, which is never before it was sent, so the bound still holds.

--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -34,9 +34,9 @@
 /// The state that is newer than what the requesting box holds.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Update {
-    /// Age of the read that last confirmed the configuration.
+    /// Age of the read that last confirmed the configuration, when the request arrived; zero if it is later.
     pub confirmed_age: Option<Duration>,
-    /// Age of the last read of the targets.
+    /// Age of the last read of the targets, when the request arrived; zero if it is later.
     pub targets_age: Option<Duration>,
     /// Store position up to which the answering box knows the targets.
     pub targets_end: Position,
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use reachtally_core::Instant;
 use reachtally_core::forward::changes::{ChangeLog, Cursor, Delta};
 use reachtally_core::forward::fleet::Engine;
 use reachtally_core::ids::Incarnation;
@@ -64,6 +65,7 @@
 /// Waits at most [`LONG_POLL_TIMEOUT`] for an update that is fresh enough to be sent, and returns the current state. A box that
 /// has just taken over as store reader needs a moment until its state is fresh.
 async fn answer(relay: &Relay, request: &UpdateRequest, run: Incarnation) -> Update {
+    let received_at = relay.now();
     let mut changes = relay.news();
     let update_ready = async {
         loop {
@@ -78,7 +80,7 @@
     };
     // On a timeout, the answer states that nothing changed.
     let _ = timeout(LONG_POLL_TIMEOUT, update_ready).await;
-    current_update(relay, request, run)
+    current_update(relay, request, run, received_at)
 }
 
 fn has_update(relay: &Relay, request: &UpdateRequest, run: Incarnation) -> bool {
@@ -93,14 +95,20 @@
         || relay.group_generation() > request.group_generation
 }
 
-fn current_update(relay: &Relay, request: &UpdateRequest, run: Incarnation) -> Update {
+/// Returns the current state, with ages as of `received_at`, when the request arrived.
+fn current_update(
+    relay: &Relay,
+    request: &UpdateRequest,
+    run: Incarnation,
+    received_at: Instant,
+) -> Update {
     let version = relay.configuration.version();
     let is_newer = version > request.config_version;
     let eras = relay.eras.get();
     let changes = relay.changes.borrow();
     let mut update = Update {
-        confirmed_age: relay.configuration.age(relay.now()),
-        targets_age: relay.targets_read.get().map(|at| relay.now().since(at)),
+        confirmed_age: relay.configuration.age(received_at),
+        targets_age: relay.targets_read.get().map(|at| received_at.since(at)),
         config: if is_newer {
             relay.configuration.published()
         } else {
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -353,15 +353,16 @@
         return Ok(None);
     };
     let rhythm = relay.rhythm();
-    if configuration > rhythm.max_source_age {
-        let ms = configuration.as_millis();
+    let waited = relay.now().since(requested_at);
+    if configuration + waited > rhythm.max_source_age {
+        let ms = (configuration + waited).as_millis();
         let why = format!("configuration was last confirmed {ms} ms ago");
         return Err(SourceError::Stale(why));
     }
     let no_targets = || SourceError::Stale("source has read no targets".to_owned());
     let targets = update.targets_age.ok_or_else(no_targets)?;
-    if targets > rhythm.max_source_targets_age {
-        let ms = targets.as_millis();
+    if targets + waited > rhythm.max_source_targets_age {
+        let ms = (targets + waited).as_millis();
         let why = format!("targets were last read {ms} ms ago");
         return Err(SourceError::Stale(why));
     }
--- a/reachtally-relay/src/share/mod.rs
+++ b/reachtally-relay/src/share/mod.rs
@@ -8,7 +8,8 @@
 //! which a change must take effect.
 //!
 //! The age of a confirmation is the time since the request was *sent* plus the age that the answer
-//! states, so neither a slow answer nor a pause of this process makes it appear newer than it is.
+//! states, which is the age when the request *arrived*. So neither a slow answer nor a pause of a
+//! process makes it appear newer than it is, and the wait for an update does not make it appear older.
 
 mod answer;
 mod ask;
