--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -123,19 +123,17 @@
 fn counters(relay: &Relay) -> Registry {
     let mut registry = Registry::with_prefix(PREFIX);
     registry.register_collector(Box::new(Snapshot(relay.tally.get())));
-    let boxes = Gauge::<i64>::default();
-    boxes.set(i64::from(relay.boxes()));
-    registry.register(
+    gauge(
+        &mut registry,
         "boxes_believed",
         "Boxes among which this one shares the budget of second sends",
-        boxes,
+        i64::from(relay.boxes()),
     );
-    let version = Gauge::<i64>::default();
-    version.set(i64::try_from(relay.configuration.version()).unwrap_or(i64::MAX));
-    registry.register(
+    gauge(
+        &mut registry,
         "configuration_version",
         "Version of the configuration in force, 0 without one",
-        version,
+        relay.configuration.version(),
     );
     let age = Gauge::<f64, AtomicU64>::default();
     let seconds = relay.configuration.age(relay.now());
@@ -145,44 +143,51 @@
         "Time since the start of the read that last confirmed the configuration",
         age,
     );
-    let reads_store = Gauge::<i64>::default();
-    reads_store.set(i64::from(relay.is_direct()));
-    registry.register(
+    gauge(
+        &mut registry,
         "reads_store",
         "Whether this box reads the store itself",
-        reads_store,
+        i64::from(relay.is_direct()),
     );
-    let suspects = Gauge::<i64>::default();
-    suspects.set(i64::try_from(relay.suspects_known()).unwrap_or(i64::MAX));
-    registry.register(
+    gauge(
+        &mut registry,
         "suspects",
         "Requests remembered because targets ended under them",
-        suspects,
+        relay.suspects_known(),
     );
-    let limited = Gauge::<i64>::default();
-    limited.set(i64::try_from(relay.limited_targets()).unwrap_or(i64::MAX));
-    registry.register(
+    gauge(
+        &mut registry,
         "targets_limited",
         "Targets that state a rate limit for all boxes together",
-        limited,
+        relay.limited_targets(),
     );
-    let waiting = Gauge::<i64>::default();
-    waiting.set(i64::try_from(relay.requests_waiting()).unwrap_or(i64::MAX));
-    registry.register(
+    gauge(
+        &mut registry,
         "requests_waiting",
         "Requests that wait in this box for room",
-        waiting,
+        relay.requests_waiting(),
     );
-    let beyond = Gauge::<i64>::default();
-    beyond.set(i64::try_from(relay.accounts_beyond_share()).unwrap_or(i64::MAX));
-    registry.register(
+    gauge(
+        &mut registry,
         "accounts_beyond_share",
         "Client accounts above their share of a contended service, as told to this box",
-        beyond,
+        relay.accounts_beyond_share(),
     );
     registry
 }
 
+/// Registers a gauge with its current value, or the largest value of a gauge if it is beyond that.
+fn gauge(
+    registry: &mut Registry,
+    name: &'static str,
+    help: &'static str,
+    value: impl TryInto<i64>,
+) {
+    let gauge = Gauge::<i64>::default();
+    gauge.set(value.try_into().unwrap_or(i64::MAX));
+    registry.register(name, help, gauge);
+}
+
 fn times(times: &Times) -> Registry {
     let mut registry = Registry::with_prefix(PREFIX);
     registry.register(
