feat(relay): logs and metrics tell what only this box does not reach from what is dead for all

The record of boxes that lost their links to all targets can't tell why they refuse: a refusal names neither the state of the targets of its service nor whether the request was the first on its connection. Refusals give both now, and the gauge service_targets counts the targets of each service that accept no connections from this box, that several others report so, and that run requests of others meanwhile. Lines on the reachability of domains are context of `reachtally explain`.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod quarantine;
 mod rate;
+pub mod reach;
 pub mod read_ahead;
 pub mod readers;
 pub mod routes;
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -18,6 +18,7 @@
 mod path;
 mod placement;
 mod quarantine;
+mod reach;
 mod read_ahead;
 mod readers;
 mod repair;
--- a/reachtally-journal/src/explain.rs
+++ b/reachtally-journal/src/explain.rs
@@ -9,10 +9,11 @@
 const CONTEXT_MS: u64 = 5_000;
 /// Events that change a box's view of targets, dependencies or configuration. They are shown as context
 /// of the request's own lines.
-const STATE_EVENTS: [&str; 15] = [
+const STATE_EVENTS: [&str; 16] = [
     "config",
     "config-confirmed",
     "reads-store",
+    "domain",
     "lost-dependency",
     "regained",
     "ready",
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -4,6 +4,7 @@
 
 use hyper::Response;
 use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::reach::service_reach;
 use reachtally_core::life::{GivenUp, Life, NeverStarted, Refusal, State, Unknown};
 
 use crate::answer::{self, Body};
@@ -168,7 +169,8 @@
                     tally.requests_refused += 1;
                     tally.requests_quarantined += u64::from(self.is_quarantined);
                 });
-                log::info!(event = "refused", id = &*call.head.id, why:? = not_run.refusal(), sends = self.records.len(), left_ms = left.as_millis() as u64, rest_ms:? = back_off.map(|time| time.as_millis() as u64); "the request did not run and is given up");
+                let reach = service_reach(&relay.fleet.borrow(), &call.service_name);
+                log::info!(event = "refused", id = &*call.head.id, why:? = not_run.refusal(), sends = self.records.len(), left_ms = left.as_millis() as u64, rest_ms:? = back_off.map(|time| time.as_millis() as u64), number = call.number(), targets = reach.targets, unresponsive = reach.unresponsive, elsewhere = reach.unresponsive_elsewhere, here_only = reach.unresponsive_here_only; "the request did not run and is given up");
             }
             GivenUp::Unknown(unknown) => {
                 relay.count(|tally| tally.requests_unknown += 1);
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -24,7 +24,7 @@
 use crate::answer::{AnswerTo, Body, BodyTruncated};
 use crate::lifecycle::Stage;
 use crate::relay::Relay;
-use crate::serve;
+use crate::serve::{self, RequestNumber};
 use crate::target;
 use crate::unread::BlockedWrite;
 
@@ -67,6 +67,8 @@
     answer_to: RefCell<Option<AnswerTo>>,
     /// Whether to close the connection with a reset.
     is_reset: Cell<bool>,
+    /// Number of requests received so far.
+    requests: Cell<u32>,
 }
 
 impl ConnectionState {
@@ -89,6 +91,7 @@
         phase: Cell::new((Phase::Head, Instant::now())),
         answer_to: RefCell::default(),
         is_reset: Cell::default(),
+        requests: Cell::default(),
     });
     let io = TokioIo::new(MonitoredStream {
         stream,
@@ -140,9 +143,12 @@
 async fn handle(
     relay: Rc<Relay>,
     state: Rc<ConnectionState>,
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     state.enter(Phase::Busy);
+    let number = state.requests.get().saturating_add(1);
+    state.requests.set(number);
+    req.extensions_mut().insert(RequestNumber(number));
     let ends_with_connection = req.version() < Version::HTTP_11;
     let mut response = serve::handle(relay, req).await;
     let answer_to = response.extensions_mut().remove::<AnswerTo>();
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use reachtally_core::forward::reach::{ServiceReach, service_reach};
 use reachtally_core::forward::tally::Tally;
 use tokio::net::TcpListener;
 
@@ -173,9 +174,49 @@
         "Client accounts above their share of a contended service, as told to this box",
         relay.accounts_beyond_share(),
     );
+    registry.register(
+        "service_targets",
+        "Targets of a service that are not leaving, by service and state as seen by this box",
+        service_targets(relay),
+    );
     registry
 }
 
+/// Service and state of counted targets.
+type ReachLabel = [(&'static str, String); 2];
+
+/// Returns the reach of each configured service.
+fn service_targets(relay: &Relay) -> Family<ReachLabel, Gauge> {
+    let family = Family::<ReachLabel, Gauge>::default();
+    let Some(table) = relay.configuration.table() else {
+        return family;
+    };
+    let fleet = relay.fleet.borrow();
+    for service in table.services.keys() {
+        let ServiceReach {
+            targets,
+            unresponsive,
+            unresponsive_elsewhere,
+            unresponsive_here_only,
+        } = service_reach(&fleet, service);
+        let states = [
+            ("known", targets),
+            ("unresponsive", unresponsive),
+            ("unresponsive_elsewhere", unresponsive_elsewhere),
+            ("unresponsive_here_only", unresponsive_here_only),
+        ];
+        for (state, count) in states {
+            let label = [
+                ("service", service.to_string()),
+                ("state", state.to_owned()),
+            ];
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            family.get_or_create(&label).set(count);
+        }
+    }
+    family
+}
+
 /// Registers a gauge with its current value, or the largest value of a gauge if it is beyond that.
 fn gauge(
     registry: &mut Registry,
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -29,6 +29,10 @@
 /// Deadline of requests that name none, and idle timeout of bodies without configured limits.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Number of a request on its connection, from 1. It is attached to the request for the log.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RequestNumber(pub u32);
+
 /// A request that the configuration allows, with its complete body.
 pub(crate) struct Call {
     /// Head of the HTTP request.
@@ -81,6 +85,12 @@
             .get_or_init(|| Fingerprint::of(&identity()))
     }
 
+    /// Returns the number of the request on its connection; 0 if it did not arrive on one.
+    pub fn number(&self) -> u32 {
+        let number = self.parts.extensions.get::<RequestNumber>();
+        number.map_or(0, |number| number.0)
+    }
+
     /// Returns the time until the caller's deadline.
     pub fn left(&self, relay: &Relay) -> Duration {
         self.deadline.since(relay.now())
