--- a/reachtally-relay/src/handoff/mod.rs
+++ b/reachtally-relay/src/handoff/mod.rs
@@ -83,12 +83,12 @@
     }
 
     /// Returns the number of requests that this box has handed over and that are running.
-    pub(crate) fn handed_over(&self) -> u32 {
+    pub fn handed_over(&self) -> u32 {
         self.handoffs.peers.borrow().running()
     }
 
     /// Returns the number of requests that this box runs for others.
-    pub(crate) fn taken_over(&self) -> u32 {
+    pub fn taken_over(&self) -> u32 {
         self.handoffs.taken.get()
     }
 
