fix(core): an entry shows that a target runs, not that this box reaches it

A target that accepted no connections from this box counted as alive again with the next heartbeat in the store, 1.3 s after it was found dead, whatever stood between them; each time requests were sent there and lost 150 ms a try. Now the entry has the target probed at once, and only an accepted connection revives it.

The tests of fleet.rs that expected a written entry to revive a dead target now expect that it stays dead and is due for a probe at that moment; they failed before.

--- a/reachtally-core/src/forward/fleet/health.rs
+++ b/reachtally-core/src/forward/fleet/health.rs
@@ -44,7 +44,7 @@
     probe_interval: Duration,
     /// Since when this box reaches no target of its failure domain.
     unreachable_since: Option<Instant>,
-    /// When it last accepted a connection or wrote its entry.
+    /// When it last accepted a connection.
     alive_at: Option<Instant>,
     /// Requests avoid it until then because it does not hold what its entry says.
     contradicted_until: Option<Instant>,
@@ -135,10 +135,13 @@
 
     /// Records that the target wrote its entry. Returns whether it is back at an address that
     /// another target claimed: only a live target keeps writing, so the claim was wrong.
+    ///
+    /// The entry does not show that this box reaches the target, so a dead one stays dead and is
+    /// probed soon.
     pub(super) fn entry_written(&mut self, now: Instant) -> bool {
         let is_later = |at: Instant| now.since(at) > HEARTBEAT_DELAY;
-        if self.dead_since.is_none_or(is_later) {
-            self.mark_alive(now);
+        if self.dead_since.is_some_and(is_later) {
+            self.probe_at = self.probe_at.min(now);
         }
         self.superseded_at.take_if(|at| is_later(*at)).is_some()
     }
@@ -158,7 +161,7 @@
         self.superseded_at.is_some()
     }
 
-    /// When the target was last seen alive.
+    /// When the target last accepted a connection.
     pub fn alive_at(&self) -> Option<Instant> {
         self.alive_at
     }
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -35,7 +35,7 @@
 }
 
 #[test]
-fn heartbeat_in_flight_does_not_revive_a_dead_target() {
+fn heartbeat_in_flight_does_not_have_a_dead_target_probed() {
     let mut fleet = Fleet::default();
     let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), EntrySource::Written, at(0));
     fleet
@@ -43,18 +43,19 @@
         .expect("target exists")
         .health
         .mark_dead(at(1_000));
-    fleet.upsert(
-        entry(0, "a", "small", 0..8),
-        EntrySource::Written,
-        at(1_500),
-    );
-    assert_eq!(fleet.dead(), vec![key]);
-    fleet.upsert(
-        entry(0, "a", "small", 0..8),
-        EntrySource::Written,
-        at(4_000),
-    );
-    assert!(fleet.dead().is_empty());
+    let health = &mut fleet.get_mut(key).expect("target exists").health;
+    health.probe_failed(at(1_400));
+    let next_probe = health.probe_at();
+    for (written_at, probe_at) in [(at(1_500), next_probe), (at(2_400), at(2_400))] {
+        fleet.upsert(
+            entry(0, "a", "small", 0..8),
+            EntrySource::Written,
+            written_at,
+        );
+        let health = &fleet.get(key).expect("target exists").health;
+        assert_eq!(health.probe_at(), probe_at);
+        assert!(health.is_dead());
+    }
 }
 
 #[test]
@@ -115,22 +116,26 @@
 }
 
 #[test]
-fn listed_entry_does_not_revive_a_dead_target() {
+fn entry_of_a_target_out_of_reach_of_this_box_does_not_revive_it_but_has_it_probed() {
     let mut fleet = Fleet::default();
     let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), EntrySource::Written, at(0));
-    fleet
-        .get_mut(key)
-        .expect("target exists")
-        .health
-        .mark_dead(at(100));
+    let health = &mut fleet.get_mut(key).expect("target exists").health;
+    health.mark_dead(at(100));
+    for probed_at in [700, 1_900, 4_000] {
+        health.probe_failed(at(probed_at));
+    }
     fleet.upsert(entry(0, "a", "small", 0..8), EntrySource::Listed, at(4_000));
-    assert!(fleet.get(key).expect("target exists").health.is_dead());
+    assert!(fleet.due_for_probe(at(4_100), 1).is_empty());
     fleet.upsert(
         entry(0, "a", "small", 0..8),
         EntrySource::Written,
         at(4_100),
     );
-    assert!(!fleet.get(key).expect("target exists").health.is_dead());
+    assert!(fleet.get(key).expect("target exists").health.is_dead());
+    assert_eq!(fleet.due_for_probe(at(4_100), 1), [key]);
+    let health = &mut fleet.get_mut(key).expect("target exists").health;
+    health.mark_alive(at(4_100));
+    assert!(!health.is_dead());
 }
 
 #[test]
