--- a/reachtally-core/src/forward/loads/remote.rs
+++ b/reachtally-core/src/forward/loads/remote.rs
@@ -1,5 +1,7 @@
 //! The loads of other boxes as known to this box, and the report of its own.
 
+use std::collections::HashSet;
+
 use super::received::ReceivedLoads;
 use super::{Load, Others, QueueReport, Report, TargetLoad};
 use crate::forward::count::BoxCount;
@@ -72,13 +74,24 @@
 }
 
 /// Returns the report of this box's loads.
+///
+/// Targets that accept no connections are reported as unresponsive only if the box reaches another
+/// target of their service. Otherwise it may be the box that is cut off.
 pub fn own_report(run: Incarnation, number: u64, fleet: &Fleet, now: Instant) -> Report {
+    let reached: HashSet<&str> = fleet
+        .iter()
+        .filter(|(_, engine)| !engine.is_leaving() && !engine.health.is_dead())
+        .map(|(_, engine)| &*engine.entry.service)
+        .collect();
+    let is_unresponsive = |engine: &Engine| {
+        engine.health.is_individually_unresponsive() && reached.contains(&*engine.entry.service)
+    };
     let load = |engine: &Engine| Load {
         running: engine.running,
         tokens: engine.tokens as u32,
         reading: engine.reading as u32,
         pace: engine.own_slowdown(now),
-        silent: u32::from(engine.health.is_individually_unresponsive()),
+        silent: u32::from(is_unresponsive(engine)),
         queue: engine.queues.own(now).map(|stated| QueueReport {
             waiting: stated.waiting,
             age: now.since(stated.at),
