fix(relay): a cut that resets connections is not taken for a crash under the requests on them

Same class: a connection that broke and an address that refuses connections counted as a crash of the target, also where every target refused this box. A request that had begun at the time of such a cut became a suspect at all boxes. Now the box samples three other targets; if it reaches none of them, nothing is recorded. With fewer than three other targets the rule is as before.

recover::a_cut_that_resets_connections_is_not_taken_for_a_crash_under_the_requests_on_them failed before (one suspect).

--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -84,14 +84,15 @@
     }
 
     /// Handles a connection that a target closed while it had a request. If nothing listens at its address any
-    /// more, the run has ended and the request may be the cause. A cut or reset connection alone proves nothing.
+    /// more, the run has ended and the request may be the cause. A cut or reset connection alone proves nothing, nor
+    /// does a refused one if this box reaches no other target either.
     pub(crate) async fn target_disconnected(
         &self,
         call: &Call,
         to: &Recipient,
         progress: Progress,
     ) {
-        if !target::refuses_connections(to.address).await {
+        if !target::refuses_connections(to.address).await || self.is_cut_off_besides(to.key).await {
             return;
         }
         let end = CrashRecord {
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::fleet::{Engine, EngineKey};
 
 use crate::relay::Relay;
 use crate::target::{self, Probe};
@@ -20,6 +21,8 @@
 /// Number of targets that are probed together without any answer from which their failure domains are suspected to be
 /// unreachable.
 const MIN_SILENT_TARGETS: usize = 2;
+/// Number of other targets that are probed to tell a crash from a cut of this box's links.
+const CUT_SAMPLE_SIZE: usize = 3;
 /// Maximum number of dead targets that are probed at a time.
 const MAX_PROBED: usize = 16;
 
@@ -152,6 +155,29 @@
         checked
     }
 
+    /// Returns whether this box reaches no target besides `key`, so that it can't tell a crash from a cut of its own links. With few
+    /// other targets, they may have crashed too.
+    pub(crate) async fn is_cut_off_besides(&self, key: EngineKey) -> bool {
+        let (others, sample) = {
+            let fleet = self.fleet.borrow();
+            let others = || fleet.iter().filter(|(other, _)| *other != key);
+            let is_live = |(_, engine): &(EngineKey, &Engine)| !engine.health.is_dead();
+            let live = others()
+                .filter(is_live)
+                .map(|(_, engine)| engine.entry.address);
+            (
+                others().count(),
+                live.sample(&mut rand::rng(), CUT_SAMPLE_SIZE),
+            )
+        };
+        if others < CUT_SAMPLE_SIZE {
+            return false;
+        }
+        let probes = sample.into_iter().map(|address| self.probe(address));
+        let answers = futures::future::join_all(probes).await;
+        !answers.contains(&Probe::Accepted)
+    }
+
     /// Returns what is known about a target without a probe.
     fn known_liveness(&self, key: EngineKey, now: Instant) -> Liveness {
         let fleet = self.fleet.borrow();
