perf(relay): paths are searched for the check of unserved services only where targets accept no connections

Each box searched a path for every service twice a second; at 3,000 engines that is several milliseconds of a small box's share of a core. Now a scan of the targets of the service decides whether there is anything to search for.

--- a/reachtally-relay/src/handoff/mod.rs
+++ b/reachtally-relay/src/handoff/mod.rs
@@ -93,7 +93,7 @@
     }
 
     /// Returns whether some target of a service accepts no connections from this box.
-    fn misses_targets(&self, service: &str) -> bool {
+    pub(crate) fn misses_targets(&self, service: &str) -> bool {
         service_reach(&self.fleet.borrow(), service).unresponsive > 0
     }
 
--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -3,12 +3,14 @@
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Response, StatusCode};
+use reachtally_core::forward::handoff::HandoffPeers;
 use reachtally_core::life::NeverStarted;
 use reachtally_protocol::handoff::{Head, Message, Offer, Refusal, Request};
 use tokio::time::timeout;
@@ -90,11 +92,7 @@
 }
 
 /// Offers requests for `service` to a box and records its answer. Returns the connection if it accepts.
-pub(super) async fn offer(
-    relay: &Relay,
-    service: &std::sync::Arc<str>,
-    ip: IpAddr,
-) -> Option<Link> {
+pub(super) async fn offer(relay: &Relay, service: &Arc<str>, ip: IpAddr) -> Option<Link> {
     let port = relay.settings.borrow().handoff_port?;
     let answer = timeout(
         OFFER_TIMEOUT,
@@ -122,8 +120,8 @@
 
 fn record_refusal(
     relay: &Relay,
-    peers: &mut reachtally_core::forward::handoff::HandoffPeers,
-    service: &std::sync::Arc<str>,
+    peers: &mut HandoffPeers,
+    service: &Arc<str>,
     ip: IpAddr,
     refusal: Refusal,
 ) {
--- a/reachtally-relay/src/handoff/watch.rs
+++ b/reachtally-relay/src/handoff/watch.rs
@@ -25,10 +25,7 @@
             .peers
             .borrow_mut()
             .remove_expired(relay.now());
-        for service in unserved
-            .iter()
-            .filter(|service| relay.misses_targets(service))
-        {
+        for service in &unserved {
             ask_boxes(&relay, service).await;
         }
     }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -545,13 +545,16 @@
         })
     }
 
-    /// Returns the configured services that no target can currently serve.
+    /// Returns the configured services that no target can currently serve, and of which some targets accept no connections from
+    /// this box.
     pub(crate) fn unserved_services(&self) -> Vec<Arc<str>> {
         let Some(table) = self.configuration.table() else {
             return Vec::new();
         };
-        let services = table.services.iter();
-        let unserved = services.filter(|(name, service)| !self.can_serve_service(name, service));
+        let unserved = table.services.iter().filter(|(name, service)| {
+            // The selection of a path takes much longer than this check.
+            self.misses_targets(name) && !self.can_serve_service(name, service)
+        });
         unserved.map(|(name, _)| name.clone()).collect()
     }
 
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -106,6 +106,7 @@
                 return Some(Response::from_parts(parts, body));
             }
         };
+        // The last of these sends is counted as lost below.
         attempts.handoff_lost(handoff.possible_runs.get().saturating_sub(1));
         if !attempts.failed(relay, call, why) {
             return None;
