fix(relay): a steward does not replace engines that only it does not reach

Now it does not plan a service while other boxes use an engine that it does not reach, unless they report it as unresponsive too, nor within 0.9 s after it was cut off.

steward::a_steward_cut_off_from_an_engine_that_others_use_does_not_replace_it failed before.

--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -9,6 +9,7 @@
 use reachtally_core::forward::cost::{LayerModel, Layers};
 use reachtally_core::forward::fleet::{Engine, EngineKey};
 use reachtally_core::forward::placement::{self, Host, Move};
+use reachtally_core::forward::reach::service_reach;
 use tokio::time::sleep;
 
 use crate::group::StewardRole;
@@ -17,8 +18,8 @@
 
 /// Time between two placement runs.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which the list of engines must not grow before a placement run, so that the plan covers all of
-/// them. Engines write their entries about every second.
+/// Time for which the list of engines must not grow, and this box must not be cut off, before a placement run, so that the plan
+/// covers all engines. Engines write their entries about every second.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 /// Time after which an accepted order without effect is repeated. Loading a whole card takes some ten
 /// seconds, and several engines share the weight store.
@@ -37,20 +38,24 @@
 pub async fn run<O: Orders>(relay: Rc<Relay>, role: StewardRole, orders: O) {
     let mut pending: HashMap<EngineKey, Pending> = HashMap::new();
     let mut known_engines = 0;
-    let mut grown_at = relay.now();
+    let mut unsettled_at = relay.now();
     loop {
         sleep(PLAN_INTERVAL).await;
         let now = relay.now();
         let count = relay.fleet.borrow().iter().count();
-        if count > known_engines {
-            grown_at = now;
+        if count > known_engines || relay.is_cut_off() {
+            unsettled_at = now;
         }
         known_engines = count;
-        if role.borrow().permit(now).is_none() || now.since(grown_at) < SETTLE_TIME {
+        if role.borrow().permit(now).is_none() || now.since(unsettled_at) < SETTLE_TIME {
             continue;
         }
         remove_settled(&relay, &mut pending, now);
-        for (model, service) in layered_services(&relay) {
+        let services = layered_services(&relay);
+        let reached = services
+            .into_iter()
+            .filter(|(_, service)| reaches_engines_in_use(&relay, service));
+        for (model, service) in reached {
             let hosts = hosts(&relay, &service, &model, &pending);
             let moves = placement::moves(&model, &hosts);
             send_orders(&relay, &role, &orders, &mut pending, moves).await;
@@ -58,6 +63,12 @@
     }
 }
 
+/// Returns whether this box reaches all engines of a service that other boxes use. Otherwise its own links are lost, and engines that
+/// accept no connections from it must not be replaced.
+fn reaches_engines_in_use(relay: &Relay, service: &str) -> bool {
+    service_reach(&relay.fleet.borrow(), service).unresponsive_here_only == 0
+}
+
 /// Returns the services whose engines hold model layers.
 fn layered_services(relay: &Relay) -> Vec<(Arc<LayerModel>, Arc<str>)> {
     let Some(table) = relay.configuration.table() else {
