refactor(relay): one sample and probe of targets, one receive with a limit, one match on why a stream stopped

Cause: on a second reading the handoff had pieces that stood beside a twin.

- The sample by which a crash is told from a cut draws and probes targets as the checks of failure domains do: `sample` and `probe_all` serve both.
- `receive_within` replaces two functions that wait for a message for a time.
- `take_allowance` is the one place that takes a second send for a request.
- The stops of a stream were matched twice, with an arm that was never reached; they are one match now, with a function for each case of a chain.
- A handoff chose a box twice for each that it asked, each time over a new list of candidates; now once.

Tests of the workspace pass.

--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -87,8 +87,7 @@
             self.is_quarantined = true;
             return false;
         }
-        self.is_next_free = self.is_next_free || relay.take_second_send(&call.service_name);
-        if self.is_next_free {
+        if self.take_allowance(relay, call) {
             if self.records.is_empty() {
                 relay.note_admitted(&call.service_name, relay.now());
             }
@@ -101,9 +100,11 @@
     /// Returns whether the request may be handed over to another box, taking a second send from the shared budget if one is needed.
     pub fn may_hand_over(&mut self, relay: &Relay, call: &Call) -> bool {
         let is_final = self.is_timed_out || self.is_quarantined || self.shed.is_some();
-        if is_final || !self.may_run(call) {
-            return false;
-        }
+        !is_final && self.may_run(call) && self.take_allowance(relay, call)
+    }
+
+    /// Returns whether the next send is paid for, taking a second send from the shared budget if one is needed.
+    fn take_allowance(&mut self, relay: &Relay, call: &Call) -> bool {
         self.is_next_free = self.is_next_free || relay.take_second_send(&call.service_name);
         self.is_next_free
     }
--- a/reachtally-relay/src/handoff/mod.rs
+++ b/reachtally-relay/src/handoff/mod.rs
@@ -27,6 +27,7 @@
 use reachtally_protocol::handoff::{Header, Message};
 use reachtally_protocol::news::frames;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::relay::Relay;
@@ -67,9 +68,12 @@
 impl Relay {
     /// Returns whether another box may be asked to take over a request.
     pub(crate) fn may_hand_over(&self, call: &Call) -> bool {
-        !call.is_handoff
-            && self.misses_targets(&call.service_name)
-            && self.choose_peer(&call.service_name, &[]).is_some()
+        self.needs_other_box(call) && self.choose_peer(&call.service_name, &[]).is_some()
+    }
+
+    /// Returns whether some target of a request accepts no connections from this box, which may hand the request over.
+    fn needs_other_box(&self, call: &Call) -> bool {
+        !call.is_handoff && self.misses_targets(&call.service_name)
     }
 
     /// Returns whether some service is served by other boxes only.
@@ -132,14 +136,23 @@
         .map_err(|err| err.to_string())
 }
 
-async fn receive(
-    link: &mut (impl StreamExt<Item = std::io::Result<bytes::BytesMut>> + Unpin),
-) -> Result<Message, String> {
+async fn receive(link: &mut Link) -> Result<Message, String> {
     let frame = link.next().await.ok_or("connection closed")?;
     let frame = frame.map_err(|err| err.to_string())?;
     Message::decode(frame.freeze()).map_err(|err| err.to_string())
 }
 
+/// Receives the next message; fails after `limit` without one.
+async fn receive_within(link: &mut Link, limit: Option<Duration>) -> Result<Message, String> {
+    match limit {
+        None => receive(link).await,
+        Some(limit) => {
+            let received = timeout(limit, receive(link)).await;
+            received.unwrap_or_else(|_| Err(format!("no message within {limit:?}")))
+        }
+    }
+}
+
 fn encode_headers(headers: &HeaderMap) -> Vec<Header> {
     let encode = |(name, value): (&HeaderName, &HeaderValue)| Header {
         name: name.as_str().to_owned(),
--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Body, BodyTruncated};
 use crate::attempts::Attempts;
 use crate::exchange::SendFailure;
-use crate::handoff::{Link, decode_headers, encode_headers, link, receive, send};
+use crate::handoff::{Link, decode_headers, encode_headers, link, receive, receive_within, send};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target;
@@ -69,7 +69,7 @@
     last: Option<u64>,
 ) -> Option<Handoff> {
     let mut asked = Vec::new();
-    while asked.len() < MAX_ASKED && relay.may_hand_over(call) && attempts.may_run(call) {
+    while asked.len() < MAX_ASKED && relay.needs_other_box(call) && attempts.may_run(call) {
         let ip = relay.choose_peer(&call.service_name, &asked)?;
         asked.push(ip);
         let Some(link) = offer(relay, &call.service_name, ip).await else {
@@ -168,7 +168,7 @@
     let head = async {
         send(&mut link, Message::Request(request)).await?;
         loop {
-            match next(&mut link, silence).await? {
+            match receive_within(&mut link, silence).await? {
                 Message::Head(head) => return Ok::<_, String>(head),
                 Message::Data(data) if data.data.is_empty() => {}
                 other => return Err(format!("expected a head, received {other:?}")),
@@ -238,7 +238,7 @@
 ) -> Body {
     let frames = async_stream::stream! {
         loop {
-            match next(&mut link, silence).await {
+            match receive_within(&mut link, silence).await {
                 Ok(Message::End) => return,
                 Ok(Message::Data(data)) => {
                     possible_runs.set(possible_runs.get().max(data.possible_runs));
@@ -262,14 +262,3 @@
     };
     Box::pin(StreamBody::new(frames))
 }
-
-/// Receives the next message; fails after `silence` without one.
-async fn next(link: &mut Link, silence: Option<Duration>) -> Result<Message, String> {
-    match silence {
-        None => receive(link).await,
-        Some(silence) => {
-            let received = timeout(silence, receive(link)).await;
-            received.unwrap_or_else(|_| Err("no sign of life".to_owned()))
-        }
-    }
-}
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -18,7 +18,7 @@
 use crate::accept;
 use crate::answer::Body;
 use crate::handoff::{
-    HEARTBEAT_INTERVAL, Link, decode_headers, encode_headers, link, receive, send,
+    HEARTBEAT_INTERVAL, Link, decode_headers, encode_headers, link, receive_within, send,
 };
 use crate::relay::Relay;
 use crate::serve::{self, HandoffTerms};
@@ -49,7 +49,7 @@
 async fn serve_connection(relay: &Rc<Relay>, stream: TcpStream) -> Result<(), String> {
     target::set_nodelay(&stream);
     let mut link = link(stream);
-    let offer = match receive_in_time(&mut link).await? {
+    let offer = match receive_within(&mut link, Some(REQUEST_TIMEOUT)).await? {
         Message::Offer(offer) => offer,
         other => return Err(format!("expected an offer, received {other:?}")),
     };
@@ -58,7 +58,7 @@
     if refusal.is_some() {
         return Ok(());
     }
-    let request = match receive_in_time(&mut link).await? {
+    let request = match receive_within(&mut link, Some(REQUEST_TIMEOUT)).await? {
         Message::Request(request) => request,
         other => return Err(format!("expected a request, received {other:?}")),
     };
@@ -76,11 +76,6 @@
     }
 }
 
-async fn receive_in_time(link: &mut Link) -> Result<Message, String> {
-    let received = timeout(REQUEST_TIMEOUT, receive(link)).await;
-    received.unwrap_or_else(|_| Err("no message in time".to_owned()))
-}
-
 /// Returns why this box does not take over requests like the offered one, if so.
 fn refusal(relay: &Relay, offer: &handoff::Offer) -> Option<Refusal> {
     let is_available =
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -20,6 +20,7 @@
 use hyper::body::Frame;
 use hyper::{Response, StatusCode};
 use reachtally_core::Instant;
+use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::routes::ResponseShape;
 
 use crate::admission::Decision;
@@ -217,82 +218,76 @@
     attempts: &mut Attempts,
     reason: StopReason,
 ) -> Continuation {
+    let relay = stream.relay;
     match (reason, stream.source) {
         (StopReason::Complete, _) => Continuation::Complete,
         (StopReason::DeadlineExceeded, _) => Continuation::Cut("deadline exceeded"),
         (StopReason::Quarantined, _) => Continuation::Cut("request quarantined"),
-        (reason, Source::Chain(chain)) => handle_chain_stop(stream, chain, attempts, reason).await,
-        (reason, Source::Box(_)) => {
-            if let StopReason::BoxLost(possible_runs) = reason {
-                attempts.handoff_lost(possible_runs);
-            }
+        (StopReason::InterruptedUnread(why), Source::Chain(chain))
+            if relay.find_dead(chain.engines()).await.is_empty() =>
+        {
+            Continuation::CutSlowReader(why)
+        }
+        (
+            StopReason::Interrupted(why) | StopReason::InterruptedUnread(why),
+            Source::Chain(chain),
+        ) => handle_interruption(stream, chain, attempts, &why).await,
+        (StopReason::Dead(engines), Source::Chain(chain)) => {
+            leave_dead(stream, chain, attempts, engines).await
+        }
+        (StopReason::BoxLost(possible_runs), _) => {
+            attempts.handoff_lost(possible_runs);
             resume_or_cut(stream, attempts).await
         }
+        (_, Source::Box(_)) => resume_or_cut(stream, attempts).await,
     }
 }
 
-/// Handles the stop of a chain of engines.
-async fn handle_chain_stop(
+/// Handles a chain that broke off the stream.
+async fn handle_interruption(
     stream: &StoppedStream<'_>,
     chain: &RunningChain,
     attempts: &mut Attempts,
-    reason: StopReason,
+    why: &str,
 ) -> Continuation {
-    let StoppedStream {
-        relay,
-        call,
-        splitter,
-        queue,
-        ..
-    } = *stream;
-    match reason {
-        StopReason::InterruptedUnread(why) if relay.find_dead(chain.engines()).await.is_empty() => {
-            Continuation::CutSlowReader(why)
-        }
-        StopReason::Dead(engines) => {
-            log::info!(event = "stage-dead", id = &*call.head.id, engines = engines.len(), last:? = splitter.last(); "engines of a stream are dead");
-            if engines.first() == chain.engines().first() {
-                record_suspected_crash(relay, call, chain).await;
-            }
-            attempts.avoid.extend(engines);
-            queue.wait_until_consumed().await;
-            let now = relay.now();
-            match resume(relay, call, attempts, splitter, now).await {
-                Some(other) => Continuation::Resumed(Box::new(other)),
-                None => Continuation::SameChain,
-            }
-        }
-        StopReason::Interrupted(why) | StopReason::InterruptedUnread(why) => {
-            log::info!(event = "broke", id = &*call.head.id, why = &*why, last:? = splitter.last(), events = chain.events(), targets = &*chain.engine_names(relay), fingerprint:% = call.fingerprint(); "stream interrupted");
-            record_suspected_crash(relay, call, chain).await;
-            let dead = relay.find_dead(chain.engines()).await;
-            match dead.is_empty() {
-                true => attempts.avoid.extend(chain.engines().first()),
-                false => attempts.avoid.extend(dead),
-            }
-            resume_or_cut(stream, attempts).await
-        }
-        // A chain stops for no other reason.
-        StopReason::Complete
-        | StopReason::DeadlineExceeded
-        | StopReason::Quarantined
-        | StopReason::BoxLost(_) => Continuation::Cut("the chain stopped"),
+    let (relay, call) = (stream.relay, stream.call);
+    log::info!(event = "broke", id = &*call.head.id, why = why, last:? = stream.splitter.last(), events = chain.events(), targets = &*chain.engine_names(relay), fingerprint:% = call.fingerprint(); "stream interrupted");
+    record_suspected_crash(relay, call, chain).await;
+    let dead = relay.find_dead(chain.engines()).await;
+    match dead.is_empty() {
+        true => attempts.avoid.extend(chain.engines().first()),
+        false => attempts.avoid.extend(dead),
+    }
+    resume_or_cut(stream, attempts).await
+}
+
+/// Leaves a chain of which `engines` are dead, if the stream can go on elsewhere.
+async fn leave_dead(
+    stream: &StoppedStream<'_>,
+    chain: &RunningChain,
+    attempts: &mut Attempts,
+    engines: Vec<EngineKey>,
+) -> Continuation {
+    let (relay, call) = (stream.relay, stream.call);
+    log::info!(event = "stage-dead", id = &*call.head.id, engines = engines.len(), last:? = stream.splitter.last(); "engines of a stream are dead");
+    if engines.first() == chain.engines().first() {
+        record_suspected_crash(relay, call, chain).await;
+    }
+    attempts.avoid.extend(engines);
+    stream.queue.wait_until_consumed().await;
+    match resume(relay, call, attempts, stream.splitter, relay.now()).await {
+        Some(other) => Continuation::Resumed(Box::new(other)),
+        None => Continuation::SameChain,
     }
 }
 
 /// Resumes a stream whose source broke off, or cuts it off.
 async fn resume_or_cut(stream: &StoppedStream<'_>, attempts: &mut Attempts) -> Continuation {
-    let StoppedStream {
-        relay,
-        call,
-        splitter,
-        queue,
-        ..
-    } = *stream;
+    let (relay, call) = (stream.relay, stream.call);
     // While the caller takes nothing, another chain would only be blocked too.
-    queue.wait_until_consumed().await;
+    stream.queue.wait_until_consumed().await;
     let until = relay.now() + RESUME_TIMEOUT;
-    match resume(relay, call, attempts, splitter, until).await {
+    match resume(relay, call, attempts, stream.splitter, until).await {
         Some(other) => Continuation::Resumed(Box::new(other)),
         None => {
             send::log_shortfall(relay, call, &attempts.avoid);
--- a/reachtally-relay/src/targets/domains.rs
+++ b/reachtally-relay/src/targets/domains.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::{Engine, EngineKey};
 use tokio::sync::Notify;
@@ -86,7 +85,9 @@
             self.check(silent).await;
             return;
         }
-        let mut targets = self.sample(domain, SAMPLE_SIZE, |is_dead| !is_dead);
+        let mut targets = self.sample(SAMPLE_SIZE, |_, engine| {
+            engine.entry.domain == *domain && !engine.health.is_dead()
+        });
         targets.extend(silent);
         targets.sort();
         targets.dedup();
@@ -104,31 +105,16 @@
     }
 
     async fn probe_domain(&self, domain: &Arc<str>) {
-        let sample = self.sample(domain, RECOVERY_SAMPLE_SIZE, |_| true);
-        let addresses = sample.iter().filter_map(|key| self.target_address(*key));
-        let probes = addresses.map(|address| self.probe(address));
-        let answers = futures::future::join_all(probes).await;
+        let sample = self.sample(RECOVERY_SAMPLE_SIZE, |_, engine| {
+            engine.entry.domain == *domain
+        });
+        let answers = self.probe_all(&sample).await;
         // Once all targets of a domain have left, nothing shows that it is unreachable.
         if sample.is_empty() || answers.iter().any(|answer| *answer != Probe::Silent) {
             self.set_reachable(domain, true);
         }
     }
 
-    /// Returns a random sample of at most `max` targets of a failure domain; `is_eligible` gets whether a target is dead.
-    fn sample(
-        &self,
-        domain: &Arc<str>,
-        max: usize,
-        is_eligible: impl Fn(bool) -> bool,
-    ) -> Vec<EngineKey> {
-        let fleet = self.fleet.borrow();
-        let eligible = fleet.iter().filter(|(_, engine)| {
-            engine.entry.domain == *domain && is_eligible(engine.health.is_dead())
-        });
-        let keys = eligible.map(|(key, _)| key);
-        keys.sample(&mut rand::rng(), max)
-    }
-
     /// Sets whether a failure domain is reachable. If it is not, streams over its targets move to other targets.
     fn set_reachable(&self, domain: &Arc<str>, is_reachable: bool) {
         let mut fleet = self.fleet.borrow_mut();
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -158,24 +158,36 @@
     /// Returns whether this box reaches no target besides `key`, so that it can't tell a crash from a cut of its own links. With few
     /// other targets, they may have crashed too.
     pub(crate) async fn is_cut_off_besides(&self, key: EngineKey) -> bool {
-        let (others, sample) = {
-            let fleet = self.fleet.borrow();
-            let others = || fleet.iter().filter(|(other, _)| *other != key);
-            let is_live = |(_, engine): &(EngineKey, &Engine)| !engine.health.is_dead();
-            let live = others()
-                .filter(is_live)
-                .map(|(_, engine)| engine.entry.address);
-            (
-                others().count(),
-                live.sample(&mut rand::rng(), CUT_SAMPLE_SIZE),
-            )
-        };
+        let is_other = |(other, _): &(EngineKey, &Engine)| *other != key;
+        let others = self.fleet.borrow().iter().filter(is_other).count();
         if others < CUT_SAMPLE_SIZE {
             return false;
         }
-        let probes = sample.into_iter().map(|address| self.probe(address));
-        let answers = futures::future::join_all(probes).await;
-        !answers.contains(&Probe::Accepted)
+        let sample = self.sample(CUT_SAMPLE_SIZE, |other, engine| {
+            other != key && !engine.health.is_dead()
+        });
+        !self.probe_all(&sample).await.contains(&Probe::Accepted)
+    }
+
+    /// Returns a random sample of at most `max` eligible targets.
+    pub(super) fn sample(
+        &self,
+        max: usize,
+        is_eligible: impl Fn(EngineKey, &Engine) -> bool,
+    ) -> Vec<EngineKey> {
+        let fleet = self.fleet.borrow();
+        let eligible = fleet
+            .iter()
+            .filter(|(key, engine)| is_eligible(*key, engine));
+        let keys = eligible.map(|(key, _)| key);
+        keys.sample(&mut rand::rng(), max)
+    }
+
+    /// Probes those of `keys` that are still known.
+    pub(super) async fn probe_all(&self, keys: &[EngineKey]) -> Vec<Probe> {
+        let addresses = keys.iter().filter_map(|key| self.target_address(*key));
+        let probes = addresses.map(|address| self.probe(address));
+        futures::future::join_all(probes).await
     }
 
     /// Returns what is known about a target without a probe.
