feat(relay): logs tell the shared parts of a prompt, how far a run had come when it ended, and what cleared a suspect

`taken`, `broke`, `ended-under` and `acquitted` name the parts of the prompt that other requests may share, `broke` also the time since the head of the answer. `acquitted` and `answered` tell a whole answer from one that only its connection ended and from an error response, and the counter responses_unframed counts such answers. No decision changes.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -20,6 +20,7 @@
 pub mod path;
 pub mod peers;
 pub mod placement;
+pub mod prompt;
 pub mod quarantine;
 mod rate;
 pub mod reach;
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -51,6 +51,8 @@
         rests_asked,
         /// Sends whose answer was lost or spoilt.
         sends_lost,
+        /// Responses of targets that only the end of their connection ends.
+        responses_unframed,
         /// Second sends that the budget granted.
         second_sends,
         /// Second sends that the budget forbade.
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -237,7 +237,7 @@
         let age = call.confirmation.map(|last| call.arrived.since(last.began));
         let age = age.unwrap_or_default();
         let confirmed_by = confirmed_by(call.confirmation);
-        log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = call.version, held = held, confirmed_ms = age.as_millis() as u64, confirmed_by = &*confirmed_by, prompt = call.head.prompt_tokens as u64, fingerprint:% = call.fingerprint(); "a request that did not go well");
+        log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = call.version, held = held, confirmed_ms = age.as_millis() as u64, confirmed_by = &*confirmed_by, prompt = call.head.prompt_tokens as u64, fingerprint:% = call.fingerprint(), parts = &*call.head.shared_part_names(); "a request that did not go well");
         for (number, record) in self.records.iter().enumerate() {
             log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.remote_running as u64, expected_ms = record.expected_first.as_millis() as u64; "it was sent");
         }
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_ENCODING;
+use hyper::header::{CONTENT_ENCODING, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use reachtally_core::forward::fleet::{EngineKey, TargetRun};
 use reachtally_core::life::NeverStarted;
@@ -120,6 +121,14 @@
     head.id.as_deref() == Some(call.head.id.as_str())
 }
 
+/// Returns whether only the end of the connection ends the body of a response, and counts such responses.
+pub(crate) fn is_unframed(relay: &Relay, response: &Response<Incoming>) -> bool {
+    let has_length = response.body().size_hint().exact().is_some();
+    let is_unframed = !has_length && !response.headers().contains_key(TRANSFER_ENCODING);
+    relay.count(|tally| tally.responses_unframed += u64::from(is_unframed));
+    is_unframed
+}
+
 /// Returns why a response cannot be accepted as the target's response to this request, if so.
 pub(crate) fn rejection_reason(
     call: &Call,
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -25,6 +25,17 @@
     Unknown,
 }
 
+/// How a target completed a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Completion {
+    /// With a whole answer, which its length or its last chunk ended.
+    Whole,
+    /// With an answer that only its connection ended.
+    Unframed,
+    /// With an error response.
+    Failure,
+}
+
 /// Evidence on suspect requests, and notifications of its changes.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineState {
@@ -114,12 +125,12 @@
         if verdict == Verdict::Quarantined {
             self.suspicion.mark_unsaved(fingerprint);
         }
-        log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = fingerprint, account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict; "target crashed while running a request");
+        log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = fingerprint, account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict, parts = &*call.head.shared_part_names(); "target crashed while running a request");
         self.suspicion.evidence_changed.notify_one();
     }
 
     /// Clears a request of suspicion, since a target completed it.
-    pub(crate) fn record_completion(&self, call: &Call) {
+    pub(crate) fn record_completion(&self, call: &Call, by: Completion) {
         let mut table = self.suspicion.table.borrow_mut();
         if table.is_empty() {
             return;
@@ -130,7 +141,7 @@
             if was_quarantined {
                 self.suspicion.mark_unsaved(fingerprint);
             }
-            log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint; "cleared a suspect request that a target completed");
+            log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint, by:? = by, parts = &*call.head.shared_part_names(); "cleared a suspect request that a target completed");
             self.suspicion.evidence_changed.notify_one();
         }
     }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -16,6 +16,7 @@
 use crate::events::Splitter;
 use crate::exchange::Recipient;
 use crate::occupied::RequestGuard;
+use crate::quarantine::Completion;
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::repair::{self, Outcome, Repair};
@@ -42,6 +43,10 @@
     /// Estimated gap between events: the expected one, updated by the observed ones.
     gaps: EventGaps,
     timing: Timing,
+    /// Time at which the head of the answer arrived.
+    begun_at: Instant,
+    /// Whether only the end of the connection ends the answer.
+    is_unframed: bool,
     backpressure: EngineStall,
     /// Time of the last event, or when waiting for the first one started.
     waiting_since: Instant,
@@ -97,7 +102,7 @@
     }
 
     /// Records the timing of a complete stream in metrics and the log.
-    fn record(&self, relay: &Relay, call: &Call, engines: &[EngineKey]) {
+    fn record(&self, relay: &Relay, call: &Call, engines: &[EngineKey], is_unframed: bool) {
         let first = self.first.unwrap_or_default();
         let took = relay.now().since(self.started_at);
         relay.record_run_time(took);
@@ -121,7 +126,7 @@
             first_ms = ms(first), expected_first_ms = ms(self.expected_first),
             gap_ms = ms(took.saturating_sub(first) / gaps), expected_gap_ms = ms(self.expected_gap),
             longest_ms = ms(self.longest_gap), events = self.events, took_ms = ms(took), late = is_late, first_late = is_first_late,
-            targets = &*engine_names(relay, engines);
+            unframed = is_unframed, targets = &*engine_names(relay, engines);
             "stream completed"
         );
     }
@@ -153,6 +158,7 @@
         occupied: RequestGuard,
         first: Recipient,
         timing: Timing,
+        is_unframed: bool,
         relay: &Relay,
     ) -> Self {
         let now = relay.now();
@@ -163,6 +169,8 @@
             first,
             gaps: EventGaps::expected(timing.expected_gap),
             timing,
+            begun_at: now,
+            is_unframed,
             backpressure: EngineStall::default(),
             waiting_since: now,
             check_at: now,
@@ -200,6 +208,11 @@
         self.timing.events
     }
 
+    /// Returns the time since the engines began to answer.
+    pub fn begun_for(&self, relay: &Relay) -> Duration {
+        relay.now().since(self.begun_at)
+    }
+
     /// Returns the ids of the engines, for the log.
     pub fn engine_names(&self, relay: &Relay) -> String {
         engine_names(relay, self.engines())
@@ -425,8 +438,13 @@
         if splitter.has_partial_event() {
             return self.interrupted("answer ended within an event".to_owned());
         }
-        self.timing.record(relay, call, self.engines());
-        relay.record_completion(call);
+        self.timing
+            .record(relay, call, self.engines(), self.is_unframed);
+        let by = match self.is_unframed {
+            true => Completion::Unframed,
+            false => Completion::Whole,
+        };
+        relay.record_completion(call, by);
         if let Some(connection) = self.connection.take() {
             relay.connections.keep(connection, relay.now());
         }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -28,7 +28,7 @@
 use crate::attempts::Attempts;
 use crate::events::Splitter;
 use crate::handoff::{self, Handoff};
-use crate::quarantine::Progress;
+use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target::Driver;
@@ -81,7 +81,7 @@
                 return stream_response(relay.clone(), call, head, source, attempts);
             }
             Ok(EngineAnswer::Failure(response)) => {
-                relay.record_completion(&call);
+                relay.record_completion(&call, Completion::Failure);
                 return response;
             }
             Err(why) => {
@@ -251,7 +251,7 @@
     why: &str,
 ) -> Continuation {
     let (relay, call) = (stream.relay, stream.call);
-    log::info!(event = "broke", id = &*call.head.id, why = why, last:? = stream.splitter.last(), events = chain.events(), targets = &*chain.engine_names(relay), fingerprint:% = call.fingerprint(); "stream interrupted");
+    log::info!(event = "broke", id = &*call.head.id, why = why, last:? = stream.splitter.last(), events = chain.events(), begun_ms = chain.begun_for(relay).as_millis() as u64, targets = &*chain.engine_names(relay), fingerprint:% = call.fingerprint(), parts = &*call.head.shared_part_names(); "stream interrupted");
     record_suspected_crash(relay, call, chain).await;
     let dead = relay.find_dead(chain.engines()).await;
     match dead.is_empty() {
@@ -346,7 +346,7 @@
             Ok(EngineAnswer::Failure(response)) => {
                 // The request ran on that chain, so the attempt counts: the original chain, which is awaited again, may stop once more.
                 attempts.answered();
-                relay.record_completion(call);
+                relay.record_completion(call, Completion::Failure);
                 log::info!(event = "not-resumed", id = &*call.head.id, status = response.status().as_u16(); "stream not resumed: another chain answered with an error");
                 return None;
             }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -339,13 +339,22 @@
             false => mark_failed(relay, from.key, attempts, why.to_owned()),
         });
     }
+    let is_unframed = exchange::is_unframed(relay, &answer.response);
     let (mut parts, body) = answer.response.into_parts();
     parts.headers = relay.wire.backward(&parts.headers);
     if status != StatusCode::OK {
         return collect_failure(parts, body).await;
     }
     parts.headers.remove(CONTENT_LENGTH);
-    let running = RunningChain::new(body, answer.connection, occupied, from, timing, relay);
+    let running = RunningChain::new(
+        body,
+        answer.connection,
+        occupied,
+        from,
+        timing,
+        is_unframed,
+        relay,
+    );
     Ok(EngineAnswer::Stream(Box::new((
         Response::from_parts(parts, ()),
         running,
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Body as HttpBody, Frame};
+use hyper::body::{Body as HttpBody, Frame, Incoming};
 use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::select::{self, Instance, Limits, SelectionContext};
@@ -18,7 +18,7 @@
 use crate::exchange::{self, Recipient, SendFailure};
 use crate::handoff;
 use crate::occupied::RequestGuard;
-use crate::quarantine::Progress;
+use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target::{self, SendError};
@@ -210,6 +210,7 @@
     if let Some(why) = exchange::rejection_reason(call, &head, &answer.response) {
         return Err(failed(relay, key, why.to_owned()));
     }
+    let by = completion(relay, &answer.response);
     let (mut parts, body) = answer.response.into_parts();
     parts.headers = relay.wire.backward(&parts.headers);
     let receiving = receive(body, (answer.connection, occupied));
@@ -219,11 +220,20 @@
         Some(Err(why)) => return Err(target_disconnected(relay, call, &to, why).await),
     };
     if is_complete {
-        relay.record_completion(call);
+        relay.record_completion(call, by);
     }
     Ok(Response::from_parts(parts, body))
 }
 
+/// Returns how a target completes a request with this response.
+fn completion(relay: &Relay, response: &Response<Incoming>) -> Completion {
+    match exchange::is_unframed(relay, response) {
+        _ if !response.status().is_success() => Completion::Failure,
+        true => Completion::Unframed,
+        false => Completion::Whole,
+    }
+}
+
 /// Handles a connection that the target closed: it has failed, and the request may have crashed it.
 async fn target_disconnected(
     relay: &Relay,
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderMap;
 use reachtally_core::forward::limit::RateLimit;
 use reachtally_core::forward::path::Path;
+use reachtally_core::forward::prompt::{self, PartId};
 use reachtally_core::forward::routes::Table;
 
 use crate::store::Repair;
@@ -27,6 +28,24 @@
     pub answer_hint: Option<f64>,
     /// Id of the last event that the caller has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Parts of the prompt, in order; the last one belongs to the request or its session.
+    pub prompt_parts: Vec<PartId>,
+}
+
+/// Maximum number of parts of a prompt that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
+impl CallHead {
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> &[PartId] {
+        prompt::shared(&self.prompt_parts)
+    }
+
+    /// Returns the parts of the prompt that other requests may share, for the log.
+    pub(crate) fn shared_part_names(&self) -> String {
+        let names = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        names.map(PartId::as_str).collect::<Vec<&str>>().join(",")
+    }
 }
 
 /// Header values that the relay adds to a request for a target.
