fix(relay): crashes of targets are filed under the parts of a prompt too, so that requests that share the cause are one suspect

Cause: the evidence was filed under the fingerprint of the whole request, so each request was a new suspect and cost two engines. It was also dropped once an event had arrived, and an error response, for which nothing is written, cleared it.

Now a crash counts under the request and under each shared part of its prompt, in the same table, messages and store records. Features that were present at the same crashes explain each other: a request that has only some of them is sent, until a crash tells them apart, so that neither a first part that all requests share nor a sound request that lost its targets to the same crashes is refused. A part with two or three crashes is tried again after 10 and 40 s. A quarantined request is refused before it waits for admission.

--- a/reachtally-core/src/forward/fingerprint.rs
+++ b/reachtally-core/src/forward/fingerprint.rs
@@ -1,16 +1,21 @@
-//! Fingerprints that identify repeated requests.
+//! Fingerprints that identify repeated requests, and the parts of prompts that requests share.
 //!
 //! A caller that retries sends the same request with a new id, and possibly to another box. Path,
 //! account and body stay the same, so that boxes of any version recognize the request.
 
 use sha2::{Digest, Sha256};
 
+use crate::forward::prompt::PartId;
+
 /// Length of a fingerprint in bytes: long enough to rule out accidental and deliberate collisions.
 pub const FINGERPRINT_BYTES: usize = 16;
 /// Separates these digests from those of other uses and of later versions of this scheme.
 const PURPOSE: &[u8] = b"reachtally request fingerprint 1";
 
-/// The parts of a request that identify it. The request id and the last event id are not included,
+/// The same for parts of prompts.
+const PART_PURPOSE: &[u8] = b"reachtally prompt part fingerprint 1";
+
+/// The fields of a request that identify it. The request id and the last event id are not included,
 /// because they differ between attempts.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestIdentity<'a> {
@@ -26,7 +31,7 @@
     pub body: &'a [u8],
 }
 
-/// Digest that identifies a request.
+/// Digest that identifies a request, or a part of a prompt.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub [u8; FINGERPRINT_BYTES]);
 
@@ -43,6 +48,17 @@
             hasher.update(field);
         }
         hasher.update(request.body);
+        Fingerprint::from_hasher(hasher)
+    }
+
+    /// Computes the fingerprint of a part of a prompt, which is the same for all accounts and services.
+    pub fn of_part(part: &PartId) -> Self {
+        let mut hasher = Sha256::new_with_prefix(PART_PURPOSE);
+        hasher.update(part.as_str());
+        Fingerprint::from_hasher(hasher)
+    }
+
+    fn from_hasher(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -1,26 +1,52 @@
 //! Quarantine of requests that crash the targets which begin to run them.
 //!
-//! A crash of a target while it runs a request may be caused by the target or by the request. A
-//! single crash proves little, because it hits a hundred requests at once. The request to blame is
-//! also present at the next crash and has had no complete answer. So each crash is recorded under
-//! the request's fingerprint and exchanged between all boxes, and a request with enough crashes is
-//! no longer sent to any target, whichever box receives it and whatever its id.
+//! A crash of a target while it runs a request may be caused by the target, by the request or by a
+//! part of its prompt that other requests have too. A single crash proves little, because it hits a
+//! hundred requests at once. The feature to blame, a request or a part, is also present at the next
+//! crash, and no target has got far with it. So each crash is recorded under the fingerprints of
+//! all features of the request and exchanged between all boxes, and a request with a feature that
+//! has enough crashes is no longer sent to any target, whichever box receives it and whatever its
+//! id.
+//!
+//! Several features may have been present at the same crashes. A request that has only some of them
+//! is still sent, until a crash tells them apart. A part that targets have written on for a while is
+//! cleared, and so protected for some time, since most parts are shared with many sound requests.
+//! A part that few crashes speak against is tried again after a time, in case they were coincidence.
 //!
 //! Reports are self-contained and mergeable. Crashes are keyed by the crashed run, so that boxes
 //! which notice the same crash count it once. Each crash is cleared individually, so that a delayed
 //! message does not undo it.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use crate::forward::fingerprint::Fingerprint;
 use crate::time::Instant;
 
+mod proofs;
 mod suspect;
 
+use proofs::Proofs;
+pub use proofs::{MAX_PROOFS, PROOF_TTL};
 use suspect::SuspectRequest;
 pub use suspect::{AccountDigest, CrashRecord, MAX_CRASHES, RunDigest, Verdict};
 
+/// Number of events up to which a stream has only begun. A target that a request crashes ends before
+/// it has sent more.
+pub const START_EVENTS: u64 = 3;
+/// Time from the head of an answer during which a stream has only begun.
+pub const START_TIME: Duration = Duration::from_millis(500);
+/// Time from the head of an answer after which a stream with more events shows that its parts do not
+/// crash targets.
+pub const PROOF_TIME: Duration = Duration::from_secs(1);
+/// Time from the last crash under a quarantined part with the fewest crashes until it is tried again.
+/// Each further crash multiplies it by [`TRIAL_DELAY_FACTOR`], and boxes add up to as much again.
+pub const TRIAL_DELAY: Duration = Duration::from_secs(10);
+/// Growth of [`TRIAL_DELAY`] with each crash.
+const TRIAL_DELAY_FACTOR: u32 = 4;
+/// Number of crashes from which a part is not tried again.
+const TRIAL_CRASH_LIMIT: usize = 4;
 /// How long a request is remembered after its last crash or its last refusal. Callers give up long
 /// before.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
@@ -34,12 +60,16 @@
 /// fragmented.
 pub const SUSPECTS_PER_MESSAGE: usize = 9;
 
-/// A report about a request, exchanged between boxes.
+/// Messages with changes that are sent at a time. A crash changes the records of all requests that had
+/// just begun.
+const MAX_MESSAGES: usize = 4;
+
+/// A report about a request or a part of a prompt, exchanged between boxes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SuspectReport {
-    /// The request.
+    /// The request or part.
     pub fingerprint: Fingerprint,
-    /// Its account.
+    /// Account of the request, or of the first one that crashed a target with the part.
     pub account: AccountDigest,
     /// Remaining time for which it is remembered.
     pub life: Duration,
@@ -56,10 +86,30 @@
     Any,
 }
 
-/// The requests during which targets crashed.
+/// What a request has in common with others: itself, for its repetitions, and the parts of its prompt.
+#[derive(Debug, Clone, Copy)]
+pub struct Features<'a> {
+    /// The request.
+    pub request: Fingerprint,
+    /// The parts that other requests may share.
+    pub parts: &'a [Fingerprint],
+}
+
+impl Features<'_> {
+    fn all(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+
+    fn contains(&self, feature: Fingerprint) -> bool {
+        self.request == feature || self.parts.contains(&feature)
+    }
+}
+
+/// The requests and parts of prompts during which targets crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, SuspectRequest>,
+    proofs: Proofs,
 }
 
 impl Quarantine {
@@ -79,6 +129,73 @@
         suspect.map_or(Verdict::Clear, SuspectRequest::verdict)
     }
 
+    /// Returns the feature because of which requests with these features are quarantined, if any.
+    pub fn culprit(&self, features: &Features<'_>) -> Option<Fingerprint> {
+        let mut all = features.all();
+        all.find(|feature| self.is_blamed(*feature, features))
+    }
+
+    /// Whether a feature is quarantined, and its crashes are not explained by another quarantined
+    /// feature that was present at all of them and that requests with `features` lack.
+    fn is_blamed(&self, feature: Fingerprint, features: &Features<'_>) -> bool {
+        let Some(suspect) = self.suspects.get(&feature) else {
+            return false;
+        };
+        let explains = |(other, by): (&Fingerprint, &SuspectRequest)| {
+            let is_quarantined = by.verdict() == Verdict::Quarantined;
+            is_quarantined && !features.contains(*other) && by.covers_crashes_of(suspect)
+        };
+        suspect.verdict() == Verdict::Quarantined && !self.suspects.iter().any(explains)
+    }
+
+    /// Whether the parts because of which requests with these features are quarantined are to be
+    /// tried again: few crashes speak against them, and the last one is long ago. `spread`, from 0 to
+    /// 1, differs between boxes, so that they do not try at the same time.
+    pub fn is_trial_due(&self, features: &Features<'_>, spread: f64, now: Instant) -> bool {
+        let is_due = |part: Fingerprint| {
+            let suspect = self.suspects.get(&part);
+            suspect.is_some_and(|suspect| suspect.is_trial_due(spread, now))
+        };
+        let mut blamed = self.blamed_parts(features);
+        !self.is_blamed(features.request, features) && blamed.all(is_due)
+    }
+
+    /// Records that a request with these features is sent to try the parts again.
+    pub fn start_trial(&mut self, features: &Features<'_>, now: Instant) {
+        let blamed: Vec<Fingerprint> = self.blamed_parts(features).collect();
+        for part in blamed {
+            if let Some(suspect) = self.suspects.get_mut(&part) {
+                suspect.tried_at = Some(now);
+            }
+        }
+    }
+
+    fn blamed_parts(&self, features: &Features<'_>) -> impl Iterator<Item = Fingerprint> {
+        let parts = features.parts.iter().copied();
+        parts.filter(|part| self.is_blamed(*part, features))
+    }
+
+    /// Whether a target crashed under one of these features since `from`.
+    pub fn has_crashed_since(&self, features: &Features<'_>, from: Instant) -> bool {
+        let mut suspects = features
+            .all()
+            .filter_map(|feature| self.suspects.get(&feature));
+        suspects.any(|suspect| suspect.crashed_at > from)
+    }
+
+    /// Records that a target whose answer began at `began` wrote on a part for a while. This clears
+    /// the part of crashes up to [`PROOF_TTL`] after that. Returns whether anything changed.
+    pub fn record_proof(&mut self, part: Fingerprint, began: Instant, now: Instant) -> bool {
+        self.proofs.record(part, began);
+        let is_covered = |suspect: &SuspectRequest| suspect.crashed_at < began + PROOF_TTL;
+        self.suspects.get(&part).is_some_and(is_covered) && self.clear_suspicion(part, now)
+    }
+
+    /// Whether targets recently wrote on a part for a while.
+    pub fn is_proven(&self, part: Fingerprint, now: Instant) -> bool {
+        self.proofs.holds(part, now)
+    }
+
     /// Records a crash of a run while a request of `account` was assigned to it. Returns the
     /// verdict if anything changed.
     pub fn record_crash(
@@ -106,7 +223,7 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return false;
         };
-        let is_changed = suspect.clear_suspicion();
+        let is_changed = suspect.clear_suspicion(now);
         if is_changed {
             suspect.changed(ChangeOrigin::Own, now);
         }
@@ -121,9 +238,18 @@
         }
     }
 
-    /// Receives the report of another box. Returns whether anything changed.
+    /// Receives the report of another box, and clears it if this box has a proof of the opposite.
+    /// Returns whether anything changed.
     pub fn receive(&mut self, report: &SuspectReport, now: Instant) -> bool {
-        self.merge(report, ChangeOrigin::Any, now)
+        let is_changed = self.merge(report, ChangeOrigin::Any, now);
+        let is_refuted = self.proofs.holds(report.fingerprint, now);
+        is_changed | (is_refuted && self.clear_suspicion(report.fingerprint, now))
+    }
+
+    /// Whether this box saw a crash under a feature.
+    pub fn was_seen_here(&self, feature: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&feature);
+        suspect.is_some_and(|suspect| suspect.was_seen_here)
     }
 
     fn merge(&mut self, report: &SuspectReport, origin: ChangeOrigin, now: Instant) -> bool {
@@ -137,15 +263,17 @@
         let suspect = self.suspects.entry(report.fingerprint);
         let suspect = suspect.or_insert_with(|| SuspectRequest::new(report.account, now));
         suspect.expires = suspect.expires.max(now + life);
-        let is_changed = suspect.merge(&report.ends);
+        let is_changed = suspect.merge(&report.ends, now);
+        suspect.was_seen_here |= origin == ChangeOrigin::Own;
         if is_changed {
             suspect.changed(origin, now);
         }
         is_changed
     }
 
-    /// Removes expired requests.
+    /// Removes expired requests and proofs.
     pub fn remove_expired(&mut self, now: Instant) {
+        self.proofs.remove_expired(now);
         self.suspects.retain(|_, suspect| now < suspect.expires);
     }
 
@@ -190,19 +318,29 @@
         Some(suspect.to_report(fingerprint, now))
     }
 
-    /// Returns recent changes for other boxes: the newest ones that fit a message.
+    /// Returns the most important recent changes for other boxes, as many as fit a message.
     pub fn changes(&self, origin: ChangeOrigin, now: Instant) -> Vec<SuspectReport> {
+        let mut messages = self.change_messages(origin, now).into_iter();
+        messages.next().unwrap_or_default()
+    }
+
+    /// Returns recent changes for other boxes in messages: those with the most severe verdicts first,
+    /// then the newest.
+    pub fn change_messages(&self, origin: ChangeOrigin, now: Instant) -> Vec<Vec<SuspectReport>> {
         let is_due = |suspect: &SuspectRequest| {
             let is_new = now.since(suspect.changed_at) < CHANGE_REPEAT_TIME;
             is_new && (origin == ChangeOrigin::Any || suspect.changed_by == ChangeOrigin::Own)
         };
         let changed = self.suspects.iter().filter(|(_, suspect)| is_due(suspect));
         let mut changed: Vec<(&Fingerprint, &SuspectRequest)> = changed.collect();
-        changed.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.changed_at));
-        changed.truncate(SUSPECTS_PER_MESSAGE);
-        changed
-            .into_iter()
-            .map(|(fingerprint, suspect)| suspect.to_report(*fingerprint, now))
+        changed.sort_by_key(|(_, suspect)| Reverse((suspect.verdict(), suspect.changed_at)));
+        changed.truncate(MAX_MESSAGES * SUSPECTS_PER_MESSAGE);
+        let report = |(feature, suspect): &(&Fingerprint, &SuspectRequest)| {
+            suspect.to_report(**feature, now)
+        };
+        let messages = changed.chunks(SUSPECTS_PER_MESSAGE);
+        messages
+            .map(|message| message.iter().map(report).collect())
             .collect()
     }
 
--- a/reachtally-core/src/forward/quarantine/suspect.rs
+++ b/reachtally-core/src/forward/quarantine/suspect.rs
@@ -1,8 +1,8 @@
-//! A suspect request and the runs of targets that crashed while running it.
+//! A suspect request or part of a prompt, and the runs of targets that crashed while running it.
 
 use sha2::{Digest, Sha256};
 
-use super::{ChangeOrigin, SuspectReport};
+use super::{ChangeOrigin, SuspectReport, TRIAL_CRASH_LIMIT, TRIAL_DELAY, TRIAL_DELAY_FACTOR};
 use crate::forward::fingerprint::Fingerprint;
 use crate::forward::fleet::TargetRun;
 use crate::time::Instant;
@@ -77,7 +77,7 @@
     Quarantined,
 }
 
-/// The record of one request.
+/// The record of one request or part of a prompt.
 #[derive(Debug)]
 pub(super) struct SuspectRequest {
     pub account: AccountDigest,
@@ -87,6 +87,12 @@
     pub expires: Instant,
     pub changed_at: Instant,
     pub changed_by: ChangeOrigin,
+    /// When this box learned of the last crash.
+    pub crashed_at: Instant,
+    /// Whether this box saw one of the crashes.
+    pub was_seen_here: bool,
+    /// When this box last tried it again.
+    pub tried_at: Option<Instant>,
 }
 
 impl SuspectRequest {
@@ -97,13 +103,39 @@
             expires: now,
             changed_at: now,
             changed_by: ChangeOrigin::Any,
+            crashed_at: now,
+            was_seen_here: false,
+            tried_at: None,
         }
     }
 
+    fn uncleared(&self) -> impl Iterator<Item = &CrashRecord> {
+        self.ends.iter().filter(|end| !end.is_acquitted)
+    }
+
+    /// Whether this one was present at all crashes of `other` that were not cleared.
+    pub fn covers_crashes_of(&self, other: &SuspectRequest) -> bool {
+        let is_common = |run| self.uncleared().any(|end| end.run == run);
+        other.uncleared().all(|end| is_common(end.run))
+    }
+
+    /// Whether a quarantined part is to be tried again.
+    pub fn is_trial_due(&self, spread: f64, now: Instant) -> bool {
+        let crashes = self.uncleared().count();
+        if crashes >= TRIAL_CRASH_LIMIT {
+            return false;
+        }
+        let growth = crashes.saturating_sub(STARTED_CRASH_LIMIT) as u32;
+        let delay = TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(growth);
+        let last = self
+            .crashed_at
+            .max(self.tried_at.unwrap_or(self.crashed_at));
+        now.since(last) >= delay.mul_f64(1.0 + spread)
+    }
+
     pub fn verdict(&self) -> Verdict {
-        let uncleared = self.ends.iter().filter(|end| !end.is_acquitted);
-        let total = uncleared.clone().count();
-        let started = uncleared.filter(|end| end.had_begun).count();
+        let total = self.uncleared().count();
+        let started = self.uncleared().filter(|end| end.had_begun).count();
         if started >= STARTED_CRASH_LIMIT || total >= CRASH_LIMIT {
             Verdict::Quarantined
         } else if total > 0 {
@@ -115,12 +147,15 @@
 
     /// Merges crashes. Returns whether anything changed. If there are too many, all boxes keep the
     /// same ones, so that they do not exchange changes endlessly.
-    pub fn merge(&mut self, ends: &[CrashRecord]) -> bool {
+    pub fn merge(&mut self, ends: &[CrashRecord], now: Instant) -> bool {
         let before = self.ends.clone();
         for end in ends {
             match self.ends.iter_mut().find(|known| known.run == end.run) {
                 Some(known) => known.merge(end),
-                None => self.ends.push(*end),
+                None => {
+                    self.ends.push(*end);
+                    self.crashed_at = now;
+                }
             }
         }
         self.ends.sort_by_key(|end| (end.is_acquitted, end.run));
@@ -129,13 +164,13 @@
     }
 
     /// Clears the request of all known crashes. Returns whether anything changed.
-    pub fn clear_suspicion(&mut self) -> bool {
+    pub fn clear_suspicion(&mut self, now: Instant) -> bool {
         let cleared = |end: &CrashRecord| CrashRecord {
             is_acquitted: true,
             ..*end
         };
         let ends: Vec<CrashRecord> = self.ends.iter().map(cleared).collect();
-        self.merge(&ends)
+        self.merge(&ends, now)
     }
 
     pub fn changed(&mut self, by: ChangeOrigin, now: Instant) {
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -65,6 +65,8 @@
         ends_under_requests,
         /// Requests refused because targets that began to run them ended.
         requests_quarantined,
+        /// Requests sent although a part of their prompts is quarantined, to try it again.
+        quarantine_trials,
         /// Entries of targets that another writer spoiled.
         entries_spoiled,
         /// Failures of targets that led to a hold-off.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -16,6 +16,7 @@
 mod limit;
 mod loads;
 mod notice;
+mod parts;
 mod path;
 mod placement;
 mod quarantine;
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -83,10 +83,12 @@
             return false;
         }
         // Checked before each send: an earlier send or another box may have caused the quarantine.
-        if relay.is_quarantined(call) {
-            self.is_quarantined = true;
+        if self.is_stopped(relay, call) {
             return false;
         }
+        if relay.is_quarantined(call) {
+            relay.start_trial(call);
+        }
         if self.take_allowance(relay, call) {
             if self.records.is_empty() {
                 relay.note_admitted(&call.service_name, relay.now());
@@ -97,6 +99,13 @@
         false
     }
 
+    /// Returns whether the request must not be sent because it is quarantined. Only its first send may be a trial.
+    pub fn is_stopped(&mut self, relay: &Relay, call: &Call) -> bool {
+        let may_try = self.records.is_empty() && call.trial_since.get().is_none();
+        self.is_quarantined = relay.is_quarantined(call) && !(may_try && relay.is_trial_due(call));
+        self.is_quarantined
+    }
+
     /// Returns whether the request may be handed over to another box, taking a second send from the shared budget if one is needed.
     pub fn may_hand_over(&mut self, relay: &Relay, call: &Call) -> bool {
         let is_final = self.is_timed_out || self.is_quarantined || self.shed.is_some();
--- a/reachtally-relay/src/events.rs
+++ b/reachtally-relay/src/events.rs
@@ -8,6 +8,8 @@
     buf: BytesMut,
     /// Id of the last event that was passed on.
     last: Option<u64>,
+    /// Number of complete events so far.
+    events: u64,
 }
 
 /// Error for an event longer than any that engines send.
@@ -23,9 +25,15 @@
         Splitter {
             buf: BytesMut::new(),
             last,
+            events: 0,
         }
     }
 
+    /// Returns the number of complete events so far, including those that the caller already has.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Returns the id of the last event that was passed on, or that the caller had before.
     pub fn last(&self) -> Option<u64> {
         self.last
@@ -50,6 +58,7 @@
         let mut out = BytesMut::new();
         while let Some(end) = event_end(&self.buf) {
             let event = self.buf.split_to(end);
+            self.events += 1;
             let id = event_id(&event);
             let is_duplicate = id.zip(self.last).is_some_and(|(id, last)| id <= last);
             if is_duplicate {
--- a/reachtally-relay/src/gossip/suspects.rs
+++ b/reachtally-relay/src/gossip/suspects.rs
@@ -15,12 +15,12 @@
         self.relay.suspicion.remove_expired(now);
         match self.destination {
             Destination::Box(ip) => {
-                self.send_suspects(ip, self.pending(ChangeOrigin::Own, self.number))
+                self.send_suspects(ip, &self.pending(ChangeOrigin::Own, self.number));
             }
             Destination::Local => {
                 let suspects = self.pending(ChangeOrigin::Any, self.number);
                 for ip in self.collectors_to_inform() {
-                    self.send_suspects(ip, suspects.clone());
+                    self.send_suspects(ip, &suspects);
                 }
             }
         }
@@ -28,16 +28,16 @@
 
     /// Sends suspect requests in answer to report `number` of another box.
     pub(super) fn answer_suspects(&self, to: IpAddr, number: u64) {
-        self.send_suspects(to, self.pending(ChangeOrigin::Any, number));
+        self.send_suspects(to, &self.pending(ChangeOrigin::Any, number));
     }
 
     /// Returns the entries to send with report `number`: recent changes or, periodically, a page of all entries.
-    fn pending(&self, origin: ChangeOrigin, number: u64) -> Vec<SuspectReport> {
+    fn pending(&self, origin: ChangeOrigin, number: u64) -> Vec<Vec<SuspectReport>> {
         let now = self.relay.now();
         let suspicion = &self.relay.suspicion;
         let changes = suspicion.changes(origin, now);
         match changes.is_empty() && is_full_page_due(number) {
-            true => suspicion.page(number / FULL_PAGE_REPORTS, now),
+            true => vec![suspicion.page(number / FULL_PAGE_REPORTS, now)],
             false => changes,
         }
     }
@@ -50,17 +50,17 @@
         if let Destination::Box(ip) = self.destination
             && Some(ip) != from
         {
-            self.send_suspects(ip, changes(ChangeOrigin::Own));
+            self.send_suspects(ip, &changes(ChangeOrigin::Own));
         }
         let suspects = changes(ChangeOrigin::Any);
         for ip in self.collector_recipients(from) {
-            self.send_suspects(ip, suspects.clone());
+            self.send_suspects(ip, &suspects);
         }
     }
 
-    fn send_suspects(&self, ip: IpAddr, suspects: Vec<SuspectReport>) {
-        if !suspects.is_empty() {
-            self.send(ip, &Message::Suspects(suspects));
+    fn send_suspects(&self, ip: IpAddr, messages: &[Vec<SuspectReport>]) {
+        for suspects in messages.iter().filter(|suspects| !suspects.is_empty()) {
+            self.send(ip, &Message::Suspects(suspects.clone()));
         }
     }
 }
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -2,6 +2,8 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
+use std::net::IpAddr;
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::Fingerprint;
@@ -19,8 +21,10 @@
 /// How far a target run had processed a request when the run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Progress {
-    /// It had begun to process the request and had sent nothing of the response body.
+    /// It had begun to process the request and had sent no event.
     Begun,
+    /// It had begun shortly before, and had sent few events.
+    Started,
     /// Not known.
     Unknown,
 }
@@ -32,8 +36,18 @@
     Whole,
     /// With an answer that only its connection ended.
     Unframed,
-    /// With an error response.
-    Failure,
+    /// With a stream that goes on.
+    Progress,
+}
+
+impl Completion {
+    /// Returns how a complete answer ended.
+    pub fn of(is_unframed: bool) -> Self {
+        match is_unframed {
+            true => Completion::Unframed,
+            false => Completion::Whole,
+        }
+    }
 }
 
 /// Evidence on suspect requests, and notifications of its changes.
@@ -49,18 +63,29 @@
     unsaved_changed: Notify,
     /// Counts quarantine decisions, to notify requests in flight.
     stopped: watch::Sender<u64>,
+    /// Fraction of a trial's delay that this box adds to it.
+    spread: f64,
 }
 
 impl QuarantineState {
+    /// Creates the state of the box with this address.
+    pub fn new(ip: IpAddr) -> Self {
+        let draw = BuildHasherDefault::<DefaultHasher>::default().hash_one(ip);
+        QuarantineState {
+            spread: draw as f64 / u64::MAX as f64,
+            ..QuarantineState::default()
+        }
+    }
+
     /// Marks the evidence on a request to be written to the store.
     fn mark_unsaved(&self, fingerprint: Fingerprint) {
         self.unsaved.borrow_mut().insert(fingerprint);
         self.unsaved_changed.notify_one();
     }
 
-    /// Returns recently changed evidence.
-    pub fn changes(&self, origin: ChangeOrigin, now: Instant) -> Vec<SuspectReport> {
-        self.table.borrow().changes(origin, now)
+    /// Returns recently changed evidence, in messages.
+    pub fn changes(&self, origin: ChangeOrigin, now: Instant) -> Vec<Vec<SuspectReport>> {
+        self.table.borrow().change_messages(origin, now)
     }
 
     /// Returns one page of all evidence.
@@ -80,20 +105,42 @@
         self.suspicion.table.borrow().len()
     }
 
-    /// Returns whether a request is quarantined because targets that began to run it crashed.
+    /// Returns whether a request is quarantined because targets crashed that began to run it, or others with a part of its prompt.
     pub(crate) fn is_quarantined(&self, call: &Call) -> bool {
         let mut table = self.suspicion.table.borrow_mut();
         if table.is_empty() {
             return false;
         }
-        let fingerprint = call.fingerprint();
-        if table.verdict(fingerprint) < Verdict::Quarantined {
+        let features = call.features();
+        let is_tried = |since| !table.has_crashed_since(&features, since);
+        if call.trial_since.get().is_some_and(is_tried) {
             return false;
         }
-        table.refused(fingerprint, self.now());
+        let Some(culprit) = table.culprit(&features) else {
+            return false;
+        };
+        table.refused(culprit, self.now());
         true
     }
 
+    /// Returns whether a quarantined request is to be sent nevertheless, to try the part again that is blamed.
+    pub(crate) fn is_trial_due(&self, call: &Call) -> bool {
+        let table = self.suspicion.table.borrow();
+        table.is_trial_due(&call.features(), self.suspicion.spread, self.now())
+    }
+
+    /// Records that a quarantined request is sent to try a part again.
+    pub(crate) fn start_trial(&self, call: &Call) {
+        let now = self.now();
+        self.suspicion
+            .table
+            .borrow_mut()
+            .start_trial(&call.features(), now);
+        call.trial_since.set(Some(now));
+        self.count(|tally| tally.quarantine_trials += 1);
+        log::info!(event = "trial", id = &*call.head.id, parts = &*call.head.shared_part_names(); "sending a quarantined request, to try the part of its prompt again that few crashes speak against");
+    }
+
     /// Handles a connection that a target closed while it had a request. If nothing listens at its address any
     /// more, the run has ended and the request may be the cause. A cut or reset connection alone proves nothing, nor
     /// does a refused one if this box reaches no other target either.
@@ -106,46 +153,99 @@
         if !target::refuses_connections(to.address).await || self.is_cut_off_besides(to.key).await {
             return;
         }
-        let end = CrashRecord {
-            run: RunDigest::from(&to.run),
-            had_begun: progress == Progress::Begun,
-            is_acquitted: false,
-        };
-        let account = AccountDigest::from(call.account.as_deref());
-        let fingerprint = call.fingerprint();
-        let changed = {
-            let mut table = self.suspicion.table.borrow_mut();
-            table.record_crash(fingerprint, account, end, self.now())
-        };
-        let Some(verdict) = changed else {
+        let verdict = self.record_crash(call, to, progress);
+        let Some(verdict) = verdict else {
             return;
         };
         self.count(|tally| tally.ends_under_requests += 1);
         self.notify_quarantined(verdict);
-        if verdict == Verdict::Quarantined {
-            self.suspicion.mark_unsaved(fingerprint);
-        }
-        log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = fingerprint, account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict, parts = &*call.head.shared_part_names(); "target crashed while running a request");
+        log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = call.fingerprint(), account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict, parts = &*call.head.shared_part_names(), blamed = &*self.blamed(call); "target crashed while running a request");
         self.suspicion.evidence_changed.notify_one();
     }
 
+    /// Records a crash under a request, and under the parts of its prompt that no target has written on for a while. Returns the most
+    /// severe verdict on these if anything changed.
+    fn record_crash(&self, call: &Call, to: &Recipient, progress: Progress) -> Option<Verdict> {
+        let now = self.now();
+        let account = AccountDigest::from(call.account.as_deref());
+        let mut table = self.suspicion.table.borrow_mut();
+        let mut features = Vec::new();
+        // Streams that had sent events are ignored, since many of them break with each engine.
+        if progress != Progress::Started {
+            features.push((call.fingerprint(), progress == Progress::Begun));
+        }
+        let parts = call.part_fingerprints().iter().copied();
+        let unproven = parts.filter(|part| !table.is_proven(*part, now));
+        features.extend(unproven.map(|part| (part, progress != Progress::Unknown)));
+        let mut worst = None;
+        for (feature, had_begun) in features {
+            let end = CrashRecord {
+                run: RunDigest::from(&to.run),
+                had_begun,
+                is_acquitted: false,
+            };
+            let verdict = table.record_crash(feature, account, end, now);
+            if verdict == Some(Verdict::Quarantined) {
+                self.suspicion.mark_unsaved(feature);
+            }
+            worst = worst.max(verdict);
+        }
+        worst
+    }
+
+    /// Returns which part of a request's prompt is blamed for crashes, or `request`; empty if none is. For the log.
+    fn blamed(&self, call: &Call) -> String {
+        let culprit = self.suspicion.table.borrow().culprit(&call.features());
+        let part_at = |culprit| {
+            let mut parts = call.part_fingerprints().iter();
+            parts.position(|part| *part == culprit)
+        };
+        match culprit.map(part_at) {
+            None => String::new(),
+            Some(None) => "request".to_owned(),
+            Some(Some(at)) => call.head.shared_parts()[at].as_str().to_owned(),
+        }
+    }
+
     /// Clears a request of suspicion, since a target completed it.
     pub(crate) fn record_completion(&self, call: &Call, by: Completion) {
+        let now = self.now();
         let mut table = self.suspicion.table.borrow_mut();
         if table.is_empty() {
             return;
         }
         let fingerprint = call.fingerprint();
         let was_quarantined = table.verdict(fingerprint) == Verdict::Quarantined;
-        if table.clear_suspicion(fingerprint, self.now()) {
-            if was_quarantined {
-                self.suspicion.mark_unsaved(fingerprint);
+        if table.clear_suspicion(fingerprint, now) {
+            self.cleared(fingerprint, was_quarantined);
+            log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint, by:? = by; "cleared a suspect request that a target completed");
+        }
+    }
+
+    /// Clears the parts of a request's prompt, since the targets whose answer began at `began` have written on them for a while.
+    pub(crate) fn record_proof(&self, call: &Call, began: Instant, by: Completion) {
+        let now = self.now();
+        let mut table = self.suspicion.table.borrow_mut();
+        for (part, id) in call
+            .part_fingerprints()
+            .iter()
+            .zip(call.head.shared_parts())
+        {
+            let was_quarantined = table.verdict(*part) == Verdict::Quarantined;
+            if table.record_proof(*part, began, now) {
+                self.cleared(*part, was_quarantined);
+                log::info!(event = "acquitted", id = &*call.head.id, part = id.as_str(), fingerprint:% = part, by:? = by; "cleared a suspect part of a prompt on which a target wrote for a while");
             }
-            log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint, by:? = by, parts = &*call.head.shared_part_names(); "cleared a suspect request that a target completed");
-            self.suspicion.evidence_changed.notify_one();
         }
     }
 
+    fn cleared(&self, feature: Fingerprint, was_quarantined: bool) {
+        if was_quarantined {
+            self.suspicion.mark_unsaved(feature);
+        }
+        self.suspicion.evidence_changed.notify_one();
+    }
+
     /// Merges evidence from another box; returns whether any of it is new.
     pub(crate) fn merge_suspects(&self, reported: &[SuspectReport]) -> bool {
         let now = self.now();
@@ -158,6 +258,9 @@
             if before != verdict {
                 log::info!(event = "suspect", fingerprint:% = evidence.fingerprint, before:? = before, verdict:? = verdict; "evidence from other boxes changed the verdict on a request");
                 self.notify_quarantined(verdict);
+                if verdict == Verdict::Quarantined && table.was_seen_here(evidence.fingerprint) {
+                    self.suspicion.mark_unsaved(evidence.fingerprint);
+                }
             }
         }
         is_changed
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -171,6 +171,7 @@
     /// Creates a relay without configuration and targets that uses `clock`.
     pub fn with_clock(settings: Settings, wire: Box<dyn Wire>, clock: Clock) -> Self {
         Relay {
+            suspicion: QuarantineState::new(settings.ip),
             settings: RefCell::new(settings),
             wire,
             configuration: Configuration::default(),
@@ -187,7 +188,6 @@
             mean_run_time: Cell::new(INITIAL_RUN_TIME),
             direct: watch::Sender::new(false),
             slow_engines: SlowEngines::default(),
-            suspicion: QuarantineState::default(),
             limits: LimitState::default(),
             admission: Admission::default(),
             shares: ShareState::default(),
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -15,6 +15,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::{Fingerprint, RequestIdentity};
 use reachtally_core::forward::freshness::Confirmation;
+use reachtally_core::forward::quarantine::Features;
 use reachtally_core::forward::routes::{
     Account, CallerLimits, Denied, ResponseShape, Route, Service, Table, Urgency,
 };
@@ -69,8 +70,12 @@
     pub is_handoff: bool,
     /// Number of sends that may have run, including those of the box that handed the request over.
     pub possible_runs: Rc<Cell<u32>>,
+    /// When the request was sent although a part of its prompt is quarantined, to try that part again.
+    pub trial_since: Cell<Option<Instant>>,
     /// Computed on first use.
     fingerprint: OnceCell<Fingerprint>,
+    /// Of the parts of the prompt that other requests may share; computed on first use.
+    part_fingerprints: OnceCell<Vec<Fingerprint>>,
 }
 
 impl Call {
@@ -89,6 +94,23 @@
             .get_or_init(|| Fingerprint::of(&identity()))
     }
 
+    /// Returns the fingerprints of the parts of the prompt that other requests may share.
+    pub fn part_fingerprints(&self) -> &[Fingerprint] {
+        let compute = || {
+            let parts = self.head.shared_parts().iter();
+            parts.map(Fingerprint::of_part).collect()
+        };
+        self.part_fingerprints.get_or_init(compute)
+    }
+
+    /// Returns what the request has in common with others.
+    pub fn features(&self) -> Features<'_> {
+        Features {
+            request: self.fingerprint(),
+            parts: self.part_fingerprints(),
+        }
+    }
+
     /// Returns the number of the request on its connection; 0 if it did not arrive on one.
     pub fn number(&self) -> u32 {
         let number = self.parts.extensions.get::<RequestNumber>();
@@ -238,7 +260,9 @@
         draw,
         version: table.version,
         confirmation: relay.configuration.last_confirmation(),
+        trial_since: Cell::default(),
         fingerprint: OnceCell::new(),
+        part_fingerprints: OnceCell::new(),
     })
 }
 
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -8,6 +8,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
+use reachtally_core::forward::quarantine::{PROOF_TIME, START_EVENTS, START_TIME};
 use reachtally_core::forward::read_ahead::EngineStall;
 use reachtally_core::forward::stall::EventGaps;
 use tokio::sync::watch;
@@ -16,7 +17,7 @@
 use crate::events::Splitter;
 use crate::exchange::Recipient;
 use crate::occupied::RequestGuard;
-use crate::quarantine::Completion;
+use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::repair::{self, Outcome, Repair};
@@ -47,6 +48,10 @@
     begun_at: Instant,
     /// Whether only the end of the connection ends the answer.
     is_unframed: bool,
+    /// Number of whole events that arrived.
+    whole_events: u64,
+    /// Whether these engines have shown that the parts of the prompt do not crash them.
+    is_proven: bool,
     backpressure: EngineStall,
     /// Time of the last event, or when waiting for the first one started.
     waiting_since: Instant,
@@ -171,6 +176,8 @@
             timing,
             begun_at: now,
             is_unframed,
+            whole_events: 0,
+            is_proven: false,
             backpressure: EngineStall::default(),
             waiting_since: now,
             check_at: now,
@@ -242,7 +249,7 @@
         loop {
             let started_at = relay.now();
             let until = relay.timer(call.due.min(self.check_at));
-            let has_yielded = self.events() > 0;
+            let has_just_begun = self.whole_events <= START_EVENTS;
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
@@ -256,7 +263,7 @@
                     self.leave_ended_runs(relay, call, attempts)?;
                     continue;
                 }
-                () = relay.until_quarantined(call, &mut self.quarantine_changes), if !has_yielded => {
+                () = relay.until_quarantined(call, &mut self.quarantine_changes), if has_just_begun => {
                     return Err(StopReason::Quarantined);
                 }
                 () = tokio::time::sleep_until(until) => {
@@ -275,9 +282,14 @@
                 continue;
             };
             self.handle_data(relay);
+            let events_before = splitter.events();
             let events = splitter.push(&data);
             let events =
                 events.map_err(|_| StopReason::Interrupted("event too long".to_owned()))?;
+            self.whole_events += splitter.events() - events_before;
+            if self.begun_for(relay) >= PROOF_TIME {
+                self.prove(relay, call, Completion::Progress);
+            }
             if !events.is_empty() {
                 return Ok(events);
             }
@@ -433,6 +445,23 @@
         self.check_at = now + self.gaps.shared_silence_timeout();
     }
 
+    /// Returns how far the engines had come if they have only just begun the request.
+    pub fn progress(&self, relay: &Relay) -> Option<Progress> {
+        match self.whole_events {
+            0 => Some(Progress::Begun),
+            1..=START_EVENTS if self.begun_for(relay) < START_TIME => Some(Progress::Started),
+            _ => None,
+        }
+    }
+
+    /// Records that the parts of the prompt do not crash engines, if these have written enough.
+    fn prove(&mut self, relay: &Relay, call: &Call, by: Completion) {
+        if !self.is_proven && self.whole_events > START_EVENTS {
+            self.is_proven = true;
+            relay.record_proof(call, self.begun_at, by);
+        }
+    }
+
     /// Handles the regular end of the body. An incomplete last event shows that the engine did not end the stream intentionally.
     fn finish(&mut self, relay: &Relay, call: &Call, splitter: &Splitter) -> StopReason {
         if splitter.has_partial_event() {
@@ -440,11 +469,9 @@
         }
         self.timing
             .record(relay, call, self.engines(), self.is_unframed);
-        let by = match self.is_unframed {
-            true => Completion::Unframed,
-            false => Completion::Whole,
-        };
+        let by = Completion::of(self.is_unframed);
         relay.record_completion(call, by);
+        self.prove(relay, call, by);
         if let Some(connection) = self.connection.take() {
             relay.connections.keep(connection, relay.now());
         }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -28,7 +28,6 @@
 use crate::attempts::Attempts;
 use crate::events::Splitter;
 use crate::handoff::{self, Handoff};
-use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target::Driver;
@@ -49,6 +48,9 @@
     let last = call.head.last_event;
     let mut is_admitted = false;
     loop {
+        if attempts.is_stopped(relay, &call) {
+            break;
+        }
         let selection = send::select_engines(relay, &call, &attempts.avoid);
         if !is_admitted && let Some(offered) = selection.as_ref().map(|selection| selection.offer) {
             is_admitted = true;
@@ -80,10 +82,7 @@
                 let source = Source::Chain(Box::new(running));
                 return stream_response(relay.clone(), call, head, source, attempts);
             }
-            Ok(EngineAnswer::Failure(response)) => {
-                relay.record_completion(&call, Completion::Failure);
-                return response;
-            }
+            Ok(EngineAnswer::Failure(response)) => return response,
             Err(why) => {
                 if !attempts.failed(relay, &call, why) {
                     break;
@@ -296,13 +295,12 @@
     }
 }
 
-/// Records that the first engine of a chain broke off or died. Only a chain that had started the request and yielded no event
-/// counts, since the request may be the cause. Streams that were further on are ignored, since a hundred of them break with each
-/// engine.
+/// Records that the first engine of a chain broke off or died. Only a chain that had just started the request counts, since the
+/// request may be the cause. Streams that were further on are ignored, since a hundred of them break with each engine.
 async fn record_suspected_crash(relay: &Relay, call: &Call, running: &RunningChain) {
-    if running.events() == 0 {
+    if let Some(progress) = running.progress(relay) {
         relay
-            .target_disconnected(call, running.first(), Progress::Begun)
+            .target_disconnected(call, running.first(), progress)
             .await;
     }
 }
@@ -346,7 +344,6 @@
             Ok(EngineAnswer::Failure(response)) => {
                 // The request ran on that chain, so the attempt counts: the original chain, which is awaited again, may stop once more.
                 attempts.answered();
-                relay.record_completion(call, Completion::Failure);
                 log::info!(event = "not-resumed", id = &*call.head.id, status = response.status().as_u16(); "stream not resumed: another chain answered with an error");
                 return None;
             }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Body as HttpBody, Frame, Incoming};
+use hyper::body::{Body as HttpBody, Frame};
 use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::select::{self, Instance, Limits, SelectionContext};
@@ -34,6 +34,9 @@
     let mut failure: Option<Response<Body>> = None;
     let mut is_admitted = false;
     loop {
+        if attempts.is_stopped(relay, call) {
+            break;
+        }
         let found = choose(relay, call, &attempts.avoid, Limits::Enforced);
         if !is_admitted && let Some(offered) = offer(relay, call, found) {
             is_admitted = true;
@@ -210,7 +213,8 @@
     if let Some(why) = exchange::rejection_reason(call, &head, &answer.response) {
         return Err(failed(relay, key, why.to_owned()));
     }
-    let by = completion(relay, &answer.response);
+    let began = relay.now();
+    let is_unframed = exchange::is_unframed(relay, &answer.response);
     let (mut parts, body) = answer.response.into_parts();
     parts.headers = relay.wire.backward(&parts.headers);
     let receiving = receive(body, (answer.connection, occupied));
@@ -219,21 +223,14 @@
         Some(Ok(received)) => received,
         Some(Err(why)) => return Err(target_disconnected(relay, call, &to, why).await),
     };
-    if is_complete {
+    if is_complete && parts.status.is_success() {
+        let by = Completion::of(is_unframed);
         relay.record_completion(call, by);
+        relay.record_proof(call, began, by);
     }
     Ok(Response::from_parts(parts, body))
 }
 
-/// Returns how a target completes a request with this response.
-fn completion(relay: &Relay, response: &Response<Incoming>) -> Completion {
-    match exchange::is_unframed(relay, response) {
-        _ if !response.status().is_success() => Completion::Failure,
-        true => Completion::Unframed,
-        false => Completion::Whole,
-    }
-}
-
 /// Handles a connection that the target closed: it has failed, and the request may have crashed it.
 async fn target_disconnected(
     relay: &Relay,
