fix(relay): an answer that its connection ends counts as whole only if its target still accepts connections

Callers got an empty or truncated stream, or a truncated plain answer, as whole when the target ended: the system closes the connections of a process that crashed as if it had closed them, and where an answer has neither a length nor chunks nothing else tells its end. The request was then completed, and cleared.

Now the target is asked for a connection when such a body ends; a refused one breaks the answer off, so that a stream is resumed and a plain request sent again or answered with 502. A stream that ends so before its first event is broken off whatever the target says.

--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -1,19 +1,20 @@
 //! Request and response handling shared by plain requests and streams.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::{CONTENT_ENCODING, TRANSFER_ENCODING};
-use hyper::{Request, Response};
+use hyper::http::response::Parts;
+use hyper::{Request, Response, Version};
 use reachtally_core::forward::fleet::{EngineKey, TargetRun};
 use reachtally_core::life::NeverStarted;
 
 use crate::relay::Relay;
 use crate::serve::Call;
-use crate::target::DialError;
+use crate::target::{self, DialError};
 use crate::wire::{AddedFields, AnswerHead, LimitHeader};
 
 /// Reason why a send yielded no response that can be passed on.
@@ -121,12 +122,39 @@
     head.id.as_deref() == Some(call.head.id.as_str())
 }
 
-/// Returns whether only the end of the connection ends the body of a response, and counts such responses.
-pub(crate) fn is_unframed(relay: &Relay, response: &Response<Incoming>) -> bool {
-    let has_length = response.body().size_hint().exact().is_some();
-    let is_unframed = !has_length && !response.headers().contains_key(TRANSFER_ENCODING);
+/// Body of a target's response. It fails if the response broke off.
+pub(crate) type TargetBody = Pin<Box<dyn HttpBody<Data = Bytes, Error = String>>>;
+
+/// Returns the head of a response for the caller, its body, and whether only the end of the connection ends the body.
+///
+/// The system ends the connections of a process that crashed as if it had closed them. So the end of such a body counts only if its
+/// target still accepts connections.
+pub(crate) fn split(
+    relay: &Relay,
+    from: &Recipient,
+    response: Response<Incoming>,
+) -> (Parts, TargetBody, bool) {
+    let (mut parts, body) = response.into_parts();
+    let has_length = body.size_hint().exact().is_some();
+    let is_unframed = !has_length && !parts.headers.contains_key(TRANSFER_ENCODING);
     relay.count(|tally| tally.responses_unframed += u64::from(is_unframed));
-    is_unframed
+    parts.headers = relay.wire.backward(&parts.headers);
+    // The framing on the caller's connection does not depend on the target's protocol version.
+    parts.version = Version::HTTP_11;
+    let mut body = body.map_err(|err| err.to_string());
+    if !is_unframed {
+        return (parts, Box::pin(body), false);
+    }
+    let address = from.address;
+    let frames = async_stream::stream! {
+        while let Some(frame) = body.frame().await {
+            yield frame;
+        }
+        if target::refuses_connections(address).await {
+            yield Err("connection ended with its target".to_owned());
+        }
+    };
+    (parts, Box::pin(StreamBody::new(frames)), true)
 }
 
 /// Returns why a response cannot be accepted as the target's response to this request, if so.
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::Path;
@@ -15,7 +14,7 @@
 
 use crate::attempts::Attempts;
 use crate::events::Splitter;
-use crate::exchange::Recipient;
+use crate::exchange::{Recipient, TargetBody};
 use crate::occupied::RequestGuard;
 use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
@@ -35,7 +34,7 @@
 
 /// A chain that is producing a stream.
 pub(super) struct RunningChain {
-    body: Incoming,
+    body: TargetBody,
     /// Dropping the connection cancels the request; it is reused after a complete answer.
     connection: Option<Connection>,
     occupied: RequestGuard,
@@ -158,7 +157,7 @@
 impl RunningChain {
     /// Creates a chain from the received head of its answer.
     pub fn new(
-        body: Incoming,
+        body: TargetBody,
         connection: Connection,
         occupied: RequestGuard,
         first: Recipient,
@@ -467,6 +466,9 @@
         if splitter.has_partial_event() {
             return self.interrupted("answer ended within an event".to_owned());
         }
+        if self.is_unframed && splitter.last().is_none() {
+            return self.interrupted("answer ended before its first event".to_owned());
+        }
         self.timing
             .record(relay, call, self.engines(), self.is_unframed);
         let by = Completion::of(self.is_unframed);
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -19,7 +18,7 @@
 
 use crate::answer::{self, Body};
 use crate::attempts::{Attempts, SendRecord};
-use crate::exchange::{self, Recipient, SendFailure};
+use crate::exchange::{self, Recipient, SendFailure, TargetBody};
 use crate::occupied::RequestGuard;
 use crate::relay::Relay;
 use crate::serve::Call;
@@ -339,9 +338,7 @@
             false => mark_failed(relay, from.key, attempts, why.to_owned()),
         });
     }
-    let is_unframed = exchange::is_unframed(relay, &answer.response);
-    let (mut parts, body) = answer.response.into_parts();
-    parts.headers = relay.wire.backward(&parts.headers);
+    let (mut parts, body, is_unframed) = exchange::split(relay, &from, answer.response);
     if status != StatusCode::OK {
         return collect_failure(parts, body).await;
     }
@@ -400,9 +397,9 @@
 }
 
 /// Reads the complete error response of an engine.
-async fn collect_failure(parts: Parts, body: Incoming) -> Result<EngineAnswer, SendFailure> {
+async fn collect_failure(parts: Parts, body: TargetBody) -> Result<EngineAnswer, SendFailure> {
     let held = body.collect().await;
-    let held = held.map_err(|err| SendFailure::Lost(err.to_string()))?;
+    let held = held.map_err(SendFailure::Lost)?;
     let whole = answer::whole(held.to_bytes());
     Ok(EngineAnswer::Failure(Response::from_parts(parts, whole)))
 }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -214,9 +214,7 @@
         return Err(failed(relay, key, why.to_owned()));
     }
     let began = relay.now();
-    let is_unframed = exchange::is_unframed(relay, &answer.response);
-    let (mut parts, body) = answer.response.into_parts();
-    parts.headers = relay.wire.backward(&parts.headers);
+    let (parts, body, is_unframed) = exchange::split(relay, &to, answer.response);
     let receiving = receive(body, (answer.connection, occupied));
     let (body, is_complete) = match relay.run_until(call.due, receiving).await {
         None => return Err(SendFailure::Late),
