fix(relay): a box with most of the callers may use more connections to an instance than its even share

Where most new connections of a zone go to one box, it refused plain requests although instances were free: each box used at most the connections that an instance accepts, divided by the number of boxes, whatever the others used. Now it may also use half of what the others leave free, if it knows their loads; in a steady state all boxes together stay within what an instance accepts.

--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -121,6 +121,37 @@
     }
 }
 
+/// Fraction of the connections that other boxes leave free which one box may use. Other boxes may
+/// take some before they hear of this one's.
+const SPARE_CONNECTION_FRACTION: f64 = 0.5;
+
+/// How many connections a box may use to an instance of a plain service.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimit {
+    /// Connections that the box may use whatever other boxes do.
+    pub share: u32,
+    /// Connections that the instance accepts from all boxes, if the loads of the others are known.
+    pub total: Option<u32>,
+}
+
+impl ConnectionLimit {
+    /// No limit.
+    pub const NONE: ConnectionLimit = ConnectionLimit::fixed(u32::MAX);
+
+    /// Creates a limit that does not depend on other boxes.
+    pub const fn fixed(share: u32) -> Self {
+        ConnectionLimit { share, total: None }
+    }
+
+    /// Returns the limit for one instance. A box with most of the callers may use more than its share
+    /// while others use less.
+    fn of(self, engine: &Engine) -> u32 {
+        let others = engine.remote_running.max(engine.reported_remote_running);
+        let spare = self.total.map_or(0.0, |total| f64::from(total) - others);
+        self.share.max((spare * SPARE_CONNECTION_FRACTION) as u32)
+    }
+}
+
 /// A path with its expected latency and utilization.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -280,17 +311,17 @@
 pub fn instance(
     fleet: &Fleet,
     service: &str,
-    most_connections: u32,
+    connections: ConnectionLimit,
     cx: &SelectionContext<'_>,
 ) -> Option<Instance> {
-    least_loaded_instance(fleet, service, most_connections, cx, Filter::Healthy)
-        .or_else(|| least_loaded_instance(fleet, service, most_connections, cx, Filter::Any))
+    least_loaded_instance(fleet, service, connections, cx, Filter::Healthy)
+        .or_else(|| least_loaded_instance(fleet, service, connections, cx, Filter::Any))
 }
 
 fn least_loaded_instance(
     fleet: &Fleet,
     service: &str,
-    most_connections: u32,
+    connections: ConnectionLimit,
     cx: &SelectionContext<'_>,
     filter: Filter,
 ) -> Option<Instance> {
@@ -303,7 +334,7 @@
         .of_service(service)
         .filter(|(key, engine)| is_usable(*key, engine, cx, filter))
         .filter(|(_, engine)| !cx.is_send_blocked(engine))
-        .filter(|(_, engine)| engine.running < most_connections)
+        .filter(|(_, engine)| engine.running < connections.of(engine))
         .collect();
     let min_load = usable
         .iter()
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -8,7 +8,7 @@
 use reachtally_core::forward::fleet::{EngineKey, Entry, EntrySource, Fleet, StartTime};
 use reachtally_core::forward::placement::Host;
 use reachtally_core::forward::select::{
-    self, LatencyObjectives, Limits, Requirements, SelectionContext,
+    self, ConnectionLimit, LatencyObjectives, Limits, Requirements, SelectionContext,
 };
 
 /// The service of all engines in these tests.
@@ -137,5 +137,6 @@
     most_connections: u32,
     cx: &SelectionContext<'_>,
 ) -> Option<EngineKey> {
-    select::instance(fleet, service, most_connections, cx).map(|found| found.engine)
+    select::instance(fleet, service, ConnectionLimit::fixed(most_connections), cx)
+        .map(|found| found.engine)
 }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -435,9 +435,15 @@
         counted.unwrap_or_default().max(members).max(min_boxes)
     }
 
-    /// Returns this box's share of the connections that an instance of a plain service accepts from all boxes.
-    pub(crate) fn connection_share(&self, service: &Service) -> u32 {
-        (service.max_connections / self.boxes()).max(1)
+    /// Returns how many of the connections that an instance of a plain service accepts from all boxes this box may use.
+    pub(crate) fn connection_limit(&self, service: &Service) -> select::ConnectionLimit {
+        let domains = self.settings.borrow().domains;
+        let knows_others =
+            self.are_reports_complete() && self.remote_loads.borrow().boxes(domains).is_some();
+        select::ConnectionLimit {
+            share: (service.max_connections / self.boxes()).max(1),
+            total: knows_others.then_some(service.max_connections),
+        }
     }
 
     /// Returns whether this box has run long enough for reports of all other boxes to have arrived.
@@ -575,7 +581,13 @@
                 };
                 select::path(&fleet, name, model, need, &cx).is_some()
             }
-            None => select::instance(&fleet, name, service.max_connections, &cx).is_some(),
+            None => select::instance(
+                &fleet,
+                name,
+                select::ConnectionLimit::fixed(service.max_connections),
+                &cx,
+            )
+            .is_some(),
         }
     }
 
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -102,7 +102,7 @@
         ..relay.circumstance(&settings, avoid, call.draw)
     };
     let Some(model) = &call.service.model else {
-        let max = relay.connection_share(&call.service);
+        let max = relay.connection_limit(&call.service);
         let found = select::instance(&fleet, &call.service_name, max, &cx)?;
         return Some(Selection {
             path: None,
@@ -133,7 +133,7 @@
     relay.remaining_back_off(service, call.draw, |fleet, cx| match &call.service.model {
         Some(model) => select::path(fleet, service, model, need(call), cx).is_some(),
         None => {
-            let max = relay.connection_share(&call.service);
+            let max = relay.connection_limit(&call.service);
             select::instance(fleet, service, max, cx).is_some()
         }
     })
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body as HttpBody, Frame};
 use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::forward::select::{self, Instance, Limits, SelectionContext};
+use reachtally_core::forward::select::{self, ConnectionLimit, Instance, Limits, SelectionContext};
 use reachtally_core::life::NeverStarted;
 
 use crate::admission::Decision;
@@ -144,13 +144,13 @@
 /// Returns the offer of a choice to a request. If only this box's share of connections keeps it from an
 /// instance, there is an offer too, since a connection will be free soon.
 fn offer(relay: &Relay, call: &Call, found: Option<Instance>) -> Option<Offer> {
-    let is_offered =
-        found.is_some() || choose_with(relay, call, &[], Limits::Enforced, u32::MAX).is_some();
+    let is_offered = found.is_some()
+        || choose_with(relay, call, &[], Limits::Enforced, ConnectionLimit::NONE).is_some();
     is_offered.then(|| relay.instance_offer(call, found))
 }
 
 fn choose(relay: &Relay, call: &Call, tried: &[EngineKey], limits: Limits) -> Option<Instance> {
-    let max_connections = relay.connection_share(&call.service);
+    let max_connections = relay.connection_limit(&call.service);
     choose_with(relay, call, tried, limits, max_connections)
 }
 
@@ -159,7 +159,7 @@
     call: &Call,
     tried: &[EngineKey],
     limits: Limits,
-    max_connections: u32,
+    max_connections: ConnectionLimit,
 ) -> Option<Instance> {
     let settings = relay.settings.borrow();
     let fleet = relay.fleet.borrow();
@@ -173,7 +173,7 @@
 /// Returns the time until instances that this box backs off from can serve the request.
 fn remaining_back_off(relay: &Relay, call: &Call) -> Option<Duration> {
     relay.remaining_back_off(&call.service_name, call.draw, |fleet, cx| {
-        let max_connections = relay.connection_share(&call.service);
+        let max_connections = relay.connection_limit(&call.service);
         select::instance(fleet, &call.service_name, max_connections, cx).is_some()
     })
 }
