fix(relay): plain services show nothing about the parts of prompts, which they do not read

An instance of a plain service that ended three times blamed all parts that its requests named, and refused them there; its answers cleared parts that crash engines. The new test failed before (a plain request refused for a part).

--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -94,11 +94,15 @@
             .get_or_init(|| Fingerprint::of(&identity()))
     }
 
-    /// Returns the fingerprints of the parts of the prompt that other requests may share.
+    /// Returns the fingerprints of the parts of the prompt that other requests may share; none for a plain service, which reads no
+    /// prompt.
     pub fn part_fingerprints(&self) -> &[Fingerprint] {
-        let compute = || {
-            let parts = self.head.shared_parts().iter();
-            parts.map(Fingerprint::of_part).collect()
+        let compute = || match self.service.model {
+            Some(_) => {
+                let parts = self.head.shared_parts().iter();
+                parts.map(Fingerprint::of_part).collect()
+            }
+            None => Vec::new(),
         };
         self.part_fingerprints.get_or_init(compute)
     }
