fix(relay): requests under way are stopped by each further crash under a quarantined feature, not only by the first verdict

A part that was quarantined together with the request that crashed the first engines is told from it by a later crash. The verdict on the part stays the same then, so that other boxes did not wake requests with it, which went on waiting at engines. The new test waited for the caller's deadline before and passes within two seconds now.

--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -252,15 +252,21 @@
         let mut table = self.suspicion.table.borrow_mut();
         let mut is_changed = false;
         for evidence in reported {
-            let before = table.verdict(evidence.fingerprint);
-            is_changed |= table.receive(evidence, now);
-            let verdict = table.verdict(evidence.fingerprint);
-            if before != verdict {
-                log::info!(event = "suspect", fingerprint:% = evidence.fingerprint, before:? = before, verdict:? = verdict; "evidence from other boxes changed the verdict on a request");
-                self.notify_quarantined(verdict);
-                if verdict == Verdict::Quarantined && table.was_seen_here(evidence.fingerprint) {
-                    self.suspicion.mark_unsaved(evidence.fingerprint);
-                }
+            let feature = evidence.fingerprint;
+            let before = table.verdict(feature);
+            if !table.receive(evidence, now) {
+                continue;
+            }
+            is_changed = true;
+            let verdict = table.verdict(feature);
+            // Further crashes may tell a quarantined feature from others, so that more requests are stopped.
+            self.notify_quarantined(verdict);
+            if before == verdict {
+                continue;
+            }
+            log::info!(event = "suspect", fingerprint:% = feature, before:? = before, verdict:? = verdict; "evidence from other boxes changed the verdict on a request or part");
+            if verdict == Verdict::Quarantined && table.was_seen_here(feature) {
+                self.suspicion.mark_unsaved(feature);
             }
         }
         is_changed
