fix(core): a sound part that met several crashes of other causes is not refused for long

Logs: the part had met a crash of each of two requests that crash targets by themselves, before any part was proven; no single feature explained both; the one trial that three crashes leave was used up by a request with a crashing part beside it.

Now several features may explain the crashes of one together while it has fewer than five; an end after the first event counts as weaker evidence for parts, as an end with unknown progress does; only parts with the same crashes are tried together; trials go on, each after four times as long.

--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -11,7 +11,7 @@
 //! Several features may have been present at the same crashes. A request that has only some of them
 //! is still sent, until a crash tells them apart. A part that targets have written on for a while is
 //! cleared, and so protected for some time, since most parts are shared with many sound requests.
-//! A part that few crashes speak against is tried again after a time, in case they were coincidence.
+//! A part is tried again after a time that grows with its crashes, in case they were coincidence.
 //!
 //! Reports are self-contained and mergeable. Crashes are keyed by the crashed run, so that boxes
 //! which notice the same crash count it once. Each crash is cleared individually, so that a delayed
@@ -45,8 +45,8 @@
 pub const TRIAL_DELAY: Duration = Duration::from_secs(10);
 /// Growth of [`TRIAL_DELAY`] with each crash.
 const TRIAL_DELAY_FACTOR: u32 = 4;
-/// Number of crashes from which a part is not tried again.
-const TRIAL_CRASH_LIMIT: usize = 4;
+/// Number of crashes from which a feature is to blame although several others explain them together.
+const JOINT_EXPLANATION_LIMIT: usize = 5;
 /// How long a request is remembered after its last crash or its last refusal. Callers give up long
 /// before.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
@@ -135,29 +135,42 @@
         all.find(|feature| self.is_blamed(*feature, features))
     }
 
-    /// Whether a feature is quarantined, and its crashes are not explained by another quarantined
-    /// feature that was present at all of them and that requests with `features` lack.
+    /// Whether a feature is quarantined, and its crashes are not explained by other quarantined
+    /// features that requests with `features` lack: by one that was present at all of them or, if they
+    /// are few, by several together.
     fn is_blamed(&self, feature: Fingerprint, features: &Features<'_>) -> bool {
         let Some(suspect) = self.suspects.get(&feature) else {
             return false;
         };
-        let explains = |(other, by): (&Fingerprint, &SuspectRequest)| {
-            let is_quarantined = by.verdict() == Verdict::Quarantined;
-            is_quarantined && !features.contains(*other) && by.covers_crashes_of(suspect)
-        };
-        suspect.verdict() == Verdict::Quarantined && !self.suspects.iter().any(explains)
+        if suspect.verdict() < Verdict::Quarantined {
+            return false;
+        }
+        let others = self.suspects.iter().filter(|(other, by)| {
+            by.verdict() == Verdict::Quarantined && !features.contains(**other)
+        });
+        let others: Vec<&SuspectRequest> = others.map(|(_, by)| by).collect();
+        let explains_all = |by: &&SuspectRequest| suspect.crashed_runs().all(|run| by.crashed(run));
+        let is_explained = |run| others.iter().any(|by| by.crashed(run));
+        let is_explained_jointly = suspect.crashed_runs().count() < JOINT_EXPLANATION_LIMIT
+            && suspect.crashed_runs().all(is_explained);
+        !is_explained_jointly && !others.iter().any(explains_all)
     }
 
-    /// Whether the parts because of which requests with these features are quarantined are to be
-    /// tried again: few crashes speak against them, and the last one is long ago. `spread`, from 0 to
-    /// 1, differs between boxes, so that they do not try at the same time.
+    /// Whether the parts because of which requests with these features are quarantined are to be tried
+    /// again, since the last crash is long ago. Parts with different crashes are not tried together,
+    /// since the outcome would show nothing about each. `spread`, from 0 to 1, differs between boxes,
+    /// so that they do not try at the same time.
     pub fn is_trial_due(&self, features: &Features<'_>, spread: f64, now: Instant) -> bool {
-        let is_due = |part: Fingerprint| {
-            let suspect = self.suspects.get(&part);
-            suspect.is_some_and(|suspect| suspect.is_trial_due(spread, now))
+        let blamed = self.blamed_parts(features);
+        let blamed: Vec<&SuspectRequest> =
+            blamed.filter_map(|part| self.suspects.get(&part)).collect();
+        let Some(first) = blamed.first() else {
+            return false;
+        };
+        let is_due = |suspect: &&SuspectRequest| {
+            suspect.is_trial_due(spread, now) && suspect.crashed_runs().eq(first.crashed_runs())
         };
-        let mut blamed = self.blamed_parts(features);
-        !self.is_blamed(features.request, features) && blamed.all(is_due)
+        blamed.iter().all(is_due) && !self.is_blamed(features.request, features)
     }
 
     /// Records that a request with these features is sent to try the parts again.
--- a/reachtally-core/src/forward/quarantine/suspect.rs
+++ b/reachtally-core/src/forward/quarantine/suspect.rs
@@ -2,7 +2,7 @@
 
 use sha2::{Digest, Sha256};
 
-use super::{ChangeOrigin, SuspectReport, TRIAL_CRASH_LIMIT, TRIAL_DELAY, TRIAL_DELAY_FACTOR};
+use super::{ChangeOrigin, SuspectReport, TRIAL_DELAY, TRIAL_DELAY_FACTOR};
 use crate::forward::fingerprint::Fingerprint;
 use crate::forward::fleet::TargetRun;
 use crate::time::Instant;
@@ -113,18 +113,19 @@
         self.ends.iter().filter(|end| !end.is_acquitted)
     }
 
-    /// Whether this one was present at all crashes of `other` that were not cleared.
-    pub fn covers_crashes_of(&self, other: &SuspectRequest) -> bool {
-        let is_common = |run| self.uncleared().any(|end| end.run == run);
-        other.uncleared().all(|end| is_common(end.run))
+    /// Returns the runs whose crashes were not cleared.
+    pub fn crashed_runs(&self) -> impl Iterator<Item = RunDigest> {
+        self.uncleared().map(|end| end.run)
+    }
+
+    /// Whether a crash of `run` was not cleared.
+    pub fn crashed(&self, run: RunDigest) -> bool {
+        self.crashed_runs().any(|crashed| crashed == run)
     }
 
     /// Whether a quarantined part is to be tried again.
     pub fn is_trial_due(&self, spread: f64, now: Instant) -> bool {
         let crashes = self.uncleared().count();
-        if crashes >= TRIAL_CRASH_LIMIT {
-            return false;
-        }
         let growth = crashes.saturating_sub(STARTED_CRASH_LIMIT) as u32;
         let delay = TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(growth);
         let last = self
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -138,7 +138,7 @@
             .start_trial(&call.features(), now);
         call.trial_since.set(Some(now));
         self.count(|tally| tally.quarantine_trials += 1);
-        log::info!(event = "trial", id = &*call.head.id, parts = &*call.head.shared_part_names(); "sending a quarantined request, to try the part of its prompt again that few crashes speak against");
+        log::info!(event = "trial", id = &*call.head.id, parts = &*call.head.shared_part_names(); "sending a quarantined request, to try the part of its prompt that is blamed");
     }
 
     /// Handles a connection that a target closed while it had a request. If nothing listens at its address any
@@ -172,18 +172,17 @@
         let mut features = Vec::new();
         // Streams that had sent events are ignored, since many of them break with each engine.
         if progress != Progress::Started {
-            features.push((call.fingerprint(), progress == Progress::Begun));
+            features.push(call.fingerprint());
         }
         let parts = call.part_fingerprints().iter().copied();
-        let unproven = parts.filter(|part| !table.is_proven(*part, now));
-        features.extend(unproven.map(|part| (part, progress != Progress::Unknown)));
+        features.extend(parts.filter(|part| !table.is_proven(*part, now)));
+        let end = CrashRecord {
+            run: RunDigest::from(&to.run),
+            had_begun: progress == Progress::Begun,
+            is_acquitted: false,
+        };
         let mut worst = None;
-        for (feature, had_begun) in features {
-            let end = CrashRecord {
-                run: RunDigest::from(&to.run),
-                had_begun,
-                is_acquitted: false,
-            };
+        for feature in features {
             let verdict = table.record_crash(feature, account, end, now);
             if verdict == Some(Verdict::Quarantined) {
                 self.suspicion.mark_unsaved(feature);
