--- a/reachtally-core/src/forward/select/mod.rs
+++ b/reachtally-core/src/forward/select/mod.rs
@@ -146,7 +146,7 @@
     /// Returns the limit for one instance. A box with most of the callers may use more than its share
     /// while others use less.
     fn of(self, engine: &Engine) -> u32 {
-        let others = engine.remote_running.max(engine.reported_remote_running);
+        let others = remote_requests(engine);
         let spare = self.total.map_or(0.0, |total| f64::from(total) - others);
         self.share.max((spare * SPARE_CONNECTION_FRACTION) as u32)
     }
@@ -318,6 +318,11 @@
         .or_else(|| least_loaded_instance(fleet, service, connections, cx, Filter::Any))
 }
 
+/// Returns the requests of other boxes at an instance, as these or the instance reported them.
+fn remote_requests(engine: &Engine) -> f64 {
+    engine.remote_running.max(engine.reported_remote_running)
+}
+
 fn least_loaded_instance(
     fleet: &Fleet,
     service: &str,
@@ -326,8 +331,7 @@
     filter: Filter,
 ) -> Option<Instance> {
     let load = |engine: &Engine| {
-        let others = engine.remote_running.max(engine.reported_remote_running);
-        let running = f64::from(engine.running) + others;
+        let running = f64::from(engine.running) + remote_requests(engine);
         running / f64::from(engine.entry.slots.max(1))
     };
     let usable: Vec<(EngineKey, &Engine)> = fleet
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -83,10 +83,11 @@
             return false;
         }
         // Checked before each send: an earlier send or another box may have caused the quarantine.
-        if self.is_stopped(relay, call) {
-            return false;
-        }
         if relay.is_quarantined(call) {
+            if !self.may_try(relay, call) {
+                self.is_quarantined = true;
+                return false;
+            }
             relay.start_trial(call);
         }
         if self.take_allowance(relay, call) {
@@ -99,13 +100,18 @@
         false
     }
 
-    /// Returns whether the request must not be sent because it is quarantined. Only its first send may be a trial.
+    /// Returns whether the request must not be sent because it is quarantined.
     pub fn is_stopped(&mut self, relay: &Relay, call: &Call) -> bool {
-        let may_try = self.records.is_empty() && call.trial_since.get().is_none();
-        self.is_quarantined = relay.is_quarantined(call) && !(may_try && relay.is_trial_due(call));
+        self.is_quarantined = relay.is_quarantined(call) && !self.may_try(relay, call);
         self.is_quarantined
     }
 
+    /// Returns whether the next send of the quarantined request may be a trial, which only the first one is.
+    fn may_try(&self, relay: &Relay, call: &Call) -> bool {
+        let is_first = self.records.is_empty() && call.trial_since.get().is_none();
+        is_first && relay.is_trial_due(call)
+    }
+
     /// Returns whether the request may be handed over to another box, taking a second send from the shared budget if one is needed.
     pub fn may_hand_over(&mut self, relay: &Relay, call: &Call) -> bool {
         let is_final = self.is_timed_out || self.is_quarantined || self.shed.is_some();
