--- a/reachtally-journal/src/lib.rs
+++ b/reachtally-journal/src/lib.rs
@@ -12,6 +12,7 @@
 mod losses;
 pub mod queue;
 mod ranking;
+mod startup;
 
 use std::io::Write;
 use std::os::fd::AsFd;
@@ -30,6 +31,7 @@
 pub use crowding::{BudgetDenials, Crowding, LateFirstEvents, Refusals, crowding};
 pub use explain::{Error as ExplainError, explain};
 pub use losses::{Losses, losses};
+pub use startup::{Startups, startups};
 
 /// How long a process waits on exit for its remaining lines to be written.
 const FLUSH_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(100);
--- a/reachtally-journal/tests/journal/main.rs
+++ b/reachtally-journal/tests/journal/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the decision log and of the reports made from it.
 
 use reachtally_journal::queue::{QUEUE_BYTES, Queue};
-use reachtally_journal::{ExplainError, crowding, explain, losses};
+use reachtally_journal::{ExplainError, crowding, explain, losses, startups};
 
 #[test]
 fn a_full_queue_stays_bounded_and_counts_dropped_lines() {
@@ -185,3 +185,34 @@
     ];
     assert_eq!(lines, expected);
 }
+
+#[test]
+fn startup_counts_the_boxes_that_await_each_milestone() {
+    let log = [
+        r#"{"t":1000,"box":"b1","event":"start"}"#,
+        r#"{"t":1010,"box":"b1","event":"startup","reached":"targets"}"#,
+        r#"{"t":9000,"box":"b1","event":"start"}"#,
+        r#"{"t":9500,"box":"b2","event":"start"}"#,
+        r#"{"t":9100,"box":"b1","event":"startup","reached":"source"}"#,
+        r#"{"t":9300,"box":"b1","event":"startup","reached":"targets"}"#,
+        r#"{"t":9700,"box":"b2","event":"startup","reached":"source"}"#,
+        r#"{"t":9800,"box":"b2","event":"startup","reached":"configuration"}"#,
+        "not a line of ours",
+    ];
+    let text = startups(log).to_string();
+    let lines: Vec<&str> = text.lines().map(str::trim_end).collect();
+    let expected = [
+        "reached        boxes  median ms  longest ms  box",
+        "source           2/2        200         200  b2",
+        "configuration    1/2        300         300  b2",
+        "targets          1/2        300         300  b1",
+        "confirmation     0/2",
+        "readiness        0/2",
+        "request          0/2",
+        "boxes that await, by ms since the first start",
+        "     ms         source  configuration        targets   confirmation      readiness        request           none",
+        "      0              1              0              0              0              0              0              0",
+        "   1000              0              1              1              0              0              0              0",
+    ];
+    assert_eq!(lines, expected);
+}
--- a/reachtally-relay/src/follow/config.rs
+++ b/reachtally-relay/src/follow/config.rs
@@ -11,6 +11,7 @@
 use super::dependency::Dependency;
 use super::pause::{Backoff, INITIAL_DELAY};
 use crate::relay::Relay;
+use crate::startup::Milestone;
 use crate::store::{Feed, Offset, Store, StoreError};
 
 /// Minimum wait of a read of the configuration while the store is slow. What a read confirms is as old as the read takes, so the
@@ -94,6 +95,7 @@
     from: Option<Position>,
     started_at: Instant,
 ) -> Result<Position, StoreError> {
+    relay.reach(Milestone::Source);
     let next = relay.position_after(&feed, started_at)?;
     if from.is_some_and(|from| from.era != next.era) {
         return Err(StoreError::EraChanged);
@@ -107,6 +109,7 @@
     let is_newest = feed.is_complete && !relay.may_lack_configuration();
     if relay.configuration.table().is_some() && is_newest {
         relay.configuration.confirm(started_at);
+        relay.reach(Milestone::Confirmation);
     }
     Ok(next)
 }
--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -164,6 +164,7 @@
     if end < known {
         return Ok(Applied::Nothing);
     }
+    let count = feed.items.len();
     let mut entries = Vec::new();
     let mut malformed = Vec::new();
     for item in feed.items {
@@ -184,6 +185,8 @@
         false => relay.replace_targets(entries, may_be_lost),
     }
     relay.record_targets_read(started_at, end);
+    let took = relay.now().since(started_at);
+    log::info!(event = "targets-listed", entries = count, took_ms = took.as_millis() as u64; "read the complete list of targets from the store");
     Ok(match is_restored {
         true => Applied::Merged,
         false => Applied::Entries,
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod share;
 mod shares;
 pub mod slow_engines;
+pub mod startup;
 pub mod steward;
 pub mod store;
 mod stream;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -186,6 +186,14 @@
         "Requests of other boxes that run at this one",
         relay.taken_over(),
     );
+    let awaited = Family::<[(&'static str, &'static str); 1], Gauge>::default();
+    let label = [("milestone", relay.startup.awaited_name())];
+    awaited.get_or_create(&label).set(1);
+    registry.register(
+        "startup_awaits",
+        "1 for the milestone that this box awaits since its start, 'none' once it has served a request",
+        awaited,
+    );
     registry.register(
         "service_targets",
         "Targets of a service that are not leaving, by service and state as seen by this box",
--- a/reachtally-relay/src/ready.rs
+++ b/reachtally-relay/src/ready.rs
@@ -10,6 +10,7 @@
 use crate::answer::{self, Body};
 use crate::page;
 use crate::relay::Relay;
+use crate::startup::Milestone;
 
 /// Returns whether the box should receive new connections. It should not while other boxes serve a service whose targets it does not
 /// reach.
@@ -35,6 +36,9 @@
         return answer::plain(StatusCode::NOT_FOUND, "no such page");
     }
     let ready = is_ready(relay);
+    if ready {
+        relay.reach(Milestone::Readiness);
+    }
     if was_ready.replace(ready) != ready {
         let version = relay.configuration.table().map(|table| table.version);
         log::info!(event = "ready", ready = ready, leaving = relay.lifecycle.is_leaving(), fresh = relay.is_fresh(), version:? = version; "readiness changed");
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -38,6 +38,7 @@
 use crate::share::PageCache;
 use crate::shares::ShareState;
 use crate::slow_engines::SlowEngines;
+use crate::startup::{Milestone, Startup};
 use crate::stream::ReadAheadPool;
 use crate::targets::DomainChecks;
 use crate::wire::Wire;
@@ -138,6 +139,8 @@
     pub tally: Cell<Tally>,
     /// Latency histograms for metrics.
     pub times: Times,
+    /// Progress from the start to the first served request.
+    pub startup: Startup,
     /// Recent target changes to send to other boxes.
     pub changes: RefCell<ChangeLog>,
     /// Recently sent pages of target changes.
@@ -203,6 +206,7 @@
             is_store_unreachable: Cell::default(),
             tally: Cell::default(),
             times: Times::default(),
+            startup: Startup::default(),
             changes: RefCell::default(),
             pages: RefCell::default(),
             clock,
@@ -267,6 +271,7 @@
         let table = self.wire.config(raw)?;
         if self.configuration.replace(table, packed)? {
             self.count(|tally| tally.configurations_applied += 1);
+            self.reach(Milestone::Configuration);
             self.notify_changed();
         }
         Ok(())
@@ -407,6 +412,7 @@
     pub fn record_targets_read(&self, began: Instant, end: Position) {
         self.targets_read
             .set(self.targets_read.get().max(Some(began)));
+        self.reach(Milestone::Targets);
         self.record_targets_end(end);
     }
 
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -17,6 +17,7 @@
 use crate::relay::Relay;
 use crate::share::overdue::{is_overdue, read_when_overdue};
 use crate::share::{ANSWER_TIMEOUT_MARGIN, LONG_POLL_TIMEOUT, Link, REQUEST_INTERVAL, is_fresh};
+use crate::startup::Milestone;
 use crate::target;
 
 /// Time after the start during which a source may lack a configuration, since boxes may start before the first one is published.
@@ -280,6 +281,7 @@
     let answered = response.await;
     let answered = answered.unwrap_or_else(|_| Err("request timed out".to_owned()));
     let update = answered.map_err(SourceError::Silent)?;
+    relay.reach(Milestone::Source);
     apply_ageless(relay, &update).map_err(SourceError::Silent)?;
     match ages(relay, &update, started_at)? {
         None => {
@@ -292,6 +294,7 @@
             }
             let confirmed = started_at.before(ages.configuration);
             relay.configuration.confirm_by(address.ip(), confirmed);
+            relay.reach(Milestone::Confirmation);
         }
     }
     Ok(source)
--- a/reachtally-relay/src/store.rs
+++ b/reachtally-relay/src/store.rs
@@ -27,8 +27,15 @@
     Refused(u16),
     /// The connection to the store failed.
     Unreachable,
-    /// The response timed out or broke off. The call may have taken effect.
+    /// The response broke off. The call may have taken effect.
     Lost,
+    /// No complete response arrived in time. The call may have taken effect.
+    TimedOut {
+        /// Time that the call was given.
+        after: Duration,
+        /// How far the call had come.
+        phase: CallPhase,
+    },
     /// The response could not be decoded.
     Malformed(String),
     /// The response arrived late and belongs to an earlier era of the store.
@@ -50,7 +57,10 @@
             StoreError::Gone => f.write_str("the requested records are no longer retained"),
             StoreError::Refused(status) => write!(f, "refused with status {status}"),
             StoreError::Unreachable => f.write_str("failed to connect to the store"),
-            StoreError::Lost => f.write_str("no complete response in time"),
+            StoreError::Lost => f.write_str("the response broke off"),
+            StoreError::TimedOut { after, phase } => {
+                write!(f, "no complete response within {after:?}, {phase}")
+            }
             StoreError::Malformed(why) => write!(f, "malformed response: {why}"),
             StoreError::Outdated => f.write_str("late response of an earlier era"),
             StoreError::EraChanged => f.write_str("the store was restored from a backup"),
@@ -58,6 +68,30 @@
     }
 }
 
+/// How far a call to the store has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallPhase {
+    /// The connection is being opened.
+    Connecting,
+    /// The request was sent; no byte of the response has arrived.
+    AwaitingResponse,
+    /// The head of the response and `bytes` of its body have arrived.
+    ReadingBody {
+        /// Bytes of the body that have arrived.
+        bytes: usize,
+    },
+}
+
+impl std::fmt::Display for CallPhase {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallPhase::Connecting => f.write_str("not connected"),
+            CallPhase::AwaitingResponse => f.write_str("nothing received"),
+            CallPhase::ReadingBody { bytes } => write!(f, "{bytes} bytes received"),
+        }
+    }
+}
+
 /// Number of a record. It has no order, since offsets of different eras cannot be compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Offset(pub u64);
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -30,6 +30,7 @@
 use crate::handoff::{self, Handoff};
 use crate::relay::Relay;
 use crate::serve::Call;
+use crate::startup::Milestone;
 use crate::target::Driver;
 pub(crate) use ahead::ReadAheadPool;
 use ahead::{EventQueue, Item, Readiness};
@@ -121,6 +122,7 @@
                 Some(Item::Events(events)) => yield Ok(Frame::data(events)),
                 Some(Item::Complete) => {
                     relay.count(|tally| tally.requests_answered += 1);
+                    relay.reach(Milestone::Request);
                     return;
                 }
                 None => {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -21,6 +21,7 @@
 use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
 use crate::serve::Call;
+use crate::startup::Milestone;
 use crate::target::{self, SendError};
 use crate::wire::AddedFields;
 
@@ -119,6 +120,7 @@
 
 fn answered(relay: &Relay, call: &Call, response: Response<Body>) -> Response<Body> {
     relay.count(|tally| tally.requests_answered += 1);
+    relay.reach(Milestone::Request);
     let took = relay.now().since(call.arrived);
     relay.times.answer.observe(took.as_secs_f64());
     response
--- a/reachtally/src/main.rs
+++ b/reachtally/src/main.rs
@@ -61,6 +61,9 @@
     /// Show engines that received more requests than they had capacity for, from logs on standard input
     #[bpaf(command)]
     Crowding,
+    /// Show what boxes waited for after their last start, from logs on standard input
+    #[bpaf(command)]
+    Startup,
     /// Run a query or command, such as "show targets"
     Run {
         /// Query or command
@@ -104,6 +107,7 @@
         }
         Action::Losses => Ok(reachtally_journal::losses(read_log()?.lines()).to_string()),
         Action::Crowding => Ok(reachtally_journal::crowding(read_log()?.lines()).to_string()),
+        Action::Startup => Ok(reachtally_journal::startups(read_log()?.lines()).to_string()),
         Action::Run { command } => {
             reachtally_command::parse(&command)
                 .map_err(|err| CliError::Usage(format!("bad command\n{err}")))?;
