fix(relay, core): boxes that start take turns at the store, and wait for sources that are starting too

Cause: a box without a source read the store itself at fixed times after its start (0.12 s without a seed, 2 s and 4 s with a source that lacked data), whatever the others did. All did so at once; the store, whose reads share a rate, answered nobody in time, so that the sources stayed empty and the others went on reading. Evidence: calls that time out have received nothing, at boxes with wide and narrow links alike; joins, which read no log, were answered; the reproduction on virtual time shows the same with 30 boxes, and neither a longer wait for seeds nor longer timeouts alone mend it.

Now - a box that finds no seed reads the members of the group, one small call, and joins at once if its failure domain lacks readers; - only seeds and the readers of a failure domain (three) read the store when no source is left; the second and third leave the list to the first for a second; other boxes take turns that are distributed exponentially, so that few follow the first, whatever their number; - a source that is reading its first list is awaited, and a reader that lacks targets goes on reading rather than follow others that lack them; - the state of a stale source is taken over with its age, while another source is looked for.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -32,3 +32,4 @@
 pub mod stall;
 pub mod stewardship;
 pub mod tally;
+pub mod turns;
--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -122,6 +122,15 @@
         readers.first().is_none_or(|first| self.is_self(first))
     }
 
+    /// Whether this box is a reader of its failure domain, and no reader that precedes it is known to answer.
+    pub fn is_leading_reader(&self) -> bool {
+        let readers = self.readers(self.home);
+        let mut answering = readers
+            .into_iter()
+            .filter(|member| self.is_self(member) || !self.avoid.contains(&member.ip));
+        answering.next().is_some_and(|first| self.is_self(first))
+    }
+
     /// Selects the next source: a reader that precedes this box; else, for a reader, the store as
     /// long as that works; else any other reader, those of this failure domain before those of
     /// others.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -30,3 +30,4 @@
 mod shares;
 mod stall;
 mod stewardship;
+mod turns;
--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -24,16 +24,27 @@
 /// heartbeats since.
 const MAX_INCREMENTAL_GAP: Duration = Duration::from_secs(3);
 
+/// Interval at which a box checks whether it still waits for its turn to read the complete list.
+const TURN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Keeps the targets in sync with the store while this box reads the store itself.
 pub async fn targets<S: Store>(relay: Rc<Relay>, store: S) {
     let mut watcher = TargetWatcher::new();
     loop {
+        if !relay.is_direct() {
+            watcher.waits_since = None;
+        }
         relay.until_direct().await;
         if relay.is_store_unreachable.get() && watcher.failures >= MAX_FAILURES {
-            // The configuration loop detects the recovery of the store.
+            // The configuration loop detects the recovery of the store, which is the same moment for all boxes.
+            watcher.waits_since = None;
             sleep(OUTAGE_POLL_INTERVAL).await;
             continue;
         }
+        if watcher.waits_for_turn(&relay) {
+            sleep(TURN_POLL_INTERVAL).await;
+            continue;
+        }
         let read = watcher.read(&relay, &store).await;
         match watcher.handle_read(&relay, read) {
             NextRead::Immediately => {}
@@ -54,6 +65,8 @@
 struct TargetWatcher {
     /// Whether the next read gets the complete list instead of the changes.
     needs_list: bool,
+    /// Since when this box has left the complete list to other boxes.
+    waits_since: Option<Instant>,
     /// When to read the complete list again, after a restore of the store from a copy.
     recheck_at: Option<Instant>,
     /// When the store recovered from the last outage.
@@ -67,7 +80,8 @@
 impl TargetWatcher {
     fn new() -> Self {
         TargetWatcher {
-            needs_list: true,
+            needs_list: false,
+            waits_since: None,
             recheck_at: None,
             recovered_at: None,
             failures: 0,
@@ -76,11 +90,21 @@
         }
     }
 
+    /// Returns whether this box must leave the complete list to others for now. All boxes may need it at the same moment.
+    fn waits_for_turn(&mut self, relay: &Relay) -> bool {
+        let now = relay.now();
+        if !(self.needs_list || is_list_needed(relay, now)) {
+            self.waits_since = None;
+            return false;
+        }
+        let since = *self.waits_since.get_or_insert(now);
+        now.since(since) < relay.list_delay.get()
+    }
+
     async fn read<S: Store>(&mut self, relay: &Relay, store: &S) -> Result<Applied, StoreError> {
         self.failures += 1;
         let started_at = relay.now();
-        let is_outdated = |at: Instant| started_at.since(at) > MAX_INCREMENTAL_GAP;
-        self.needs_list |= relay.targets_read.get().is_none_or(is_outdated);
+        self.needs_list |= is_list_needed(relay, started_at);
         self.needs_list |= self.recheck_at.take_if(|at| *at <= started_at).is_some();
         let may_be_lost = self.may_be_lost(relay, started_at);
         match self.needs_list {
@@ -137,6 +161,12 @@
     }
 }
 
+/// Returns whether the held targets are too old to read only the changes since.
+fn is_list_needed(relay: &Relay, now: Instant) -> bool {
+    let is_outdated = |at: Instant| now.since(at) > MAX_INCREMENTAL_GAP;
+    relay.targets_read.get().is_none_or(is_outdated)
+}
+
 /// Which part of a read was applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Applied {
--- a/reachtally-relay/src/group.rs
+++ b/reachtally-relay/src/group.rs
@@ -39,6 +39,9 @@
 /// Number of different delays of boxes with the same bandwidth.
 const DELAY_STEPS: u64 = 1024;
 
+/// Minimum time between two counts of the members by a box that waits for faster boxes and finds no source.
+const WANTED_COUNT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Subtracted from the time that the steward role is held, to allow for clock drift and orders in flight. It
 /// only avoids refused orders: engines that check fencing tokens are safe without it.
 const STEWARD_MARGIN: Duration = Duration::from_millis(700);
@@ -87,7 +90,28 @@
             false => start_delay(settings.link_mbps, run),
         }
     };
-    sleep(delay).await;
+    tokio::select! {
+        () = sleep(delay) => {}
+        () = count_until_readers_are_missing(relay, store, run) => {}
+    }
+    count_first(relay, store).await;
+}
+
+/// Reads the members whenever the search for a source wants them and none are known, until a count shows that this failure domain lacks
+/// readers: then there are no faster boxes to wait for.
+async fn count_until_readers_are_missing<S: Store>(relay: &Relay, store: &S, run: Incarnation) {
+    loop {
+        relay.members_wanted.notified().await;
+        count_first(relay, store).await;
+        if relay.with_view(run, &[], |view| view.missing_readers() > 0) {
+            return;
+        }
+        sleep(WANTED_COUNT_INTERVAL).await;
+    }
+}
+
+/// Reads the members if none are known.
+async fn count_first<S: Store>(relay: &Relay, store: &S) {
     if relay.members.borrow().is_empty() {
         count_boxes(relay, store, Generation::default(), true).await;
     }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -22,7 +22,7 @@
 use reachtally_core::forward::tally::Tally;
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::packed;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::admission::Admission;
 use crate::configuration::Configuration;
@@ -124,6 +124,14 @@
     pub(crate) runs_ended: watch::Sender<Vec<EngineKey>>,
     /// Whether this box is the designated store reader of its failure domain.
     pub is_reader: Cell<bool>,
+    /// Whether this box reads the store for others if need be: it is a seed or one of the store readers of its failure domain.
+    pub(crate) is_designated: Cell<bool>,
+    /// How long this box leaves the complete list of targets to other boxes before it reads it from the store itself.
+    pub(crate) list_delay: Cell<Duration>,
+    /// Whether another box has answered a request for updates since the start.
+    pub(crate) has_peer_answered: Cell<bool>,
+    /// Wakes the task that reads the members of the group.
+    pub(crate) members_wanted: Notify,
     /// Start time of the read that the current targets come from.
     pub targets_read: Cell<Option<Instant>>,
     /// Position in the store up to which the targets are known, initially the lowest. It never decreases, so
@@ -199,6 +207,10 @@
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
             is_reader: Cell::new(true),
+            is_designated: Cell::new(true),
+            list_delay: Cell::default(),
+            has_peer_answered: Cell::default(),
+            members_wanted: Notify::new(),
             targets_read: Cell::default(),
             targets_end: Cell::default(),
             eras: Cell::default(),
@@ -318,6 +330,13 @@
         }
     }
 
+    /// Requests the members of the group from the store if none are known.
+    pub(crate) fn want_members(&self) {
+        if self.members.borrow().is_empty() {
+            self.members_wanted.notify_one();
+        }
+    }
+
     /// Replaces the members by those of `generation`, unless the known ones are at least as new.
     pub fn set_members(&self, members: Vec<Member>, generation: Generation) {
         if generation <= self.group_generation.get() {
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -128,6 +128,12 @@
         update.group_generation = generation;
         update.members = relay.members.borrow().clone();
     }
+    // During an outage of the store all boxes know the same. The changes since an unknown position would be the complete list.
+    let is_known = request.targets_end >= relay.targets_end.get();
+    if is_known && !is_fresh(relay) {
+        update.targets = request.targets;
+        return update;
+    }
     let mut pages = relay.pages.borrow_mut();
     match pages.page(relay, &changes, request.targets, run) {
         Ok(page) => update.page = page,
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -9,6 +9,7 @@
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::fleet::{Entry, EntrySource};
 use reachtally_core::forward::readers::{GroupView, ReadSource};
+use reachtally_core::forward::turns::turn;
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::news::{TargetPage, Update, UpdateRequest, frames};
 use tokio::time::{sleep, timeout};
@@ -22,11 +23,16 @@
 
 /// Time after the start during which a source may lack a configuration, since boxes may start before the first one is published.
 pub(super) const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(4);
-/// The same for a seed while the group is unknown. It is shorter, since the seed may be cut off from the store.
+/// Time after the start during which a source that confirms its configuration may lack targets. It reaches the store, and reads the list.
+const FIRST_TARGETS_TIMEOUT: Duration = Duration::from_secs(8);
+/// The same as [`FIRST_CONFIGURATION_TIMEOUT`] for a seed while the group is unknown. It is shorter, since the seed may be cut off from the store.
 const SEED_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same for a box that is designated to read the store. Few are, so they may read it beside a source that only takes long.
+const READER_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Cooldown of a failed source; longer than the group needs to detect that a box is gone.
 const SOURCE_COOLDOWN: Duration = Duration::from_secs(5);
-/// Cooldown of a source during an outage of the store, when it may become usable again soon.
+/// Cooldown of a source during an outage of the store, and of a stale one while this box reads the store itself: it may become usable
+/// again soon, which ends these reads.
 const OUTAGE_COOLDOWN: Duration = Duration::from_millis(500);
 /// Cooldown of a source shortly after the start of this box, when other boxes may be starting too.
 const STARTUP_COOLDOWN: Duration = Duration::from_millis(100);
@@ -41,12 +47,16 @@
 const GROUP_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval at which the group membership is checked meanwhile. A call to the store takes a few milliseconds.
 const GROUP_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time at the start within which a seed must accept a connection. Seeds may be starting at the same time, or be gone.
-const SEED_TIMEOUT: Duration = Duration::from_millis(120);
+/// Window of the turns at the start in which boxes read the group membership if no seed has accepted a connection yet. Seeds may be
+/// starting at the same time, or be gone.
+const SEED_TURNS: Duration = Duration::from_millis(500);
+/// Time that a box waits before it reads the complete list of targets from the store while another reader of its failure domain may be
+/// reading it.
+const READER_LIST_DELAY: Duration = Duration::from_secs(1);
+/// Window of the turns, after that delay, in which boxes that are no store readers read the list.
+const LIST_TURNS: Duration = Duration::from_secs(2);
 /// Interval between connection attempts to a seed meanwhile.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which a box reads the store itself if no seed accepted a connection. It suffices for one read of each kind.
-const FIRST_READS_TIME: Duration = Duration::from_millis(60);
 
 /// A box from which updates are requested.
 struct Source {
@@ -91,7 +101,7 @@
     let mut cooldowns: Vec<Cooldown> = Vec::new();
     let mut is_repeated = false;
     wait_for_group(relay).await;
-    let mut source = first_seed(relay, port).await;
+    let mut source = first_seed(relay, port, run).await;
     let first_seed = source.as_ref().map(|source| source.ip);
     loop {
         if is_fresh(relay) {
@@ -104,13 +114,13 @@
         }
         let ip = match origin {
             ReadSource::Box(ip) => ip,
-            ReadSource::Store => {
+            ReadSource::Store if relay.is_designated.get() => {
                 relay.set_direct(true);
                 source = None;
                 sleep(DIRECT_INTERVAL).await;
                 continue;
             }
-            ReadSource::Unavailable => {
+            ReadSource::Store | ReadSource::Unavailable => {
                 relay.set_direct(is_overdue(relay, run));
                 sleep(NO_SOURCE_INTERVAL).await;
                 continue;
@@ -128,6 +138,7 @@
                 log_lost(ip, &why, is_repeated);
                 is_repeated = true;
                 cooldowns.push(cooldown(relay, ip, &why));
+                relay.want_members();
             }
         }
     }
@@ -145,8 +156,9 @@
     }
 }
 
-/// Connects a box that has just started to the first seed that accepts. If none does, the box reads the store once.
-async fn first_seed(relay: &Relay, port: u16) -> Option<Source> {
+/// Connects a box that has just started to the first seed that accepts. If none does until the turn of this box, it reads the group
+/// membership, which lists other sources.
+async fn first_seed(relay: &Relay, port: u16, run: Incarnation) -> Option<Source> {
     let (ip, seeds) = {
         let settings = relay.settings.borrow();
         (settings.ip, settings.seeds.clone())
@@ -157,11 +169,11 @@
     let connections = seeds
         .into_iter()
         .map(|seed| Box::pin(wait_for_connection(SocketAddr::new(seed, port))));
-    match timeout(SEED_TIMEOUT, futures::future::select_all(connections)).await {
+    let connected = futures::future::select_all(connections);
+    match timeout(turn(run, SEED_TURNS), connected).await {
         Ok((first, ..)) => Some(first),
         Err(_) => {
-            relay.set_direct(true);
-            sleep(FIRST_READS_TIME).await;
+            relay.want_members();
             None
         }
     }
@@ -189,9 +201,9 @@
     let is_stale = matches!(why, SourceError::Stale(_));
     let duration = if has_just_started(relay) {
         STARTUP_COOLDOWN
-    } else if relay.is_store_unreachable.get() {
+    } else if relay.is_store_unreachable.get() || (is_stale && relay.is_direct()) {
         OUTAGE_COOLDOWN
-    } else if is_stale && !relay.is_direct() {
+    } else if is_stale {
         STALE_COOLDOWN
     } else {
         SOURCE_COOLDOWN
@@ -240,15 +252,27 @@
         stale: &stale,
         contacts: &contacts,
         has_just_started: has_just_started(relay),
-        is_store_current: is_fresh(relay) || is_unconfigured(relay),
+        is_store_current: is_fresh(relay) || is_starting(relay),
     };
     relay.is_reader.set(view.is_first());
+    let is_designated = view.is_reader() || seeds.contains(&settings.ip);
+    relay.is_designated.set(is_designated);
+    let list_delay = if seeds.contains(&settings.ip) || view.is_leading_reader() {
+        Duration::ZERO
+    } else if is_designated {
+        READER_LIST_DELAY
+    } else {
+        READER_LIST_DELAY + turn(run, LIST_TURNS)
+    };
+    relay.list_delay.set(list_delay);
     view.origin()
 }
 
-/// Whether this box reaches the store as far as it knows and has found no configuration. No box is a better source then.
-fn is_unconfigured(relay: &Relay) -> bool {
-    relay.configuration.table().is_none() && !relay.is_store_unreachable.get()
+/// Whether this box reaches the store as far as it knows, and lacks a configuration or targets. Its own first reads may take long, or
+/// find nothing; no box is a better source then.
+fn is_starting(relay: &Relay) -> bool {
+    let lacks_state = relay.configuration.table().is_none() || relay.targets_read.get().is_none();
+    lacks_state && !relay.is_store_unreachable.get()
 }
 
 /// Logs the loss of a source; repeated failures are logged at debug level.
@@ -282,22 +306,11 @@
     let answered = answered.unwrap_or_else(|_| Err("request timed out".to_owned()));
     let update = answered.map_err(SourceError::Silent)?;
     relay.reach(Milestone::Source);
+    relay.has_peer_answered.set(true);
     apply_ageless(relay, &update).map_err(SourceError::Silent)?;
-    match ages(relay, &update, started_at)? {
-        None => {
-            apply(relay, &mut source, update).map_err(SourceError::Silent)?;
-        }
-        Some(ages) => {
-            let end = update.targets_end;
-            if apply(relay, &mut source, update).map_err(SourceError::Silent)? {
-                relay.record_targets_read(started_at.before(ages.targets), end);
-            }
-            let confirmed = started_at.before(ages.configuration);
-            relay.configuration.confirm_by(address.ip(), confirmed);
-            relay.reach(Milestone::Confirmation);
-        }
-    }
-    Ok(source)
+    let verdict = check_freshness(relay, &update, started_at);
+    absorb(relay, &mut source, update, started_at).map_err(SourceError::Silent)?;
+    verdict.map(|()| source)
 }
 
 /// Sends a request and reads the answer.
@@ -329,50 +342,70 @@
     Ok(())
 }
 
-/// Ages of the state of a source when the request was sent.
-struct Ages {
-    /// Age of the confirmation of its configuration.
-    configuration: Duration,
-    /// Age of the read of its targets.
-    targets: Duration,
-}
-
-/// Checks the freshness of an update. Returns `None` if the source has no configuration while the first one may still be
-/// published.
-fn ages(
+/// Checks whether a source is recent enough to be followed. It may lack a configuration while the first one may still be published, and
+/// targets while it may be reading its first list.
+fn check_freshness(
     relay: &Relay,
     update: &Update,
     requested_at: Instant,
-) -> Result<Option<Ages>, SourceError> {
-    let Some(configuration) = update.confirmed_age else {
-        let grace_period = match relay.members.borrow().is_empty() {
-            true => SEED_CONFIGURATION_TIMEOUT,
-            false => FIRST_CONFIGURATION_TIMEOUT,
-        };
-        if requested_at.elapsed() > grace_period {
-            let why = "source has no configuration".to_owned();
-            return Err(SourceError::Stale(why));
-        }
-        return Ok(None);
-    };
+) -> Result<(), SourceError> {
+    let stale = |why: String| Err(SourceError::Stale(why));
     let rhythm = relay.rhythm();
     let waited = relay.now().since(requested_at);
-    if configuration + waited > rhythm.max_source_age {
-        let ms = (configuration + waited).as_millis();
-        let why = format!("configuration was last confirmed {ms} ms ago");
-        return Err(SourceError::Stale(why));
+    match update.confirmed_age.map(|age| age + waited) {
+        None if requested_at.elapsed() > first_configuration_timeout(relay) => {
+            return stale("source has no configuration".to_owned());
+        }
+        Some(age) if age > rhythm.max_source_age => {
+            let ms = age.as_millis();
+            return stale(format!("configuration was last confirmed {ms} ms ago"));
+        }
+        _ => {}
     }
-    let no_targets = || SourceError::Stale("source has read no targets".to_owned());
-    let targets = update.targets_age.ok_or_else(no_targets)?;
-    if targets + waited > rhythm.max_source_targets_age {
-        let ms = (targets + waited).as_millis();
-        let why = format!("targets were last read {ms} ms ago");
-        return Err(SourceError::Stale(why));
+    match update.targets_age.map(|age| age + waited) {
+        None if requested_at.elapsed() > FIRST_TARGETS_TIMEOUT => {
+            stale("source has read no targets".to_owned())
+        }
+        Some(age) if age > rhythm.max_source_targets_age => {
+            stale(format!("targets were last read {} ms ago", age.as_millis()))
+        }
+        _ => Ok(()),
     }
-    Ok(Some(Ages {
-        configuration,
-        targets,
-    }))
+}
+
+/// Returns the time after the start during which a source may lack a configuration.
+fn first_configuration_timeout(relay: &Relay) -> Duration {
+    if relay.is_designated.get() {
+        READER_CONFIGURATION_TIMEOUT
+    } else if relay.members.borrow().is_empty() {
+        SEED_CONFIGURATION_TIMEOUT
+    } else {
+        FIRST_CONFIGURATION_TIMEOUT
+    }
+}
+
+/// Takes over what a source knows, with its age, also from a stale source: nothing that is older than the held state replaces it.
+fn absorb(
+    relay: &Relay,
+    source: &mut Source,
+    update: Update,
+    requested_at: Instant,
+) -> Result<(), String> {
+    let Some(targets_age) = update.targets_age else {
+        // Targets that the source has never read may have left.
+        relay.set_members(update.members, update.group_generation);
+        return Ok(());
+    };
+    let (confirmed_age, end) = (update.confirmed_age, update.targets_end);
+    if apply(relay, source, update)? {
+        relay.record_targets_read(requested_at.before(targets_age), end);
+    }
+    if let Some(age) = confirmed_age {
+        let confirmed = requested_at.before(age);
+        relay.configuration.confirm_by(source.ip, confirmed);
+        relay.reach(Milestone::Confirmation);
+    }
+    Ok(())
 }
 
 /// Applies an update; returns whether its targets were applied. Targets as of an earlier store position than the held ones are
