fix(relay): a list of targets that took long is followed by the changes since

A box reads the complete list where what it holds is more than 3 s old, counted from the start of the read. After a read of its own a box reads the changes since, which are fewer each time.

--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -67,6 +67,8 @@
     needs_list: bool,
     /// Since when this box has left the complete list to other boxes.
     waits_since: Option<Instant>,
+    /// When the last successful read ended.
+    read_at: Option<Instant>,
     /// When to read the complete list again, after a restore of the store from a copy.
     recheck_at: Option<Instant>,
     /// When the store recovered from the last outage.
@@ -82,6 +84,7 @@
         TargetWatcher {
             needs_list: false,
             waits_since: None,
+            read_at: None,
             recheck_at: None,
             recovered_at: None,
             failures: 0,
@@ -93,7 +96,7 @@
     /// Returns whether this box must leave the complete list to others for now. All boxes may need it at the same moment.
     fn waits_for_turn(&mut self, relay: &Relay) -> bool {
         let now = relay.now();
-        if !(self.needs_list || is_list_needed(relay, now)) {
+        if !(self.needs_list || self.is_list_cheaper(relay, now)) {
             self.waits_since = None;
             return false;
         }
@@ -101,10 +104,18 @@
         now.since(since) < relay.list_delay.get()
     }
 
+    /// Returns whether the complete list is cheaper than the changes since the held targets. After a read of this box the changes are
+    /// read in any case: a read that took long is old when it ends, and a list would take as long again.
+    fn is_list_cheaper(&self, relay: &Relay, now: Instant) -> bool {
+        let known_at = relay.targets_read.get().max(self.read_at);
+        relay.targets_read.get().is_none()
+            || known_at.is_none_or(|at| now.since(at) > MAX_INCREMENTAL_GAP)
+    }
+
     async fn read<S: Store>(&mut self, relay: &Relay, store: &S) -> Result<Applied, StoreError> {
         self.failures += 1;
         let started_at = relay.now();
-        self.needs_list |= is_list_needed(relay, started_at);
+        self.needs_list |= self.is_list_cheaper(relay, started_at);
         self.needs_list |= self.recheck_at.take_if(|at| *at <= started_at).is_some();
         let may_be_lost = self.may_be_lost(relay, started_at);
         match self.needs_list {
@@ -156,17 +167,12 @@
             self.recovered_at = Some(now);
         }
         self.failures = 0;
+        self.read_at = Some(now);
         self.needs_list = false;
         self.backoff.reset();
     }
 }
 
-/// Returns whether the held targets are too old to read only the changes since.
-fn is_list_needed(relay: &Relay, now: Instant) -> bool {
-    let is_outdated = |at: Instant| now.since(at) > MAX_INCREMENTAL_GAP;
-    relay.targets_read.get().is_none_or(is_outdated)
-}
-
 /// Which part of a read was applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Applied {
