--- a/reachtally-relay/src/follow/targets.rs
+++ b/reachtally-relay/src/follow/targets.rs
@@ -23,7 +23,6 @@
 /// Maximum gap between reads that is bridged by reading the changes. After a longer one, the complete list is cheaper than all
 /// heartbeats since.
 const MAX_INCREMENTAL_GAP: Duration = Duration::from_secs(3);
-
 /// Interval at which a box checks whether it still waits for its turn to read the complete list.
 const TURN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -27,7 +27,7 @@
 const FIRST_TARGETS_TIMEOUT: Duration = Duration::from_secs(8);
 /// The same as [`FIRST_CONFIGURATION_TIMEOUT`] for a seed while the group is unknown. It is shorter, since the seed may be cut off from the store.
 const SEED_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same for a box that is designated to read the store. Few are, so they may read it beside a source that only takes long.
+/// The same as [`FIRST_CONFIGURATION_TIMEOUT`] for a box that is designated to read the store. Few are, so they may read it beside a source that only takes long.
 const READER_CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Cooldown of a failed source; longer than the group needs to detect that a box is gone.
 const SOURCE_COOLDOWN: Duration = Duration::from_secs(5);
@@ -50,13 +50,13 @@
 /// Window of the turns at the start in which boxes read the group membership if no seed has accepted a connection yet. Seeds may be
 /// starting at the same time, or be gone.
 const SEED_TURNS: Duration = Duration::from_millis(500);
+/// Interval between connection attempts to a seed meanwhile.
+const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a box waits before it reads the complete list of targets from the store while another reader of its failure domain may be
 /// reading it.
 const READER_LIST_DELAY: Duration = Duration::from_secs(1);
 /// Window of the turns, after that delay, in which boxes that are no store readers read the list.
 const LIST_TURNS: Duration = Duration::from_secs(2);
-/// Interval between connection attempts to a seed meanwhile.
-const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A box from which updates are requested.
 struct Source {
