--- a/reachtally-core/src/forward/readers.rs
+++ b/reachtally-core/src/forward/readers.rs
@@ -48,8 +48,8 @@
     pub contacts: &'a [IpAddr],
     /// Whether this box has just started, so that others may have too.
     pub has_just_started: bool,
-    /// Whether a reader may keep reading the store itself: what it holds is recent enough, or nobody
-    /// has published anything yet as far as it knows.
+    /// Whether a reader may keep reading the store itself: what it holds is recent enough, or it reaches
+    /// the store as far as it knows and has not read a configuration and the targets yet.
     pub is_store_current: bool,
 }
 
@@ -135,9 +135,9 @@
     /// long as that works; else any other reader, those of this failure domain before those of
     /// others.
     ///
-    /// Other boxes read the store only if no other box answers at all. While the store is
-    /// unavailable, readers answer with no new data and the other boxes wait for them. This
-    /// protects the store from a call by every box when it returns.
+    /// Other boxes get the store as their source only if no other box answers at all, and read it in
+    /// turns. While the store is unavailable, readers answer with no new data and the other boxes wait
+    /// for them. This protects the store from a call by every box when it returns.
     pub fn origin(&self) -> ReadSource {
         let local = self.readers(self.home);
         let before = local.iter().take_while(|member| !self.is_self(member));
--- a/reachtally-relay/src/share/ask.rs
+++ b/reachtally-relay/src/share/ask.rs
@@ -255,9 +255,10 @@
         is_store_current: is_fresh(relay) || is_starting(relay),
     };
     relay.is_reader.set(view.is_first());
-    let is_designated = view.is_reader() || seeds.contains(&settings.ip);
+    let is_seed = seeds.contains(&settings.ip);
+    let is_designated = is_seed || view.is_reader();
     relay.is_designated.set(is_designated);
-    let list_delay = if seeds.contains(&settings.ip) || view.is_leading_reader() {
+    let list_delay = if is_seed || view.is_leading_reader() {
         Duration::ZERO
     } else if is_designated {
         READER_LIST_DELAY
--- a/reachtally-relay/src/share/mod.rs
+++ b/reachtally-relay/src/share/mod.rs
@@ -3,9 +3,9 @@
 //! The first few boxes of each failure domain are candidates for its store reader: the first working
 //! one reads the store, and the other boxes long-poll it. The number of store calls then grows with the
 //! number of failure domains rather than boxes, and a box that can't reach the store continues with
-//! updates from a box that can. A box reads the store itself if no store reader works, and at the latest when what it holds is
-//! older than it gets with a working source: the search for another source takes time, and must not use up the time within
-//! which a change must take effect.
+//! updates from a box that can. Any other box reads the store itself once what it holds is older than it gets with a working source:
+//! the search for another source takes time, and must not use up the time within which a change must take effect. Boxes that have
+//! just started, and boxes that need the complete list of targets, take turns, since all may do so at once.
 //!
 //! The age of a confirmation is the time since the request was *sent* plus the age that the answer
 //! states, which is the age when the request *arrived*. So neither a slow answer nor a pause of a
