test(review): parts of answers without a length pass for whole ones when their engine starts again behind a cut

One engine of six at a time is partitioned from the boxes, crashes behind the cut and starts again; half of the answers have neither a length nor chunks. When the cut ends, a box takes the end of the connection for the end of the answer, since the address accepts connections: clients get 200 with the seal, complete by their framing, with a part of the body.

Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins of the store, engines, clients and the platform for the scripts of the review. Each case is a subcommand.
 
 mod http;
+mod proxy;
+mod reborn;
 mod revoke;
 mod rig;
 mod store;
@@ -14,6 +16,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match words[..] {
+        ["engine", address, name] => reborn::engine(address, name),
         [case, folder, trouble] => {
             rig::end_all_when_stopped();
             let played = std::panic::catch_unwind(|| play(case, folder, trouble != "0"));
@@ -28,6 +31,7 @@
 fn play(case: &str, folder: &str, trouble: bool) -> ExitCode {
     let journal = Journal::create(&Path::new(folder).join("record.txt"));
     match case {
+        "reborn" => reborn::play(&journal, trouble),
         "revoke" => revoke::play(&journal, trouble),
         _ => ExitCode::from(2),
     }
