test(review): a false length of a chunked answer is passed on, and the answer after it is spoiled too

Engines spoil one answer in 50: its head names a length, and its body comes in chunks and is longer. The box reads the chunks and passes on the head, so the client gets 200 with the seal and the first bytes of the body as the whole, and the rest of it where the next answer is due.

Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins of the store, engines, clients and the platform for the scripts of the review. Each case is a subcommand.
 
+mod hang;
 mod http;
+mod lengths;
 mod proxy;
 mod reborn;
 mod revoke;
@@ -31,6 +33,8 @@
 fn play(case: &str, folder: &str, trouble: bool) -> ExitCode {
     let journal = Journal::create(&Path::new(folder).join("record.txt"));
     match case {
+        "hang" => hang::play(&journal, trouble),
+        "lengths" => lengths::play(&journal, trouble),
         "reborn" => reborn::play(&journal, trouble),
         "revoke" => revoke::play(&journal, trouble),
         _ => ExitCode::from(2),
