--- a/review/standins/hang.rs
+++ b/review/standins/hang.rs
@@ -115,7 +115,7 @@
     );
     let is_grey = Arc::new(AtomicBool::new(false));
     (0..ENGINES).for_each(|number| start_engine(journal, &store, number, &is_grey));
-    let boxes = Boxes::start(&store);
+    let boxes = Boxes::start(&store, 3);
     if !boxes.wait_until_in(Duration::from_secs(15)) {
         journal.note("the boxes did not become ready");
         return ExitCode::from(2);
--- a/review/standins/lengths.rs
+++ b/review/standins/lengths.rs
@@ -106,7 +106,7 @@
     let store = Store::start();
     store.write("keyed.op", "config", &rig::config(3, &[], 20_000));
     (0..ENGINES).for_each(|number| start_engine(journal, &store, number, trouble));
-    let boxes = Boxes::start(&store);
+    let boxes = Boxes::start(&store, 3);
     if !boxes.wait_until_in(Duration::from_secs(15)) {
         journal.note("the boxes did not become ready");
         return ExitCode::from(2);
--- a/review/standins/reborn.rs
+++ b/review/standins/reborn.rs
@@ -199,7 +199,7 @@
             }
         });
     }
-    let boxes = Boxes::start(&store);
+    let boxes = Boxes::start(&store, 3);
     let code = match boxes.wait_until_in(Duration::from_secs(15)) {
         true => run(journal, trouble, &store, &engines, &boxes),
         false => {
--- a/review/standins/revoke.rs
+++ b/review/standins/revoke.rs
@@ -128,7 +128,7 @@
     store.write("keyed.op", "config", &rig::config(3, &[REVOKED], 20_000));
     let runs = Arc::default();
     (0..3).for_each(|number| start_engine(&store, number, &runs));
-    let boxes = Boxes::start(&store);
+    let boxes = Boxes::start(&store, 3);
     if !boxes.wait_until_in(Duration::from_secs(15)) {
         journal.note("the boxes did not become ready");
         return ExitCode::from(2);
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -20,6 +20,10 @@
 
 /// Signals by their numbers on Linux.
 pub const SIGTERM: i32 = 15;
+/// Freezes a process.
+pub const SIGSTOP: i32 = 19;
+/// Lets a frozen process run again.
+pub const SIGCONT: i32 = 18;
 const SIGINT: i32 = 2;
 const SIGKILL: i32 = 9;
 
@@ -158,14 +162,14 @@
 
 /// The boxes of a deployment.
 pub struct Boxes {
-    /// The boxes, one in each zone.
+    /// The boxes.
     pub all: Vec<EntryBox>,
     dir: PathBuf,
 }
 
 impl Boxes {
-    /// Writes the settings of one box in each zone and starts them.
-    pub fn start(store: &Store) -> Arc<Boxes> {
+    /// Writes the settings of `count` boxes, in all zones in turn, and starts them. The first three are seeds.
+    pub fn start(store: &Store, count: u8) -> Arc<Boxes> {
         let dir = std::env::temp_dir().join(format!("reachtally-review-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("the temporary folder is writable");
         let probe = address(1);
@@ -176,7 +180,10 @@
         let build = |number: u8| {
             let ip = address(number);
             let (front, ready) = (free_port(ip), free_port(ip));
-            let (name, zone) = (format!("edge-{number}"), ZONES[number as usize - 1]);
+            let (name, zone) = (
+                format!("edge-{number}"),
+                ZONES[(number as usize - 1) % ZONES.len()],
+            );
             let text = format!(
                 r#"{{"NodeName":"{name}","Role":"entry","MachineClass":"edge","Serves":["edge","control_plane"],"Ip":"{ip}","Zone":"{zone}","Region":"here",
 "Zones":{{"hall-a":"here","hall-b":"here","hall-c":"here"}},
@@ -205,7 +212,7 @@
             }
         };
         let boxes = Arc::new(Boxes {
-            all: (1..=3).map(build).collect(),
+            all: (1..=count).map(build).collect(),
             dir: dir.clone(),
         });
         boxes.all.iter().for_each(EntryBox::spawn);
@@ -230,6 +237,21 @@
 }
 
 impl Boxes {
+    /// Returns the processor time that each box has used so far, in seconds.
+    pub fn processor_times(&self) -> Vec<f64> {
+        let of_box = |entry_box: &EntryBox| {
+            let child = entry_box.child.lock().expect("no thread panics with it");
+            let id = child.as_ref().map_or(0, Child::id);
+            let line = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+            // After the name in brackets; user and system time are fields 14 and 15, in hundredths.
+            let fields = line.rsplit(')').next().unwrap_or_default();
+            let times = fields.split_whitespace().skip(11).take(2);
+            let times = times.filter_map(|time| time.parse::<f64>().ok());
+            times.sum::<f64>() / 100.0
+        };
+        self.all.iter().map(of_box).collect()
+    }
+
     /// Ends all processes, and removes the temporary folder unless `REVIEW_KEEP` is set.
     pub fn stop(&self) {
         for entry_box in &self.all {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -244,11 +244,13 @@
             group.generation += 1;
         }
         group.deal();
-        let held = group
+        let is_own = |(row, holder): &(&(usize, usize), &String)| {
+            **holder == member && group.due(**row) == Some(member.as_str())
+        };
+        let rows: Vec<String> = group
             .holders
             .iter()
-            .filter(|(_, holder)| **holder == member);
-        let rows: Vec<String> = held
+            .filter(is_own)
             .map(|((topic, part), _)| format!(r#"["{}",{part},0]"#, group.topics[*topic]))
             .collect();
         let generation = group.generation;
@@ -263,10 +265,12 @@
         let mut state = self.lock();
         let group = &mut state.content.group;
         group.expire();
-        let rows = group.holders.iter();
-        let rows: Vec<String> = rows
-            .map(|((topic, part), holder)| {
-                format!(r#"["{}",{part},"{holder}",0]"#, group.topics[*topic])
+        let dealt =
+            (0..group.topics.len()).flat_map(|topic| (0..PARTS).map(move |part| (topic, part)));
+        let rows: Vec<String> = dealt
+            .filter_map(|row| Some((row, group.due(row)?)))
+            .map(|((topic, part), member)| {
+                format!(r#"["{}",{part},"{member}",0]"#, group.topics[topic])
             })
             .collect();
         let body = format!(
@@ -291,19 +295,28 @@
         }
     }
 
-    /// Deals the partitions evenly. A partition passes on once its holder is gone or has joined with the current generation.
+    /// Returns the member that a partition is dealt to; all are dealt evenly.
+    fn due(&self, (topic, part): (usize, usize)) -> Option<&str> {
+        let count = self.members.len().max(1);
+        let mut names = self.members.keys();
+        names
+            .nth((topic * PARTS + part) % count)
+            .map(String::as_str)
+    }
+
+    /// Passes partitions on to the members that they are dealt to, once their holders are gone or have joined with the current
+    /// generation.
     fn deal(&mut self) {
-        let names: Vec<String> = self.members.keys().cloned().collect();
-        if names.is_empty() {
-            return self.holders.clear();
-        }
         for topic in 0..self.topics.len() {
             for part in 0..PARTS {
-                let due = &names[(topic * PARTS + part) % names.len()];
-                let holder = self.holders.get(&(topic, part));
-                let member = holder.and_then(|holder| self.members.get(holder));
-                if member.is_none_or(|member| member.joined >= self.generation) {
-                    self.holders.insert((topic, part), due.clone());
+                let row = (topic, part);
+                let holder = self.holders.get(&row);
+                let holder = holder.and_then(|holder| self.members.get(holder));
+                let is_free = holder.is_none_or(|holder| holder.joined >= self.generation);
+                match self.due(row).map(str::to_owned) {
+                    Some(due) if is_free => drop(self.holders.insert(row, due)),
+                    Some(_) => {}
+                    None => drop(self.holders.remove(&row)),
                 }
             }
         }
