test(review): boxes pass two statements on an engine's limit on without end after one of them was frozen

A box is frozen for a second, in which engines begin to name a rate limit. It wakes, hears of the limit, reads answers from before it and tells all others that there is none; both statements then follow each other through all boxes without end.

Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod revoke;
 mod rig;
 mod store;
+mod storm;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -37,6 +38,7 @@
         "lengths" => lengths::play(&journal, trouble),
         "reborn" => reborn::play(&journal, trouble),
         "revoke" => revoke::play(&journal, trouble),
+        "storm" => storm::play(&journal, trouble),
         _ => ExitCode::from(2),
     }
 }
