--- a/review/standins/reborn.rs
+++ b/review/standins/reborn.rs
@@ -1,6 +1,6 @@
 //! An engine is cut off from the boxes, crashes behind the cut and starts again; some of its answers have no length.
 
-use std::io::{self, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -77,6 +77,8 @@
         http::answer(to, "200 OK", &format!("X-Instance-Id: {name}\r\n"), b"")?;
         return Ok(true);
     }
+    // The process that started this one records it.
+    writeln!(io::stdout(), "runs {attempt}")?;
     let pieces = pieces(&request.path, attempt);
     let length = match is_unframed(attempt) {
         true => "Connection: close\r\n".to_owned(),
@@ -121,14 +123,22 @@
     }
 
     /// Starts the process under its id; the start time of its entry is later than that of the run before.
-    fn spawn(&self) {
+    fn spawn(&self, journal: &Arc<Journal>) {
         let program = std::env::current_exe().expect("the program has a path");
         let at = self.at.to_string();
-        let child = rig::start(
+        let mut child = rig::start(
             Command::new(program)
                 .args(["engine", &at, &self.id])
-                .stdin(Stdio::null()),
+                .stdin(Stdio::null())
+                .stdout(Stdio::piped()),
         );
+        let output = child.stdout.take().expect("it is piped");
+        let (journal, id) = (journal.clone(), self.id.clone());
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                journal.note(&format!("engine: {id} {line}"));
+            }
+        });
         *self.child.lock().expect("no thread panics with it") = Some(child);
         *self.born.lock().expect("no thread panics with it") = rig::unix_ms();
         self.is_running.store(true, Ordering::SeqCst);
@@ -156,6 +166,7 @@
 
 /// An answer that a client got.
 struct Got {
+    at: Instant,
     id: String,
     to: String,
     path: &'static str,
@@ -190,7 +201,7 @@
         .map(|number| Arc::new(Engine::new(number)))
         .collect();
     for engine in &engines {
-        engine.spawn();
+        engine.spawn(journal);
         let (engine, store) = (engine.clone(), store.clone());
         thread::spawn(move || {
             for number in 0.. {
@@ -233,10 +244,11 @@
                         ("POST", "/once/item"),
                         ("POST", "/talk/item"),
                     ][number / 3 % 3];
-                    let id = rig::attempt_id();
+                    let (id, at) = (rig::attempt_id(), Instant::now());
                     let request = rig::request(method, path, &id, KEY, DEADLINE_MS);
                     let answer = http::call(to.front, &request, Duration::from_millis(DEADLINE_MS));
                     got.push(Got {
+                        at,
                         id,
                         to: to.name.clone(),
                         path,
@@ -262,7 +274,7 @@
             engine.crash();
             journal.note(&format!("engine: {} crashes behind the cut", engine.id));
             thread::sleep(START_AFTER);
-            engine.spawn();
+            engine.spawn(journal);
             engine.beat(store, 0);
             journal.note(&format!("engine: {} has started again", engine.id));
             thread::sleep(CUT.saturating_sub(began.elapsed()));
@@ -274,11 +286,12 @@
         }
         thread::sleep((CUT_PAUSE - Duration::from_secs(1)).saturating_sub(began.elapsed()));
     }
-    let got: Vec<Got> = clients
+    let mut got: Vec<Got> = clients
         .into_iter()
         .flat_map(|client| client.join().expect("no thread panics"))
         .collect();
 
+    got.sort_by_key(|one| one.at);
     let (mut whole, mut broken) = (0, 0);
     for one in &got {
         let seen = match &one.answer {
@@ -302,10 +315,13 @@
         broken += usize::from(is_false);
         whole += usize::from(one.looks_whole() && !is_false);
         let mark = if is_false { "broken: " } else { "" };
-        journal.note(&format!(
-            "{mark}client: {} {} to {} -> {seen}",
-            one.id, one.path, one.to
-        ));
+        journal.note_at(
+            one.at,
+            &format!(
+                "{mark}client: sent {} {} to {} -> {seen}",
+                one.id, one.path, one.to
+            ),
+        );
     }
     journal.note(&format!(
         "{} requests, {whole} whole answers, {broken} answers that look whole and lack a part",
--- a/review/standins/revoke.rs
+++ b/review/standins/revoke.rs
@@ -31,12 +31,17 @@
     tenant: String,
 }
 
-fn start_engine(store: &Arc<Store>, number: usize, runs: &Arc<Mutex<Vec<Run>>>) {
+fn start_engine(
+    journal: &Arc<Journal>,
+    store: &Arc<Store>,
+    number: usize,
+    runs: &Arc<Mutex<Vec<Run>>>,
+) {
     let listener =
         TcpListener::bind((rig::address(100 + number as u8), 0)).expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     let (id, born) = (format!("i-{number}"), rig::unix_ms());
-    let (name, runs) = (id.clone(), runs.clone());
+    let (name, runs, journal) = (id.clone(), runs.clone(), journal.clone());
     http::serve(
         listener,
         Arc::new(move |request: Request, to| {
@@ -59,6 +64,7 @@
                 return Ok(true);
             }
             let tenant = request.header("x-tenant").unwrap_or("-").to_owned();
+            journal.note(&format!("engine: {name} runs {attempt} of tenant {tenant}"));
             runs.lock().expect("no thread panics with it").push(Run {
                 id: attempt.clone(),
                 tenant,
@@ -127,7 +133,7 @@
     let store = Store::start();
     store.write("keyed.op", "config", &rig::config(3, &[REVOKED], 20_000));
     let runs = Arc::default();
-    (0..3).for_each(|number| start_engine(&store, number, &runs));
+    (0..3).for_each(|number| start_engine(journal, &store, number, &runs));
     let boxes = Boxes::start(&store, 3);
     if !boxes.wait_until_in(Duration::from_secs(15)) {
         journal.note("the boxes did not become ready");
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -106,7 +106,12 @@
 
     /// Adds a line with the time since the start.
     pub fn note(&self, line: &str) {
-        let at = self.start.elapsed().as_secs_f64();
+        self.note_at(Instant::now(), line);
+    }
+
+    /// Adds a line on what happened at `at`.
+    pub fn note_at(&self, at: Instant, line: &str) {
+        let at = at.saturating_duration_since(self.start).as_secs_f64();
         let mut file = self.file.lock().expect("no thread panics with it");
         writeln!(file, "{at:9.3} s  {line}").expect("the record is writable");
     }
--- a/review/standins/storm.rs
+++ b/review/standins/storm.rs
@@ -46,8 +46,8 @@
 /// An engine as it sees itself.
 #[derive(Default)]
 struct Engine {
-    /// Arrivals, with the box that a client sent the request to.
-    arrivals: Mutex<Vec<(Instant, usize)>>,
+    /// Requests that it ran, with the box that a client sent each to.
+    arrivals: Mutex<Vec<(Instant, usize, String)>>,
 }
 
 /// When each box first passed on an answer with the low limit.
@@ -87,7 +87,7 @@
         }
         let from = attempt.rsplit('-').next();
         let from = from.and_then(|number| number.parse().ok());
-        let arrival = (Instant::now(), from.unwrap_or_default());
+        let arrival = (Instant::now(), from.unwrap_or_default(), attempt.to_owned());
         own.arrivals
             .lock()
             .expect("no thread panics with it")
@@ -165,8 +165,10 @@
     is_over.store(true, Ordering::SeqCst);
     let joined = clients
         .into_iter()
-        .map(|client| client.join().expect("no thread panics"));
-    let (sent, served) = joined.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        .flat_map(|client| client.join().expect("no thread panics"));
+    let calls: Vec<Call> = joined.collect();
+    let sent = calls.len();
+    let served = calls.iter().filter(|call| call.is_served).count();
     let quiet = boxes.processor_times();
     thread::sleep(REST);
     let after = boxes.processor_times();
@@ -183,6 +185,7 @@
         spent(&quiet, &after)
     ));
     boxes.stop();
+    record(journal, &engines, calls);
     let line = format!(
         "{sent} requests, {served} served; {broken} engines got more than their limit allows; 4 s without clients took the boxes {:?} s of processor time",
         spent(&quiet, &after)
@@ -208,24 +211,57 @@
     }
 }
 
-/// Sends requests to a box; returns how many were sent and served.
-fn call_until(boxes: &Boxes, at: usize, passed: &Passed, is_over: &AtomicBool) -> (usize, usize) {
-    let (mut sent, mut served) = (0, 0);
+/// A request of a client, and what it was answered.
+struct Call {
+    at: Instant,
+    is_served: bool,
+    line: String,
+}
+
+/// Records what was sent, answered and run, in the order of time.
+fn record(journal: &Journal, engines: &[Arc<Engine>], calls: Vec<Call>) {
+    let mut lines: Vec<(Instant, String)> = Vec::new();
+    lines.extend(calls.into_iter().map(|call| (call.at, call.line)));
+    for (number, engine) in engines.iter().enumerate() {
+        let arrivals = engine.arrivals.lock().expect("no thread panics with it");
+        let runs = arrivals
+            .iter()
+            .map(|(at, _, id)| (*at, format!("i-{number} runs {id}")));
+        lines.extend(runs);
+    }
+    lines.sort();
+    lines
+        .iter()
+        .for_each(|(at, line)| journal.note_at(*at, line));
+}
+
+/// Sends requests to a box; returns them.
+fn call_until(boxes: &Boxes, at: usize, passed: &Passed, is_over: &AtomicBool) -> Vec<Call> {
+    let mut calls = Vec::new();
     while !is_over.load(Ordering::SeqCst) {
-        let id = format!("{}-{at}", rig::attempt_id());
+        let (id, sent_at) = (format!("{}-{at}", rig::attempt_id()), Instant::now());
         let request = rig::request("GET", "/safe/item", &id, KEY, 1500);
         let answer = http::call(boxes.all[at].front, &request, Duration::from_millis(1500));
-        sent += 1;
-        if let Some(answer) = answer {
-            served += usize::from(answer.status == 200);
-            if answer.header("server-limit").is_some() {
-                let mut passed = passed.lock().expect("no thread panics with it");
-                passed[at].get_or_insert_with(Instant::now);
-            }
+        let limit = answer
+            .as_ref()
+            .and_then(|answer| answer.header("server-limit"));
+        if limit.is_some() {
+            let mut passed = passed.lock().expect("no thread panics with it");
+            passed[at].get_or_insert_with(Instant::now);
         }
+        let status = answer.as_ref().map_or(0, |answer| answer.status);
+        let to = &boxes.all[at].name;
+        calls.push(Call {
+            at: sent_at,
+            is_served: status == 200,
+            line: format!(
+                "sent {id} to {to} -> {status}, limit {}",
+                limit.unwrap_or("-")
+            ),
+        });
         thread::sleep(PAUSE);
     }
-    (sent, served)
+    calls
 }
 
 /// Returns the number of engines that got more than the low limit allows, from `ContactMs` after they named it at `named` until now, from
@@ -236,12 +272,12 @@
     let mut broken = 0;
     for (number, engine) in engines.iter().enumerate() {
         let arrivals = engine.arrivals.lock().expect("no thread panics with it");
-        let counts = |(at, from): &&(Instant, usize)| {
+        let counts = |(at, from, _): &&(Instant, usize, String)| {
             *from != FROZEN
                 && *at >= named + CONTACT
                 && passed[*from].is_some_and(|passed| *at >= passed + PASSED_ON)
         };
-        let counted: Vec<Instant> = arrivals.iter().filter(counts).map(|(at, _)| *at).collect();
+        let counted: Vec<Instant> = arrivals.iter().filter(counts).map(|(at, ..)| *at).collect();
         let windows = counted.iter().map(|from| {
             let within = |at: &&Instant| **at >= *from && **at < *from + WINDOW;
             counted.iter().filter(within).count()
