feat(relay, platform): use of each limit of a box, and how long work waits for the processor

Logs and metrics could not tell a box that is short of processor time from one whose link, memory or descriptors are: with the first, the others fill up too. Added are the fraction of the time in which the runtime has work, memory, descriptors and data sent, each beside its limit, the time from the accept of a connection to the first step of its task (run_queue_seconds), counts of connections accepted and not, and a load line a second while a limit is near. No logic is changed.

--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -128,6 +128,7 @@
         ip: Ipv4Addr::LOCALHOST.into(),
         link_mbps: 0,
         memory: 256 * 1024 * 1024,
+        max_descriptors: None,
         is_first_start: false,
         seeds: Vec::new(),
         revoke_within: None,
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -5,6 +5,10 @@
 counters! {
     /// Counters since the process started.
     Tally {
+        /// Connections accepted, from callers and other boxes.
+        connections_accepted,
+        /// Connections that could not be accepted, most often for want of descriptors.
+        accepts_failed,
         /// Requests received.
         requests_received,
         /// Requests that no route or key allows.
--- a/reachtally-relay/src/accept.rs
+++ b/reachtally-relay/src/accept.rs
@@ -1,15 +1,20 @@
 //! Accepts connections on a listener.
 
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::relay::Relay;
+
 /// Pause after a failed accept, which is most often caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Serves each connection in its own task until the process exits; `name` identifies the listener in the log.
 pub(crate) async fn each<F>(
+    relay: Rc<Relay>,
     listener: TcpListener,
     name: &'static str,
     serve: impl Fn(TcpStream, SocketAddr) -> F,
@@ -19,9 +24,20 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::task::spawn_local(serve(stream, peer));
+                relay.count(|tally| tally.connections_accepted += 1);
+                relay.resources.record_descriptor(stream.as_raw_fd());
+                let accepted_at = relay.now();
+                let relay = relay.clone();
+                let serving = serve(stream, peer);
+                tokio::task::spawn_local(async move {
+                    let delay = relay.now().since(accepted_at);
+                    relay.resources.record_delay(delay);
+                    relay.times.run_queue.observe(delay.as_secs_f64());
+                    serving.await;
+                });
             }
             Err(err) => {
+                relay.count(|tally| tally.accepts_failed += 1);
                 log::warn!(event = "accept-failed", listener = name, why:% = err; "failed to accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -43,7 +43,7 @@
             }
         }
     };
-    accept::each(listener, "handoffs", serve).await;
+    accept::each(relay.clone(), listener, "handoffs", serve).await;
 }
 
 async fn serve_connection(relay: &Rc<Relay>, stream: TcpStream) -> Result<(), String> {
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod quarantine;
 pub mod ready;
 pub mod relay;
+pub mod resources;
 pub mod rhythm;
 mod second_sends;
 pub mod serve;
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -44,7 +44,7 @@
 /// Serves callers until the process exits.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
     let serve = |stream, _| connection(relay.clone(), stream);
-    accept::each(listener, "callers", serve).await;
+    accept::each(relay.clone(), listener, "callers", serve).await;
 }
 
 /// What a connection is waiting for.
@@ -215,6 +215,9 @@
         buf: &[u8],
         written: Poll<std::io::Result<usize>>,
     ) -> Poll<std::io::Result<usize>> {
+        if let Poll::Ready(Ok(count)) = written {
+            self.relay.resources.record_sent(count);
+        }
         let Some(waited) = self.blocked_write.record(cx, &written) else {
             return written;
         };
@@ -222,6 +225,7 @@
         // that has still made progress.
         if let Ok(count) = SockRef::from(&self.stream).send(buf) {
             self.blocked_write = BlockedWrite::default();
+            self.relay.resources.record_sent(count);
             return Poll::Ready(Ok(count));
         }
         if waited < SLOW_READER_TIMEOUT {
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -39,6 +39,8 @@
     pub longest_gap: Histogram,
     /// Time to the end of a plain response.
     pub answer: Histogram,
+    /// Time that new connections waited in the run queue, as all work does that is ready to run.
+    pub run_queue: Histogram,
     /// Admission counters of services with several ranks.
     pub by_rank: ByRank,
 }
@@ -84,6 +86,7 @@
             first_event: seconds(),
             longest_gap: seconds(),
             answer: seconds(),
+            run_queue: seconds(),
             by_rank: ByRank::default(),
         }
     }
@@ -186,6 +189,7 @@
         "Requests of other boxes that run at this one",
         relay.taken_over(),
     );
+    resources(&mut registry, relay);
     let awaited = Family::<[(&'static str, &'static str); 1], Gauge>::default();
     let label = [("milestone", relay.startup.awaited_name())];
     awaited.get_or_create(&label).set(1);
@@ -202,6 +206,56 @@
     registry
 }
 
+/// Registers the use of each resource, and its limit if known.
+fn resources(registry: &mut Registry, relay: &Relay) {
+    let usage = relay.resources.usage();
+    let settings = relay.settings.borrow();
+    let resources = [
+        ("processor", usage.busy, Some(1.0)),
+        (
+            "memory_bytes",
+            usage.memory as f64,
+            Some(settings.memory as f64),
+        ),
+        (
+            "descriptors",
+            usage.descriptors.into(),
+            settings.max_descriptors.map(f64::from),
+        ),
+        (
+            "sent_mbps",
+            usage.sent_mbps,
+            Some(settings.link_mbps.into()),
+        ),
+    ];
+    let used = Family::<ResourceLabel, Gauge<f64, AtomicU64>>::default();
+    let limits = Family::<ResourceLabel, Gauge<f64, AtomicU64>>::default();
+    for (name, amount, limit) in resources {
+        let label = [("resource", name)];
+        used.get_or_create(&label).set(amount);
+        if let Some(limit) = limit.filter(|limit| *limit > 0.0) {
+            limits.get_or_create(&label).set(limit);
+        }
+    }
+    registry.register("resource_used", "Resources in use by this process", used);
+    registry.register("resource_limit", "Known limits of this process", limits);
+    gauge(
+        registry,
+        "connections_open",
+        "Open connections of callers",
+        relay.lifecycle.open(),
+    );
+    gauge(
+        registry,
+        "read_ahead_bytes",
+        "Data of streams that callers have not read yet",
+        relay.read_ahead(),
+    );
+}
+
+/// Name of a resource.
+type ResourceLabel = [(&'static str, &'static str); 1];
+
 /// Service and state of counted targets.
 type ReachLabel = [(&'static str, String); 2];
 
@@ -266,6 +320,11 @@
         "Time to the end of an answer",
         times.answer.clone(),
     );
+    registry.register(
+        "run_queue_seconds",
+        "Time that new connections waited for the processor",
+        times.run_queue.clone(),
+    );
     let by_rank = &times.by_rank;
     let counters = [
         (
@@ -298,8 +357,11 @@
 
 /// Serves the metrics page until the process exits.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
-    let respond = move |req: &Request<Incoming>| respond(&relay, req);
-    page::serve(listener, "metrics", respond).await;
+    let respond = {
+        let relay = relay.clone();
+        move |req: &Request<Incoming>| respond(&relay, req)
+    };
+    page::serve(relay, listener, "metrics", respond).await;
 }
 
 fn respond(relay: &Relay, req: &Request<Incoming>) -> Response<Body> {
--- a/reachtally-relay/src/page.rs
+++ b/reachtally-relay/src/page.rs
@@ -1,6 +1,7 @@
 //! HTTP listener for pages that need no asynchronous work: readiness and metrics.
 
 use std::convert::Infallible;
+use std::rc::Rc;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -11,14 +12,16 @@
 
 use crate::accept;
 use crate::answer::Body;
+use crate::relay::Relay;
 
 /// Answers requests with `respond` until the process exits; `name` identifies the listener in the log.
 pub(crate) async fn serve(
+    relay: Rc<Relay>,
     listener: TcpListener,
     name: &'static str,
     respond: impl Fn(&Request<Incoming>) -> Response<Body> + Clone + 'static,
 ) {
-    accept::each(listener, name, |stream, _| {
+    accept::each(relay, listener, name, |stream, _| {
         connection(stream, name, respond.clone())
     })
     .await;
--- a/reachtally-relay/src/ready.rs
+++ b/reachtally-relay/src/ready.rs
@@ -22,8 +22,11 @@
 /// Answers readiness probes on `path` until the process exits.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener, path: &'static str) {
     let was_ready = Rc::new(Cell::new(false));
-    let respond = move |req: &Request<Incoming>| respond(&relay, &was_ready, path, req);
-    page::serve(listener, "readiness", respond).await;
+    let respond = {
+        let relay = relay.clone();
+        move |req: &Request<Incoming>| respond(&relay, &was_ready, path, req)
+    };
+    page::serve(relay, listener, "readiness", respond).await;
 }
 
 fn respond(
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -33,6 +33,7 @@
 use crate::metrics::Times;
 use crate::occupied::ConnectionGuard;
 use crate::quarantine::QuarantineState;
+use crate::resources::Resources;
 use crate::rhythm::ReadIntervals;
 use crate::second_sends::SecondSends;
 use crate::share::PageCache;
@@ -58,6 +59,8 @@
     pub link_mbps: u32,
     /// Memory limit of this process in bytes. Part of it buffers streams that are read ahead of their callers.
     pub memory: u64,
+    /// Limit on open file descriptors of this process. `None` if unknown.
+    pub max_descriptors: Option<u32>,
     /// Whether the whole system starts for the first time, in which case the store holds no earlier state.
     pub is_first_start: bool,
     /// Boxes to query before the members of the group are known. Some may no longer exist.
@@ -87,6 +90,8 @@
     pub configuration: Configuration,
     /// Shutdown stage and open connections.
     pub lifecycle: Lifecycle,
+    /// Use of the limits of this box.
+    pub resources: Resources,
     /// All known targets.
     pub fleet: RefCell<Fleet>,
     /// Idle connections to engines that can be reused.
@@ -187,6 +192,7 @@
             wire,
             configuration: Configuration::default(),
             lifecycle: Lifecycle::default(),
+            resources: Resources::default(),
             fleet: RefCell::default(),
             connections: Connections::default(),
             progress: RefCell::default(),
--- /dev/null
+++ b/reachtally-relay/src/resources.rs
@@ -0,0 +1,158 @@
+//! Limits of this box, and how much of each is in use.
+//!
+//! A box that is short of one resource shows it elsewhere: without processor time, connections and memory pile up. The run queue
+//! tells them apart, since work that is ready to run waits there only for the processor.
+
+use std::cell::Cell;
+use std::os::fd::RawFd;
+use std::rc::Rc;
+use std::time::Duration;
+
+use reachtally_core::Instant;
+use tokio::runtime::Handle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::relay::Relay;
+
+/// Interval at which the use of resources is sampled.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Fraction of a limit from which its use is logged.
+const LOGGED_FRACTION: f64 = 0.8;
+/// Run-queue delay from which the use of resources is logged.
+const LOGGED_DELAY: Duration = Duration::from_millis(20);
+/// Bits per byte.
+const BITS: f64 = 8.0;
+/// Bits per second of 1 Mbit/s.
+const MBIT: f64 = 1e6;
+
+/// Resources in use, averaged over the last sampling interval where they are rates.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ResourceUsage {
+    /// Fraction of the time in which the runtime had work, also while the system did not let it run. At 1, work waits.
+    pub busy: f64,
+    /// Resident memory in bytes.
+    pub memory: u64,
+    /// Descriptor number of the connection that was accepted last. The kernel assigns the lowest free number, so this many are in use.
+    pub descriptors: u32,
+    /// Data sent to callers in Mbit/s.
+    pub sent_mbps: f64,
+}
+
+/// Shortest and longest time that new connections waited in the run queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DelayRange {
+    /// Shortest delay.
+    pub min: Duration,
+    /// Longest delay.
+    pub max: Duration,
+}
+
+/// State of the resource monitor.
+#[derive(Debug, Default)]
+pub struct Resources {
+    usage: Cell<ResourceUsage>,
+    last_descriptor: Cell<RawFd>,
+    sent_bytes: Cell<u64>,
+    delays: Cell<Option<DelayRange>>,
+}
+
+impl Resources {
+    /// Returns the latest sample.
+    pub fn usage(&self) -> ResourceUsage {
+        self.usage.get()
+    }
+
+    /// Records the descriptor of a connection that was accepted.
+    pub(crate) fn record_descriptor(&self, descriptor: RawFd) {
+        self.last_descriptor.set(descriptor);
+    }
+
+    /// Records data sent to a caller.
+    pub(crate) fn record_sent(&self, bytes: usize) {
+        self.sent_bytes.set(self.sent_bytes.get() + bytes as u64);
+    }
+
+    /// Records how long a new connection waited in the run queue.
+    pub(crate) fn record_delay(&self, delay: Duration) {
+        let range = self.delays.get().unwrap_or(DelayRange {
+            min: delay,
+            max: delay,
+        });
+        self.delays.set(Some(DelayRange {
+            min: range.min.min(delay),
+            max: range.max.max(delay),
+        }));
+    }
+}
+
+/// Totals at the start of a sampling interval.
+struct Totals {
+    at: Instant,
+    busy: Duration,
+    sent_bytes: u64,
+}
+
+impl Totals {
+    fn now(relay: &Relay) -> Self {
+        let metrics = Handle::current().metrics();
+        Totals {
+            at: relay.now(),
+            busy: metrics.worker_total_busy_duration(0),
+            sent_bytes: relay.resources.sent_bytes.get(),
+        }
+    }
+
+    /// Returns the usage since `earlier`.
+    fn usage_since(&self, earlier: &Totals, relay: &Relay) -> ResourceUsage {
+        let seconds = self.at.since(earlier.at).as_secs_f64().max(f64::EPSILON);
+        let busy = self.busy.saturating_sub(earlier.busy);
+        let sent_bits = (self.sent_bytes - earlier.sent_bytes) as f64 * BITS;
+        ResourceUsage {
+            busy: busy.as_secs_f64() / seconds,
+            memory: memory_stats::memory_stats().map_or(0, |stats| stats.physical_mem as u64),
+            descriptors: u32::try_from(relay.resources.last_descriptor.get()).unwrap_or_default(),
+            sent_mbps: sent_bits / seconds / MBIT,
+        }
+    }
+}
+
+/// Samples the use of resources until the process exits, and logs it while one of them is short.
+pub async fn run(relay: Rc<Relay>) {
+    if memory_stats::memory_stats().is_none() {
+        log::warn!(event = "resources-unreadable"; "the memory in use can't be read; it is reported as 0");
+    }
+    let mut ticks = interval(SAMPLE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut totals = Totals::now(&relay);
+    let mut tally = relay.tally.get();
+    loop {
+        ticks.tick().await;
+        let next = Totals::now(&relay);
+        let usage = next.usage_since(&totals, &relay);
+        relay.resources.usage.set(usage);
+        totals = next;
+        let delays = relay.resources.delays.take();
+        let before = std::mem::replace(&mut tally, relay.tally.get());
+        let accepted = tally.connections_accepted - before.connections_accepted;
+        let failed = tally.accepts_failed - before.accepts_failed;
+        let is_delayed = delays.is_some_and(|delays| delays.max >= LOGGED_DELAY);
+        if is_delayed || failed > 0 || is_near_limit(&relay, &usage) {
+            let ms = |delay: fn(&DelayRange) -> Duration| {
+                delays.map(|delays| delay(&delays).as_millis() as u64)
+            };
+            log::info!(event = "load", queue_min_ms:? = ms(|delays| delays.min), queue_max_ms:? = ms(|delays| delays.max), busy = usage.busy, memory = usage.memory, descriptors = usage.descriptors, sent_mbps = usage.sent_mbps, open = relay.lifecycle.open(), accepted = accepted, failed = failed, read_ahead = relay.read_ahead(), waiting:? = relay.requests_waiting(); "the box is near a limit");
+        }
+    }
+}
+
+fn is_near_limit(relay: &Relay, usage: &ResourceUsage) -> bool {
+    let settings = relay.settings.borrow();
+    let is_near = |used: f64, limit: f64| limit > 0.0 && used >= LOGGED_FRACTION * limit;
+    is_near(usage.busy, 1.0)
+        || is_near(usage.memory as f64, settings.memory as f64)
+        || is_near(
+            usage.descriptors.into(),
+            settings.max_descriptors.unwrap_or_default().into(),
+        )
+        || is_near(usage.sent_mbps, settings.link_mbps.into())
+}
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -34,7 +34,7 @@
             }
         }
     };
-    accept::each(listener, "boxes", serve).await;
+    accept::each(relay.clone(), listener, "boxes", serve).await;
 }
 
 async fn serve_connection(
