fix(relay, core): a box takes no more new connections than its processor can carry

What callers saw: a small box that gets most new connections accepts and reads all of them. Each event of each stream then waits for all others, so that nearly every answer is late, requests fail at their deadline after their engines have run them, and in the end descriptors run out.

Cause: nothing told the box that it had more work than it could do, and nothing bounded what it took. All tasks take turns in one run queue, in which work that is nearly done waits behind work that has just come.

The relay now measures how long a task takes to pass the run queue as often as an event does (four turns; with each accepted connection and each request, one measurement at a time). Where the shortest delay of 100 ms is above 40 ms, a third of the tightest bound on an event, the queue is standing: new connections are closed unread, but for one each 200 ms, until the queue is short. After 0.5 s of that, responses close their connections, as open ones alone bring too much. A request that is closed unread has not run, and its caller can try another box at once. The delay needs no figure of the processor: a burst, a suspension or a quota makes some delays long, but not the shortest. The histogram run_queue_seconds and the load line show this delay from now on.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -17,6 +17,7 @@
 pub mod handoff;
 pub mod limit;
 pub mod loads;
+pub mod overload;
 pub mod path;
 pub mod peers;
 pub mod placement;
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -7,6 +7,8 @@
     Tally {
         /// Connections accepted, from callers and other boxes.
         connections_accepted,
+        /// Connections of callers closed unread, since the box had more work than it could carry.
+        connections_turned_away,
         /// Connections that could not be accepted, most often for want of descriptors.
         accepts_failed,
         /// Requests received.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -16,6 +16,7 @@
 mod limit;
 mod loads;
 mod notice;
+mod overload;
 mod parts;
 mod path;
 mod placement;
--- a/reachtally-relay/src/accept.rs
+++ b/reachtally-relay/src/accept.rs
@@ -12,12 +12,13 @@
 /// Pause after a failed accept, which is most often caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves each connection in its own task until the process exits; `name` identifies the listener in the log.
+/// Serves each connection in its own task until the process exits; `name` identifies the listener in the log. Where `serve` returns
+/// no future, the connection is closed unread.
 pub(crate) async fn each<F>(
     relay: Rc<Relay>,
     listener: TcpListener,
     name: &'static str,
-    serve: impl Fn(TcpStream, SocketAddr) -> F,
+    serve: impl Fn(TcpStream, SocketAddr) -> Option<F>,
 ) where
     F: Future<Output = ()> + 'static,
 {
@@ -26,15 +27,11 @@
             Ok((stream, peer)) => {
                 relay.count(|tally| tally.connections_accepted += 1);
                 relay.resources.record_descriptor(stream.as_raw_fd());
-                let accepted_at = relay.now();
-                let relay = relay.clone();
-                let serving = serve(stream, peer);
-                tokio::task::spawn_local(async move {
-                    let delay = relay.now().since(accepted_at);
-                    relay.resources.record_delay(delay);
-                    relay.times.run_queue.observe(delay.as_secs_f64());
-                    serving.await;
-                });
+                relay.probe_run_queue();
+                match serve(stream, peer) {
+                    Some(serving) => drop(tokio::task::spawn_local(serving)),
+                    None => relay.count(|tally| tally.connections_turned_away += 1),
+                }
             }
             Err(err) => {
                 relay.count(|tally| tally.accepts_failed += 1);
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -37,11 +37,11 @@
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener) {
     let serve = |stream, from| {
         let relay = relay.clone();
-        async move {
+        Some(async move {
             if let Err(why) = serve_connection(&relay, stream).await {
                 log::debug!(event = "handoff-connection", from:% = from, why = &*why; "handoff connection failed");
             }
-        }
+        })
     };
     accept::each(relay.clone(), listener, "handoffs", serve).await;
 }
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -43,7 +43,11 @@
 
 /// Serves callers until the process exits.
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
-    let serve = |stream, _| connection(relay.clone(), stream);
+    // A request whose connection is closed unread is known not to have run, and its caller can try another box at once.
+    let serve = |stream, _| {
+        let is_taken = relay.take_connection();
+        is_taken.then(|| connection(relay.clone(), stream))
+    };
     accept::each(relay.clone(), listener, "callers", serve).await;
 }
 
@@ -146,6 +150,7 @@
     mut req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     state.enter(Phase::Busy);
+    relay.probe_run_queue();
     let number = state.requests.get().saturating_add(1);
     state.requests.set(number);
     req.extensions_mut().insert(RequestNumber(number));
--- a/reachtally-relay/src/page.rs
+++ b/reachtally-relay/src/page.rs
@@ -22,7 +22,7 @@
     respond: impl Fn(&Request<Incoming>) -> Response<Body> + Clone + 'static,
 ) {
     accept::each(relay, listener, name, |stream, _| {
-        connection(stream, name, respond.clone())
+        Some(connection(stream, name, respond.clone()))
     })
     .await;
 }
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::overload::RunQueue;
 use tokio::runtime::Handle;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval_at};
 
 use crate::relay::Relay;
 
@@ -20,6 +21,9 @@
 const LOGGED_FRACTION: f64 = 0.8;
 /// Run-queue delay from which the use of resources is logged.
 const LOGGED_DELAY: Duration = Duration::from_millis(20);
+/// Number of times that a measurement passes the run queue: as often as an event of a stream does, which is read, decoded, and written
+/// to its caller by tasks of their own.
+const PROBE_TURNS: u32 = 4;
 /// Bits per byte.
 const BITS: f64 = 8.0;
 /// Bits per second of 1 Mbit/s.
@@ -38,7 +42,7 @@
     pub sent_mbps: f64,
 }
 
-/// Shortest and longest time that new connections waited in the run queue.
+/// Shortest and longest delay in the run queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DelayRange {
     /// Shortest delay.
@@ -54,6 +58,45 @@
     last_descriptor: Cell<RawFd>,
     sent_bytes: Cell<u64>,
     delays: Cell<Option<DelayRange>>,
+    queue: Cell<RunQueue>,
+    /// Whether a measurement of the run queue is under way.
+    is_probing: Cell<bool>,
+}
+
+impl Relay {
+    /// Measures how long work that is ready now waits in the run queue, unless a measurement is under way.
+    pub(crate) fn probe_run_queue(self: &Rc<Self>) {
+        if self.resources.is_probing.replace(true) {
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let from = relay.now();
+            for _ in 0..PROBE_TURNS {
+                // The runtime polls for I/O before it resumes a task that yielded, and then resumes it after all others that are
+                // ready.
+                tokio::task::yield_now().await;
+            }
+            let now = relay.now();
+            let delay = now.since(from);
+            relay.resources.record_delay(delay, now);
+            relay.times.run_queue.observe(delay.as_secs_f64());
+            relay.resources.is_probing.set(false);
+        });
+    }
+
+    /// Returns whether open connections alone bring more work than the box can carry.
+    pub(crate) fn must_close_connections(&self) -> bool {
+        self.resources.queue.get().is_long_standing(self.now())
+    }
+
+    /// Decides whether to take a new connection of a caller.
+    pub(crate) fn take_connection(&self) -> bool {
+        let mut queue = self.resources.queue.get();
+        let is_taken = queue.take_connection(self.now());
+        self.resources.queue.set(queue);
+        is_taken
+    }
 }
 
 impl Resources {
@@ -72,8 +115,11 @@
         self.sent_bytes.set(self.sent_bytes.get() + bytes as u64);
     }
 
-    /// Records how long a new connection waited in the run queue.
-    pub(crate) fn record_delay(&self, delay: Duration) {
+    /// Records how long work waited in the run queue, until `now`.
+    fn record_delay(&self, delay: Duration, now: Instant) {
+        let mut queue = self.queue.get();
+        queue.record(delay, now);
+        self.queue.set(queue);
         let range = self.delays.get().unwrap_or(DelayRange {
             min: delay,
             max: delay,
@@ -121,7 +167,10 @@
     if memory_stats::memory_stats().is_none() {
         log::warn!(event = "resources-unreadable"; "the memory in use can't be read; it is reported as 0");
     }
-    let mut ticks = interval(SAMPLE_INTERVAL);
+    let mut ticks = interval_at(
+        tokio::time::Instant::now() + SAMPLE_INTERVAL,
+        SAMPLE_INTERVAL,
+    );
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut totals = Totals::now(&relay);
     let mut tally = relay.tally.get();
@@ -134,13 +183,14 @@
         let delays = relay.resources.delays.take();
         let before = std::mem::replace(&mut tally, relay.tally.get());
         let accepted = tally.connections_accepted - before.connections_accepted;
+        let turned_away = tally.connections_turned_away - before.connections_turned_away;
         let failed = tally.accepts_failed - before.accepts_failed;
         let is_delayed = delays.is_some_and(|delays| delays.max >= LOGGED_DELAY);
         if is_delayed || failed > 0 || is_near_limit(&relay, &usage) {
             let ms = |delay: fn(&DelayRange) -> Duration| {
                 delays.map(|delays| delay(&delays).as_millis() as u64)
             };
-            log::info!(event = "load", queue_min_ms:? = ms(|delays| delays.min), queue_max_ms:? = ms(|delays| delays.max), busy = usage.busy, memory = usage.memory, descriptors = usage.descriptors, sent_mbps = usage.sent_mbps, open = relay.lifecycle.open(), accepted = accepted, failed = failed, read_ahead = relay.read_ahead(), waiting:? = relay.requests_waiting(); "the box is near a limit");
+            log::info!(event = "load", queue_min_ms:? = ms(|delays| delays.min), queue_max_ms:? = ms(|delays| delays.max), busy = usage.busy, memory = usage.memory, descriptors = usage.descriptors, sent_mbps = usage.sent_mbps, open = relay.lifecycle.open(), accepted = accepted, turned_away = turned_away, failed = failed, read_ahead = relay.read_ahead(), waiting:? = relay.requests_waiting(); "the box is near a limit");
         }
     }
 }
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -165,7 +165,8 @@
         }
         Err(response) => response,
     };
-    if relay.lifecycle.is_leaving() {
+    // Callers return over new connections, of which an overloaded box takes as many as it can carry.
+    if relay.lifecycle.is_leaving() || relay.must_close_connections() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -28,11 +28,11 @@
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener, run: Incarnation) {
     let serve = |stream, from| {
         let relay = relay.clone();
-        async move {
+        Some(async move {
             if let Err(why) = serve_connection(&relay, stream, run).await {
                 log::debug!(event = "peer-connection", from:% = from, why = &*why; "connection of another box failed");
             }
-        }
+        })
     };
     accept::each(relay.clone(), listener, "boxes", serve).await;
 }
