fix(relay): an overloaded box takes over no requests of other boxes

What callers saw: a request handed over to a box whose processor is short waits there with all others, though another box might serve it, or a refusal would tell its caller at once. An offer is now answered with Unavailable while the run queue stands, which asks the next box.

--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -78,9 +78,8 @@
 
 /// Returns why this box does not take over requests like the offered one, if so.
 fn refusal(relay: &Relay, offer: &handoff::Offer) -> Option<Refusal> {
-    let is_available =
-        !relay.lifecycle.is_leaving() && relay.is_fresh() && relay.handoffs.taken.get() < MAX_TAKEN;
-    if !is_available {
+    let can_take = !relay.is_overloaded() && relay.handoffs.taken.get() < MAX_TAKEN;
+    if !can_take || relay.lifecycle.is_leaving() || !relay.is_fresh() {
         return Some(Refusal::Unavailable);
     }
     if relay.configuration.version() < offer.config_version {
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -90,6 +90,11 @@
         self.resources.queue.get().is_long_standing(self.now())
     }
 
+    /// Returns whether the box has more work than it can carry.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.resources.queue.get().is_standing(self.now())
+    }
+
     /// Decides whether to take a new connection of a caller.
     pub(crate) fn take_connection(&self) -> bool {
         let mut queue = self.resources.queue.get();
