fix(relay, core): open connections of callers don't use up the memory or the descriptors of a box

What callers saw: a box that accepts whatever comes has no descriptor left to send what it has read (503 and late answers), or ends for want of memory, which cuts all its streams. The same cause as that of crowded boxes, for the limits beside the processor: nothing that a box is given bounded what it accepted.

New connections are closed unread while the open ones take three quarters of the memory, at 96 KiB each, or while a new one gets a descriptor in the last quarter; the rest is for tables, targets, the store and other boxes. Responses close their connections meanwhile. A connection counts as open from its accept on, not from the first step of its task.

--- a/reachtally-core/src/forward/overload.rs
+++ b/reachtally-core/src/forward/overload.rs
@@ -25,6 +25,20 @@
 /// bring more work than can be carried, and callers see that the box takes connections.
 pub const MIN_ACCEPT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Memory that an open connection takes at most times: its buffers, its request, and the connection to a target.
+pub const CONNECTION_BYTES: u64 = 96 * 1024;
+
+/// Returns the number of open connections for which `memory` bytes suffice beside the tables of the box, a quarter of it.
+pub fn max_connections(memory: u64) -> usize {
+    usize::try_from(memory / 4 * 3 / CONNECTION_BYTES).unwrap_or(usize::MAX)
+}
+
+/// Returns the number of descriptors up to which connections of callers are taken, of `limit`. The rest is for connections to targets,
+/// to the store and between boxes.
+pub fn max_caller_descriptors(limit: u32) -> u32 {
+    limit / 4 * 3
+}
+
 /// State of the run queue, as far as the delays recorded so far show.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RunQueue {
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -23,6 +23,7 @@
 use crate::accept;
 use crate::answer::{AnswerTo, Body, BodyTruncated};
 use crate::lifecycle::Stage;
+use crate::occupied::ConnectionGuard;
 use crate::relay::Relay;
 use crate::serve::{self, RequestNumber};
 use crate::target;
@@ -45,8 +46,8 @@
 pub async fn run(relay: Rc<Relay>, listener: TcpListener) {
     // A request whose connection is closed unread is known not to have run, and its caller can try another box at once.
     let serve = |stream, _| {
-        let is_taken = relay.take_connection();
-        is_taken.then(|| connection(relay.clone(), stream))
+        let open = relay.take_connection()?;
+        Some(connection(relay.clone(), stream, open))
     };
     accept::each(relay.clone(), listener, "callers", serve).await;
 }
@@ -81,8 +82,8 @@
     }
 }
 
-async fn connection(relay: Rc<Relay>, stream: TcpStream) {
-    let _open = relay.connection();
+/// Serves a connection, which counts as open until `_open` is dropped.
+async fn connection(relay: Rc<Relay>, stream: TcpStream, _open: ConnectionGuard) {
     target::set_nodelay(&stream);
     if let Err(err) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER) {
         log::debug!(event = "send-buffer", why:% = err; "failed to set the send buffer size; using the system default");
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::overload::RunQueue;
+use reachtally_core::forward::overload::{self, RunQueue};
 use tokio::runtime::Handle;
 use tokio::time::{MissedTickBehavior, interval_at};
 
+use crate::occupied::ConnectionGuard;
 use crate::relay::Relay;
 
 /// Interval at which the use of resources is sampled.
@@ -85,9 +86,20 @@
         });
     }
 
-    /// Returns whether open connections alone bring more work than the box can carry.
+    /// Returns whether open connections alone use up what the box can carry.
     pub(crate) fn must_close_connections(&self) -> bool {
-        self.resources.queue.get().is_long_standing(self.now())
+        self.is_full() || self.resources.queue.get().is_long_standing(self.now())
+    }
+
+    /// Returns whether open connections take all memory or all descriptors that callers may use.
+    fn is_full(&self) -> bool {
+        let settings = self.settings.borrow();
+        let descriptors = u32::try_from(self.resources.last_descriptor.get()).unwrap_or_default();
+        let limit = settings
+            .max_descriptors
+            .map(overload::max_caller_descriptors);
+        self.lifecycle.open() >= overload::max_connections(settings.memory)
+            || limit.is_some_and(|limit| descriptors >= limit)
     }
 
     /// Returns whether the box has more work than it can carry.
@@ -95,12 +107,15 @@
         self.resources.queue.get().is_standing(self.now())
     }
 
-    /// Decides whether to take a new connection of a caller.
-    pub(crate) fn take_connection(&self) -> bool {
+    /// Counts a new connection of a caller as open, unless the box should not take it.
+    pub(crate) fn take_connection(self: &Rc<Self>) -> Option<ConnectionGuard> {
+        if self.is_full() {
+            return None;
+        }
         let mut queue = self.resources.queue.get();
         let is_taken = queue.take_connection(self.now());
         self.resources.queue.set(queue);
-        is_taken
+        is_taken.then(|| self.connection())
     }
 }
 
