--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns whether open connections take all memory or all descriptors that callers may use.
-    fn is_full(&self) -> bool {
+    pub(crate) fn is_full(&self) -> bool {
         let settings = self.settings.borrow();
         let descriptors = u32::try_from(self.resources.last_descriptor.get()).unwrap_or_default();
         let limit = settings
