perf(relay): the run queue is measured at most once in 10 ms

Each measurement makes the runtime poll for I/O four times, and was begun with each connection and request unless one was under way.

The description of run_queue_seconds says what it measures.

--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -39,7 +39,7 @@
     pub longest_gap: Histogram,
     /// Time to the end of a plain response.
     pub answer: Histogram,
-    /// Time that new connections waited in the run queue, as all work does that is ready to run.
+    /// Time for which work that is ready waits in the run queue, over as many turns as an event of a stream takes.
     pub run_queue: Histogram,
     /// Admission counters of services with several ranks.
     pub by_rank: ByRank,
@@ -322,7 +322,7 @@
     );
     registry.register(
         "run_queue_seconds",
-        "Time that new connections waited for the processor",
+        "Time for which an event of a stream would have waited for the processor",
         times.run_queue.clone(),
     );
     let by_rank = &times.by_rank;
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -25,6 +25,8 @@
 /// Number of times that a measurement passes the run queue: as often as an event of a stream does, which is read, decoded, and written
 /// to its caller by tasks of their own.
 const PROBE_TURNS: u32 = 4;
+/// Minimum time between the starts of two measurements, each of which makes the runtime poll for I/O a few times.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(10);
 /// Bits per byte.
 const BITS: f64 = 8.0;
 /// Bits per second of 1 Mbit/s.
@@ -62,17 +64,22 @@
     queue: Cell<RunQueue>,
     /// Whether a measurement of the run queue is under way.
     is_probing: Cell<bool>,
+    /// When the last measurement began.
+    probed_at: Cell<Option<Instant>>,
 }
 
 impl Relay {
     /// Measures how long work that is ready now waits in the run queue, unless a measurement is under way.
     pub(crate) fn probe_run_queue(self: &Rc<Self>) {
-        if self.resources.is_probing.replace(true) {
+        let from = self.now();
+        let probed_at = self.resources.probed_at.get();
+        let is_due = probed_at.is_none_or(|at| from.since(at) >= MIN_PROBE_INTERVAL);
+        if !is_due || self.resources.is_probing.replace(true) {
             return;
         }
+        self.resources.probed_at.set(Some(from));
         let relay = self.clone();
         tokio::task::spawn_local(async move {
-            let from = relay.now();
             for _ in 0..PROBE_TURNS {
                 // The runtime polls for I/O before it resumes a task that yielded, and then resumes it after all others that are
                 // ready.
