--- a/reachtally-core/tests/core/forward/overload.rs
+++ b/reachtally-core/tests/core/forward/overload.rs
@@ -4,7 +4,8 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::overload::{
-    LONG_STANDING_TIME, MAX_QUEUE_DELAY, MIN_ACCEPT_INTERVAL, RunQueue, STANDING_TIME,
+    LONG_STANDING_TIME, MAX_QUEUE_DELAY, MIN_ACCEPT_INTERVAL, MIN_CONNECTIONS, RunQueue,
+    STANDING_TIME, max_connections,
 };
 
 const STEP: Duration = Duration::from_millis(20);
@@ -93,3 +94,9 @@
     queue.record(SHORT, at(100 + 10 * interval));
     assert!((0..20).all(|_| queue.take_connection(at(100 + 10 * interval))));
 }
+
+#[test]
+fn a_box_with_very_little_memory_takes_some_connections() {
+    assert_eq!(max_connections(0), MIN_CONNECTIONS);
+    assert_eq!(max_connections(160 * 1024 * 1024), 1280);
+}
