feat(relay): the allowance, writing and reading of each retry in logs and metrics

A retry was a counter when it was taken, and a line only if its request went badly. Lines of retries now say why they are needed, whose allowance they use and how old that is, the time left when it was taken and when the request is written, and what the budget counts. A response shows when the target has read it; a send that is given up without one is named, since its target may still read it.

--- a/reachtally-core/src/forward/budget.rs
+++ b/reachtally-core/src/forward/budget.rs
@@ -86,7 +86,7 @@
     pub fn left(&mut self, now: Instant, bounds: &BudgetBounds, boxes: u32) -> f64 {
         self.slice(now, bounds);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        let retries = self.counted(now, bounds);
         let share = bounds.slack / f64::from(boxes.max(1));
         let elapsed_fraction = self.elapsed_fraction(now, bounds);
         let fraction = match elapsed_fraction < 1.0 {
@@ -97,6 +97,12 @@
             - f64::from(retries)
     }
 
+    /// Returns the retries that count in the current window.
+    pub fn counted(&mut self, now: Instant, bounds: &BudgetBounds) -> u32 {
+        self.slice(now, bounds);
+        self.slices.iter().map(|slice| slice.retries).sum()
+    }
+
     /// Returns the slice of `now` and drops slices that left the window.
     fn slice(&mut self, now: Instant, bounds: &BudgetBounds) -> &mut Slice {
         let width = (bounds.window / SLICES).as_micros().max(1);
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -63,6 +63,12 @@
         second_sends,
         /// Second sends that the budget forbade.
         second_sends_denied,
+        /// Retries written to a connection to their target.
+        retries_written,
+        /// Retries that their targets answered, so that they have read them.
+        retries_read,
+        /// Sends given up without a response, which their targets may still read.
+        sends_unread,
         /// Targets found to take no connections.
         targets_found_dead,
         /// Connections opened only to see whether a target accepts them.
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -14,6 +14,7 @@
 use crate::configuration::confirmed_by;
 use crate::exchange::SendFailure;
 use crate::relay::Relay;
+use crate::retries::{Allowance, Retry, RetryCause, SendProgress};
 use crate::serve::Call;
 
 /// Maximum number of sends of one request. Includes refused sends, since each costs shared budget.
@@ -41,6 +42,12 @@
     /// Whether the next send takes nothing from the budget. True for the first send, and for the replacement of a
     /// send that failed to connect.
     is_next_free: bool,
+    /// The allowance that pays for the next send, if one was taken for it.
+    allowance: Option<Allowance>,
+    /// Why the next send is needed, if it is not the first one.
+    cause: RetryCause,
+    /// The last send.
+    progress: Rc<SendProgress>,
     /// Whether a send reached a target, so that a further one counts as a second send.
     has_reached_target: bool,
     /// Number of sends that may have run, at least in part.
@@ -61,6 +68,9 @@
             state: State::Admitted(Life::default().admit()),
             records: Vec::new(),
             is_next_free: true,
+            allowance: None,
+            cause: RetryCause::Lost,
+            progress: Rc::new(SendProgress::new(0, None, String::new())),
             has_reached_target: false,
             possible_runs: call.possible_runs.get(),
             reported_runs: call.possible_runs.clone(),
@@ -120,7 +130,13 @@
 
     /// Returns whether the next send is paid for, taking a second send from the shared budget if one is needed.
     fn take_allowance(&mut self, relay: &Relay, call: &Call) -> bool {
-        self.is_next_free = self.is_next_free || relay.take_second_send(&call.service_name);
+        if !self.is_next_free && relay.take_second_send(&call.service_name) {
+            self.is_next_free = true;
+            self.allowance = Some(Allowance {
+                taken_at: relay.now(),
+                left: call.left(relay),
+            });
+        }
         self.is_next_free
     }
 
@@ -138,11 +154,30 @@
             remote_running: 0.0,
             expected_first: call.route.objective,
         });
+        self.begin_progress(call);
+        self.progress.written(relay, call);
         self.transition(State::dispatch);
     }
 
+    fn begin_progress(&mut self, call: &Call) {
+        let is_retry = self.has_reached_target || (call.is_handoff && self.possible_runs > 0);
+        let retry = is_retry.then_some(Retry {
+            cause: self.cause,
+            allowance: self.allowance,
+        });
+        let targets = self.records.last().map(|record| record.targets.clone());
+        let progress = SendProgress::new(self.sends(), retry, targets.unwrap_or_default());
+        self.progress = Rc::new(progress);
+    }
+
+    /// Returns the progress of the last send.
+    pub fn progress(&self) -> Rc<SendProgress> {
+        self.progress.clone()
+    }
+
     /// Records that the box that took over the request responded.
     pub fn handoff_answered(&mut self) {
+        self.cause = RetryCause::Interrupted;
         self.use_allowance();
         self.transition(State::stream);
     }
@@ -166,17 +201,19 @@
     }
 
     /// Records the start of a send to target `key`.
-    pub fn begin(&mut self, relay: &Relay, key: EngineKey, record: SendRecord) {
+    pub fn begin(&mut self, relay: &Relay, call: &Call, key: EngineKey, record: SendRecord) {
         relay.count(|tally| tally.sends += 1);
         relay.count_in_back_off(key);
         relay.use_permit(key);
         self.records.push(record);
         self.reported_runs.set(self.possible_runs + 1);
+        self.begin_progress(call);
         self.transition(State::dispatch);
     }
 
-    /// Records that the targets responded or began to respond.
-    pub fn answered(&mut self) {
+    /// Records that the targets responded or began to respond; `cause` is that of a retry that may follow.
+    pub fn answered(&mut self, cause: RetryCause) {
+        self.cause = cause;
         self.use_allowance();
         self.possible_runs += 1;
         self.transition(State::stream);
@@ -185,6 +222,7 @@
     /// Uses up the allowance of the last send, which reached a target.
     fn use_allowance(&mut self) {
         self.is_next_free = false;
+        self.allowance = None;
         self.has_reached_target = true;
     }
 
@@ -197,6 +235,9 @@
             SendFailure::NotRun(proof, why) => {
                 log::info!(event = "not-run", id = &*call.head.id, why = &*why, send = self.sends(); "target did not run the request");
                 relay.count(|tally| tally.sends_not_run += 1);
+                if proof == NeverStarted::TargetSaidSo {
+                    self.cause = RetryCause::Refused;
+                }
                 self.reported_runs.set(self.possible_runs);
                 if self.possible_runs == 0 {
                     self.transition(|state| state.never_started(proof));
@@ -205,9 +246,14 @@
             SendFailure::Lost(why) => {
                 log::info!(event = "lost", id = &*call.head.id, why = &*why, send = self.sends(); "an answer was lost");
                 relay.count(|tally| tally.sends_lost += 1);
+                self.cause = RetryCause::Lost;
+                self.progress.unread(relay, call);
                 self.possible_runs += 1;
             }
-            SendFailure::Late => self.is_timed_out = true,
+            SendFailure::Late => {
+                self.is_timed_out = true;
+                self.progress.unread(relay, call);
+            }
         }
         !self.is_timed_out
     }
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -13,6 +13,7 @@
 use reachtally_core::life::NeverStarted;
 
 use crate::relay::Relay;
+use crate::retries::SendProgress;
 use crate::serve::Call;
 use crate::target::{self, DialError};
 use crate::wire::{AddedFields, AnswerHead, LimitHeader};
@@ -85,10 +86,14 @@
     call: &Call,
     from: &Recipient,
     response: &Response<Incoming>,
+    progress: &SendProgress,
 ) -> AnswerHead {
     let head = relay
         .wire
         .answer(response.status().as_u16(), response.headers());
+    if head.id.is_none() || matches_request(call, &head) {
+        progress.read(relay, call);
+    }
     let now = relay.now();
     let mut fleet = relay.fleet.borrow_mut();
     if let (Some(load), Some(engine)) = (head.load, fleet.get_mut(from.key)) {
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod ready;
 pub mod relay;
 pub mod resources;
+mod retries;
 pub mod rhythm;
 mod second_sends;
 pub mod serve;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -39,6 +39,10 @@
     pub longest_gap: Histogram,
     /// Time to the end of a plain response.
     pub answer: Histogram,
+    /// Time from taking the allowance of a retry until the retry is written to its target.
+    pub allowance_age: Histogram,
+    /// Time from writing a retry until the response shows that its target has read it.
+    pub retry_read: Histogram,
     /// Time for which work that is ready waits in the run queue, over as many turns as an event of a stream takes.
     pub run_queue: Histogram,
     /// Admission counters of services with several ranks.
@@ -86,6 +90,8 @@
             first_event: seconds(),
             longest_gap: seconds(),
             answer: seconds(),
+            allowance_age: seconds(),
+            retry_read: seconds(),
             run_queue: seconds(),
             by_rank: ByRank::default(),
         }
@@ -320,6 +326,16 @@
         "Time to the end of an answer",
         times.answer.clone(),
     );
+    registry.register(
+        "retry_allowance_age_seconds",
+        "Time from taking the allowance of a retry until the retry is written",
+        times.allowance_age.clone(),
+    );
+    registry.register(
+        "retry_read_seconds",
+        "Time from writing a retry until its target has read it",
+        times.retry_read.clone(),
+    );
     registry.register(
         "run_queue_seconds",
         "Time for which an event of a stream would have waited for the processor",
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -524,6 +524,12 @@
         taken
     }
 
+    /// Returns the retries of this box to a service that count in the current window of the budget.
+    pub(crate) fn retries_counted(&self, service: &Arc<str>) -> u32 {
+        let bounds = self.settings.borrow().budget;
+        self.second_sends.counted(service, self.now(), &bounds)
+    }
+
     /// Returns the average time that requests run on their engines.
     pub(crate) fn held(&self) -> Duration {
         self.mean_run_time.get()
--- a/reachtally-relay/src/second_sends.rs
+++ b/reachtally-relay/src/second_sends.rs
@@ -30,6 +30,11 @@
         self.with_budget(service, |budget| budget.take(now, bounds, boxes))
     }
 
+    /// Returns the retries to `service` that count in the current window.
+    pub fn counted(&self, service: &Arc<str>, now: Instant, bounds: &BudgetBounds) -> u32 {
+        self.with_budget(service, |budget| budget.counted(now, bounds))
+    }
+
     fn with_budget<T>(
         &self,
         service: &Arc<str>,
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -29,6 +29,7 @@
 use crate::events::Splitter;
 use crate::handoff::{self, Handoff};
 use crate::relay::Relay;
+use crate::retries::RetryCause;
 use crate::serve::Call;
 use crate::startup::Milestone;
 use crate::target::Driver;
@@ -78,7 +79,7 @@
         }
         match send::send(relay, &call, selection, last, &mut attempts).await {
             Ok(EngineAnswer::Stream(answer)) => {
-                attempts.answered();
+                attempts.answered(RetryCause::Interrupted);
                 let (head, running) = *answer;
                 let source = Source::Chain(Box::new(running));
                 return stream_response(relay.clone(), call, head, source, attempts);
@@ -338,14 +339,14 @@
         }
         match send::send(relay, call, selection, splitter.last(), attempts).await {
             Ok(EngineAnswer::Stream(answer)) => {
-                attempts.answered();
+                attempts.answered(RetryCause::Interrupted);
                 relay.count(|tally| tally.streams_resumed += 1);
                 log::info!(event = "resumed", id = &*call.head.id, last:? = splitter.last(), send = attempts.sends(); "the stream goes on over another chain");
                 return Some(Source::Chain(Box::new(answer.1)));
             }
             Ok(EngineAnswer::Failure(response)) => {
                 // The request ran on that chain, so the attempt counts: the original chain, which is awaited again, may stop once more.
-                attempts.answered();
+                attempts.answered(RetryCause::Interrupted);
                 log::info!(event = "not-resumed", id = &*call.head.id, status = response.status().as_u16(); "stream not resumed: another chain answered with an error");
                 return None;
             }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -180,7 +180,7 @@
     attempts: &mut Attempts,
 ) -> Result<EngineAnswer, SendFailure> {
     let key = selection.engines[0];
-    attempts.begin(relay, key, send_record(relay, call, &selection));
+    attempts.begin(relay, call, key, send_record(relay, call, &selection));
     let to = exchange::recipient(relay, key)?;
     let need = need(call);
     let mut occupied =
@@ -228,10 +228,12 @@
         false => None,
     };
     let is_reused = pooled.is_some();
+    let progress = attempts.progress();
+    let on_write = || progress.written(relay, call);
     let mut sending = std::pin::pin!(async {
         match pooled {
-            Some(pooled) => target::send_on_idle(pooled, req).await,
-            None => target::send(address, req).await,
+            Some(pooled) => target::send_on_idle(pooled, req, on_write).await,
+            None => target::send(address, req, on_write).await,
         }
     });
     let mut stopped = relay.stopped();
@@ -328,7 +330,7 @@
     attempts: &mut Attempts,
 ) -> Result<EngineAnswer, SendFailure> {
     let status = answer.response.status();
-    let head = exchange::decode_head(relay, call, &from, &answer.response);
+    let head = exchange::decode_head(relay, call, &from, &answer.response, &attempts.progress());
     if exchange::proves_not_run(call, &head) {
         return Err(handle_refusal(relay, &occupied, &head, status, attempts).await);
     }
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -183,12 +183,17 @@
     }
 }
 
-/// Sends a request to `address` over a new connection.
+/// Sends a request to `address` over a new connection. Calls `on_write` once the connection is open and the request is written to it.
 ///
 /// # Errors
 /// See [`SendError`].
-pub async fn send(address: SocketAddr, req: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+pub async fn send(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    on_write: impl FnOnce(),
+) -> Result<Answer, SendError> {
     let mut connection = Connection::open(address).await?;
+    on_write();
     let sent = connection.send(req).await;
     let response = sent.map_err(|err| SendError::Broken(err.error().to_string()))?;
     Ok(Answer {
@@ -198,14 +203,16 @@
     })
 }
 
-/// Sends a repeatable request over an idle connection, or over a new one if the idle one is closed.
+/// Sends a repeatable request over an idle connection, or over a new one if the idle one is closed. Calls `on_write` before each write.
 ///
 /// # Errors
 /// See [`SendError`].
 pub async fn send_on_idle(
     mut kept: Connection,
     req: Request<Full<Bytes>>,
+    on_write: impl Fn(),
 ) -> Result<Answer, SendError> {
+    on_write();
     match kept.send(req).await {
         Ok(response) => Ok(Answer {
             response,
@@ -213,7 +220,7 @@
             is_reused: true,
         }),
         Err(mut err) => match err.take_message() {
-            Some(req) => send(kept.address, req).await,
+            Some(req) => send(kept.address, req, on_write).await,
             None => Err(SendError::Stale(err.error().to_string())),
         },
     }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -20,6 +20,7 @@
 use crate::occupied::RequestGuard;
 use crate::quarantine::{Completion, Progress};
 use crate::relay::Relay;
+use crate::retries::{RetryCause, SendProgress};
 use crate::serve::Call;
 use crate::startup::Milestone;
 use crate::target::{self, SendError};
@@ -62,12 +63,12 @@
             break;
         }
         let key = found.engine;
-        attempts.begin(relay, key, send_record(relay, call, key));
+        attempts.begin(relay, call, key, send_record(relay, call, key));
         attempts.avoid.push(key);
         let sent_at = relay.now();
-        match send(relay, call, key).await {
+        match send(relay, call, key, &attempts.progress()).await {
             Ok(response) => {
-                attempts.answered();
+                attempts.answered(RetryCause::Failure);
                 let took = relay.now().since(sent_at);
                 let admission = &relay.admission;
                 admission.record_run_time(&call.service_name, took, found.used);
@@ -185,6 +186,7 @@
     relay: &Rc<Relay>,
     call: &Call,
     key: EngineKey,
+    progress: &SendProgress,
 ) -> Result<Response<Body>, SendFailure> {
     let to = exchange::recipient(relay, key)?;
     let occupied = RequestGuard::new(relay, vec![key], 0.0, 0.0);
@@ -196,7 +198,8 @@
         path: None,
         last_event: None,
     };
-    let sending = target::send(to.address, exchange::request(relay, call, &add));
+    let on_write = || progress.written(relay, call);
+    let sending = target::send(to.address, exchange::request(relay, call, &add), on_write);
     let answer = match relay.run_until(call.due, sending).await {
         None => return Err(SendFailure::Late),
         Some(Err(SendError::NotConnected(why))) => {
@@ -207,7 +210,7 @@
         }
         Some(Ok(answer)) => answer,
     };
-    let head = exchange::decode_head(relay, call, &to, &answer.response);
+    let head = exchange::decode_head(relay, call, &to, &answer.response, progress);
     if exchange::proves_not_run(call, &head) {
         let why = format!("status {}", answer.response.status());
         return Err(SendFailure::NotRun(NeverStarted::TargetSaidSo, why));
