fix(core, relay): a retry counts towards the budget until a window after its target has read it

Callers saw nothing of it; the services did: retries of two windows arrived within one, beyond what the budget allows. The budget counted a retry for the window in which it was taken. It arrives when its target reads it, which is later by a connect, by the silence of a stopped target, or, where its allowance was kept while its stream waited, by any time.

A retry is now pending from when it is taken until a response shows that its target has read it; if it was given up, until the target answers anything or its run is gone. It counts for a window from then on. A retry after a send that was given up waits for both. An allowance whose send does not connect is put back when the request waits.

Why it works: what arrives in a window was pending or had settled within a window when the last of it was taken, and is in that count.

--- a/reachtally-core/src/forward/budget.rs
+++ b/reachtally-core/src/forward/budget.rs
@@ -7,6 +7,11 @@
 //! therefore counts as new for one window, and the bound is split into one part for settled runs
 //! and one for new runs. Within any window, the settled run uses at most the first part and all new
 //! runs after it together use at most the second, however often the box restarts.
+//!
+//! The bound holds for the times at which retries arrive, which the box does not choose: a target reads
+//! what waits in its queues when it gets to it. So a retry is pending from when it is taken until the
+//! box knows that it has arrived or never will, and counts for a whole window from then on. No window
+//! of arrivals then holds more retries than the box counted at the last one that it took.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -44,6 +49,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct SharedRetryBudget {
     slices: VecDeque<Slice>,
+    /// Retries that were taken and may still arrive.
+    pending: u32,
     /// When the run started, if an earlier one may have used part of the budget.
     started: Option<Instant>,
 }
@@ -73,15 +80,48 @@
         self.slice(now, bounds).requests += 1;
     }
 
-    /// Takes a retry if the share of one of `boxes` boxes allows it.
+    /// Takes a retry if the share of one of `boxes` boxes allows it. It is pending until [`SharedRetryBudget::settle`] or
+    /// [`SharedRetryBudget::put_back`].
     pub fn take(&mut self, now: Instant, bounds: &BudgetBounds, boxes: u32) -> bool {
         if self.left(now, bounds, boxes) < 1.0 {
             return false;
         }
-        self.slice(now, bounds).retries += 1;
+        self.pending += 1;
         true
     }
 
+    /// Returns a pending retry that was not sent.
+    pub fn put_back(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+    }
+
+    /// Records that a pending retry has not arrived later than at `at`. It counts for a window from then on.
+    pub fn settle(&mut self, at: Instant, now: Instant, bounds: &BudgetBounds) {
+        self.pending = self.pending.saturating_sub(1);
+        self.slice(now, bounds);
+        let number = slice_number(at.min(now), bounds);
+        match self
+            .slices
+            .binary_search_by_key(&number, |slice| slice.number)
+        {
+            Ok(found) => self.slices[found].retries += 1,
+            Err(place) => {
+                let retries = 1;
+                let slice = Slice {
+                    number,
+                    retries,
+                    ..Slice::default()
+                };
+                self.slices.insert(place, slice);
+            }
+        }
+    }
+
+    /// Returns the retries that were taken and may still arrive.
+    pub fn pending(&self) -> u32 {
+        self.pending
+    }
+
     /// Returns the retries left in the current window.
     pub fn left(&mut self, now: Instant, bounds: &BudgetBounds, boxes: u32) -> f64 {
         self.slice(now, bounds);
@@ -97,16 +137,16 @@
             - f64::from(retries)
     }
 
-    /// Returns the retries that count in the current window.
+    /// Returns the retries that count now: the pending ones, and those that settled within a window.
     pub fn counted(&mut self, now: Instant, bounds: &BudgetBounds) -> u32 {
         self.slice(now, bounds);
-        self.slices.iter().map(|slice| slice.retries).sum()
+        let settled: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        settled + self.pending
     }
 
     /// Returns the slice of `now` and drops slices that left the window.
     fn slice(&mut self, now: Instant, bounds: &BudgetBounds) -> &mut Slice {
-        let width = (bounds.window / SLICES).as_micros().max(1);
-        let number = (now.elapsed().as_micros() / width) as u64;
+        let number = slice_number(now, bounds);
         let oldest = number.saturating_sub(u64::from(SLICES));
         while self
             .slices
@@ -124,3 +164,9 @@
         self.slices.back_mut().expect("one was just added")
     }
 }
+
+/// Returns the number of the slice that contains `at`.
+fn slice_number(at: Instant, bounds: &BudgetBounds) -> u64 {
+    let width = (bounds.window / SLICES).as_micros().max(1);
+    (at.elapsed().as_micros() / width) as u64
+}
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -48,6 +48,8 @@
     pub queues: Queues,
     /// When the target last reported its running requests.
     pub reported_remote_at: Instant,
+    /// When this box last received a response of the target, or a part of one.
+    pub responded_at: Option<Instant>,
     /// The slowdown factor that the target last reported to this box, and when.
     slowdown: Option<(f64, Instant)>,
     /// The largest slowdown factor that other boxes report.
@@ -80,6 +82,7 @@
             reported_remote_running: 0.0,
             queues: Queues::default(),
             reported_remote_at: now,
+            responded_at: None,
             slowdown: None,
             remote_slowdown: None,
             remote_unresponsive: 0,
--- a/reachtally-core/tests/core/forward/budget.rs
+++ b/reachtally-core/tests/core/forward/budget.rs
@@ -17,10 +17,19 @@
     Instant::from_elapsed(Duration::from_millis(ms))
 }
 
+/// Takes a retry that arrives at once, if the budget allows it.
+fn send(budget: &mut SharedRetryBudget, now: Instant, bounds: &BudgetBounds, boxes: u32) -> bool {
+    let is_taken = budget.take(now, bounds, boxes);
+    if is_taken {
+        budget.settle(now, now, bounds);
+    }
+    is_taken
+}
+
 /// Number of retries that a box may send at `now`.
 fn taken(budget: &mut SharedRetryBudget, now: Instant, boxes: u32) -> u32 {
     let mut count = 0;
-    while budget.take(now, &BOUNDS, boxes) {
+    while send(budget, now, &BOUNDS, boxes) {
         count += 1;
     }
     count
@@ -52,7 +61,7 @@
     let mut taken_at = Vec::new();
     for ms in (0..60_000).step_by(37) {
         budget.first(at(ms), &BOUNDS);
-        while budget.take(at(ms), &BOUNDS, 8) {
+        while send(&mut budget, at(ms), &BOUNDS, 8) {
             taken_at.push(ms);
         }
     }
@@ -100,7 +109,7 @@
         for _ in 0..boxes {
             let mut budget = SharedRetryBudget::starting_at(at(life));
             for ms in (life..until).step_by(100) {
-                while budget.take(at(ms), &bounds, boxes) {
+                while send(&mut budget, at(ms), &bounds, boxes) {
                     taken_at.push(ms);
                 }
             }
@@ -143,7 +152,7 @@
                 budget.first(at(ms), bounds);
                 next_ms += gap_ms;
             }
-            while ms >= fail_ms && budget.take(at(ms), bounds, boxes) {
+            while ms >= fail_ms && send(&mut budget, at(ms), bounds, boxes) {
                 sends.push(ms);
             }
         }
@@ -229,7 +238,7 @@
             budget.first(at(ms), bounds);
             firsts.push(ms);
         }
-        while ms >= simulated.fails_ms && budget.take(at(ms), bounds, boxes) {
+        while ms >= simulated.fails_ms && send(&mut budget, at(ms), bounds, boxes) {
             seconds.push(ms);
         }
     }
@@ -266,3 +275,54 @@
         }
     }
 }
+
+#[test]
+fn a_retry_counts_from_when_it_is_taken_until_a_window_after_it_arrived() {
+    let mut budget = SharedRetryBudget::default();
+    let allowed = (0..).take_while(|_| budget.take(at(0), &BOUNDS, 8)).count();
+    assert!(allowed > 0);
+    assert_eq!(taken(&mut budget, at(60_000), 8), 0);
+    budget.settle(at(61_000), at(64_000), &BOUNDS);
+    assert_eq!(taken(&mut budget, at(70_900), 8), 0);
+    assert_eq!(taken(&mut budget, at(71_600), 8), 1);
+    budget.put_back();
+    assert_eq!(taken(&mut budget, at(71_700), 8), 1);
+}
+
+/// Times until a retry arrives, and from then until the box knows, in ms.
+fn delays() -> impl Strategy<Value = Vec<(u64, u64)>> {
+    prop::collection::vec((0..15_000_u64, 0..3_000_u64), 1..40)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(78),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(60)
+    })]
+
+    #[test]
+    fn no_window_of_arrivals_exceeds_the_bound_however_late_targets_read(delays in delays(), boxes in 1..12_u32) {
+        let mut budget = SharedRetryBudget::default();
+        let mut arrivals = Vec::new();
+        // Times at which retries settle, with the time at which each is known.
+        let mut pending: Vec<(u64, u64)> = Vec::new();
+        for ms in (0..END_MS).step_by(STEP_MS as usize) {
+            pending.retain(|(settled, known)| {
+                if *known <= ms {
+                    budget.settle(at(*settled), at(ms), &BOUNDS);
+                }
+                *known > ms
+            });
+            while budget.take(at(ms), &BOUNDS, boxes) {
+                let (delay, lag) = delays[arrivals.len() % delays.len()];
+                arrivals.push(ms + delay);
+                pending.push((ms + delay, ms + delay + lag));
+            }
+        }
+        arrivals.sort_unstable();
+        let most = most_in_a_window(&arrivals, BOUNDS.window);
+        let allowed = BOUNDS.slack / f64::from(boxes);
+        prop_assert!(most as f64 <= allowed, "{most} of {allowed}");
+    }
+}
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -14,7 +14,8 @@
 use crate::configuration::confirmed_by;
 use crate::exchange::SendFailure;
 use crate::relay::Relay;
-use crate::retries::{Allowance, Retry, RetryCause, SendProgress};
+use crate::retries::{CurrentSend, RetryCause, SendProgress};
+use crate::second_sends::Allowance;
 use crate::serve::Call;
 
 /// Maximum number of sends of one request. Includes refused sends, since each costs shared budget.
@@ -39,15 +40,14 @@
 pub(crate) struct Attempts {
     state: State,
     records: Vec<SendRecord>,
-    /// Whether the next send takes nothing from the budget. True for the first send, and for the replacement of a
-    /// send that failed to connect.
-    is_next_free: bool,
-    /// The allowance that pays for the next send, if one was taken for it.
+    /// Pays for the next send, if that is a second send.
     allowance: Option<Allowance>,
     /// Why the next send is needed, if it is not the first one.
     cause: RetryCause,
     /// The last send.
-    progress: Rc<SendProgress>,
+    current: Option<CurrentSend>,
+    /// The last send that was written.
+    last_written: Option<Rc<SendProgress>>,
     /// Whether a send reached a target, so that a further one counts as a second send.
     has_reached_target: bool,
     /// Number of sends that may have run, at least in part.
@@ -67,10 +67,10 @@
         Attempts {
             state: State::Admitted(Life::default().admit()),
             records: Vec::new(),
-            is_next_free: true,
             allowance: None,
             cause: RetryCause::Lost,
-            progress: Rc::new(SendProgress::new(0, None, String::new())),
+            current: None,
+            last_written: None,
             has_reached_target: false,
             possible_runs: call.possible_runs.get(),
             reported_runs: call.possible_runs.clone(),
@@ -130,14 +130,10 @@
 
     /// Returns whether the next send is paid for, taking a second send from the shared budget if one is needed.
     fn take_allowance(&mut self, relay: &Relay, call: &Call) -> bool {
-        if !self.is_next_free && relay.take_second_send(&call.service_name) {
-            self.is_next_free = true;
-            self.allowance = Some(Allowance {
-                taken_at: relay.now(),
-                left: call.left(relay),
-            });
+        if self.has_reached_target && self.allowance.is_none() {
+            self.allowance = relay.take_second_send(&call.service_name, call.left(relay));
         }
-        self.is_next_free
+        !self.has_reached_target || self.allowance.is_some()
     }
 
     /// Returns the number of sends that may have run, at least in part.
@@ -154,25 +150,38 @@
             remote_running: 0.0,
             expected_first: call.route.objective,
         });
-        self.begin_progress(call);
-        self.progress.written(relay, call);
+        self.begin_send(relay, call, None).written(relay, call);
         self.transition(State::dispatch);
     }
 
-    fn begin_progress(&mut self, call: &Call) {
+    /// Starts the send that was recorded last, to the target in row `key`.
+    fn begin_send(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        key: Option<EngineKey>,
+    ) -> Rc<SendProgress> {
         let is_retry = self.has_reached_target || (call.is_handoff && self.possible_runs > 0);
-        let retry = is_retry.then_some(Retry {
-            cause: self.cause,
-            allowance: self.allowance,
-        });
+        let cause = is_retry.then_some(self.cause);
         let targets = self.records.last().map(|record| record.targets.clone());
-        let progress = SendProgress::new(self.sends(), retry, targets.unwrap_or_default());
-        self.progress = Rc::new(progress);
+        let send = SendProgress::new(relay, self.sends(), cause, targets.unwrap_or_default(), key)
+            .paid_by(self.allowance.take())
+            .after(self.last_written.clone());
+        let send = Rc::new(send);
+        self.current = Some(CurrentSend(send.clone()));
+        send
+    }
+
+    /// Puts the allowance for a second send back that found no target, since the request now waits.
+    pub fn put_back_allowance(&mut self) {
+        self.allowance = None;
     }
 
-    /// Returns the progress of the last send.
-    pub fn progress(&self) -> Rc<SendProgress> {
-        self.progress.clone()
+    /// Records that the head of the response to a handoff arrived: a target of the other box has read the request.
+    pub fn handoff_begun(&self, relay: &Relay, call: &Call) {
+        if let Some(current) = &self.current {
+            current.0.read(relay, call);
+        }
     }
 
     /// Records that the box that took over the request responded.
@@ -201,14 +210,20 @@
     }
 
     /// Records the start of a send to target `key`.
-    pub fn begin(&mut self, relay: &Relay, call: &Call, key: EngineKey, record: SendRecord) {
+    pub fn begin(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        key: EngineKey,
+        record: SendRecord,
+    ) -> Rc<SendProgress> {
         relay.count(|tally| tally.sends += 1);
         relay.count_in_back_off(key);
         relay.use_permit(key);
         self.records.push(record);
         self.reported_runs.set(self.possible_runs + 1);
-        self.begin_progress(call);
         self.transition(State::dispatch);
+        self.begin_send(relay, call, Some(key))
     }
 
     /// Records that the targets responded or began to respond; `cause` is that of a retry that may follow.
@@ -219,17 +234,21 @@
         self.transition(State::stream);
     }
 
-    /// Uses up the allowance of the last send, which reached a target.
+    /// Records that the last send reached a target, so that a further one needs an allowance of its own.
     fn use_allowance(&mut self) {
-        self.is_next_free = false;
-        self.allowance = None;
         self.has_reached_target = true;
+        let current = self.current.as_ref().map(|current| current.0.clone());
+        self.last_written = current.or(self.last_written.take());
     }
 
     /// Records that the last send yielded no response; returns whether time for another is left.
     pub fn failed(&mut self, relay: &Relay, call: &Call, why: SendFailure) -> bool {
-        if !matches!(why, SendFailure::NotRun(NeverStarted::ConnectFailed, _)) {
-            self.use_allowance();
+        match why {
+            SendFailure::NotRun(NeverStarted::ConnectFailed, _) => {
+                let current = self.current.as_ref();
+                self.allowance = current.and_then(|current| current.0.not_written());
+            }
+            _ => self.use_allowance(),
         }
         match why {
             SendFailure::NotRun(proof, why) => {
@@ -247,17 +266,24 @@
                 log::info!(event = "lost", id = &*call.head.id, why = &*why, send = self.sends(); "an answer was lost");
                 relay.count(|tally| tally.sends_lost += 1);
                 self.cause = RetryCause::Lost;
-                self.progress.unread(relay, call);
+                self.give_up_send(relay, call);
                 self.possible_runs += 1;
             }
             SendFailure::Late => {
                 self.is_timed_out = true;
-                self.progress.unread(relay, call);
+                self.give_up_send(relay, call);
             }
         }
         !self.is_timed_out
     }
 
+    /// Records that the last send is given up; its target may still read it.
+    fn give_up_send(&self, relay: &Relay, call: &Call) {
+        if let Some(current) = &self.current {
+            current.0.give_up(relay, call);
+        }
+    }
+
     /// Gives up the request and returns the final response. `back_off` is the time until targets that this box
     /// backs off from can serve it.
     pub fn give_up(self, relay: &Relay, call: &Call, back_off: Option<Duration>) -> Response<Body> {
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -93,6 +93,7 @@
         .answer(response.status().as_u16(), response.headers());
     if head.id.is_none() || matches_request(call, &head) {
         progress.read(relay, call);
+        relay.note_response(from.key);
     }
     let now = relay.now();
     let mut fleet = relay.fleet.borrow_mut();
--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -193,6 +193,7 @@
         }
         Some(Ok(Ok(head))) => head,
     };
+    attempts.handoff_begun(relay, call);
     let possible_runs = Rc::new(Cell::new(attempts.possible_runs() + 1));
     let body = body(relay.clone(), link, guard, silence, possible_runs.clone());
     let response = response(head, body).map_err(SendFailure::Lost)?;
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -139,6 +139,12 @@
         "Boxes among which this one shares the budget of second sends",
         i64::from(relay.boxes()),
     );
+    gauge(
+        &mut registry,
+        "second_sends_pending",
+        "Second sends that count until their targets have read them",
+        relay.second_sends_pending(),
+    );
     gauge(
         &mut registry,
         "configuration_version",
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -35,7 +35,7 @@
 use crate::quarantine::QuarantineState;
 use crate::resources::Resources;
 use crate::rhythm::ReadIntervals;
-use crate::second_sends::SecondSends;
+use crate::second_sends::{Allowance, SecondSends};
 use crate::share::PageCache;
 use crate::shares::ShareState;
 use crate::slow_engines::SlowEngines;
@@ -108,7 +108,7 @@
     pub(crate) domain_checks: DomainChecks,
     /// Generation of the group that `members` was read at.
     group_generation: Cell<Generation>,
-    second_sends: SecondSends,
+    pub(crate) second_sends: SecondSends,
     mean_run_time: Cell<Duration>,
     direct: watch::Sender<bool>,
     slow_engines: SlowEngines,
@@ -500,7 +500,7 @@
 
     /// Counts a request towards the second-send budget and the demand of its service.
     pub fn count_request(&self, service: &Arc<str>) {
-        let bounds = self.settings.borrow().budget;
+        let bounds = self.budget_bounds();
         self.second_sends
             .count_request(service, self.now(), &bounds);
         self.count_demand(service);
@@ -512,21 +512,36 @@
         self.limits.count(service, self.now());
     }
 
-    /// Takes one second send from the budget of a service; returns whether the budget allowed it.
-    pub fn take_second_send(&self, service: &Arc<str>) -> bool {
-        let bounds = self.settings.borrow().budget;
-        let boxes = self.boxes();
-        let taken = self.second_sends.take(service, self.now(), &bounds, boxes);
+    /// Returns the bounds of the budget of each service.
+    pub(crate) fn budget_bounds(&self) -> BudgetBounds {
+        self.settings.borrow().budget
+    }
+
+    /// Takes one second send from the budget of a service if it allows it, for a request that has `left` until its deadline.
+    pub(crate) fn take_second_send(&self, service: &Arc<str>, left: Duration) -> Option<Allowance> {
+        let taken = self.second_sends.take(self, service, left);
         self.count(|tally| match taken {
-            true => tally.second_sends += 1,
-            false => tally.second_sends_denied += 1,
+            Some(_) => tally.second_sends += 1,
+            None => tally.second_sends_denied += 1,
         });
         taken
     }
 
+    /// Returns the second sends that their targets may not have read yet.
+    pub(crate) fn second_sends_pending(&self) -> u32 {
+        self.second_sends.pending()
+    }
+
+    /// Records that this box received a response of a target, or a part of one.
+    pub(crate) fn note_response(&self, key: EngineKey) {
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            engine.responded_at = Some(self.now());
+        }
+    }
+
     /// Returns the retries of this box to a service that count in the current window of the budget.
     pub(crate) fn retries_counted(&self, service: &Arc<str>) -> u32 {
-        let bounds = self.settings.borrow().budget;
+        let bounds = self.budget_bounds();
         self.second_sends.counted(service, self.now(), &bounds)
     }
 
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -437,6 +437,7 @@
             return;
         }
         relay.progress.borrow_mut().note(self.engines(), now);
+        relay.note_response(self.first.key);
         if gap > MIN_SLOW_GAP && gap > self.timing.expected_gap.mul_f64(SLOW_GAP_FACTOR) {
             relay.note_slow(self.engines());
         }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -68,6 +68,7 @@
         }
         let Some(selection) = selection else {
             let would_serve = send::would_serve(relay, &call, &attempts.avoid);
+            attempts.put_back_allowance();
             if relay.await_permits(&call, would_serve).await {
                 continue;
             }
@@ -279,7 +280,10 @@
     stream.queue.wait_until_consumed().await;
     match resume(relay, call, attempts, stream.splitter, relay.now()).await {
         Some(other) => Continuation::Resumed(Box::new(other)),
-        None => Continuation::SameChain,
+        None => {
+            attempts.put_back_allowance();
+            Continuation::SameChain
+        }
     }
 }
 
@@ -331,6 +335,7 @@
             if relay.now() >= until || !attempts.may_run(call) {
                 return None;
             }
+            attempts.put_back_allowance();
             tokio::time::sleep(RESUME_RETRY_INTERVAL).await;
             continue;
         };
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{self, Recipient, SendFailure, TargetBody};
 use crate::occupied::RequestGuard;
 use crate::relay::Relay;
+use crate::retries::SendProgress;
 use crate::serve::Call;
 use crate::stream::chain::{FIRST_EVENT_MARGIN, RunningChain, Timing, find_dead_among_silent};
 use crate::stream::repair::{self, AcceptedRepair, Outcome, Repair};
@@ -55,6 +56,18 @@
     }
 }
 
+/// The engine that a send goes to, and the progress of the send.
+struct Destination<'a> {
+    to: &'a Recipient,
+    progress: &'a Rc<SendProgress>,
+}
+
+/// An answer of which the head has arrived, and the send that it answers.
+struct Head {
+    answer: Answer,
+    progress: Rc<SendProgress>,
+}
+
 /// The answer of the engines.
 pub(super) enum EngineAnswer {
     /// The head of a stream, and the chain that produces its events.
@@ -180,7 +193,7 @@
     attempts: &mut Attempts,
 ) -> Result<EngineAnswer, SendFailure> {
     let key = selection.engines[0];
-    attempts.begin(relay, call, key, send_record(relay, call, &selection));
+    let progress = attempts.begin(relay, call, key, send_record(relay, call, &selection));
     let to = exchange::recipient(relay, key)?;
     let need = need(call);
     let mut occupied =
@@ -191,12 +204,16 @@
         call,
         &mut selection,
         &mut occupied,
-        &to,
+        Destination {
+            to: &to,
+            progress: &progress,
+        },
         last,
         attempts,
     )
     .await?;
-    let mut answered = evaluate_head(relay, call, answer, to, occupied, timing, attempts).await?;
+    let head = Head { answer, progress };
+    let mut answered = evaluate_head(relay, call, head, to, occupied, timing, attempts).await?;
     if let EngineAnswer::Stream(answer) = &mut answered {
         answer.1.set_path(selection.path, last, selection.repairs);
     }
@@ -209,10 +226,11 @@
     call: &Call,
     selection: &mut Selection,
     occupied: &mut RequestGuard,
-    to: &Recipient,
+    destination: Destination<'_>,
     last: Option<u64>,
     attempts: &mut Attempts,
 ) -> Result<Answer, SendFailure> {
+    let Destination { to, progress } = destination;
     let (key, address, started_at) = (to.key, to.address, relay.now());
     let add = AddedFields {
         deadline: call.left(relay),
@@ -228,7 +246,6 @@
         false => None,
     };
     let is_reused = pooled.is_some();
-    let progress = attempts.progress();
     let on_write = || progress.written(relay, call);
     let mut sending = std::pin::pin!(async {
         match pooled {
@@ -323,14 +340,15 @@
 async fn evaluate_head(
     relay: &Rc<Relay>,
     call: &Call,
-    answer: Answer,
+    head: Head,
     from: Recipient,
     occupied: RequestGuard,
     timing: Timing,
     attempts: &mut Attempts,
 ) -> Result<EngineAnswer, SendFailure> {
+    let Head { answer, progress } = head;
     let status = answer.response.status();
-    let head = exchange::decode_head(relay, call, &from, &answer.response, &attempts.progress());
+    let head = exchange::decode_head(relay, call, &from, &answer.response, &progress);
     if exchange::proves_not_run(call, &head) {
         return Err(handle_refusal(relay, &occupied, &head, status, attempts).await);
     }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -54,6 +54,7 @@
         }
         let Some(found) = found else {
             let would_serve = choose(relay, call, &attempts.avoid, Limits::Ignored).is_some();
+            attempts.put_back_allowance();
             if relay.await_permits(call, would_serve).await {
                 continue;
             }
@@ -63,10 +64,10 @@
             break;
         }
         let key = found.engine;
-        attempts.begin(relay, call, key, send_record(relay, call, key));
+        let progress = attempts.begin(relay, call, key, send_record(relay, call, key));
         attempts.avoid.push(key);
         let sent_at = relay.now();
-        match send(relay, call, key, &attempts.progress()).await {
+        match send(relay, call, key, &progress).await {
             Ok(response) => {
                 attempts.answered(RetryCause::Failure);
                 let took = relay.now().since(sent_at);
@@ -186,7 +187,7 @@
     relay: &Rc<Relay>,
     call: &Call,
     key: EngineKey,
-    progress: &SendProgress,
+    progress: &Rc<SendProgress>,
 ) -> Result<Response<Body>, SendFailure> {
     let to = exchange::recipient(relay, key)?;
     let occupied = RequestGuard::new(relay, vec![key], 0.0, 0.0);
