fix(relay): the sends that another box states before the head of its response count

A box that takes a request over states with each heartbeat how many sends of it may have run. Heartbeats before the head of the response were dropped, so that a box which broke off then counted as one run: a request that may run twice could run on a third engine.

--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -38,6 +38,12 @@
     pub possible_runs: Rc<Cell<u32>>,
 }
 
+/// An open connection to the box at `ip`.
+struct OpenLink {
+    link: Link,
+    ip: IpAddr,
+}
+
 /// Counts a request as running at another box until it is dropped.
 struct RunningGuard {
     relay: Rc<Relay>,
@@ -79,9 +85,15 @@
             return None;
         }
         attempts.begin_handoff(relay, call, ip);
-        match exchange(relay, call, attempts, link, ip, last).await {
+        let possible_runs = Rc::new(Cell::new(attempts.possible_runs() + 1));
+        let link = OpenLink { link, ip };
+        match exchange(relay, call, attempts, link, last, &possible_runs).await {
             Ok(handoff) => return Some(handoff),
             Err(why) => {
+                if let SendFailure::Lost(_) = why {
+                    // The last of these sends is counted as lost below.
+                    attempts.handoff_lost(possible_runs.get().saturating_sub(1));
+                }
                 if !attempts.failed(relay, call, why) {
                     return None;
                 }
@@ -153,15 +165,17 @@
     }
 }
 
-/// Sends the request to the box at `ip` and waits for the head of the response.
+/// Sends the request to a box and waits for the head of the response. `possible_runs` is set to the number of sends that may have
+/// run, as stated by that box.
 async fn exchange(
     relay: &Rc<Relay>,
     call: &Call,
     attempts: &Attempts,
-    mut link: Link,
-    ip: IpAddr,
+    link: OpenLink,
     last: Option<u64>,
+    possible_runs: &Rc<Cell<u32>>,
 ) -> Result<Handoff, SendFailure> {
+    let OpenLink { mut link, ip } = link;
     let guard = RunningGuard::new(relay, ip);
     let silence = call.route.is_repeatable().then_some(SILENCE_TIMEOUT);
     let request = request(relay, call, attempts, last);
@@ -170,7 +184,9 @@
         loop {
             match receive_within(&mut link, silence).await? {
                 Message::Head(head) => return Ok::<_, String>(head),
-                Message::Data(data) if data.data.is_empty() => {}
+                Message::Data(data) if data.data.is_empty() => {
+                    possible_runs.set(possible_runs.get().max(data.possible_runs));
+                }
                 other => return Err(format!("expected a head, received {other:?}")),
             }
         }
@@ -194,13 +210,12 @@
         Some(Ok(Ok(head))) => head,
     };
     attempts.handoff_begun(relay, call);
-    let possible_runs = Rc::new(Cell::new(attempts.possible_runs() + 1));
     let body = body(relay.clone(), link, guard, silence, possible_runs.clone());
     let response = response(head, body).map_err(SendFailure::Lost)?;
     relay.count(|tally| tally.requests_handed_over += 1);
     Ok(Handoff {
         response,
-        possible_runs,
+        possible_runs: possible_runs.clone(),
     })
 }
 
