fix(core): a run that starts while targets are silent leaves room for what an earlier run left unread

A run counts as new for one window, so that it and an earlier run together keep the bound. A run now counts as new for as long more as a sound target may be silent, two seconds; the slack that it earns grows over that time.

--- a/reachtally-core/src/forward/budget.rs
+++ b/reachtally-core/src/forward/budget.rs
@@ -3,8 +3,9 @@
 //! Boxes do not coordinate before a retry. Each uses the part of the ratio that its own
 //! requests earn and an equal share of the fixed slack, so that the sum stays within the bound.
 //!
-//! A box does not know what its previous run used, although the window still counts it. A run
-//! therefore counts as new for one window, and the bound is split into one part for settled runs
+//! A box does not know what its previous run used, although the window still counts it, nor what of
+//! that targets have not read yet. A run therefore counts as new for one window and
+//! [`MAX_READ_DELAY`], and the bound is split into one part for settled runs
 //! and one for new runs. Within any window, the settled run uses at most the first part and all new
 //! runs after it together use at most the second, however often the box restarts.
 //!
@@ -26,6 +27,9 @@
 /// proportion to the elapsed time. The remainder covers boxes that were added or removed since the
 /// last count.
 const NEW_RUN_FRACTION: f64 = 0.2;
+/// Longest time for which a sound target is assumed to leave a request unread, and so the time for which retries of
+/// a run may arrive after it ended.
+const MAX_READ_DELAY: Duration = Duration::from_secs(2);
 
 /// Bounds on the retries to one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -66,13 +70,13 @@
         }
     }
 
-    /// Returns the part of a window that has elapsed since the run started, at most 1.
+    /// Returns the part of the time as a new run that has elapsed since the run started, at most 1.
     fn elapsed_fraction(&self, now: Instant, bounds: &BudgetBounds) -> f64 {
         let Some(started) = self.started else {
             return 1.0;
         };
-        let window = bounds.window.as_secs_f64().max(f64::MIN_POSITIVE);
-        (now.since(started).as_secs_f64() / window).min(1.0)
+        let as_new_run = bounds.window + MAX_READ_DELAY;
+        (now.since(started).as_secs_f64() / as_new_run.as_secs_f64()).min(1.0)
     }
 
     /// Counts a request.
