fix(core, relay): a retry of a plain request goes only to a target that reads what it is sent

Targets were given more time than callers had left: a plain request that one target refused went on to the next at once, with the time that was left when it was written. A stopped target accepts connections all the same, by its system, and read it when it went on, a second later.

What is written can't be taken back, and less time for each retry would end those that are read at once. So a target is asked whether it is well before it gets one, unless it responded in the last 20 ms; one without a response in 150 ms is left alone for as long as one that is full. Any response will do, since it shows that the process runs. Only retries pay for it, which the budget bounds. First sends are as they were: the rule counts none.

--- a/reachtally-bench/src/relay/boxed.rs
+++ b/reachtally-bench/src/relay/boxed.rs
@@ -90,6 +90,7 @@
     let mut table = Table::new(1);
     let service = Service {
         max_connections: 100_000,
+        health_path: "/health".into(),
         model: Some(model.into()),
     };
     table.services.insert("pool".into(), service);
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -9,6 +9,8 @@
 /// How long a reported slowdown factor is valid. Slowdowns last some seconds, and asking again is
 /// cheap.
 const SLOWDOWN_TTL: Duration = Duration::from_millis(2500);
+/// Time for which a response shows that the target reads what it is sent.
+const RESPONSE_TTL: Duration = Duration::from_millis(20);
 /// How long the number of running requests that an instance of a plain service reported with an
 /// answer is valid: about the time until box reports are known everywhere, and a few times the
 /// duration of its requests.
@@ -69,6 +71,12 @@
 }
 
 impl Engine {
+    /// Returns whether the target has responded to this box so recently that it is taken to read what it is sent now.
+    pub fn has_just_responded(&self, now: Instant) -> bool {
+        self.responded_at
+            .is_some_and(|at| now.since(at) < RESPONSE_TTL)
+    }
+
     /// Creates a target from an entry read at `now` and the notice retained for its run.
     pub(super) fn new(entry: Entry, notice: Notice, now: Instant) -> Self {
         Engine {
--- a/reachtally-core/src/forward/routes.rs
+++ b/reachtally-core/src/forward/routes.rs
@@ -102,6 +102,8 @@
 pub struct Service {
     /// Maximum number of connections to each of its targets from all boxes together.
     pub max_connections: u32,
+    /// Path at which each of its targets answers whether it is well.
+    pub health_path: Arc<str>,
     /// The layered model its engines run; `None` for plain services.
     pub model: Option<Arc<LayerModel>>,
 }
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -67,6 +67,10 @@
         retries_written,
         /// Retries that their targets answered, so that they have read them.
         retries_read,
+        /// Targets asked whether they read what they are sent, before a retry.
+        reads_checked,
+        /// Those that did not respond, so that the retry went elsewhere.
+        reads_unconfirmed,
         /// Sends given up without a response, which their targets may still read.
         sends_unread,
         /// Targets found to take no connections.
--- a/reachtally-relay/src/retries.rs
+++ b/reachtally-relay/src/retries.rs
@@ -93,6 +93,11 @@
         SendProgress { before, ..self }
     }
 
+    /// Returns whether it is a retry.
+    pub fn is_retry(&self) -> bool {
+        self.cause.is_some()
+    }
+
     /// Returns the allowance of a send that can't arrive any more, or was not written.
     pub fn take_allowance(&self) -> Option<Allowance> {
         self.allowance.take()
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
+use hyper::header::HOST;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -46,6 +47,24 @@
     }
 }
 
+/// Asks the target at `address` whether it is well, at `path`. Any response shows that it reads what it is sent: the system accepts
+/// connections for a process that is stopped.
+///
+/// # Errors
+/// [`DialError::Silent`] if there is no response in time; otherwise see [`DialError`].
+pub(crate) async fn check_reads(address: SocketAddr, path: &str) -> Result<(), DialError> {
+    let failed =
+        |err: &dyn std::fmt::Display| DialError::Refused(std::io::Error::other(err.to_string()));
+    let req = Request::get(path).header(HOST, address.to_string());
+    let req = req.body(Full::default()).map_err(|err| failed(&err))?;
+    match tokio::time::timeout(CONNECT_TIMEOUT, send(address, req, || ())).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(SendError::NotConnected(why))) => Err(why),
+        Ok(Err(SendError::Broken(why) | SendError::Stale(why))) => Err(failed(&why)),
+        Err(_) => Err(DialError::Silent),
+    }
+}
+
 /// Returns whether the machine at `address` is up and actively refuses connections.
 pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
     probe(address).await == Probe::Refused
--- a/reachtally-relay/src/targets/answers.rs
+++ b/reachtally-relay/src/targets/answers.rs
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Records that a target does not read what it is sent. It gets the same cooldown as one that is at capacity.
+    pub fn target_unread(&self, key: EngineKey) {
+        let now = self.now();
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            engine.health.refused(now);
+        }
+    }
+
     /// Applies what a target states about itself in an answer.
     pub fn apply_statement(&self, run: &TargetRun, statement: Statement) {
         if let Some(back_off) = statement.back_off {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -8,7 +8,7 @@
 use hyper::Response;
 use hyper::body::{Body as HttpBody, Frame};
 use reachtally_core::forward::admission::Offer;
-use reachtally_core::forward::fleet::EngineKey;
+use reachtally_core::forward::fleet::{Engine, EngineKey};
 use reachtally_core::forward::select::{self, ConnectionLimit, Instance, Limits, SelectionContext};
 use reachtally_core::life::NeverStarted;
 
@@ -23,7 +23,7 @@
 use crate::retries::{RetryCause, SendProgress};
 use crate::serve::Call;
 use crate::startup::Milestone;
-use crate::target::{self, SendError};
+use crate::target::{self, DialError, SendError};
 use crate::wire::AddedFields;
 
 /// Responses up to this size are buffered completely before they are passed on, so that a request whose
@@ -191,6 +191,9 @@
 ) -> Result<Response<Body>, SendFailure> {
     let to = exchange::recipient(relay, key)?;
     let occupied = RequestGuard::new(relay, vec![key], 0.0, 0.0);
+    if progress.is_retry() || call.is_handoff {
+        confirm_reads(relay, call, &to).await?;
+    }
     let add = AddedFields {
         deadline: call.left(relay),
         target_run: &to.run.id,
@@ -235,6 +238,40 @@
     Ok(Response::from_parts(parts, body))
 }
 
+/// Makes sure that a target reads what it is sent, unless it has just shown that. A retry that it read late would give it more time than
+/// remains, since the time left is stated when the request is written.
+async fn confirm_reads(relay: &Relay, call: &Call, to: &Recipient) -> Result<(), SendFailure> {
+    let now = relay.now();
+    let has_just_responded = |engine: &Engine| engine.has_just_responded(now);
+    if relay
+        .fleet
+        .borrow()
+        .get(to.key)
+        .is_some_and(has_just_responded)
+    {
+        return Ok(());
+    }
+    relay.count(|tally| tally.reads_checked += 1);
+    let checking = target::check_reads(to.address, &call.service.health_path);
+    match relay.run_until(call.due, checking).await {
+        None => Err(SendFailure::Late),
+        Some(Ok(())) => {
+            relay.note_response(to.key);
+            Ok(())
+        }
+        Some(Err(why)) => {
+            relay.count(|tally| tally.reads_unconfirmed += 1);
+            if let DialError::Silent = why {
+                log::info!(event = "reads-unconfirmed", id = &*call.head.id, target = &*to.run.id; "target does not respond to a health check; the request goes elsewhere");
+                relay.target_unread(to.key);
+                let why = "no response to a health check".to_owned();
+                return Err(SendFailure::NotRun(NeverStarted::ConnectFailed, why));
+            }
+            Err(exchange::connect_failed(relay, to.key, &why))
+        }
+    }
+}
+
 /// Handles a connection that the target closed: it has failed, and the request may have crashed it.
 async fn target_disconnected(
     relay: &Relay,
