--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -317,36 +317,41 @@
 
 fn times(times: &Times) -> Registry {
     let mut registry = Registry::with_prefix(PREFIX);
-    registry.register(
-        "first_event_seconds",
-        "Time to a stream's first event",
-        times.first_event.clone(),
-    );
-    registry.register(
-        "longest_gap_seconds",
-        "Longest gap in a stream",
-        times.longest_gap.clone(),
-    );
-    registry.register(
-        "answer_seconds",
-        "Time to the end of an answer",
-        times.answer.clone(),
-    );
-    registry.register(
-        "retry_allowance_age_seconds",
-        "Time from taking the allowance of a retry until the retry is written",
-        times.allowance_age.clone(),
-    );
-    registry.register(
-        "retry_read_seconds",
-        "Time from writing a retry until its target has read it",
-        times.retry_read.clone(),
-    );
-    registry.register(
-        "run_queue_seconds",
-        "Time for which an event of a stream would have waited for the processor",
-        times.run_queue.clone(),
-    );
+    let histograms = [
+        (
+            "first_event_seconds",
+            "Time to a stream's first event",
+            &times.first_event,
+        ),
+        (
+            "longest_gap_seconds",
+            "Longest gap in a stream",
+            &times.longest_gap,
+        ),
+        (
+            "answer_seconds",
+            "Time to the end of an answer",
+            &times.answer,
+        ),
+        (
+            "retry_allowance_age_seconds",
+            "Time from taking the allowance of a retry until the retry is written",
+            &times.allowance_age,
+        ),
+        (
+            "retry_read_seconds",
+            "Time from writing a retry until its target has read it",
+            &times.retry_read,
+        ),
+        (
+            "run_queue_seconds",
+            "Time for which an event of a stream would have waited for the processor",
+            &times.run_queue,
+        ),
+    ];
+    for (name, meaning, histogram) in histograms {
+        registry.register(name, meaning, histogram.clone());
+    }
     let by_rank = &times.by_rank;
     let counters = [
         (
