fix(relay): what a target states in its response to a health check counts as in any other answer

A health check before a retry may be answered 503 with Retry-After, or with Server-Leaving or Server-Limit. These were dropped and the retry was sent all the same, to a target that had just asked this box for a rest. The statement is applied as those of other answers are, by the same function, and a target that accepts no requests gets none; the retry goes elsewhere.

--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -52,13 +52,16 @@
 ///
 /// # Errors
 /// [`DialError::Silent`] if there is no response in time; otherwise see [`DialError`].
-pub(crate) async fn check_reads(address: SocketAddr, path: &str) -> Result<(), DialError> {
+pub(crate) async fn check_reads(
+    address: SocketAddr,
+    path: &str,
+) -> Result<Response<Incoming>, DialError> {
     let failed =
         |err: &dyn std::fmt::Display| DialError::Refused(std::io::Error::other(err.to_string()));
     let req = Request::get(path).header(HOST, address.to_string());
     let req = req.body(Full::default()).map_err(|err| failed(&err))?;
     match tokio::time::timeout(CONNECT_TIMEOUT, send(address, req, || ())).await {
-        Ok(Ok(_)) => Ok(()),
+        Ok(Ok(answer)) => Ok(answer.response),
         Ok(Err(SendError::NotConnected(why))) => Err(why),
         Ok(Err(SendError::Broken(why) | SendError::Stale(why))) => Err(failed(&why)),
         Err(_) => Err(DialError::Silent),
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -255,9 +255,18 @@
     let checking = target::check_reads(to.address, &call.service.health_path);
     match relay.run_until(call.due, checking).await {
         None => Err(SendFailure::Late),
-        Some(Ok(())) => {
+        Some(Ok(response)) => {
             relay.note_response(to.key);
-            Ok(())
+            let head = relay
+                .wire
+                .answer(response.status().as_u16(), response.headers());
+            relay.apply_statement(&to.run, head.statement);
+            if head.statement.accepts_requests() {
+                return Ok(());
+            }
+            let why = "the target accepts no requests, by its response to a health check";
+            let never_started = NeverStarted::ConnectFailed;
+            Err(SendFailure::NotRun(never_started, why.to_owned()))
         }
         Some(Err(why)) => {
             relay.count(|tally| tally.reads_unconfirmed += 1);
