feat(relay): who ended a response early, and the view that a placement is based on, in logs and metrics

Before this, logs could not tell a target that crashed from one that gave up layers on an order, a plain response that broke off or was cut left no line, and an order did not say which layers were missing nor on what evidence and of which age their engines counted as gone.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -10,15 +10,17 @@
 use crate::forward::limit::{RateLimit, StatedLimit};
 use crate::time::Instant;
 
+mod absence;
 mod engine;
 mod entry;
 mod health;
 mod notice;
 mod queue;
 
+pub use absence::{Absence, AbsenceReason};
 pub use engine::Engine;
 pub use entry::{Entry, EntrySource, RunMark, RunOrder, StartTime, TargetRun};
-pub use health::Health;
+pub use health::{Evidence, Health, Unresponsive};
 pub use notice::Notice;
 use notice::Notices;
 pub use queue::{QUEUE_TTL, Queues, StatedQueue};
--- /dev/null
+++ b/reachtally-core/src/forward/fleet/absence.rs
@@ -0,0 +1,67 @@
+//! Why a target takes no requests from this box.
+
+use std::fmt;
+
+use super::{Engine, Evidence};
+use crate::time::Instant;
+
+/// Why a target takes no requests from this box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AbsenceReason {
+    /// Another target has its address.
+    Superseded,
+    /// Its machine refuses connections.
+    Refused,
+    /// It announced that it is leaving.
+    Leaving,
+    /// Its entry is missing, possibly because the store lost it.
+    Missing,
+    /// It does not answer connections.
+    Silent,
+    /// This box reaches no target of its failure domain.
+    Unreachable,
+}
+
+/// Why and since when a target takes no requests from this box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Absence {
+    /// The strongest reason.
+    pub reason: AbsenceReason,
+    /// Start of the period for which the reason has been known to hold, if recorded.
+    pub since: Option<Instant>,
+}
+
+impl Absence {
+    /// Returns a description for the log.
+    pub fn describe(&self, now: Instant) -> impl fmt::Display {
+        let age = self.since.map(|since| now.since(since).as_millis());
+        let age = age.map_or_else(String::new, |ms| format!(" for {ms} ms"));
+        format!("{:?}{age}", self.reason)
+    }
+}
+
+impl Engine {
+    /// Returns why the target takes no requests from this box, unless it does.
+    pub fn absence(&self) -> Option<Absence> {
+        let absence = |reason, since| Some(Absence { reason, since });
+        let unresponsive = self.health.unresponsive();
+        let is_refused = |evidence| evidence == Evidence::Refused;
+        if self.health.is_superseded() {
+            return absence(AbsenceReason::Superseded, None);
+        }
+        if let Some(dead) = unresponsive.filter(|dead| is_refused(dead.evidence)) {
+            return absence(AbsenceReason::Refused, Some(dead.since));
+        }
+        if self.is_leaving() {
+            return absence(AbsenceReason::Leaving, None);
+        }
+        if self.missing_since.is_some() {
+            return absence(AbsenceReason::Missing, self.missing_since);
+        }
+        if let Some(dead) = unresponsive {
+            return absence(AbsenceReason::Silent, Some(dead.since));
+        }
+        let unreachable_since = self.health.unreachable_since();
+        unreachable_since.and_then(|_| absence(AbsenceReason::Unreachable, unreachable_since))
+    }
+}
--- a/reachtally-core/src/forward/fleet/health.rs
+++ b/reachtally-core/src/forward/fleet/health.rs
@@ -28,6 +28,26 @@
 /// assumed to be dead only because of that.
 const DOMAIN_CUT_DELAY: Duration = Duration::from_secs(1);
 
+/// What shows that a target accepts no connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// Its machine refused a connection: nothing listens on the port.
+    Refused,
+    /// Connections were not answered: it may be down, cut off from this box, or stopped for a moment.
+    Silent,
+}
+
+/// Why and since when a target counts as dead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unresponsive {
+    /// The strongest evidence so far.
+    pub evidence: Evidence,
+    /// Time of the first failed connection.
+    pub since: Instant,
+    /// Time of the last failed connection.
+    pub confirmed_at: Instant,
+}
+
 /// Failures of a target and the conclusions from them.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
@@ -37,8 +57,8 @@
     full_until: Option<Instant>,
     cooldown: Duration,
     failed_at: Option<Instant>,
-    /// Since when it accepts no connections.
-    dead_since: Option<Instant>,
+    /// Set while it accepts no connections.
+    unresponsive: Option<Unresponsive>,
     /// Time of the next probe while it is dead.
     probe_at: Instant,
     probe_interval: Duration,
@@ -65,13 +85,18 @@
 
     /// Whether the target is known to accept no connections.
     pub fn is_dead(&self) -> bool {
-        self.dead_since.is_some() || self.is_unreachable() || self.superseded_at.is_some()
+        self.unresponsive.is_some() || self.is_unreachable() || self.superseded_at.is_some()
     }
 
     /// Whether this box found that the target accepts no connections, or that its whole failure
     /// domain is unreachable.
     pub fn is_unresponsive(&self) -> bool {
-        (self.dead_since.is_some() || self.is_unreachable()) && self.superseded_at.is_none()
+        (self.unresponsive.is_some() || self.is_unreachable()) && self.superseded_at.is_none()
+    }
+
+    /// Returns why and since when the target accepts no connections, unless it does.
+    pub fn unresponsive(&self) -> Option<Unresponsive> {
+        self.unresponsive
     }
 
     /// Whether this box reaches no target of its failure domain.
@@ -79,6 +104,11 @@
         self.unreachable_since.is_some()
     }
 
+    /// Returns since when this box reaches no target of the failure domain, unless it does.
+    pub fn unreachable_since(&self) -> Option<Instant> {
+        self.unreachable_since
+    }
+
     /// Whether the target itself was found dead while its failure domain is reachable.
     pub fn is_individually_unresponsive(&self) -> bool {
         self.is_unresponsive() && !self.is_unreachable()
@@ -89,8 +119,15 @@
         self.probe_at
     }
 
-    /// Schedules the next probe after a failed one.
-    pub fn probe_failed(&mut self, now: Instant) {
+    /// Records a failed probe of a dead target, and schedules the next one.
+    pub fn probe_failed(&mut self, now: Instant, evidence: Evidence) {
+        if self.unresponsive.is_some() {
+            self.mark_dead(now, evidence);
+        }
+        self.schedule_probe(now);
+    }
+
+    fn schedule_probe(&mut self, now: Instant) {
         self.probe_at = now + self.probe_interval;
         self.probe_interval = (self.probe_interval * 2).min(MAX_PROBE_INTERVAL);
     }
@@ -102,8 +139,8 @@
             return;
         }
         if let Some(since) = self.unreachable_since.take() {
-            self.dead_since
-                .take_if(|at| *at + DOMAIN_CUT_DELAY >= since);
+            self.unresponsive
+                .take_if(|dead| dead.since + DOMAIN_CUT_DELAY >= since);
         }
     }
 
@@ -119,17 +156,26 @@
     }
 
     /// Records that the target did not accept a connection.
-    pub fn mark_dead(&mut self, now: Instant) {
-        if self.dead_since.is_none() {
-            self.dead_since = Some(now);
+    pub fn mark_dead(&mut self, now: Instant, evidence: Evidence) {
+        let Some(known) = &mut self.unresponsive else {
+            self.unresponsive = Some(Unresponsive {
+                evidence,
+                since: now,
+                confirmed_at: now,
+            });
             self.probe_interval = INITIAL_PROBE_INTERVAL;
-            self.probe_failed(now);
+            self.schedule_probe(now);
+            return;
+        };
+        known.confirmed_at = now;
+        if evidence == Evidence::Refused {
+            known.evidence = evidence;
         }
     }
 
     /// Records that the target accepted a connection.
     pub fn mark_alive(&mut self, now: Instant) {
-        self.dead_since = None;
+        self.unresponsive = None;
         self.alive_at = Some(now);
     }
 
@@ -140,7 +186,7 @@
     /// probed soon.
     pub(super) fn entry_written(&mut self, now: Instant) -> bool {
         let is_later = |at: Instant| now.since(at) > HEARTBEAT_DELAY;
-        if self.dead_since.is_some_and(is_later) {
+        if self.unresponsive.is_some_and(|dead| is_later(dead.since)) {
             self.probe_at = self.probe_at.min(now);
         }
         self.superseded_at.take_if(|at| is_later(*at)).is_some()
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -27,6 +27,18 @@
         requests_taken_over,
         /// Streams that ended before they were whole.
         streams_cut,
+        /// Responses that ended early since their target broke off.
+        truncated_by_target,
+        /// Responses that ended early since the box that had taken over the request broke off.
+        truncated_by_other_box,
+        /// Responses that ended early since they were due.
+        truncated_by_deadline,
+        /// Responses that ended early since their request was quarantined.
+        truncated_by_quarantine,
+        /// Responses that ended early since their caller did not read.
+        truncated_by_slow_caller,
+        /// Responses that ended early at the end of the grace period.
+        truncated_by_shutdown,
         /// Streams that went on over another chain.
         streams_resumed,
         /// Times that streams went on over a repaired path.
--- a/reachtally-core/tests/core/forward/fleet.rs
+++ b/reachtally-core/tests/core/forward/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{Entry, EntrySource, Fleet, StartTime};
+use reachtally_core::forward::fleet::{Entry, EntrySource, Evidence, Fleet, StartTime};
 
 use super::setup::{entry, run_entry};
 
@@ -42,9 +42,9 @@
         .get_mut(key)
         .expect("target exists")
         .health
-        .mark_dead(at(1_000));
+        .mark_dead(at(1_000), Evidence::Refused);
     let health = &mut fleet.get_mut(key).expect("target exists").health;
-    health.probe_failed(at(1_400));
+    health.probe_failed(at(1_400), Evidence::Refused);
     let next_probe = health.probe_at();
     for (written_at, probe_at) in [(at(1_500), next_probe), (at(2_400), at(2_400))] {
         fleet.upsert(
@@ -120,9 +120,9 @@
     let mut fleet = Fleet::default();
     let (key, _) = fleet.upsert(entry(0, "a", "small", 0..8), EntrySource::Written, at(0));
     let health = &mut fleet.get_mut(key).expect("target exists").health;
-    health.mark_dead(at(100));
+    health.mark_dead(at(100), Evidence::Refused);
     for probed_at in [700, 1_900, 4_000] {
-        health.probe_failed(at(probed_at));
+        health.probe_failed(at(probed_at), Evidence::Refused);
     }
     fleet.upsert(entry(0, "a", "small", 0..8), EntrySource::Listed, at(4_000));
     assert!(fleet.due_for_probe(at(4_100), 1).is_empty());
@@ -187,7 +187,7 @@
     let engine = fleet.get_mut(before).expect("target exists");
     engine.record_slowdown(8.0, at(0));
     engine.remote_unresponsive = 5;
-    engine.health.mark_dead(at(10));
+    engine.health.mark_dead(at(10), Evidence::Refused);
     engine.health.mark_contradicted(at(10));
     fleet.record_failure(before, at(10));
     let empty = Entry {
--- a/reachtally-core/tests/core/forward/loads.rs
+++ b/reachtally-core/tests/core/forward/loads.rs
@@ -7,7 +7,7 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::count::DomainCount;
-use reachtally_core::forward::fleet::{Engine, EntrySource, Fleet, RunMark, TargetRun};
+use reachtally_core::forward::fleet::{Engine, EntrySource, Evidence, Fleet, RunMark, TargetRun};
 use reachtally_core::forward::loads::{
     Collector, Load, Others, Part, RemoteLoads, Report, ReportPage, TargetLoad, own_report,
 };
@@ -345,7 +345,7 @@
     // Reaching another target of the service shows that the box itself is not cut off.
     let (mut here, keys) = fleet([0, 1].map(|number| entry(number, "a", "small", 0..8)));
     let health = &mut here.get_mut(keys[0]).expect("target exists").health;
-    health.mark_dead(at(0));
+    health.mark_dead(at(0), Evidence::Refused);
     let mut collector = Collector::new("north");
     let (mut remote, _) = fleet([entry(0, "a", "small", 0..8)]);
     let mut remote_loads = RemoteLoads::default();
@@ -374,7 +374,7 @@
     let reported = |fleet: &Fleet| own_report(Incarnation(1), 1, fleet, at(100)).loads.len();
     let mark = |fleet: &mut Fleet, number: usize| {
         let health = &mut fleet.get_mut(keys[number]).expect("target exists").health;
-        health.mark_dead(at(0));
+        health.mark_dead(at(0), Evidence::Refused);
     };
     mark(&mut fleet, 0);
     assert_eq!(reported(&fleet), 1);
--- a/reachtally-core/tests/core/forward/reach.rs
+++ b/reachtally-core/tests/core/forward/reach.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::fleet::Evidence;
 use reachtally_core::forward::loads::{Load, Others, RemoteLoads, TargetLoad};
 use reachtally_core::forward::reach::{ServiceReach, service_reach};
 
@@ -14,7 +15,7 @@
     let (mut fleet, keys) = fleet((0..4).map(|number| entry(number, "a", "large", 0..80)));
     for key in &keys[..3] {
         let engine = fleet.get_mut(*key).expect("the engine was added");
-        engine.health.mark_dead(now);
+        engine.health.mark_dead(now, Evidence::Refused);
     }
     let load = |number: u16, running, silent| TargetLoad {
         target: entry(number, "a", "large", 0..80).run(),
--- a/reachtally-core/tests/core/forward/select.rs
+++ b/reachtally-core/tests/core/forward/select.rs
@@ -5,7 +5,7 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::LayerModel;
-use reachtally_core::forward::fleet::{EngineKey, Entry, EntrySource, Fleet};
+use reachtally_core::forward::fleet::{EngineKey, Entry, EntrySource, Evidence, Fleet};
 use reachtally_core::forward::select::{
     Choice, LatencyObjectives, NoPathReasons, Requirements, SelectionContext, no_path_reasons, path,
 };
@@ -213,7 +213,7 @@
             .get_mut(key)
             .expect("engine exists")
             .health
-            .mark_dead(Instant::ZERO);
+            .mark_dead(Instant::ZERO, Evidence::Refused);
     }
     assert!(choose(&fleet, &[]).is_none());
     let back = Instant::from_elapsed(Duration::from_millis(100));
@@ -409,7 +409,7 @@
     assert_eq!(reasons(&fleet), full);
     let now = Instant::from_elapsed(Duration::from_secs(1));
     let row = fleet.get_mut(keys[9]).expect("engine exists");
-    row.health.mark_dead(now);
+    row.health.mark_dead(now, Evidence::Refused);
     assert_eq!(
         reasons(&fleet),
         NoPathReasons {
--- a/reachtally-relay/src/answer.rs
+++ b/reachtally-relay/src/answer.rs
@@ -1,5 +1,6 @@
 //! Responses that the relay generates itself.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,13 +11,45 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+/// Who ended a response before it was complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndedBy {
+    /// The target, or an engine of its path, broke off.
+    Target,
+    /// The box that took over the request broke off.
+    OtherBox,
+    /// This box, when the response was due.
+    Deadline,
+    /// This box, since the request is quarantined.
+    Quarantine,
+    /// This box, since the caller did not read.
+    SlowCaller,
+    /// This box, at the end of its grace period.
+    Shutdown,
+}
+
 /// Error of a response body that ended early. The connection is closed so that the caller notices.
 #[derive(Debug)]
-pub struct BodyTruncated;
+pub struct BodyTruncated {
+    /// Who ended it.
+    pub by: EndedBy,
+    /// Reason, for the log.
+    pub why: Cow<'static, str>,
+}
+
+impl BodyTruncated {
+    /// Creates the error of a body that was ended by `by`.
+    pub fn new(by: EndedBy, why: impl Into<Cow<'static, str>>) -> Self {
+        BodyTruncated {
+            by,
+            why: why.into(),
+        }
+    }
+}
 
 impl std::fmt::Display for BodyTruncated {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the response ended before it was complete")
+        write!(f, "the response ended before it was complete: {}", self.why)
     }
 }
 
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Request and response handling shared by plain requests and streams.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 
@@ -9,7 +10,7 @@
 use hyper::header::{CONTENT_ENCODING, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, Version};
-use reachtally_core::forward::fleet::{EngineKey, TargetRun};
+use reachtally_core::forward::fleet::{EngineKey, Evidence, TargetRun};
 use reachtally_core::life::NeverStarted;
 
 use crate::relay::Relay;
@@ -56,12 +57,19 @@
 /// Records a failure to connect to a target.
 pub(crate) fn connect_failed(relay: &Relay, key: EngineKey, why: &DialError) -> SendFailure {
     match why {
-        DialError::Refused(_) => relay.target_dead(key),
+        DialError::Refused(err) => relay.target_dead(key, dial_evidence(err)),
         DialError::Silent => relay.target_silent(key),
     }
     SendFailure::NotRun(NeverStarted::ConnectFailed, why.to_string())
 }
 
+fn dial_evidence(err: &std::io::Error) -> Evidence {
+    match err.kind() {
+        ErrorKind::ConnectionRefused => Evidence::Refused,
+        _ => Evidence::Silent,
+    }
+}
+
 /// Returns the request to send to a target.
 pub(crate) fn request(relay: &Relay, call: &Call, add: &AddedFields<'_>) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(call.body.clone()));
--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -15,7 +15,7 @@
 use reachtally_protocol::handoff::{Head, Message, Offer, Refusal, Request};
 use tokio::time::timeout;
 
-use crate::answer::{Body, BodyTruncated};
+use crate::answer::{Body, BodyTruncated, EndedBy};
 use crate::attempts::Attempts;
 use crate::exchange::SendFailure;
 use crate::handoff::{Link, decode_headers, encode_headers, link, receive, receive_within, send};
@@ -264,13 +264,13 @@
                 }
                 Ok(other) => {
                     log::warn!(event = "handoff-broke", by:% = guard.ip, received:? = other; "another box sent an unexpected message; its response is incomplete");
-                    yield Err(BodyTruncated);
+                    yield Err(BodyTruncated::new(EndedBy::OtherBox, "unexpected message"));
                     return;
                 }
                 Err(why) => {
                     log::info!(event = "handoff-broke", by:% = guard.ip, why = &*why; "another box broke off the response to a request that it had taken over");
                     relay.handoffs.peers.borrow_mut().record_unavailable(guard.ip, relay.now());
-                    yield Err(BodyTruncated);
+                    yield Err(BodyTruncated::new(EndedBy::OtherBox, why));
                     return;
                 }
             }
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -124,7 +124,12 @@
             Phase::Busy => Instant::now() + idle_timeout,
         };
         tokio::select! {
-            _ = &mut connection => return,
+            ended = &mut connection => {
+                if let Err(err) = ended && state.phase.get().0 == Phase::Busy {
+                    log_closed(&relay, &state, &err.to_string());
+                }
+                return;
+            }
             () = tokio::time::sleep_until(due) => {
                 let (now_phase, now_since) = state.phase.get();
                 if (now_phase, now_since) != (phase, since) || phase == Phase::Busy {
@@ -145,6 +150,13 @@
     }
 }
 
+/// Logs that a connection ended while its request was in progress.
+fn log_closed(relay: &Relay, state: &ConnectionState, why: &str) {
+    let answer_to = state.answer_to.borrow();
+    let last = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
+    log::info!(event = "connection-closed", why = why, number = state.requests.get(), last_answered = last, leaving = relay.lifecycle.is_leaving(); "a caller's connection ended while its request was in progress");
+}
+
 async fn handle(
     relay: Rc<Relay>,
     state: Rc<ConnectionState>,
@@ -156,22 +168,40 @@
     state.requests.set(number);
     req.extensions_mut().insert(RequestNumber(number));
     let ends_with_connection = req.version() < Version::HTTP_11;
-    let mut response = serve::handle(relay, req).await;
+    let mut response = serve::handle(relay.clone(), req).await;
     let answer_to = response.extensions_mut().remove::<AnswerTo>();
     state.answer_to.replace(answer_to);
     Ok(response.map(|body| ResponseBody {
         body,
+        relay,
         state,
         ends_with_connection,
+        started_at: Instant::now(),
+        sent_bytes: 0,
     }))
 }
 
 /// Body of a response. The connection becomes idle when it is dropped.
 struct ResponseBody {
     body: Body,
+    relay: Rc<Relay>,
     state: Rc<ConnectionState>,
     /// Whether only the end of the connection may mark the end of the body, as with HTTP/1.0.
     ends_with_connection: bool,
+    /// When the head was complete.
+    started_at: Instant,
+    /// Bytes of the body that were passed to the connection.
+    sent_bytes: usize,
+}
+
+impl ResponseBody {
+    /// Records that the response ends early.
+    fn truncated(&self, why: &BodyTruncated) {
+        self.relay.count_truncated(why.by);
+        let answer_to = self.state.answer_to.borrow();
+        let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
+        log::info!(event = "unfinished", id = id, by:? = why.by, why = &*why.why, bytes = self.sent_bytes, after_ms = self.started_at.elapsed().as_millis() as u64; "response ended before it was complete");
+    }
 }
 
 impl HttpBody for ResponseBody {
@@ -183,8 +213,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let polled = self.body.as_mut().poll_frame(cx);
-        if self.ends_with_connection && matches!(polled, Poll::Ready(Some(Err(BodyTruncated)))) {
-            self.state.is_reset.set(true);
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.sent_bytes += frame.data_ref().map_or(0, |data| data.len());
+            }
+            Poll::Ready(Some(Err(why))) => {
+                self.truncated(why);
+                if self.ends_with_connection {
+                    self.state.is_reset.set(true);
+                }
+            }
+            Poll::Ready(None) | Poll::Pending => {}
         }
         polled
     }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Admission;
+use crate::answer::EndedBy;
 use crate::configuration::Configuration;
 use crate::connections::Connections;
 use crate::handoff::HandoffState;
@@ -433,6 +434,18 @@
         self.tally.set(tally);
     }
 
+    /// Counts a response that ended before it was complete.
+    pub(crate) fn count_truncated(&self, by: EndedBy) {
+        self.count(|tally| match by {
+            EndedBy::Target => tally.truncated_by_target += 1,
+            EndedBy::OtherBox => tally.truncated_by_other_box += 1,
+            EndedBy::Deadline => tally.truncated_by_deadline += 1,
+            EndedBy::Quarantine => tally.truncated_by_quarantine += 1,
+            EndedBy::SlowCaller => tally.truncated_by_slow_caller += 1,
+            EndedBy::Shutdown => tally.truncated_by_shutdown += 1,
+        });
+    }
+
     /// Records that the targets come from a read that began at `began` and ended at position `end`.
     pub fn record_targets_read(&self, began: Instant, end: Position) {
         self.targets_read
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -28,6 +28,9 @@
 /// whether it was accepted.
 const LOST_ORDER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum number of absent engines that are logged with a plan.
+const MAX_ABSENT_LOGGED: usize = 16;
+
 /// An order that has not taken effect yet.
 struct Pending {
     layers: Layers,
@@ -58,6 +61,7 @@
         for (model, service) in reached {
             let hosts = hosts(&relay, &service, &model, &pending);
             let moves = placement::moves(&model, &hosts);
+            log_basis(&relay, &service, &model, &hosts, &moves);
             send_orders(&relay, &role, &orders, &mut pending, moves).await;
         }
     }
@@ -119,6 +123,23 @@
         .collect()
 }
 
+/// Logs the view of the engines that moves are based on: the layers without a usable engine, and why the other engines are not used.
+fn log_basis(relay: &Relay, service: &str, model: &LayerModel, hosts: &[Host], moves: &[Move]) {
+    if moves.is_empty() {
+        return;
+    }
+    let is_held = |layer: &u32| hosts.iter().any(|host| host.layers.contains(layer));
+    let unheld = (0..model.layers).filter(|layer| !is_held(layer)).count();
+    let fleet = relay.fleet.borrow();
+    let absent = fleet.of_service(service).filter_map(|(_, engine)| {
+        let absence = engine.absence()?;
+        let (id, layers) = (&engine.entry.id, &engine.entry.layers);
+        Some(format!("{id}={layers:?} {}", absence.describe(relay.now())))
+    });
+    let absent = absent.take(MAX_ABSENT_LOGGED).collect::<Vec<String>>();
+    log::info!(event = "placement", service = service, engines = hosts.len(), unheld_layers = unheld, moves = moves.len(), absent = &*absent.join(", "); "planned changes of the placement");
+}
+
 async fn send_orders<O: Orders>(
     relay: &Relay,
     role: &StewardRole,
--- a/reachtally-relay/src/stream/ahead.rs
+++ b/reachtally-relay/src/stream/ahead.rs
@@ -11,6 +11,7 @@
 use reachtally_core::forward::read_ahead::{self, BufferedBytes};
 use tokio::sync::{Notify, mpsc};
 
+use crate::answer::BodyTruncated;
 use crate::relay::Relay;
 
 /// Bytes held for all streams of the box.
@@ -82,8 +83,10 @@
 pub(super) enum Item {
     /// Complete events.
     Events(Bytes),
-    /// The end of a complete stream. If the queue closes without it, the stream is cut off.
+    /// The end of a complete stream.
     Complete,
+    /// The end of a stream that is cut off.
+    Cut(BodyTruncated),
 }
 
 /// Whether more of a stream may be read.
@@ -133,6 +136,11 @@
         self.send(Item::Complete);
     }
 
+    /// Cuts the stream off.
+    pub fn cut(&self, why: BodyTruncated) {
+        self.send(Item::Cut(why));
+    }
+
     fn send(&self, item: Item) {
         // If the body was dropped, the caller is gone and this task is about to be aborted.
         let _ = self.queue.send(item);
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
-use reachtally_core::forward::path::Path;
+use reachtally_core::forward::path::{Part, Path};
 use reachtally_core::forward::quarantine::{PROOF_TIME, START_EVENTS, START_TIME};
 use reachtally_core::forward::read_ahead::EngineStall;
 use reachtally_core::forward::stall::EventGaps;
@@ -224,6 +224,37 @@
         engine_names(relay, self.engines())
     }
 
+    /// Returns the parts of the path, each with the layers that its engine holds by now if they differ, and why the engine takes no
+    /// requests, if so; for the log.
+    pub fn describe_engines(&self, relay: &Relay) -> String {
+        let fleet = relay.fleet.borrow();
+        let parts = self.path.as_ref().map_or(&[][..], |path| path.parts());
+        let describe = |part: &Part| {
+            let Some(engine) = fleet.get(part.engine) else {
+                return "removed".to_owned();
+            };
+            let (layers, held) = (&part.layers, &engine.entry.layers);
+            let holds = held.contains(&layers.start) && held.end >= layers.end;
+            let held = if holds {
+                String::new()
+            } else {
+                format!(" holds {held:?}")
+            };
+            let absence = engine.absence();
+            let absence = absence.map(|absence| format!(" {}", absence.describe(relay.now())));
+            format!(
+                "{}={layers:?}{held}{}",
+                engine.entry.id,
+                absence.unwrap_or_default()
+            )
+        };
+        parts
+            .iter()
+            .map(describe)
+            .collect::<Vec<String>>()
+            .join(", ")
+    }
+
     /// Starts to wait for an event, with extra time for other prompts that the engines process first.
     pub fn wait_from(&mut self, now: Instant) {
         self.waiting_since = now;
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -24,7 +24,7 @@
 use reachtally_core::forward::routes::ResponseShape;
 
 use crate::admission::Decision;
-use crate::answer::{Body, BodyTruncated};
+use crate::answer::{Body, BodyTruncated, EndedBy};
 use crate::attempts::Attempts;
 use crate::events::Splitter;
 use crate::handoff::{self, Handoff};
@@ -127,8 +127,12 @@
                     relay.reach(Milestone::Request);
                     return;
                 }
+                Some(Item::Cut(why)) => {
+                    yield Err(why);
+                    return;
+                }
                 None => {
-                    yield Err(BodyTruncated);
+                    yield Err(BodyTruncated::new(EndedBy::Shutdown, "the task that reads the stream has ended"));
                     return;
                 }
             }
@@ -181,13 +185,13 @@
             Continuation::Cut(why) => {
                 relay.count(|tally| tally.streams_cut += 1);
                 attempts.log(&relay, &call);
-                log::info!(event = "cut", id = &*call.head.id, why = why, last:? = splitter.last(), sends = attempts.sends(); "stream cut off before it was complete");
-                return;
+                log::info!(event = "cut", id = &*call.head.id, why = &*why.why, last:? = splitter.last(), sends = attempts.sends(); "stream cut off before it was complete");
+                return queue.cut(why);
             }
             Continuation::CutSlowReader(why) => {
                 relay.count(|tally| tally.readers_cut += 1);
                 log::info!(event = "slow-reader", id = &*call.head.id, why = "its engine gave up", broke = &*why, last:? = splitter.last(), held = relay.read_ahead(); "caller read too slowly; stream cut off");
-                return;
+                return queue.cut(BodyTruncated::new(EndedBy::SlowCaller, why));
             }
         }
     }
@@ -211,7 +215,7 @@
     /// It continues over the same chain, which is still running.
     SameChain,
     /// It is cut off.
-    Cut(&'static str),
+    Cut(BodyTruncated),
     /// It is cut off, since its caller read too slowly for the engine.
     CutSlowReader(String),
 }
@@ -224,8 +228,8 @@
     let relay = stream.relay;
     match (reason, stream.source) {
         (StopReason::Complete, _) => Continuation::Complete,
-        (StopReason::DeadlineExceeded, _) => Continuation::Cut("deadline exceeded"),
-        (StopReason::Quarantined, _) => Continuation::Cut("request quarantined"),
+        (StopReason::DeadlineExceeded, _) => cut(EndedBy::Deadline, "deadline exceeded"),
+        (StopReason::Quarantined, _) => cut(EndedBy::Quarantine, "request quarantined"),
         (StopReason::InterruptedUnread(why), Source::Chain(chain))
             if relay.find_dead(chain.engines()).await.is_empty() =>
         {
@@ -254,7 +258,7 @@
     why: &str,
 ) -> Continuation {
     let (relay, call) = (stream.relay, stream.call);
-    log::info!(event = "broke", id = &*call.head.id, why = why, last:? = stream.splitter.last(), events = chain.events(), begun_ms = chain.begun_for(relay).as_millis() as u64, targets = &*chain.engine_names(relay), fingerprint:% = call.fingerprint(), parts = &*call.head.shared_part_names(); "stream interrupted");
+    log::info!(event = "broke", id = &*call.head.id, why = why, last:? = stream.splitter.last(), events = chain.events(), begun_ms = chain.begun_for(relay).as_millis() as u64, targets = &*chain.engine_names(relay), engines = &*chain.describe_engines(relay), fingerprint:% = call.fingerprint(), parts = &*call.head.shared_part_names(); "stream interrupted");
     record_suspected_crash(relay, call, chain).await;
     let dead = relay.find_dead(chain.engines()).await;
     match dead.is_empty() {
@@ -297,11 +301,19 @@
         Some(other) => Continuation::Resumed(Box::new(other)),
         None => {
             send::log_shortfall(relay, call, &attempts.avoid);
-            Continuation::Cut("no other chain accepted the request")
+            let by = match stream.source {
+                Source::Chain(_) => EndedBy::Target,
+                Source::Box(_) => EndedBy::OtherBox,
+            };
+            cut(by, "no other chain accepted the request")
         }
     }
 }
 
+fn cut(by: EndedBy, why: &'static str) -> Continuation {
+    Continuation::Cut(BodyTruncated::new(by, why))
+}
+
 /// Records that the first engine of a chain broke off or died. Only a chain that had just started the request counts, since the
 /// request may be the cause. Streams that were further on are ignored, since a hundred of them break with each engine.
 async fn record_suspected_crash(relay: &Relay, call: &Call, running: &RunningChain) {
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -1,13 +1,13 @@
 //! Liveness of targets: whether they accept connections.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
 use reachtally_core::Instant;
-use reachtally_core::forward::fleet::{Engine, EngineKey};
+use reachtally_core::forward::fleet::{Engine, EngineKey, Evidence};
 
 use crate::relay::Relay;
 use crate::target::{self, Probe};
@@ -47,11 +47,11 @@
 
 impl Relay {
     /// Marks a target as dead, since it accepted no connection, and wakes the streams over it.
-    pub fn target_dead(&self, key: EngineKey) {
-        self.mark_dead(&[key]);
+    pub fn target_dead(&self, key: EngineKey, evidence: Evidence) {
+        self.mark_dead(&[key], |_| evidence);
     }
 
-    fn mark_dead(&self, keys: &[EngineKey]) {
+    fn mark_dead(&self, keys: &[EngineKey], evidence: impl Fn(&EngineKey) -> Evidence) {
         let now = self.now();
         let mut found = Vec::new();
         let mut fleet = self.fleet.borrow_mut();
@@ -59,12 +59,13 @@
             let Some(engine) = fleet.get_mut(*key) else {
                 continue;
             };
+            let evidence = evidence(key);
             if !engine.health.is_dead() {
-                log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address; "target does not accept connections; marked dead");
+                log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address, why:? = evidence, elsewhere = engine.remote_unresponsive, remote_running = engine.remote_running; "target does not accept connections; marked dead");
                 self.count(|tally| tally.targets_found_dead += 1);
                 found.push(*key);
             }
-            engine.health.mark_dead(now);
+            engine.health.mark_dead(now, evidence);
         }
         drop(fleet);
         if !found.is_empty() {
@@ -138,19 +139,25 @@
                 Liveness::Unknown(address) => unknown.push((*key, address)),
             }
         }
-        let is_refused = Cell::new(false);
-        let is_refused = &is_refused;
+        let refused = RefCell::new(Vec::new());
+        let refused = &refused;
         let probe = |(key, address)| async move {
             let answer = self.probe(address).await;
-            is_refused.set(is_refused.get() || answer == Probe::Refused);
+            if answer == Probe::Refused {
+                refused.borrow_mut().push(key);
+            }
             (key, answer == Probe::Accepted)
         };
         let present = check::present(unknown.iter().copied().map(probe)).await;
         present.iter().for_each(|key| self.mark_alive(*key));
-        checked.is_answered |= is_refused.get() || !present.is_empty();
+        let refused = refused.borrow();
+        checked.is_answered |= !refused.is_empty() || !present.is_empty();
         let unknown = unknown.iter().map(|(key, _)| *key);
         checked.silent = unknown.filter(|key| !present.contains(key)).collect();
-        self.mark_dead(&checked.silent);
+        self.mark_dead(&checked.silent, |key| match refused.contains(key) {
+            true => Evidence::Refused,
+            false => Evidence::Silent,
+        });
         checked.dead.extend(&checked.silent);
         checked
     }
@@ -233,11 +240,16 @@
         let Some(address) = self.target_address(key) else {
             return;
         };
-        if self.probe(address).await == Probe::Accepted {
-            log::info!(event = "target-back", address:% = address; "dead target accepts connections again");
-            self.mark_alive(key);
-        } else if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
-            engine.health.probe_failed(self.now());
+        let evidence = match self.probe(address).await {
+            Probe::Accepted => {
+                log::info!(event = "target-back", address:% = address; "dead target accepts connections again");
+                return self.mark_alive(key);
+            }
+            Probe::Refused => Evidence::Refused,
+            Probe::Silent => Evidence::Silent,
+        };
+        if let Some(engine) = self.fleet.borrow_mut().get_mut(key) {
+            engine.health.probe_failed(self.now(), evidence);
         }
     }
 
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -13,7 +13,7 @@
 use reachtally_core::life::NeverStarted;
 
 use crate::admission::Decision;
-use crate::answer::{self, Body, BodyTruncated};
+use crate::answer::{self, Body, BodyTruncated, EndedBy};
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, SendFailure};
 use crate::handoff;
@@ -307,9 +307,9 @@
 {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
-        let passed_on = body.map_err(move |_| {
+        let passed_on = body.map_err(move |err| {
             let _ = &keep;
-            BodyTruncated
+            BodyTruncated::new(EndedBy::Target, err.to_string())
         });
         return Ok((Box::pin(passed_on), false));
     }
@@ -327,7 +327,7 @@
         let _keep = keep;
         yield Ok(Frame::data(buffered.freeze()));
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| BodyTruncated);
+            let frame = frame.map_err(|err| BodyTruncated::new(EndedBy::Target, err.to_string()));
             let is_cut = frame.is_err();
             yield frame;
             if is_cut {
