fix(core, relay): running engines give up no layers for engines that may not have ended

Callers lost streams that had been accepted: their connection ended within an answer while some engines were silent for about a second.

Cause: a connect that timed out after 150 ms on one box marks an engine dead. The steward planned without its layers at once, and where its failure domain then lacked a layer, ordered an engine that runs requests to release its layers immediately (Cut). Each stream over that engine broke when its new layers were loaded, after the silence had ended.

Now an engine counts as ended only by evidence that cannot be taken back: a refused connection without a later response, silence for longer than the store keeps the entry of a silent engine, confirmed by a probe at its end, or another run at its address. Until then its layers count as held. Engines whose entry may be lost, and leaving ones, count as alive too. Layers are released immediately only where no live engine in any domain holds some layer, so that nothing that runs could complete.

--- a/reachtally-bench/src/path.rs
+++ b/reachtally-bench/src/path.rs
@@ -14,7 +14,7 @@
 use reachtally_core::forward::fleet::{Entry, EntrySource, Fleet};
 use reachtally_core::forward::loads::{Collector, own_report};
 use reachtally_core::forward::placement::evaluate::capacity;
-use reachtally_core::forward::placement::{Host, moves};
+use reachtally_core::forward::placement::{Host, Presence, moves};
 use reachtally_core::forward::select::{self, LatencyObjectives, Requirements, SelectionContext};
 use reachtally_core::ids::Incarnation;
 
@@ -179,6 +179,8 @@
         domain: Arc::clone(&row.entry.domain),
         card: model.cards[CARD],
         layers: 0..0,
+        held: 0..0,
+        presence: Presence::Usable,
         running: 0.0,
     };
     fleet.iter().map(host).collect()
--- a/reachtally-bench/src/placement/fleets.rs
+++ b/reachtally-bench/src/placement/fleets.rs
@@ -7,8 +7,8 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{Card, LayerModel};
 use reachtally_core::forward::fleet::{Entry, EntrySource, Fleet};
-use reachtally_core::forward::placement::Host;
 use reachtally_core::forward::placement::evaluate::Demand;
+use reachtally_core::forward::placement::{Host, Presence};
 use reachtally_core::forward::select::LatencyObjectives;
 
 /// Latency objectives of all fleets.
@@ -190,6 +190,8 @@
         domain,
         card,
         layers: 0..0,
+        held: 0..0,
+        presence: Presence::Usable,
         running: 0.0,
     }
 }
--- a/reachtally-core/src/forward/fleet/absence.rs
+++ b/reachtally-core/src/forward/fleet/absence.rs
@@ -1,10 +1,15 @@
 //! Why a target takes no requests from this box.
 
 use std::fmt;
+use std::time::Duration;
 
 use super::{Engine, Evidence};
 use crate::time::Instant;
 
+/// Time of silence after which a target counts as ended. Longer than the three heartbeats of about
+/// 1.2 s each after which the store drops the entry of a silent target.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
 /// Why a target takes no requests from this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AbsenceReason {
@@ -64,4 +69,30 @@
         let unreachable_since = self.health.unreachable_since();
         unreachable_since.and_then(|_| absence(AbsenceReason::Unreachable, unreachable_since))
     }
+
+    /// Whether the target has ended for certain, so that none of its requests can complete. A sound
+    /// target may answer no connections for a moment, and the store may have lost the entry of
+    /// another.
+    pub fn has_ended(&self, now: Instant) -> bool {
+        let Some(absence) = self.absence() else {
+            return false;
+        };
+        let dead = self.health.unresponsive();
+        let has_responded = |at: Instant| dead.is_some_and(|dead| at > dead.since);
+        let is_silent_until = |until: Instant| {
+            let since = absence.since.unwrap_or(until);
+            until.since(since) >= SILENCE_LIMIT
+        };
+        match absence.reason {
+            AbsenceReason::Superseded => true,
+            AbsenceReason::Refused => !self.responded_at.is_some_and(has_responded),
+            AbsenceReason::Silent => {
+                // Probes of a silent target are seconds apart.
+                let is_confirmed = dead.is_some_and(|dead| is_silent_until(dead.confirmed_at));
+                is_confirmed && !self.responded_at.is_some_and(has_responded)
+            }
+            AbsenceReason::Unreachable => is_silent_until(now),
+            AbsenceReason::Leaving | AbsenceReason::Missing => false,
+        }
+    }
 }
--- a/reachtally-core/src/forward/placement/mod.rs
+++ b/reachtally-core/src/forward/placement/mod.rs
@@ -35,6 +35,17 @@
 /// KV capacity per layer up to which empty engines are filled, in multiples of the capacity in use.
 const HEADROOM_FACTOR: f64 = 4.0;
 
+/// Whether an engine takes part in the placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It accepts requests and orders.
+    Usable,
+    /// It accepts none for now, and nothing shows that it has ended. Its layers need no replacement yet.
+    Unconfirmed,
+    /// It completes its requests and then ends. Its layers have to be replaced.
+    Leaving,
+}
+
 /// An engine that can hold layers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Host {
@@ -48,6 +59,10 @@
     pub card: Card,
     /// The layers that the engine holds, or will hold after executing its current order.
     pub layers: Layers,
+    /// The layers that it holds now.
+    pub held: Layers,
+    /// Whether it takes part in the placement.
+    pub presence: Presence,
     /// Number of requests that run on the engine.
     pub running: f64,
 }
@@ -57,7 +72,7 @@
 pub enum GiveUp {
     /// After the last of these requests has ended.
     Wait,
-    /// Immediately; the requests continue on other engines.
+    /// Immediately; requests that run there are lost.
     Cut,
 }
 
@@ -74,13 +89,28 @@
 
 /// Returns the changes to order now, for all engines of one service.
 pub fn moves(model: &LayerModel, hosts: &[Host]) -> Vec<Move> {
-    let groups = groups(model, hosts);
+    let give_up = give_up(model, hosts);
+    let is_present = |host: &&Host| host.presence != Presence::Leaving;
+    let present: Vec<Host> = hosts.iter().filter(is_present).cloned().collect();
+    let groups = groups(model, &present);
     groups
         .iter()
-        .flat_map(|group| group_moves(model, group))
+        .flat_map(|group| group_moves(model, group, give_up))
         .collect()
 }
 
+/// Returns how engines release layers. While some engine that may still complete its requests holds each layer, in any failure
+/// domain, so may the requests of all others. Without that, no request can complete, and waiting only delays the recovery.
+fn give_up(model: &LayerModel, hosts: &[Host]) -> GiveUp {
+    let holds =
+        |host: &Host, layer: u32| host.held.contains(&layer) || host.layers.contains(&layer);
+    let is_held = |layer: u32| hosts.iter().any(|host| holds(host, layer));
+    match (0..model.layers).all(is_held) {
+        true => GiveUp::Wait,
+        false => GiveUp::Cut,
+    }
+}
+
 /// Groups engines by failure domain. Domains that cannot hold the model alone form one common
 /// group.
 fn groups(model: &LayerModel, hosts: &[Host]) -> Vec<Vec<Host>> {
@@ -106,8 +136,10 @@
     groups
 }
 
-fn group_moves(model: &LayerModel, group: &[Host]) -> Vec<Move> {
-    let empty: Vec<Host> = group
+fn group_moves(model: &LayerModel, group: &[Host], give_up: GiveUp) -> Vec<Move> {
+    let is_usable = |host: &Host| host.presence == Presence::Usable;
+    let (usable, unconfirmed): (Vec<Host>, Vec<Host>) = group.iter().cloned().partition(is_usable);
+    let empty: Vec<Host> = usable
         .iter()
         .filter(|host| host.layers.is_empty())
         .cloned()
@@ -116,14 +148,19 @@
         return Vec::new();
     };
     let required = required_capacity(model, group, reference);
-    let capacity = LayerCapacity::of(model, group, reference);
-    if capacity.min_tokens() == 0.0 && empty.len() * 2 >= group.len() {
+    let capacity = LayerCapacity::of(model, &usable, reference);
+    if capacity.min_tokens() == 0.0 && empty.len() * 2 >= usable.len() {
         let planned = plan(model, &empty, required);
         if !planned.is_empty() {
             return planned;
         }
     }
-    repair::repair(model, group, reference, required)
+    let group = repair::Group {
+        usable: &usable,
+        unconfirmed: &unconfirmed,
+        give_up,
+    };
+    repair::repair(model, &group, reference, required)
 }
 
 /// Returns the KV tokens per layer up to which empty engines are filled.
--- a/reachtally-core/src/forward/placement/repair.rs
+++ b/reachtally-core/src/forward/placement/repair.rs
@@ -158,17 +158,28 @@
     best.map(|(_, layers)| layers)
 }
 
+/// A group of engines that is repaired.
+pub(super) struct Group<'a> {
+    /// Engines that accept orders.
+    pub usable: &'a [Host],
+    /// Engines that accept none, and that may not have ended.
+    pub unconfirmed: &'a [Host],
+    /// How engines release layers.
+    pub give_up: GiveUp,
+}
+
 /// Assigns the layers with the least capacity to empty engines, and moves engines whose layers have
 /// enough capacity without them. If no engine holds some layer, any engine may be moved; otherwise
 /// moving an engine that is needed would only shift the deficit while requests run there. Empty
-/// engines stay empty once each layer has `required` tokens.
+/// engines stay empty once each layer has `required` tokens. Engines that may not have ended count as
+/// capacity before others are moved, but not before empty ones are assigned, which costs no requests.
 pub(super) fn repair(
     model: &LayerModel,
-    group: &[Host],
+    group: &Group<'_>,
     reference: f64,
     required: f64,
 ) -> Vec<Move> {
-    let mut hosts: Vec<Host> = group.to_vec();
+    let mut hosts: Vec<Host> = group.usable.to_vec();
     hosts.sort_by(by_speed);
     let mut capacity = LayerCapacity::of(model, &hosts, reference);
     let mut moves = Vec::new();
@@ -185,9 +196,13 @@
             false => spare.best_layers(host, &capacity).map(|best| best.layers),
         };
         if let Some(layers) = layers {
-            apply(model, host, &mut capacity, layers, &mut moves);
+            let placed = apply(model, host, &mut capacity, layers, group.give_up);
+            moves.push(placed);
         }
     }
+    for host in group.unconfirmed {
+        capacity.add(model, host, &host.layers, 1.0);
+    }
     let goal = CapacityGoal {
         model,
         tokens: reference * MOVE_THRESHOLD,
@@ -202,13 +217,9 @@
         if best.cost >= capacity.deficit(goal.tokens) * MAX_COST_AFTER_MOVE {
             break;
         }
-        apply(
-            model,
-            &mut hosts[at],
-            &mut capacity,
-            best.layers,
-            &mut moves,
-        );
+        let host = &mut hosts[at];
+        let placed = apply(model, host, &mut capacity, best.layers, group.give_up);
+        moves.push(placed);
     }
     moves
 }
@@ -236,26 +247,20 @@
     options.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))
 }
 
-/// Applies a move. While no engine holds some layer the group cannot serve requests, so a move then
-/// does not wait for requests on the released layers: the failure domain would serve nothing in the
-/// meantime.
+/// Applies and returns a move.
 fn apply(
     model: &LayerModel,
     host: &mut Host,
     capacity: &mut LayerCapacity,
     layers: Layers,
-    moves: &mut Vec<Move>,
-) {
-    let give_up = match capacity.min_tokens() <= 0.0 {
-        true => GiveUp::Cut,
-        false => GiveUp::Wait,
-    };
+    give_up: GiveUp,
+) -> Move {
     capacity.add(model, host, &host.layers, -1.0);
     capacity.add(model, host, &layers, 1.0);
     host.layers = layers.clone();
-    moves.push(Move {
+    Move {
         engine: host.engine,
         layers,
         give_up,
-    });
+    }
 }
--- a/reachtally-core/tests/core/forward/placement.rs
+++ b/reachtally-core/tests/core/forward/placement.rs
@@ -1,7 +1,7 @@
 //! Tests of the assignment of layers to engines.
 
 use reachtally_core::forward::cost::LayerModel;
-use reachtally_core::forward::placement::{GiveUp, Host, Move, moves, plan};
+use reachtally_core::forward::placement::{GiveUp, Host, Move, Presence, moves, plan};
 
 use super::setup::{hosts, model};
 
@@ -334,3 +334,37 @@
     let after = min_kv_tokens(&model, &hosts);
     assert!(after > 0.9 * before, "{after} of {before}");
 }
+
+#[test]
+fn running_requests_are_not_cut_while_another_domain_holds_the_missing_layers() {
+    let model = model();
+    let mut all = with_a_gap([0.0; 3]);
+    let mut others = hosts("b", &[("large", 3), ("middle", 6), ("small", 9)]);
+    converge(&model, &mut others);
+    for presence in [Presence::Usable, Presence::Unconfirmed, Presence::Leaving] {
+        let others = others.iter().map(|host| Host {
+            engine: renumber(host),
+            presence,
+            ..host.clone()
+        });
+        let mut hosts = all.clone();
+        hosts.extend(others);
+        let next = moves(&model, &hosts);
+        assert!(!next.is_empty());
+        for placed in next {
+            assert_eq!(placed.give_up, GiveUp::Wait, "{presence:?} {placed:?}");
+        }
+    }
+    all.truncate(7);
+    assert_eq!(moves(&model, &all)[0].give_up, GiveUp::Cut);
+}
+
+#[test]
+fn no_engine_is_moved_for_layers_of_engines_that_may_not_have_ended() {
+    let mut hosts = with_a_gap([0.0; 3]);
+    hosts[6].layers = 72..80;
+    hosts[6].presence = Presence::Unconfirmed;
+    let moved = moves(&model(), &hosts);
+    hosts[6].presence = Presence::Usable;
+    assert_eq!(moved, moves(&model(), &hosts));
+}
--- a/reachtally-core/tests/core/forward/setup.rs
+++ b/reachtally-core/tests/core/forward/setup.rs
@@ -6,7 +6,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{Card, LayerModel, Layers};
 use reachtally_core::forward::fleet::{EngineKey, Entry, EntrySource, Fleet, StartTime};
-use reachtally_core::forward::placement::Host;
+use reachtally_core::forward::placement::{Host, Presence};
 use reachtally_core::forward::select::{
     self, ConnectionLimit, LatencyObjectives, Limits, Requirements, SelectionContext,
 };
@@ -112,6 +112,8 @@
                 domain: Arc::from(domain),
                 card: model.cards[*card],
                 layers: 0..0,
+                held: 0..0,
+                presence: Presence::Usable,
                 running: 0.0,
             });
             number += 1;
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -7,8 +7,8 @@
 
 use reachtally_core::Instant;
 use reachtally_core::forward::cost::{LayerModel, Layers};
-use reachtally_core::forward::fleet::{Engine, EngineKey};
-use reachtally_core::forward::placement::{self, Host, Move};
+use reachtally_core::forward::fleet::{AbsenceReason, Engine, EngineKey};
+use reachtally_core::forward::placement::{self, Host, Move, Presence};
 use reachtally_core::forward::reach::service_reach;
 use tokio::time::sleep;
 
@@ -95,6 +95,20 @@
     });
 }
 
+/// Returns how an engine takes part in the placement; `None` if it has ended.
+fn presence(engine: &Engine, now: Instant) -> Option<Presence> {
+    let Some(absence) = engine.absence() else {
+        return Some(Presence::Usable);
+    };
+    if engine.has_ended(now) {
+        return None;
+    }
+    Some(match absence.reason {
+        AbsenceReason::Leaving => Presence::Leaving,
+        _ => Presence::Unconfirmed,
+    })
+}
+
 fn hosts(
     relay: &Relay,
     service: &str,
@@ -102,13 +116,11 @@
     pending: &HashMap<EngineKey, Pending>,
 ) -> Vec<Host> {
     let fleet = relay.fleet.borrow();
-    let usable = |engine: &Engine| {
-        !engine.is_leaving() && engine.missing_since.is_none() && !engine.health.is_dead()
-    };
+    let now = relay.now();
     fleet
         .of_service(service)
-        .filter(|(_, engine)| usable(engine))
         .filter_map(|(key, engine)| {
+            let presence = presence(engine, now)?;
             let card = model.cards.get(&**engine.entry.card.as_ref()?)?;
             let ordered = pending.get(&key).map(|order| order.layers.clone());
             Some(Host {
@@ -117,6 +129,8 @@
                 domain: engine.entry.domain.clone(),
                 card: *card,
                 layers: ordered.unwrap_or_else(|| engine.entry.layers.clone()),
+                held: engine.entry.layers.clone(),
+                presence,
                 running: f64::from(engine.running) + engine.remote_running,
             })
         })
@@ -128,7 +142,11 @@
     if moves.is_empty() {
         return;
     }
-    let is_held = |layer: &u32| hosts.iter().any(|host| host.layers.contains(layer));
+    let usable: Vec<&Host> = hosts
+        .iter()
+        .filter(|host| host.presence == Presence::Usable)
+        .collect();
+    let is_held = |layer: &u32| usable.iter().any(|host| host.layers.contains(layer));
     let unheld = (0..model.layers).filter(|layer| !is_held(layer)).count();
     let fleet = relay.fleet.borrow();
     let absent = fleet.of_service(service).filter_map(|(_, engine)| {
@@ -137,7 +155,7 @@
         Some(format!("{id}={layers:?} {}", absence.describe(relay.now())))
     });
     let absent = absent.take(MAX_ABSENT_LOGGED).collect::<Vec<String>>();
-    log::info!(event = "placement", service = service, engines = hosts.len(), unheld_layers = unheld, moves = moves.len(), absent = &*absent.join(", "); "planned changes of the placement");
+    log::info!(event = "placement", service = service, engines = usable.len(), unheld_layers = unheld, moves = moves.len(), absent = &*absent.join(", "); "planned changes of the placement");
 }
 
 async fn send_orders<O: Orders>(
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -61,7 +61,7 @@
             };
             let evidence = evidence(key);
             if !engine.health.is_dead() {
-                log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address, why:? = evidence, elsewhere = engine.remote_unresponsive, remote_running = engine.remote_running; "target does not accept connections; marked dead");
+                log::info!(event = "target-dead", target = &*engine.entry.id, address:% = engine.entry.address, why:? = evidence, reported_by = engine.remote_unresponsive, remote_running = engine.remote_running; "target does not accept connections; marked dead");
                 self.count(|tally| tally.targets_found_dead += 1);
                 found.push(*key);
             }
