fix(relay): responses without end are bounded in size and end when they are due

A target in trouble may send bytes without end. A plain response of more than 256 KiB was passed on long after its deadline and the time-out of its route, and its connection and slot stayed taken.

Now one function receives all response bodies that are not streams of events: it buffers 256 KiB at most, passes on the rest as the caller takes it, and drops the response when it is due, also while the caller takes nothing.

--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod page;
 mod quarantine;
 pub mod ready;
+mod receive;
 pub mod relay;
 pub mod resources;
 mod retries;
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -16,10 +15,11 @@
 use reachtally_core::forward::stall;
 use reachtally_core::life::NeverStarted;
 
-use crate::answer::{self, Body};
+use crate::answer::Body;
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, SendFailure, TargetBody};
 use crate::occupied::RequestGuard;
+use crate::receive::{ReceiveError, receive};
 use crate::relay::Relay;
 use crate::retries::SendProgress;
 use crate::serve::Call;
@@ -360,7 +360,8 @@
     }
     let (mut parts, body, is_unframed) = exchange::split(relay, &from, answer.response);
     if status != StatusCode::OK {
-        return collect_failure(parts, body).await;
+        let keep = (answer.connection, occupied);
+        return receive_failure(relay, call, parts, body, keep).await;
     }
     parts.headers.remove(CONTENT_LENGTH);
     let running = RunningChain::new(
@@ -416,12 +417,19 @@
     found.copied().unwrap_or(engines[0])
 }
 
-/// Reads the complete error response of an engine.
-async fn collect_failure(parts: Parts, body: TargetBody) -> Result<EngineAnswer, SendFailure> {
-    let held = body.collect().await;
-    let held = held.map_err(SendFailure::Lost)?;
-    let whole = answer::whole(held.to_bytes());
-    Ok(EngineAnswer::Failure(Response::from_parts(parts, whole)))
+/// Receives the error response of an engine. `keep` is dropped with its body.
+async fn receive_failure(
+    relay: &Relay,
+    call: &Call,
+    parts: Parts,
+    body: TargetBody,
+    keep: impl Sized + 'static,
+) -> Result<EngineAnswer, SendFailure> {
+    match receive(relay, call.due, body, keep).await {
+        Ok((body, _)) => Ok(EngineAnswer::Failure(Response::from_parts(parts, body))),
+        Err(ReceiveError::Late) => Err(SendFailure::Late),
+        Err(ReceiveError::Broken(why)) => Err(SendFailure::Lost(why)),
+    }
 }
 
 fn send_record(relay: &Relay, call: &Call, selection: &Selection) -> SendRecord {
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -3,22 +3,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Body as HttpBody, Frame};
 use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::{Engine, EngineKey};
 use reachtally_core::forward::select::{self, ConnectionLimit, Instance, Limits, SelectionContext};
 use reachtally_core::life::NeverStarted;
 
 use crate::admission::Decision;
-use crate::answer::{self, Body, BodyTruncated, EndedBy};
+use crate::answer::Body;
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, SendFailure};
 use crate::handoff;
 use crate::occupied::RequestGuard;
 use crate::quarantine::{Completion, Progress};
+use crate::receive::{ReceiveError, receive};
 use crate::relay::Relay;
 use crate::retries::{RetryCause, SendProgress};
 use crate::serve::Call;
@@ -26,10 +24,6 @@
 use crate::target::{self, DialError, SendError};
 use crate::wire::AddedFields;
 
-/// Responses up to this size are buffered completely before they are passed on, so that a request whose
-/// response breaks off can be sent again.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
-
 /// Relays a request and returns the final response.
 pub(crate) async fn relay(relay: &Rc<Relay>, call: &Call) -> Response<Body> {
     let mut attempts = Attempts::new(call);
@@ -103,11 +97,10 @@
     loop {
         let handoff = handoff::hand_over(relay, call, attempts, None).await?;
         let (parts, body) = handoff.response.into_parts();
-        let receiving = receive(body, ());
-        let why = match relay.run_until(call.due, receiving).await {
-            None => SendFailure::Late,
-            Some(Err(why)) => SendFailure::Lost(why),
-            Some(Ok((body, _))) => {
+        let why = match receive(relay, call.due, body, ()).await {
+            Err(ReceiveError::Late) => SendFailure::Late,
+            Err(ReceiveError::Broken(why)) => SendFailure::Lost(why),
+            Ok((body, _)) => {
                 attempts.handoff_answered();
                 return Some(Response::from_parts(parts, body));
             }
@@ -224,11 +217,13 @@
     }
     let began = relay.now();
     let (parts, body, is_unframed) = exchange::split(relay, &to, answer.response);
-    let receiving = receive(body, (answer.connection, occupied));
-    let (body, is_complete) = match relay.run_until(call.due, receiving).await {
-        None => return Err(SendFailure::Late),
-        Some(Ok(received)) => received,
-        Some(Err(why)) => return Err(target_disconnected(relay, call, &to, why).await),
+    let keep = (answer.connection, occupied);
+    let (body, is_complete) = match receive(relay, call.due, body, keep).await {
+        Ok(received) => received,
+        Err(ReceiveError::Late) => return Err(SendFailure::Late),
+        Err(ReceiveError::Broken(why)) => {
+            return Err(target_disconnected(relay, call, &to, why).await);
+        }
     };
     if is_complete && parts.status.is_success() {
         let by = Completion::of(is_unframed);
@@ -297,43 +292,3 @@
     relay.target_failed(key, &why);
     SendFailure::Lost(why)
 }
-
-/// Reads the body of a response; returns it with whether it is complete. Bodies of up to [`MAX_BUFFERED_BYTES`] are buffered until they
-/// are. `keep` is dropped with the body.
-async fn receive<B>(mut body: B, keep: impl Sized + 'static) -> Result<(Body, bool), String>
-where
-    B: HttpBody<Data = Bytes> + Unpin + 'static,
-    B::Error: std::fmt::Display,
-{
-    let length = body.size_hint().exact();
-    if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
-        let passed_on = body.map_err(move |err| {
-            let _ = &keep;
-            BodyTruncated::new(EndedBy::Target, err.to_string())
-        });
-        return Ok((Box::pin(passed_on), false));
-    }
-    // A response without a length may turn out to be larger.
-    let mut buffered = BytesMut::new();
-    while buffered.len() as u64 <= MAX_BUFFERED_BYTES {
-        let Some(frame) = body.frame().await else {
-            return Ok((answer::whole(buffered), true));
-        };
-        let frame = frame.map_err(|err| err.to_string())?;
-        // Ignores trailers.
-        buffered.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
-    }
-    let passed_on = async_stream::stream! {
-        let _keep = keep;
-        yield Ok(Frame::data(buffered.freeze()));
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|err| BodyTruncated::new(EndedBy::Target, err.to_string()));
-            let is_cut = frame.is_err();
-            yield frame;
-            if is_cut {
-                return;
-            }
-        }
-    };
-    Ok((Box::pin(StreamBody::new(passed_on)), false))
-}
