--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod gossip;
 pub mod group;
 pub mod handoff;
+mod head_limit;
 pub mod lifecycle;
 mod limits;
 pub mod listen;
--- a/reachtally-relay/src/target.rs
+++ b/reachtally-relay/src/target.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::head_limit::{HeadLimit, LimitedStream};
+
 /// Connect timeout. Links take under 10 ms, and a lost SYN is retransmitted only after a second, so trying
 /// another target is better than waiting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -137,6 +139,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     _driver: Driver,
 }
 
@@ -160,9 +163,14 @@
         let dialled = dial(address, CONNECT_TIMEOUT).await;
         let stream = dialled.map_err(SendError::NotConnected)?;
         set_nodelay(&stream);
+        let head_limit = HeadLimit::default();
+        let limited = LimitedStream {
+            stream,
+            limit: head_limit.clone(),
+        };
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER)
-            .handshake(TokioIo::new(stream));
+            .handshake(TokioIo::new(limited));
         let (sender, connection) = handshake.await.map_err(|err| {
             SendError::NotConnected(DialError::Refused(std::io::Error::other(err)))
         })?;
@@ -174,6 +182,7 @@
         Ok(Connection {
             address,
             sender,
+            head_limit,
             _driver: Driver(driver),
         })
     }
@@ -201,7 +210,10 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Box<TrySendError<Request<Full<Bytes>>>>> {
-        self.sender.try_send_request(req).await.map_err(Box::new)
+        self.head_limit.expect_head();
+        let sent = self.sender.try_send_request(req).await;
+        self.head_limit.head_complete();
+        sent.map_err(Box::new)
     }
 }
 
