fix(relay, platform): requests that have no response at the end of a stop are answered before the process exits

A request whose target had not begun to answer when the grace period ended lost its connection without an answer; its caller could not tell whether it ran. Responses in progress are logged as unfinished.

The test failed before for the request that its engine holds. The one that waits for a permit was refused in time before as well: such waits end after a part of the latency objective, far below a grace period, so the suspicion that requests in queues are cut there is not confirmed.

--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -150,6 +150,7 @@
             remote_running: 0.0,
             expected_first: call.route.objective,
         });
+        self.reported_runs.set(self.possible_runs + 1);
         self.begin_send(relay, call, None).written(relay, call);
         self.transition(State::dispatch);
     }
--- a/reachtally-relay/src/lifecycle.rs
+++ b/reachtally-relay/src/lifecycle.rs
@@ -5,7 +5,7 @@
 use tokio::sync::watch;
 
 /// Stage of the relay from serving to shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     /// Accepts requests.
     Serving,
@@ -13,6 +13,8 @@
     Leaving,
     /// Refuses new requests, and closes connections after the responses in progress.
     Closing,
+    /// Answers all requests whose responses have not begun, since the process is about to exit.
+    Ending,
 }
 
 /// Current stage, which only advances, and the number of open connections.
@@ -49,7 +51,16 @@
 
     /// Returns whether the relay refuses new requests.
     pub fn is_closing(&self) -> bool {
-        *self.stage.borrow() == Stage::Closing
+        *self.stage.borrow() >= Stage::Closing
+    }
+
+    /// Waits until `stage` is reached.
+    pub async fn until(&self, stage: Stage) {
+        let mut current = self.stage.subscribe();
+        // The sender lives as long as `self`, so this never fails.
+        if current.wait_for(|current| *current >= stage).await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Returns the number of open connections of callers.
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::accept;
-use crate::answer::{AnswerTo, Body, BodyTruncated};
+use crate::answer::{AnswerTo, Body, BodyTruncated, EndedBy};
 use crate::lifecycle::Stage;
 use crate::occupied::ConnectionGuard;
 use crate::relay::Relay;
@@ -74,6 +74,8 @@
     is_reset: Cell<bool>,
     /// Number of requests received so far.
     requests: Cell<u32>,
+    /// Whether a response has begun and not ended.
+    is_responding: Cell<bool>,
 }
 
 impl ConnectionState {
@@ -97,6 +99,7 @@
         answer_to: RefCell::default(),
         is_reset: Cell::default(),
         requests: Cell::default(),
+        is_responding: Cell::default(),
     });
     let io = TokioIo::new(MonitoredStream {
         stream,
@@ -116,6 +119,7 @@
     let mut stage = relay.lifecycle.stage();
     // A connection accepted during shutdown receives a refusal, which closes it.
     let mut closing = relay.lifecycle.is_closing();
+    let mut is_ending = false;
     loop {
         let (phase, since) = state.phase.get();
         let due = match phase {
@@ -141,15 +145,29 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            changed = stage.wait_for(|stage| *stage == Stage::Closing), if !closing => {
+            changed = stage.wait_for(|stage| *stage >= Stage::Closing), if !closing => {
                 drop(changed);
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = relay.lifecycle.until(Stage::Ending), if !is_ending => {
+                is_ending = true;
+                if state.is_responding.get() {
+                    log_unfinished_at_stop(&relay, &state);
+                }
+            }
         }
     }
 }
 
+/// Logs that a response is still in progress when the process is about to exit.
+fn log_unfinished_at_stop(relay: &Relay, state: &ConnectionState) {
+    relay.count_truncated(EndedBy::Shutdown);
+    let answer_to = state.answer_to.borrow();
+    let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
+    log::info!(event = "unfinished", id = id, by:? = EndedBy::Shutdown, why = "grace period ends"; "response is still in progress at the end of the grace period");
+}
+
 /// Logs that a connection ended while its request was in progress.
 fn log_closed(relay: &Relay, state: &ConnectionState, why: &str) {
     let answer_to = state.answer_to.borrow();
@@ -171,6 +189,7 @@
     let mut response = serve::handle(relay.clone(), req).await;
     let answer_to = response.extensions_mut().remove::<AnswerTo>();
     state.answer_to.replace(answer_to);
+    state.is_responding.set(true);
     Ok(response.map(|body| ResponseBody {
         body,
         relay,
@@ -239,6 +258,7 @@
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
+        self.state.is_responding.set(false);
         self.state.enter(Phase::Idle);
     }
 }
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -19,10 +19,11 @@
 use reachtally_core::forward::routes::{
     Account, CallerLimits, Denied, ResponseShape, Route, Service, Table, Urgency,
 };
-use reachtally_core::life::{GivenUp, Life, Received, Refusal};
+use reachtally_core::life::{GivenUp, Life, Received, Refusal, Unknown};
 
 use crate::answer::{self, AnswerTo, Body};
 use crate::configuration::confirmed_by;
+use crate::lifecycle::Stage;
 use crate::relay::Relay;
 use crate::wire::CallHead;
 use crate::{stream, whole};
@@ -158,9 +159,13 @@
 pub async fn handle(relay: Rc<Relay>, req: Request<Incoming>) -> Response<Body> {
     let mut response = match accept(&relay, req, None).await {
         Ok(call) => {
-            let id = AnswerTo(call.head.id.as_str().into());
-            let mut response = forward(&relay, call).await;
-            response.extensions_mut().insert(id);
+            let pending = Pending::of(&call);
+            let mut response = tokio::select! {
+                biased;
+                response = forward(&relay, call) => response,
+                () = relay.lifecycle.until(Stage::Ending) => pending.end(&relay),
+            };
+            response.extensions_mut().insert(AnswerTo(pending.id));
             response
         }
         Err(response) => response,
@@ -174,6 +179,43 @@
     response
 }
 
+/// A request whose response has not begun.
+struct Pending {
+    id: Arc<str>,
+    possible_runs: Rc<Cell<u32>>,
+    deadline: Instant,
+    draw: u64,
+}
+
+impl Pending {
+    fn of(call: &Call) -> Self {
+        Pending {
+            id: call.head.id.as_str().into(),
+            possible_runs: call.possible_runs.clone(),
+            deadline: call.deadline,
+            draw: call.draw,
+        }
+    }
+
+    /// Ends the request at the end of the grace period. Returns the final response.
+    fn end(&self, relay: &Relay) -> Response<Body> {
+        let possible_runs = self.possible_runs.get();
+        log::info!(event = "ended-by-stop", id = &*self.id, possible_runs = possible_runs; "the grace period ended before the response began");
+        let end = match possible_runs {
+            0 => {
+                relay.count(|tally| tally.requests_refused += 1);
+                GivenUp::NotRun(Life::<Received>::default().refuse_not_run(Refusal::Stopping))
+            }
+            _ => {
+                relay.count(|tally| tally.requests_unknown += 1);
+                GivenUp::Unknown(Unknown::AnswerLost)
+            }
+        };
+        let left = self.deadline.since(relay.now());
+        answer::given_up(&end, left, None, self.draw)
+    }
+}
+
 async fn forward(relay: &Rc<Relay>, call: Call) -> Response<Body> {
     relay.count_request(&call.service_name);
     relay.note_offered(&call.service_name, call.account.as_deref(), relay.now());
