fix(relay): a request on a kept connection is read before an expired idle timer closes the connection

Callers that keep connections lost a request that was already in the kernel's buffer of a box which had been stopped or busy for longer than the idle timeout: the connection closed without an answer. Once the process goes on, the data and the timer are ready together, and which of them was handled first was random. Now the connection is polled first.

--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -128,6 +128,8 @@
             Phase::Busy => Instant::now() + idle_timeout,
         };
         tokio::select! {
+            // A request that has arrived is read before a timer that has expired closes the connection.
+            biased;
             ended = &mut connection => {
                 if let Err(err) = ended && state.phase.get().0 == Phase::Busy {
                     log_closed(&relay, &state, &err.to_string());
