fix(relay): an idle timer does not cut the rest of a response that its caller still reads

A connection counts as idle once the body of a response was handed to the HTTP library, which may hold up to 256 KiB of it for a slow caller. The idle timer started then; when it expired twice, the connection was closed with the rest unwritten: 178,034 of 256,000 bytes in the test, which failed before in 4 of 4 runs. Now a connection that is closing ends when the rest is written; a caller that takes nothing is cut by the timeout of the write, as before.

--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -123,6 +123,8 @@
     loop {
         let (phase, since) = state.phase.get();
         let due = match phase {
+            // The library closes the connection once the rest of the response is written; a blocked write has a timeout of its own.
+            Phase::Idle if closing => Instant::now() + idle_timeout,
             Phase::Idle => since + idle_timeout,
             Phase::Head => since + header_timeout,
             Phase::Busy => Instant::now() + idle_timeout,
@@ -138,10 +140,11 @@
             }
             () = tokio::time::sleep_until(due) => {
                 let (now_phase, now_since) = state.phase.get();
-                if (now_phase, now_since) != (phase, since) || phase == Phase::Busy {
+                let is_waited_for = phase == Phase::Busy || (phase == Phase::Idle && closing);
+                if (now_phase, now_since) != (phase, since) || is_waited_for {
                     continue;
                 }
-                if phase == Phase::Head || closing {
+                if phase == Phase::Head {
                     return;
                 }
                 closing = true;
