fix(core, relay): no length of silence shows that an engine has ended

Now silence is never taken for an end: an engine that has ended loses its entry at the store, or its machine refuses connections. After four seconds of it others are ordered to take over its layers, but only once their running requests have ended.

--- a/reachtally-core/src/forward/fleet/absence.rs
+++ b/reachtally-core/src/forward/fleet/absence.rs
@@ -6,9 +6,9 @@
 use super::{Engine, Evidence};
 use crate::time::Instant;
 
-/// Time of silence after which a target counts as ended. Longer than the three heartbeats of about
-/// 1.2 s each after which the store drops the entry of a silent target.
-const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+/// Time of silence after which others take over the layers of an engine. Longer than the three
+/// heartbeats of about 1.2 s each after which the store drops the entry of a target that has ended.
+const MAX_SILENCE: Duration = Duration::from_secs(4);
 
 /// Why a target takes no requests from this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,29 +70,31 @@
         unreachable_since.and_then(|_| absence(AbsenceReason::Unreachable, unreachable_since))
     }
 
-    /// Whether the target has ended for certain, so that none of its requests can complete. A sound
-    /// target may answer no connections for a moment, and the store may have lost the entry of
-    /// another.
-    pub fn has_ended(&self, now: Instant) -> bool {
+    /// Whether the target has ended for certain, so that none of its requests can complete. Silence
+    /// never shows that: sound targets fall silent for a moment, also several times in a row, and a
+    /// silent one that has ended loses its entry.
+    pub fn has_ended(&self) -> bool {
+        let dead = self.health.unresponsive();
+        let has_responded = |at: Instant| dead.is_some_and(|dead| at > dead.since);
+        match self.absence().map(|absence| absence.reason) {
+            Some(AbsenceReason::Superseded) => true,
+            Some(AbsenceReason::Refused) => !self.responded_at.is_some_and(has_responded),
+            _ => false,
+        }
+    }
+
+    /// Whether the target has been silent for so long that others should take over its layers.
+    pub fn is_silent_for_long(&self, now: Instant) -> bool {
         let Some(absence) = self.absence() else {
             return false;
         };
-        let dead = self.health.unresponsive();
-        let has_responded = |at: Instant| dead.is_some_and(|dead| at > dead.since);
-        let is_silent_until = |until: Instant| {
-            let since = absence.since.unwrap_or(until);
-            until.since(since) >= SILENCE_LIMIT
+        let until = match absence.reason {
+            // Probes of a silent target are seconds apart.
+            AbsenceReason::Silent => self.health.unresponsive().map(|dead| dead.confirmed_at),
+            AbsenceReason::Unreachable => Some(now),
+            _ => None,
         };
-        match absence.reason {
-            AbsenceReason::Superseded => true,
-            AbsenceReason::Refused => !self.responded_at.is_some_and(has_responded),
-            AbsenceReason::Silent => {
-                // Probes of a silent target are seconds apart.
-                let is_confirmed = dead.is_some_and(|dead| is_silent_until(dead.confirmed_at));
-                is_confirmed && !self.responded_at.is_some_and(has_responded)
-            }
-            AbsenceReason::Unreachable => is_silent_until(now),
-            AbsenceReason::Leaving | AbsenceReason::Missing => false,
-        }
+        let silence = until.zip(absence.since);
+        silence.is_some_and(|(until, since)| until.since(since) >= MAX_SILENCE)
     }
 }
--- a/reachtally-core/src/forward/placement/mod.rs
+++ b/reachtally-core/src/forward/placement/mod.rs
@@ -42,8 +42,8 @@
     Usable,
     /// It accepts none for now, and nothing shows that it has ended. Its layers need no replacement yet.
     Unconfirmed,
-    /// It completes its requests and then ends. Its layers have to be replaced.
-    Leaving,
+    /// It completes its requests at most. Its layers have to be replaced.
+    Departing,
 }
 
 /// An engine that can hold layers.
@@ -90,7 +90,7 @@
 /// Returns the changes to order now, for all engines of one service.
 pub fn moves(model: &LayerModel, hosts: &[Host]) -> Vec<Move> {
     let give_up = give_up(model, hosts);
-    let is_present = |host: &&Host| host.presence != Presence::Leaving;
+    let is_present = |host: &&Host| host.presence != Presence::Departing;
     let present: Vec<Host> = hosts.iter().filter(is_present).cloned().collect();
     let groups = groups(model, &present);
     groups
--- a/reachtally-relay/src/steward.rs
+++ b/reachtally-relay/src/steward.rs
@@ -97,15 +97,14 @@
 
 /// Returns how an engine takes part in the placement; `None` if it has ended.
 fn presence(engine: &Engine, now: Instant) -> Option<Presence> {
-    let Some(absence) = engine.absence() else {
-        return Some(Presence::Usable);
-    };
-    if engine.has_ended(now) {
+    if engine.has_ended() {
         return None;
     }
-    Some(match absence.reason {
-        AbsenceReason::Leaving => Presence::Leaving,
-        _ => Presence::Unconfirmed,
+    Some(match engine.absence().map(|absence| absence.reason) {
+        None => Presence::Usable,
+        Some(AbsenceReason::Leaving) => Presence::Departing,
+        Some(_) if engine.is_silent_for_long(now) => Presence::Departing,
+        Some(_) => Presence::Unconfirmed,
     })
 }
 
