--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -74,8 +74,17 @@
     is_reset: Cell<bool>,
     /// Number of requests received so far.
     requests: Cell<u32>,
-    /// Whether a response has begun and not ended.
-    is_responding: Cell<bool>,
+    /// Set while a response is in progress.
+    progress: Cell<Option<ResponseProgress>>,
+}
+
+/// How far a response has come.
+#[derive(Debug, Clone, Copy)]
+struct ResponseProgress {
+    /// When its head was complete.
+    started_at: Instant,
+    /// Bytes of the body that were passed to the connection.
+    sent_bytes: usize,
 }
 
 impl ConnectionState {
@@ -99,7 +108,7 @@
         answer_to: RefCell::default(),
         is_reset: Cell::default(),
         requests: Cell::default(),
-        is_responding: Cell::default(),
+        progress: Cell::default(),
     });
     let io = TokioIo::new(MonitoredStream {
         stream,
@@ -157,20 +166,23 @@
             }
             () = relay.lifecycle.until(Stage::Ending), if !is_ending => {
                 is_ending = true;
-                if state.is_responding.get() {
-                    log_unfinished_at_stop(&relay, &state);
-                }
+                let why = BodyTruncated::new(EndedBy::Shutdown, "the grace period ends");
+                log_unfinished(&relay, &state, &why);
             }
         }
     }
 }
 
-/// Logs that a response is still in progress when the process is about to exit.
-fn log_unfinished_at_stop(relay: &Relay, state: &ConnectionState) {
-    relay.count_truncated(EndedBy::Shutdown);
+/// Logs that the response in progress, if there is one, ends before it is complete.
+fn log_unfinished(relay: &Relay, state: &ConnectionState, why: &BodyTruncated) {
+    let Some(progress) = state.progress.get() else {
+        return;
+    };
+    relay.count_truncated(why.by);
     let answer_to = state.answer_to.borrow();
     let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
-    log::info!(event = "unfinished", id = id, by:? = EndedBy::Shutdown, why = "grace period ends"; "response is still in progress at the end of the grace period");
+    let after_ms = progress.started_at.elapsed().as_millis() as u64;
+    log::info!(event = "unfinished", id = id, by:? = why.by, why = &*why.why, bytes = progress.sent_bytes, after_ms = after_ms; "response ended before it was complete");
 }
 
 /// Logs that a connection ended while its request was in progress.
@@ -194,14 +206,15 @@
     let mut response = serve::handle(relay.clone(), req).await;
     let answer_to = response.extensions_mut().remove::<AnswerTo>();
     state.answer_to.replace(answer_to);
-    state.is_responding.set(true);
+    state.progress.set(Some(ResponseProgress {
+        started_at: Instant::now(),
+        sent_bytes: 0,
+    }));
     Ok(response.map(|body| ResponseBody {
         body,
         relay,
         state,
         ends_with_connection,
-        started_at: Instant::now(),
-        sent_bytes: 0,
     }))
 }
 
@@ -212,19 +225,17 @@
     state: Rc<ConnectionState>,
     /// Whether only the end of the connection may mark the end of the body, as with HTTP/1.0.
     ends_with_connection: bool,
-    /// When the head was complete.
-    started_at: Instant,
-    /// Bytes of the body that were passed to the connection.
-    sent_bytes: usize,
 }
 
 impl ResponseBody {
-    /// Records that the response ends early.
-    fn truncated(&self, why: &BodyTruncated) {
-        self.relay.count_truncated(why.by);
-        let answer_to = self.state.answer_to.borrow();
-        let id = answer_to.as_ref().map_or("", |AnswerTo(id)| id);
-        log::info!(event = "unfinished", id = id, by:? = why.by, why = &*why.why, bytes = self.sent_bytes, after_ms = self.started_at.elapsed().as_millis() as u64; "response ended before it was complete");
+    fn record_sent(&self, bytes: usize) {
+        let progress = self.state.progress.get();
+        self.state
+            .progress
+            .set(progress.map(|progress| ResponseProgress {
+                sent_bytes: progress.sent_bytes + bytes,
+                ..progress
+            }));
     }
 }
 
@@ -239,10 +250,10 @@
         let polled = self.body.as_mut().poll_frame(cx);
         match &polled {
             Poll::Ready(Some(Ok(frame))) => {
-                self.sent_bytes += frame.data_ref().map_or(0, |data| data.len());
+                self.record_sent(frame.data_ref().map_or(0, |data| data.len()));
             }
             Poll::Ready(Some(Err(why))) => {
-                self.truncated(why);
+                log_unfinished(&self.relay, &self.state, why);
                 if self.ends_with_connection {
                     self.state.is_reset.set(true);
                 }
@@ -263,7 +274,7 @@
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
-        self.state.is_responding.set(false);
+        self.state.progress.set(None);
         self.state.enter(Phase::Idle);
     }
 }
