--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -105,11 +105,40 @@
     }
 }
 
+/// What a box knows of a suspect request or part, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Knowledge {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// Number of crashes that were not cleared.
+    pub crashes: usize,
+    /// Time since the box learned of the last one.
+    pub age: Duration,
+    /// Whether the box saw one of them itself.
+    pub was_seen_here: bool,
+}
+
+impl std::fmt::Display for Knowledge {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let source = match self.was_seen_here {
+            true => "seen here",
+            false => "reported",
+        };
+        let age = self.age.as_millis();
+        write!(
+            f,
+            "{:?} after {} crashes, {source}, last {age} ms ago",
+            self.verdict, self.crashes
+        )
+    }
+}
+
 /// The requests and parts of prompts during which targets crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, SuspectRequest>,
     proofs: Proofs,
+    evictions: u64,
 }
 
 impl Quarantine {
@@ -123,6 +152,22 @@
         self.suspects.len()
     }
 
+    /// Number of suspects that were removed for others before they expired.
+    pub fn evictions(&self) -> u64 {
+        self.evictions
+    }
+
+    /// Returns what is known of a request or part, if it is suspect.
+    pub fn knowledge(&self, feature: Fingerprint, now: Instant) -> Option<Knowledge> {
+        let suspect = self.suspects.get(&feature)?;
+        Some(Knowledge {
+            verdict: suspect.verdict(),
+            crashes: suspect.crashed_runs().count(),
+            age: now.since(suspect.crashed_at),
+            was_seen_here: suspect.was_seen_here,
+        })
+    }
+
     /// Returns the verdict on a request.
     pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
         let suspect = self.suspects.get(&fingerprint);
@@ -322,6 +367,7 @@
         let least = least.map(|(fingerprint, _)| *fingerprint);
         if let Some(least) = least {
             self.suspects.remove(&least);
+            self.evictions += 1;
         }
     }
 
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -91,6 +91,8 @@
         targets_probed,
         /// Ends of targets under requests, each that this box saw first.
         ends_under_requests,
+        /// Interruptions of requests that are no evidence against them.
+        interruptions_without_evidence,
         /// Requests refused because targets that began to run them ended.
         requests_quarantined,
         /// Requests sent although a part of their prompts is quarantined, to try it again.
--- a/reachtally-relay/src/attempts.rs
+++ b/reachtally-relay/src/attempts.rs
@@ -34,6 +34,8 @@
     pub remote_running: f64,
     /// Expected time until the first event or the response.
     pub expected_first: Duration,
+    /// What this box knew of crashes under the request; empty if nothing.
+    pub suspicion: String,
 }
 
 /// The sends of one request.
@@ -149,6 +151,7 @@
             running: relay.handed_over(),
             remote_running: 0.0,
             expected_first: call.route.objective,
+            suspicion: relay.suspicion_of(call),
         });
         self.reported_runs.set(self.possible_runs + 1);
         self.begin_send(relay, call, None).written(relay, call);
@@ -327,7 +330,7 @@
         let confirmed_by = confirmed_by(call.confirmation);
         log::info!(event = "taken", id = &*call.head.id, route = &*call.route.name, service = &*call.service_name, account = call.account.as_deref().unwrap_or_default(), version = call.version, held = held, confirmed_ms = age.as_millis() as u64, confirmed_by = &*confirmed_by, prompt = call.head.prompt_tokens as u64, fingerprint:% = call.fingerprint(), parts = &*call.head.shared_part_names(); "a request that did not go well");
         for (number, record) in self.records.iter().enumerate() {
-            log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.remote_running as u64, expected_ms = record.expected_first.as_millis() as u64; "it was sent");
+            log::info!(event = "sent", id = &*call.head.id, send = number + 1, after_ms = record.after.as_millis() as u64, targets = &*record.targets, running = record.running, elsewhere = record.remote_running as u64, expected_ms = record.expected_first.as_millis() as u64, suspicion = &*record.suspicion; "it was sent");
         }
     }
 
--- a/reachtally-relay/src/gossip/mod.rs
+++ b/reachtally-relay/src/gossip/mod.rs
@@ -319,7 +319,7 @@
                 self.update_remote_loads(others, now);
             }
             Ok(Message::Suspects(suspects)) => {
-                if self.relay.merge_suspects(&suspects) {
+                if self.relay.merge_suspects(&suspects, Some(from)) {
                     self.propagate_suspects(Some(from));
                 }
             }
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -171,6 +171,12 @@
         "Requests remembered because targets ended under them",
         relay.suspects_known(),
     );
+    gauge(
+        &mut registry,
+        "suspects_evicted",
+        "Suspect requests forgotten for others before they expired",
+        relay.suspects_evicted(),
+    );
     gauge(
         &mut registry,
         "targets_limited",
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -29,6 +29,21 @@
     Unknown,
 }
 
+/// Why an interruption is no evidence against its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoEvidence {
+    /// The head of the answer had not arrived.
+    BeforeHead,
+    /// The answer was well under way.
+    UnderWay,
+    /// The first target does not refuse connections.
+    Accepting,
+    /// This box reaches no other target either.
+    CutOff,
+    /// The crashed target is not the first one of the path.
+    LaterTarget,
+}
+
 /// How a target completed a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Completion {
@@ -100,6 +115,33 @@
 }
 
 impl Relay {
+    /// Returns the number of suspects that were forgotten for others before they expired.
+    pub fn suspects_evicted(&self) -> u64 {
+        self.suspicion.table.borrow().evictions()
+    }
+
+    /// Returns what is known of a request and of the parts of its prompt, for the log; empty if none of them is suspect.
+    pub(crate) fn suspicion_of(&self, call: &Call) -> String {
+        let table = self.suspicion.table.borrow();
+        if table.is_empty() {
+            return String::new();
+        }
+        let now = self.now();
+        let parts = call.part_fingerprints().iter().copied();
+        let features = std::iter::once(call.fingerprint()).chain(parts);
+        let known = features.filter_map(|feature| {
+            let known = table.knowledge(feature, now)?;
+            Some(format!("{feature}: {known}"))
+        });
+        known.collect::<Vec<String>>().join("; ")
+    }
+
+    /// Logs an interruption of a request by its targets that is no evidence against it.
+    pub(crate) fn log_without_evidence(&self, call: &Call, targets: &str, why: NoEvidence) {
+        self.count(|tally| tally.interruptions_without_evidence += 1);
+        log::info!(event = "no-evidence", id = &*call.head.id, fingerprint:% = call.fingerprint(), targets = targets, why:? = why; "an interruption is no evidence against its request");
+    }
+
     /// Returns the number of requests with evidence against them.
     pub fn suspects_known(&self) -> usize {
         self.suspicion.table.borrow().len()
@@ -150,8 +192,11 @@
         to: &Recipient,
         progress: Progress,
     ) {
-        if !target::refuses_connections(to.address).await || self.is_cut_off_besides(to.key).await {
-            return;
+        if !target::refuses_connections(to.address).await {
+            return self.log_without_evidence(call, &to.run.id, NoEvidence::Accepting);
+        }
+        if self.is_cut_off_besides(to.key).await {
+            return self.log_without_evidence(call, &to.run.id, NoEvidence::CutOff);
         }
         let verdict = self.record_crash(call, to, progress);
         let Some(verdict) = verdict else {
@@ -245,8 +290,8 @@
         self.suspicion.evidence_changed.notify_one();
     }
 
-    /// Merges evidence from another box; returns whether any of it is new.
-    pub(crate) fn merge_suspects(&self, reported: &[SuspectReport]) -> bool {
+    /// Merges evidence from another box, or from the store if `from` is `None`. Returns whether any of it is new.
+    pub(crate) fn merge_suspects(&self, reported: &[SuspectReport], from: Option<IpAddr>) -> bool {
         let now = self.now();
         let mut table = self.suspicion.table.borrow_mut();
         let mut is_changed = false;
@@ -263,7 +308,11 @@
             if before == verdict {
                 continue;
             }
-            log::info!(event = "suspect", fingerprint:% = feature, before:? = before, verdict:? = verdict; "evidence from other boxes changed the verdict on a request or part");
+            let from = from.map_or_else(|| "store".to_owned(), |ip| ip.to_string());
+            let crashes = table
+                .knowledge(feature, now)
+                .map_or(0, |known| known.crashes);
+            log::info!(event = "suspect", fingerprint:% = feature, before:? = before, verdict:? = verdict, crashes = crashes, from = &*from; "evidence from other boxes changed the verdict on a request or part");
             if verdict == Verdict::Quarantined && table.was_seen_here(feature) {
                 self.suspicion.mark_unsaved(feature);
             }
@@ -273,7 +322,7 @@
 
     /// Merges evidence that earlier runs of boxes saved in the store.
     pub(crate) fn load_suspects(&self, saved: &[SuspectReport]) {
-        if self.merge_suspects(saved) {
+        if self.merge_suspects(saved, None) {
             log::info!(event = "suspects-read", requests = saved.len(); "loaded suspect requests from the store");
             self.suspicion.evidence_changed.notify_one();
         }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -28,6 +28,7 @@
 use crate::attempts::Attempts;
 use crate::events::Splitter;
 use crate::handoff::{self, Handoff};
+use crate::quarantine::NoEvidence;
 use crate::relay::Relay;
 use crate::retries::RetryCause;
 use crate::serve::Call;
@@ -279,6 +280,9 @@
     log::info!(event = "stage-dead", id = &*call.head.id, engines = engines.len(), last:? = stream.splitter.last(); "engines of a stream are dead");
     if engines.first() == chain.engines().first() {
         record_suspected_crash(relay, call, chain).await;
+    } else {
+        let names = chain::engine_names(relay, &engines);
+        relay.log_without_evidence(call, &names, NoEvidence::LaterTarget);
     }
     attempts.avoid.extend(engines);
     stream.queue.wait_until_consumed().await;
@@ -317,11 +321,16 @@
 /// Records that the first engine of a chain broke off or died. Only a chain that had just started the request counts, since the
 /// request may be the cause. Streams that were further on are ignored, since a hundred of them break with each engine.
 async fn record_suspected_crash(relay: &Relay, call: &Call, running: &RunningChain) {
-    if let Some(progress) = running.progress(relay) {
-        relay
-            .target_disconnected(call, running.first(), progress)
-            .await;
-    }
+    let Some(progress) = running.progress(relay) else {
+        return relay.log_without_evidence(
+            call,
+            &running.engine_names(relay),
+            NoEvidence::UnderWay,
+        );
+    };
+    relay
+        .target_disconnected(call, running.first(), progress)
+        .await;
 }
 
 /// Resumes the stream over another chain after the last event that the caller received; retries until `until` while there is none.
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -19,11 +19,14 @@
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, SendFailure, TargetBody};
 use crate::occupied::RequestGuard;
+use crate::quarantine::NoEvidence;
 use crate::receive::{ReceiveError, receive};
 use crate::relay::Relay;
 use crate::retries::SendProgress;
 use crate::serve::Call;
-use crate::stream::chain::{FIRST_EVENT_MARGIN, RunningChain, Timing, find_dead_among_silent};
+use crate::stream::chain::{
+    FIRST_EVENT_MARGIN, RunningChain, Timing, engine_names, find_dead_among_silent,
+};
 use crate::stream::repair::{self, AcceptedRepair, Outcome, Repair};
 use crate::target::{self, Answer, SendError};
 use crate::wire::{AddedFields, AnswerHead};
@@ -290,8 +293,14 @@
                 attempts.avoid.push(key);
                 return Err(exchange::connect_failed(relay, key, &why));
             }
-            Ok(Err(SendError::Broken(why))) => return Err(mark_failed(relay, key, attempts, why)),
-            Ok(Err(SendError::Stale(why))) => return Err(SendFailure::Lost(why)),
+            Ok(Err(SendError::Broken(why))) => {
+                relay.log_without_evidence(call, &to.run.id, NoEvidence::BeforeHead);
+                return Err(mark_failed(relay, key, attempts, why));
+            }
+            Ok(Err(SendError::Stale(why))) => {
+                relay.log_without_evidence(call, &to.run.id, NoEvidence::BeforeHead);
+                return Err(SendFailure::Lost(why));
+            }
             Err(_) if relay.now() >= call.due => return Err(SendFailure::Late),
             Err(_) if repair.is_some() => continue,
             Err(_) => {}
@@ -324,6 +333,8 @@
             };
         }
         if !failed.is_empty() && can_reroute(relay, call, attempts, &failed) {
+            let names = engine_names(relay, &failed);
+            relay.log_without_evidence(call, &names, NoEvidence::BeforeHead);
             return Err(abandon_silent(attempts, failed));
         }
         wait = FIRST_EVENT_MARGIN;
@@ -448,5 +459,6 @@
         running: first.map_or(0, |engine| engine.running),
         remote_running: first.map_or(0.0, |engine| engine.remote_running),
         expected_first: selection.first,
+        suspicion: relay.suspicion_of(call),
     }
 }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -135,6 +135,7 @@
         running: engine.map_or(0, |engine| engine.running),
         remote_running: engine.map_or(0.0, |engine| engine.reported_remote_running),
         expected_first: call.route.objective,
+        suspicion: relay.suspicion_of(call),
     }
 }
 
