fix(core, relay): an interruption stays pending until it is known whether a target of its path crashed

Callers saw their streams broken off by one request that came again and again: it crashed each engine that ran it, long after its third.

Whether an engine crashed under a request was decided at one instant: by one probe of the first engine of the path, and only if the head of the answer had arrived and no event.

Now an interruption stays pending against each run that had the request. The first one that is found to have ended becomes evidence: its address refuses connections, another run has its id or address, its entry was dropped, or another box saw it end. Runs that write their entries afterwards or leave in order are dropped. How far the request was weighs the evidence: two crashes quarantine if a target had begun and written nothing, three if it may have begun shortly before, five if there were many like it. A suspect explains the crashes of another one only if there is as much evidence against it. An answer that only its connection ended proves nothing until its target has shown life. A plain request probes its target each second.

--- a/reachtally-bench/src/suspects/play.rs
+++ b/reachtally-bench/src/suspects/play.rs
@@ -8,7 +8,7 @@
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::loads::Message;
 use reachtally_core::forward::quarantine::{
-    AccountDigest, ChangeOrigin, CrashRecord, Quarantine, RunDigest, SuspectReport, Verdict,
+    AccountDigest, ChangeOrigin, CrashRecord, Quarantine, RunDigest, SuspectReport, Verdict, Weight,
 };
 use reachtally_protocol::load;
 
@@ -309,7 +309,7 @@
         let now = self.timeline.clock();
         let end = CrashRecord {
             run,
-            had_begun: true,
+            weight: Weight::Strong,
             is_acquitted: false,
         };
         if self.tables[box_index]
--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -79,6 +79,9 @@
     fn update(&mut self, key: EngineKey, entry: Entry, source: EntrySource, now: Instant) -> bool {
         let engine = &mut self.engines[key];
         engine.entry_read_at = now;
+        if source == EntrySource::Written {
+            engine.entry_written_at = Some(now);
+        }
         let is_back = source == EntrySource::Written && engine.health.entry_written(now);
         let entry = Entry {
             draining: engine.entry.draining || entry.draining,
@@ -274,6 +277,18 @@
         self.notices.has(run)
     }
 
+    /// Whether a run announced that it is leaving, with or without a row.
+    pub fn has_announced_leave(&self, run: &TargetRun) -> bool {
+        let row = self.find_run(run).and_then(|key| self.engines.get(key));
+        match row {
+            Some(engine) => engine.is_leaving(),
+            None => self
+                .notices
+                .get(run)
+                .is_some_and(|notice| notice.is_leaving()),
+        }
+    }
+
     /// Updates the notice of a run, with or without a row: its entry may have been removed while it
     /// was running a request.
     pub fn update_notice(
--- a/reachtally-core/src/forward/fleet/engine.rs
+++ b/reachtally-core/src/forward/fleet/engine.rs
@@ -66,6 +66,8 @@
     pub permits: Permits,
     /// When its entry was last read.
     pub(super) entry_read_at: Instant,
+    /// When an entry that it had just written was last read.
+    pub entry_written_at: Option<Instant>,
     /// Since when its entry is missing, possibly because the store lost it.
     pub missing_since: Option<Instant>,
 }
@@ -98,6 +100,7 @@
             notice,
             permits: Permits::default(),
             entry_read_at: now,
+            entry_written_at: None,
             missing_since: None,
         }
     }
--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -26,17 +26,14 @@
 
 mod proofs;
 mod suspect;
+mod weight;
 
 use proofs::Proofs;
 pub use proofs::{MAX_PROOFS, PROOF_TTL};
 use suspect::SuspectRequest;
 pub use suspect::{AccountDigest, CrashRecord, MAX_CRASHES, RunDigest, Verdict};
+pub use weight::{LATE_START_TIME, RunProgress, START_EVENTS, START_TIME, Weight};
 
-/// Number of events up to which a stream has only begun. A target that a request crashes ends before
-/// it has sent more.
-pub const START_EVENTS: u64 = 3;
-/// Time from the head of an answer during which a stream has only begun.
-pub const START_TIME: Duration = Duration::from_millis(500);
 /// Time from the head of an answer after which a stream with more events shows that its parts do not
 /// crash targets.
 pub const PROOF_TIME: Duration = Duration::from_secs(1);
@@ -181,8 +178,8 @@
     }
 
     /// Whether a feature is quarantined, and its crashes are not explained by other quarantined
-    /// features that requests with `features` lack: by one that was present at all of them or, if they
-    /// are few, by several together.
+    /// features that requests with `features` lack and against which there is as much evidence: by one
+    /// that was present at all of them or, if they are few, by several together.
     fn is_blamed(&self, feature: Fingerprint, features: &Features<'_>) -> bool {
         let Some(suspect) = self.suspects.get(&feature) else {
             return false;
@@ -190,8 +187,10 @@
         if suspect.verdict() < Verdict::Quarantined {
             return false;
         }
+        let evidence = suspect.evidence();
         let others = self.suspects.iter().filter(|(other, by)| {
-            by.verdict() == Verdict::Quarantined && !features.contains(**other)
+            let is_explanation = by.verdict() == Verdict::Quarantined && by.evidence() >= evidence;
+            is_explanation && !features.contains(**other)
         });
         let others: Vec<&SuspectRequest> = others.map(|(_, by)| by).collect();
         let explains_all = |by: &&SuspectRequest| suspect.crashed_runs().all(|run| by.crashed(run));
@@ -304,6 +303,12 @@
         is_changed | (is_refuted && self.clear_suspicion(report.fingerprint, now))
     }
 
+    /// Whether any box saw `run` crash under a request.
+    pub fn has_crashed(&self, run: RunDigest) -> bool {
+        let mut suspects = self.suspects.values();
+        suspects.any(|suspect| suspect.has_record_of(run))
+    }
+
     /// Whether this box saw a crash under a feature.
     pub fn was_seen_here(&self, feature: Fingerprint) -> bool {
         let suspect = self.suspects.get(&feature);
@@ -356,14 +361,14 @@
         }
     }
 
-    /// Evicts the least important request of an account: the least severe verdict first, then the
-    /// earliest expiry.
+    /// Evicts the least important request of an account: the one with the least evidence first, then
+    /// the earliest expiry.
     fn evict_least(&mut self, account: AccountDigest) {
         let of_account = self
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.account == account);
-        let least = of_account.min_by_key(|(_, suspect)| (suspect.verdict(), suspect.expires));
+        let least = of_account.min_by_key(|(_, suspect)| (suspect.evidence(), suspect.expires));
         let least = least.map(|(fingerprint, _)| *fingerprint);
         if let Some(least) = least {
             self.suspects.remove(&least);
@@ -383,8 +388,8 @@
         messages.next().unwrap_or_default()
     }
 
-    /// Returns recent changes for other boxes in messages: those with the most severe verdicts first,
-    /// then the newest.
+    /// Returns recent changes for other boxes in messages: those with the most evidence first, then
+    /// the newest.
     pub fn change_messages(&self, origin: ChangeOrigin, now: Instant) -> Vec<Vec<SuspectReport>> {
         let is_due = |suspect: &SuspectRequest| {
             let is_new = now.since(suspect.changed_at) < CHANGE_REPEAT_TIME;
@@ -392,7 +397,7 @@
         };
         let changed = self.suspects.iter().filter(|(_, suspect)| is_due(suspect));
         let mut changed: Vec<(&Fingerprint, &SuspectRequest)> = changed.collect();
-        changed.sort_by_key(|(_, suspect)| Reverse((suspect.verdict(), suspect.changed_at)));
+        changed.sort_by_key(|(_, suspect)| Reverse((suspect.evidence(), suspect.changed_at)));
         changed.truncate(MAX_MESSAGES * SUSPECTS_PER_MESSAGE);
         let report = |(feature, suspect): &(&Fingerprint, &SuspectRequest)| {
             suspect.to_report(**feature, now)
--- a/reachtally-core/src/forward/quarantine/suspect.rs
+++ b/reachtally-core/src/forward/quarantine/suspect.rs
@@ -2,18 +2,14 @@
 
 use sha2::{Digest, Sha256};
 
+use super::weight::{QUARANTINE_WEIGHT, Weight};
 use super::{ChangeOrigin, SuspectReport, TRIAL_DELAY, TRIAL_DELAY_FACTOR};
 use crate::forward::fingerprint::Fingerprint;
 use crate::forward::fleet::TargetRun;
 use crate::time::Instant;
 
-/// Number of crashes shortly after the request began, without a complete answer since, at which it
-/// is quarantined. One crash hits one to three requests that have just begun; hardly any request is
-/// among those of two crashes without being the cause.
-const STARTED_CRASH_LIMIT: usize = 2;
-/// Number of crashes at which the request is quarantined if it is unknown whether it had begun:
-/// requests that were merely queued at the target count too.
-const CRASH_LIMIT: usize = 3;
+/// Smallest number of crashes of a quarantined part.
+const MIN_CRASHES: usize = 2;
 /// Crashes kept per request; further ones do not change the verdict.
 pub const MAX_CRASHES: usize = 8;
 
@@ -52,16 +48,15 @@
 pub struct CrashRecord {
     /// The run that crashed.
     pub run: RunDigest,
-    /// Whether it had just begun the request: the head of the answer had arrived, but nothing of
-    /// its body.
-    pub had_begun: bool,
+    /// How strongly the crash speaks against the request.
+    pub weight: Weight,
     /// Whether the request has been answered completely since.
     pub is_acquitted: bool,
 }
 
 impl CrashRecord {
     fn merge(&mut self, other: &CrashRecord) {
-        self.had_begun |= other.had_begun;
+        self.weight = self.weight.max(other.weight);
         self.is_acquitted |= other.is_acquitted;
     }
 }
@@ -126,7 +121,7 @@
     /// Whether a quarantined part is to be tried again.
     pub fn is_trial_due(&self, spread: f64, now: Instant) -> bool {
         let crashes = self.uncleared().count();
-        let growth = crashes.saturating_sub(STARTED_CRASH_LIMIT) as u32;
+        let growth = crashes.saturating_sub(MIN_CRASHES) as u32;
         let delay = TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(growth);
         let last = self
             .crashed_at
@@ -135,17 +130,23 @@
     }
 
     pub fn verdict(&self) -> Verdict {
-        let total = self.uncleared().count();
-        let started = self.uncleared().filter(|end| end.had_begun).count();
-        if started >= STARTED_CRASH_LIMIT || total >= CRASH_LIMIT {
-            Verdict::Quarantined
-        } else if total > 0 {
-            Verdict::Suspected
-        } else {
-            Verdict::Clear
+        match self.evidence() {
+            0 => Verdict::Clear,
+            evidence if evidence < QUARANTINE_WEIGHT => Verdict::Suspected,
+            _ => Verdict::Quarantined,
         }
     }
 
+    /// Returns the sum of the weights of the crashes that were not cleared.
+    pub fn evidence(&self) -> u32 {
+        self.uncleared().map(|end| end.weight.points()).sum()
+    }
+
+    /// Whether `run` crashed under the request, cleared or not.
+    pub fn has_record_of(&self, run: RunDigest) -> bool {
+        self.ends.iter().any(|end| end.run == run)
+    }
+
     /// Merges crashes. Returns whether anything changed. If there are too many, all boxes keep the
     /// same ones, so that they do not exchange changes endlessly.
     pub fn merge(&mut self, ends: &[CrashRecord], now: Instant) -> bool {
--- a/reachtally-core/tests/core/forward/parts.rs
+++ b/reachtally-core/tests/core/forward/parts.rs
@@ -7,7 +7,7 @@
 use reachtally_core::forward::prompt::PartId;
 use reachtally_core::forward::quarantine::{
     AccountDigest, ChangeOrigin, CrashRecord, Features, MAX_PROOFS, PROOF_TTL, Quarantine,
-    RunDigest, SUSPECTS_PER_MESSAGE, TRIAL_DELAY, Verdict,
+    RunDigest, SUSPECTS_PER_MESSAGE, TRIAL_DELAY, Verdict, Weight,
 };
 
 const ACCOUNT: AccountDigest = AccountDigest(1);
@@ -37,7 +37,7 @@
 fn crash(table: &mut Quarantine, run: u32, features: Features<'_>, now: Instant) {
     let end = CrashRecord {
         run: RunDigest(run),
-        had_begun: true,
+        weight: Weight::Strong,
         is_acquitted: false,
     };
     for feature in std::iter::once(&features.request).chain(features.parts) {
--- a/reachtally-core/tests/core/forward/quarantine.rs
+++ b/reachtally-core/tests/core/forward/quarantine.rs
@@ -7,7 +7,7 @@
 use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::quarantine::{
     AccountDigest, ChangeOrigin, CrashRecord, MAX_CRASHES, MAX_SUSPECTS, MAX_SUSPECTS_PER_ACCOUNT,
-    Quarantine, RunDigest, SUSPECT_TTL, SUSPECTS_PER_MESSAGE, SuspectReport, Verdict,
+    Quarantine, RunDigest, SUSPECT_TTL, SUSPECTS_PER_MESSAGE, SuspectReport, Verdict, Weight,
 };
 
 const ACCOUNT: AccountDigest = AccountDigest(7);
@@ -20,14 +20,14 @@
 fn begun(run: u32) -> CrashRecord {
     CrashRecord {
         run: RunDigest(run),
-        had_begun: true,
+        weight: Weight::Strong,
         is_acquitted: false,
     }
 }
 
 fn unknown(run: u32) -> CrashRecord {
     CrashRecord {
-        had_begun: false,
+        weight: Weight::Moderate,
         ..begun(run)
     }
 }
--- a/reachtally-protocol/src/suspects.rs
+++ b/reachtally-protocol/src/suspects.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use prost::Message as _;
 use reachtally_core::forward::fingerprint::Fingerprint;
-use reachtally_core::forward::quarantine::{AccountDigest, CrashRecord, RunDigest, SuspectReport};
+use reachtally_core::forward::quarantine::{
+    AccountDigest, CrashRecord, RunDigest, SuspectReport, Weight,
+};
 
 use crate::generated::relay;
 
@@ -66,8 +68,9 @@
 fn suspect_to_wire(suspect: &SuspectReport) -> relay::Suspect {
     let end = |end: &CrashRecord| relay::RunEnd {
         run: end.run.0,
-        had_begun: end.had_begun,
+        had_begun: end.weight == Weight::Strong,
         is_acquitted: end.is_acquitted,
+        is_weak: end.weight == Weight::Weak,
     };
     relay::Suspect {
         fingerprint: Bytes::copy_from_slice(&suspect.fingerprint.0),
@@ -80,7 +83,11 @@
 fn suspect_from_wire(suspect: relay::Suspect) -> Result<SuspectReport, SuspectError> {
     let end = |end: relay::RunEnd| CrashRecord {
         run: RunDigest(end.run),
-        had_begun: end.had_begun,
+        weight: match (end.had_begun, end.is_weak) {
+            (true, _) => Weight::Strong,
+            (false, false) => Weight::Moderate,
+            (false, true) => Weight::Weak,
+        },
         is_acquitted: end.is_acquitted,
     };
     let bytes = suspect.fingerprint.as_ref().try_into();
--- a/reachtally-protocol/tests/protocol/relay.rs
+++ b/reachtally-protocol/tests/protocol/relay.rs
@@ -16,7 +16,7 @@
 use reachtally_core::forward::peers::Member;
 use reachtally_core::forward::quarantine::{
     AccountDigest, CrashRecord, MAX_CRASHES, RunDigest, SUSPECT_TTL, SUSPECTS_PER_MESSAGE,
-    SuspectReport,
+    SuspectReport, Weight,
 };
 use reachtally_core::ids::Incarnation;
 use reachtally_protocol::news::{TargetPage, Update, UpdateRequest};
@@ -325,7 +325,7 @@
 fn suspect(number: u8) -> SuspectReport {
     let crash = |run: usize| CrashRecord {
         run: RunDigest(u32::MAX - run as u32),
-        had_begun: true,
+        weight: Weight::Strong,
         is_acquitted: run.is_multiple_of(2),
     };
     SuspectReport {
--- a/reachtally-relay/src/exchange.rs
+++ b/reachtally-relay/src/exchange.rs
@@ -33,6 +33,7 @@
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Target of a send. Its row may be removed while the send is in progress.
+#[derive(Debug, Clone)]
 pub(crate) struct Recipient {
     pub key: EngineKey,
     /// Address that it listens on.
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod group;
 pub mod handoff;
 mod head_limit;
+mod interruptions;
 pub mod lifecycle;
 mod limits;
 pub mod listen;
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -22,6 +22,7 @@
 
 use crate::accept;
 use crate::answer::{AnswerTo, Body, BodyTruncated, EndedBy};
+use crate::interruptions;
 use crate::lifecycle::Stage;
 use crate::occupied::ConnectionGuard;
 use crate::relay::Relay;
@@ -49,7 +50,8 @@
         let open = relay.take_connection()?;
         Some(connection(relay.clone(), stream, open))
     };
-    accept::each(relay.clone(), listener, "callers", serve).await;
+    let accepting = accept::each(relay.clone(), listener, "callers", serve);
+    tokio::join!(accepting, interruptions::watch(&relay));
 }
 
 /// What a connection is waiting for.
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -4,45 +4,20 @@
 use std::collections::BTreeSet;
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 use std::net::IpAddr;
+use std::time::Duration;
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::Fingerprint;
+use reachtally_core::forward::fleet::TargetRun;
 use reachtally_core::forward::quarantine::{
-    AccountDigest, ChangeOrigin, CrashRecord, Quarantine, RunDigest, SuspectReport, Verdict,
+    ChangeOrigin, CrashRecord, Features, Quarantine, RunDigest, SuspectReport, Verdict, Weight,
 };
 use tokio::sync::{Notify, watch};
 
-use crate::exchange::Recipient;
+use crate::interruptions::{EndedBy, NoEvidence, Suspect, Weights};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::store::SuspectChange;
-use crate::target;
-
-/// How far a target run had processed a request when the run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Progress {
-    /// It had begun to process the request and had sent no event.
-    Begun,
-    /// It had begun shortly before, and had sent few events.
-    Started,
-    /// Not known.
-    Unknown,
-}
-
-/// Why an interruption is no evidence against its request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NoEvidence {
-    /// The head of the answer had not arrived.
-    BeforeHead,
-    /// The answer was well under way.
-    UnderWay,
-    /// The first target does not refuse connections.
-    Accepting,
-    /// This box reaches no other target either.
-    CutOff,
-    /// The crashed target is not the first one of the path.
-    LaterTarget,
-}
 
 /// How a target completed a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,16 +30,6 @@
     Progress,
 }
 
-impl Completion {
-    /// Returns how a complete answer ended.
-    pub fn of(is_unframed: bool) -> Self {
-        match is_unframed {
-            true => Completion::Unframed,
-            false => Completion::Whole,
-        }
-    }
-}
-
 /// Evidence on suspect requests, and notifications of its changes.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineState {
@@ -83,6 +48,11 @@
 }
 
 impl QuarantineState {
+    /// Whether any box saw `run` crash under a request.
+    pub fn has_crashed(&self, run: RunDigest) -> bool {
+        self.table.borrow().has_crashed(run)
+    }
+
     /// Creates the state of the box with this address.
     pub fn new(ip: IpAddr) -> Self {
         let draw = BuildHasherDefault::<DefaultHasher>::default().hash_one(ip);
@@ -137,9 +107,9 @@
     }
 
     /// Logs an interruption of a request by its targets that is no evidence against it.
-    pub(crate) fn log_without_evidence(&self, call: &Call, targets: &str, why: NoEvidence) {
+    pub(crate) fn log_without_evidence(&self, suspect: &Suspect, targets: &str, why: NoEvidence) {
         self.count(|tally| tally.interruptions_without_evidence += 1);
-        log::info!(event = "no-evidence", id = &*call.head.id, fingerprint:% = call.fingerprint(), targets = targets, why:? = why; "an interruption is no evidence against its request");
+        log::info!(event = "no-evidence", id = &*suspect.id, fingerprint:% = suspect.request, targets = targets, why:? = why; "an interruption is no evidence against its request");
     }
 
     /// Returns the number of requests with evidence against them.
@@ -183,51 +153,49 @@
         log::info!(event = "trial", id = &*call.head.id, parts = &*call.head.shared_part_names(); "sending a quarantined request, to try the part of its prompt that is blamed");
     }
 
-    /// Handles a connection that a target closed while it had a request. If nothing listens at its address any
-    /// more, the run has ended and the request may be the cause. A cut or reset connection alone proves nothing, nor
-    /// does a refused one if this box reaches no other target either.
-    pub(crate) async fn target_disconnected(
+    /// Records that a run crashed under a request, `age` after it had interrupted the request.
+    pub(crate) fn crashed_under(
         &self,
-        call: &Call,
-        to: &Recipient,
-        progress: Progress,
+        suspect: &Suspect,
+        run: &TargetRun,
+        weights: Weights,
+        by: EndedBy,
+        age: Duration,
     ) {
-        if !target::refuses_connections(to.address).await {
-            return self.log_without_evidence(call, &to.run.id, NoEvidence::Accepting);
-        }
-        if self.is_cut_off_besides(to.key).await {
-            return self.log_without_evidence(call, &to.run.id, NoEvidence::CutOff);
-        }
-        let verdict = self.record_crash(call, to, progress);
-        let Some(verdict) = verdict else {
+        let Some(verdict) = self.record_crash(suspect, run, weights) else {
             return;
         };
         self.count(|tally| tally.ends_under_requests += 1);
         self.notify_quarantined(verdict);
-        log::info!(event = "ended-under", id = &*call.head.id, fingerprint:% = call.fingerprint(), account = call.account.as_deref().unwrap_or_default(), target = &*to.run.id, progress:? = progress, verdict:? = verdict, parts = &*call.head.shared_part_names(), blamed = &*self.blamed(call); "target crashed while running a request");
+        log::info!(event = "ended-under", id = &*suspect.id, fingerprint:% = suspect.request, account = suspect.account.as_deref().unwrap_or_default(), target = &*run.id, weight:? = weights.request, part_weight:? = weights.parts, by:? = by, known_after_ms = age.as_millis() as u64, verdict:? = verdict, parts = &*suspect.part_names, blamed = &*self.blamed(suspect); "target crashed while running a request");
         self.suspicion.evidence_changed.notify_one();
     }
 
     /// Records a crash under a request, and under the parts of its prompt that no target has written on for a while. Returns the most
     /// severe verdict on these if anything changed.
-    fn record_crash(&self, call: &Call, to: &Recipient, progress: Progress) -> Option<Verdict> {
+    fn record_crash(
+        &self,
+        suspect: &Suspect,
+        run: &TargetRun,
+        weights: Weights,
+    ) -> Option<Verdict> {
         let now = self.now();
-        let account = AccountDigest::from(call.account.as_deref());
+        let account = suspect.account_digest();
         let mut table = self.suspicion.table.borrow_mut();
-        let mut features = Vec::new();
-        // Streams that had sent events are ignored, since many of them break with each engine.
-        if progress != Progress::Started {
-            features.push(call.fingerprint());
+        let request = weights.request.map(|weight| (suspect.request, weight));
+        let mut features: Vec<(Fingerprint, Weight)> = request.into_iter().collect();
+        if let Some(weight) = weights.parts {
+            let parts = suspect.parts.iter().copied();
+            let parts = parts.filter(|part| !table.is_proven(*part, now));
+            features.extend(parts.map(|part| (part, weight)));
         }
-        let parts = call.part_fingerprints().iter().copied();
-        features.extend(parts.filter(|part| !table.is_proven(*part, now)));
-        let end = CrashRecord {
-            run: RunDigest::from(&to.run),
-            had_begun: progress == Progress::Begun,
-            is_acquitted: false,
-        };
         let mut worst = None;
-        for feature in features {
+        for (feature, weight) in features {
+            let end = CrashRecord {
+                run: RunDigest::from(run),
+                weight,
+                is_acquitted: false,
+            };
             let verdict = table.record_crash(feature, account, end, now);
             if verdict == Some(Verdict::Quarantined) {
                 self.suspicion.mark_unsaved(feature);
@@ -238,47 +206,66 @@
     }
 
     /// Returns which part of a request's prompt is blamed for crashes, or `request`; empty if none is. For the log.
-    fn blamed(&self, call: &Call) -> String {
-        let culprit = self.suspicion.table.borrow().culprit(&call.features());
+    fn blamed(&self, suspect: &Suspect) -> String {
+        let features = Features {
+            request: suspect.request,
+            parts: &suspect.parts,
+        };
+        let culprit = self.suspicion.table.borrow().culprit(&features);
         let part_at = |culprit| {
-            let mut parts = call.part_fingerprints().iter();
+            let mut parts = suspect.parts.iter();
             parts.position(|part| *part == culprit)
         };
         match culprit.map(part_at) {
             None => String::new(),
             Some(None) => "request".to_owned(),
-            Some(Some(at)) => call.head.shared_parts()[at].as_str().to_owned(),
+            Some(Some(at)) => {
+                let mut names = suspect.part_names.split(',');
+                names.nth(at).unwrap_or("part").to_owned()
+            }
         }
     }
 
     /// Clears a request of suspicion, since a target completed it.
     pub(crate) fn record_completion(&self, call: &Call, by: Completion) {
-        let now = self.now();
-        let mut table = self.suspicion.table.borrow_mut();
-        if table.is_empty() {
+        if self.suspicion.table.borrow().is_empty() && self.interruptions.is_empty() {
             return;
         }
-        let fingerprint = call.fingerprint();
-        let was_quarantined = table.verdict(fingerprint) == Verdict::Quarantined;
-        if table.clear_suspicion(fingerprint, now) {
-            self.cleared(fingerprint, was_quarantined);
-            log::info!(event = "acquitted", id = &*call.head.id, fingerprint:% = fingerprint, by:? = by; "cleared a suspect request that a target completed");
+        self.clear_request(&call.head.id, call.fingerprint(), by);
+    }
+
+    /// Clears a request of the crashes known so far and of its pending interruptions.
+    pub(crate) fn clear_request(&self, id: &str, request: Fingerprint, by: Completion) {
+        self.interruptions.clear_request(request);
+        let now = self.now();
+        let mut table = self.suspicion.table.borrow_mut();
+        let was_quarantined = table.verdict(request) == Verdict::Quarantined;
+        if table.clear_suspicion(request, now) {
+            self.cleared(request, was_quarantined);
+            log::info!(event = "acquitted", id = id, fingerprint:% = request, by:? = by; "cleared a suspect request that a target completed");
         }
     }
 
     /// Clears the parts of a request's prompt, since the targets whose answer began at `began` have written on them for a while.
     pub(crate) fn record_proof(&self, call: &Call, began: Instant, by: Completion) {
+        self.clear_parts(&call.head.id, call.part_fingerprints(), began, by);
+    }
+
+    /// Clears parts of prompts, since the targets whose answer to attempt `id` began at `began` have written on them for a while.
+    pub(crate) fn clear_parts(
+        &self,
+        id: &str,
+        parts: &[Fingerprint],
+        began: Instant,
+        by: Completion,
+    ) {
         let now = self.now();
         let mut table = self.suspicion.table.borrow_mut();
-        for (part, id) in call
-            .part_fingerprints()
-            .iter()
-            .zip(call.head.shared_parts())
-        {
+        for part in parts {
             let was_quarantined = table.verdict(*part) == Verdict::Quarantined;
             if table.record_proof(*part, began, now) {
                 self.cleared(*part, was_quarantined);
-                log::info!(event = "acquitted", id = &*call.head.id, part = id.as_str(), fingerprint:% = part, by:? = by; "cleared a suspect part of a prompt on which a target wrote for a while");
+                log::info!(event = "acquitted", id = id, part:% = part, by:? = by; "cleared a suspect part of a prompt on which a target wrote for a while");
             }
         }
     }
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::configuration::Configuration;
 use crate::connections::Connections;
 use crate::handoff::HandoffState;
+use crate::interruptions::Interruptions;
 use crate::lifecycle::Lifecycle;
 use crate::limits::LimitState;
 use crate::metrics::Times;
@@ -115,6 +116,8 @@
     slow_engines: SlowEngines,
     /// Requests whose targets crashed while running them.
     pub(crate) suspicion: QuarantineState,
+    /// Interruptions of requests whose cause is not known yet.
+    pub(crate) interruptions: Interruptions,
     /// Rate limits of targets and pending permits.
     pub(crate) limits: LimitState,
     /// Admission control by rank.
@@ -206,6 +209,7 @@
             mean_run_time: Cell::new(INITIAL_RUN_TIME),
             direct: watch::Sender::new(false),
             slow_engines: SlowEngines::default(),
+            interruptions: Interruptions::default(),
             limits: LimitState::default(),
             admission: Admission::default(),
             shares: ShareState::default(),
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -1,5 +1,6 @@
 //! Reading the events of one chain of engines.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,7 +8,7 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fleet::EngineKey;
 use reachtally_core::forward::path::{Part, Path};
-use reachtally_core::forward::quarantine::{PROOF_TIME, START_EVENTS, START_TIME};
+use reachtally_core::forward::quarantine::{PROOF_TIME, START_EVENTS};
 use reachtally_core::forward::read_ahead::EngineStall;
 use reachtally_core::forward::stall::EventGaps;
 use tokio::sync::watch;
@@ -15,8 +16,9 @@
 use crate::attempts::Attempts;
 use crate::events::Splitter;
 use crate::exchange::{Recipient, TargetBody};
+use crate::interruptions::{AnswerProgress, AssignedRuns, UnconfirmedAnswer};
 use crate::occupied::RequestGuard;
-use crate::quarantine::{Completion, Progress};
+use crate::quarantine::Completion;
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::stream::repair::{self, Outcome, Repair};
@@ -60,6 +62,8 @@
     runs_ended: watch::Receiver<Vec<EngineKey>>,
     /// Changes when a request is quarantined.
     quarantine_changes: watch::Receiver<u64>,
+    /// The runs that have the request.
+    runs: RefCell<AssignedRuns>,
     /// The path along which the engines forward the request, if it has one.
     path: Option<Path>,
     /// Number of events that the caller received before this chain.
@@ -182,6 +186,7 @@
             check_at: now,
             runs_ended: relay.runs_ended(),
             quarantine_changes: relay.stopped(),
+            runs: RefCell::default(),
             path: None,
             events_before: 0,
             repairs: 0,
@@ -191,10 +196,17 @@
         running
     }
 
-    /// Sets the path along which the engines forward the request, the number of its repairs so far, and the event `last` after which
-    /// the chain starts.
-    pub fn set_path(&mut self, path: Option<Path>, last: Option<u64>, repairs: u32) {
+    /// Sets the path along which the engines forward the request, their runs, the event `last` after which the chain starts, and the
+    /// number of repairs of the path so far.
+    pub fn set_path(
+        &mut self,
+        path: Option<Path>,
+        runs: AssignedRuns,
+        last: Option<u64>,
+        repairs: u32,
+    ) {
         self.path = path;
+        self.runs = RefCell::new(runs);
         self.repairs = repairs;
         self.events_before = last.unwrap_or(0);
     }
@@ -204,11 +216,6 @@
         self.occupied.engines()
     }
 
-    /// Returns the engine that received the request.
-    pub fn first(&self) -> &Recipient {
-        &self.first
-    }
-
     /// Returns the number of events that the chain has yielded.
     pub fn events(&self) -> u32 {
         self.timing.events
@@ -357,6 +364,7 @@
         if send::can_reroute(relay, call, attempts, &lost) {
             return Err(StopReason::Dead(lost));
         }
+        self.register_interruption(relay, call);
         Ok(())
     }
 
@@ -375,6 +383,9 @@
                 Repair::start(relay, call, attempts, &self.first, path, events, dead)
             });
             self.repairs += u32::from(self.repair.is_some());
+            if self.repair.is_some() {
+                self.register_interruption(relay, call);
+            }
         }
         if self.repair.is_some() {
             self.check_at = relay.now() + repair::MAX_DURATION;
@@ -404,8 +415,9 @@
                 self.timing
                     .repair_pause_from
                     .get_or_insert(self.waiting_since);
-                self.occupied
-                    .move_to(accepted.choice.path.engines(), accepted.read);
+                let engines = accepted.choice.path.engines();
+                self.runs.borrow_mut().move_to(relay, &engines);
+                self.occupied.move_to(engines, accepted.read);
                 self.path = Some(accepted.choice.path);
                 self.wait_from(now);
                 self.check_at = self.check_at + accepted.choice.first;
@@ -447,6 +459,9 @@
         if !dead.is_empty() && send::can_reroute(relay, call, attempts, &dead) {
             return Err(StopReason::Dead(dead));
         }
+        if !dead.is_empty() {
+            self.register_interruption(relay, call);
+        }
         let now = relay.now();
         self.check_at = match now < overdue_at {
             true => overdue_at,
@@ -476,15 +491,24 @@
         self.check_at = now + self.gaps.shared_silence_timeout();
     }
 
-    /// Returns how far the engines had come if they have only just begun the request.
-    pub fn progress(&self, relay: &Relay) -> Option<Progress> {
-        match self.whole_events {
-            0 => Some(Progress::Begun),
-            1..=START_EVENTS if self.begun_for(relay) < START_TIME => Some(Progress::Started),
-            _ => None,
+    /// Returns how far the answer is.
+    fn progress(&self) -> AnswerProgress {
+        AnswerProgress {
+            head_at: Some(self.begun_at),
+            events: self.whole_events,
         }
     }
 
+    /// Handles that the engines interrupted the stream: one of them may have crashed under it.
+    pub async fn check_interruption(&self, relay: &Relay, call: &Call) {
+        relay.interrupted(call, &self.runs, self.progress()).await;
+    }
+
+    /// Registers that the engines interrupted the stream, without a check of them.
+    pub fn register_interruption(&self, relay: &Relay, call: &Call) {
+        relay.register_interruption(call, &self.runs, self.progress());
+    }
+
     /// Records that the parts of the prompt do not crash engines, if these have written enough.
     fn prove(&mut self, relay: &Relay, call: &Call, by: Completion) {
         if !self.is_proven && self.whole_events > START_EVENTS {
@@ -503,9 +527,16 @@
         }
         self.timing
             .record(relay, call, self.engines(), self.is_unframed);
-        let by = Completion::of(self.is_unframed);
-        relay.record_completion(call, by);
-        self.prove(relay, call, by);
+        if self.is_unframed {
+            let answer = UnconfirmedAnswer {
+                began: self.begun_at,
+                proves_parts: self.whole_events > START_EVENTS,
+            };
+            relay.completed_unframed(call, &mut self.runs.borrow_mut(), self.progress(), answer);
+        } else {
+            relay.record_completion(call, Completion::Whole);
+            self.prove(relay, call, Completion::Whole);
+        }
         if let Some(connection) = self.connection.take() {
             relay.connections.keep(connection, relay.now());
         }
--- a/reachtally-relay/src/stream/mod.rs
+++ b/reachtally-relay/src/stream/mod.rs
@@ -28,7 +28,6 @@
 use crate::attempts::Attempts;
 use crate::events::Splitter;
 use crate::handoff::{self, Handoff};
-use crate::quarantine::NoEvidence;
 use crate::relay::Relay;
 use crate::retries::RetryCause;
 use crate::serve::Call;
@@ -234,6 +233,7 @@
         (StopReason::InterruptedUnread(why), Source::Chain(chain))
             if relay.find_dead(chain.engines()).await.is_empty() =>
         {
+            chain.register_interruption(relay, stream.call);
             Continuation::CutSlowReader(why)
         }
         (
@@ -260,7 +260,7 @@
 ) -> Continuation {
     let (relay, call) = (stream.relay, stream.call);
     log::info!(event = "broke", id = &*call.head.id, why = why, last:? = stream.splitter.last(), events = chain.events(), begun_ms = chain.begun_for(relay).as_millis() as u64, targets = &*chain.engine_names(relay), engines = &*chain.describe_engines(relay), fingerprint:% = call.fingerprint(), parts = &*call.head.shared_part_names(); "stream interrupted");
-    record_suspected_crash(relay, call, chain).await;
+    chain.check_interruption(relay, call).await;
     let dead = relay.find_dead(chain.engines()).await;
     match dead.is_empty() {
         true => attempts.avoid.extend(chain.engines().first()),
@@ -278,12 +278,7 @@
 ) -> Continuation {
     let (relay, call) = (stream.relay, stream.call);
     log::info!(event = "stage-dead", id = &*call.head.id, engines = engines.len(), last:? = stream.splitter.last(); "engines of a stream are dead");
-    if engines.first() == chain.engines().first() {
-        record_suspected_crash(relay, call, chain).await;
-    } else {
-        let names = chain::engine_names(relay, &engines);
-        relay.log_without_evidence(call, &names, NoEvidence::LaterTarget);
-    }
+    chain.check_interruption(relay, call).await;
     attempts.avoid.extend(engines);
     stream.queue.wait_until_consumed().await;
     match resume(relay, call, attempts, stream.splitter, relay.now()).await {
@@ -318,21 +313,6 @@
     Continuation::Cut(BodyTruncated::new(by, why))
 }
 
-/// Records that the first engine of a chain broke off or died. Only a chain that had just started the request counts, since the
-/// request may be the cause. Streams that were further on are ignored, since a hundred of them break with each engine.
-async fn record_suspected_crash(relay: &Relay, call: &Call, running: &RunningChain) {
-    let Some(progress) = running.progress(relay) else {
-        return relay.log_without_evidence(
-            call,
-            &running.engine_names(relay),
-            NoEvidence::UnderWay,
-        );
-    };
-    relay
-        .target_disconnected(call, running.first(), progress)
-        .await;
-}
-
 /// Resumes the stream over another chain after the last event that the caller received; retries until `until` while there is none.
 async fn resume(
     relay: &Rc<Relay>,
--- a/reachtally-relay/src/stream/repair.rs
+++ b/reachtally-relay/src/stream/repair.rs
@@ -12,7 +12,6 @@
 
 use crate::attempts::Attempts;
 use crate::exchange::Recipient;
-use crate::quarantine::NoEvidence;
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::store::{self, RepairAnswer, RepairFuture};
@@ -127,8 +126,6 @@
         if answer == RepairAnswer::Begun {
             relay.count(|tally| tally.streams_repaired += 1);
             let targets = engine_names(relay, &self.choice.path.engines());
-            let dead = engine_names(relay, &self.dead);
-            relay.log_without_evidence(call, &dead, NoEvidence::LaterTarget);
             log::info!(event = "repaired", id = id, engines = self.dead.len(), silent_ms = silent_ms, answer:? = answer, expected_ms = self.choice.first.as_millis() as u64, targets = &*targets; "the path of the stream was repaired");
             return Outcome::Repaired(AcceptedRepair {
                 choice: self.choice,
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -18,15 +18,13 @@
 use crate::answer::Body;
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, SendFailure, TargetBody};
+use crate::interruptions::{AssignedRuns, SendWatch};
 use crate::occupied::RequestGuard;
-use crate::quarantine::NoEvidence;
 use crate::receive::{ReceiveError, receive};
 use crate::relay::Relay;
 use crate::retries::SendProgress;
 use crate::serve::Call;
-use crate::stream::chain::{
-    FIRST_EVENT_MARGIN, RunningChain, Timing, engine_names, find_dead_among_silent,
-};
+use crate::stream::chain::{FIRST_EVENT_MARGIN, RunningChain, Timing, find_dead_among_silent};
 use crate::stream::repair::{self, AcceptedRepair, Outcome, Repair};
 use crate::target::{self, Answer, SendError};
 use crate::wire::{AddedFields, AnswerHead};
@@ -202,7 +200,7 @@
     let mut occupied =
         RequestGuard::new(relay, selection.engines.clone(), need.held(), need.prompt);
     let timing = Timing::new(relay.now(), selection.first, selection.gap);
-    let answer = wait_for_head(
+    let (answer, runs) = wait_for_head(
         relay,
         call,
         &mut selection,
@@ -218,7 +216,9 @@
     let head = Head { answer, progress };
     let mut answered = evaluate_head(relay, call, head, to, occupied, timing, attempts).await?;
     if let EngineAnswer::Stream(answer) = &mut answered {
-        answer.1.set_path(selection.path, last, selection.repairs);
+        answer
+            .1
+            .set_path(selection.path, runs, last, selection.repairs);
     }
     Ok(answered)
 }
@@ -232,7 +232,7 @@
     destination: Destination<'_>,
     last: Option<u64>,
     attempts: &mut Attempts,
-) -> Result<Answer, SendFailure> {
+) -> Result<(Answer, AssignedRuns), SendFailure> {
     let Destination { to, progress } = destination;
     let (key, address, started_at) = (to.key, to.address, relay.now());
     let add = AddedFields {
@@ -250,6 +250,7 @@
     };
     let is_reused = pooled.is_some();
     let on_write = || progress.written(relay, call);
+    let watch = SendWatch::new(relay, call, &selection.engines);
     let mut sending = std::pin::pin!(async {
         match pooled {
             Some(pooled) => target::send_on_idle(pooled, req, on_write).await,
@@ -267,6 +268,7 @@
             biased;
             sent = tokio::time::timeout_at(relay.timer(until), &mut sending) => sent,
             () = &mut quarantined => {
+                watch.settle();
                 let why = "request quarantined after engine crashes".to_owned();
                 return Err(SendFailure::Lost(why));
             }
@@ -277,9 +279,11 @@
                     Some(Outcome::Repaired(accepted)) => {
                         wait = first_wait(accepted.choice.first);
                         selection.apply_repair(accepted, occupied);
+                        watch.move_to(&selection.engines);
                     }
                     Some(Outcome::Retry(again)) => repair = Some(again),
                     Some(Outcome::Failed(dead)) if can_reroute(relay, call, attempts, &dead) => {
+                        watch.settle();
                         return Err(abandon_silent(attempts, dead));
                     }
                     Some(Outcome::Failed(_)) | None => {}
@@ -288,17 +292,18 @@
             }
         };
         match sent {
-            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Ok(answer)) => return Ok((answer, watch.settle())),
             Ok(Err(SendError::NotConnected(why))) => {
+                watch.settle();
                 attempts.avoid.push(key);
                 return Err(exchange::connect_failed(relay, key, &why));
             }
             Ok(Err(SendError::Broken(why))) => {
-                relay.log_without_evidence(call, &to.run.id, NoEvidence::BeforeHead);
+                watch.interrupted().await;
                 return Err(mark_failed(relay, key, attempts, why));
             }
             Ok(Err(SendError::Stale(why))) => {
-                relay.log_without_evidence(call, &to.run.id, NoEvidence::BeforeHead);
+                watch.interrupted().await;
                 return Err(SendFailure::Lost(why));
             }
             Err(_) if relay.now() >= call.due => return Err(SendFailure::Late),
@@ -308,9 +313,13 @@
         let is_unresponsive = relay.now().since(started_at) > SILENT_CHAIN_TIMEOUT;
         if is_reused && is_unresponsive && can_reroute(relay, call, attempts, &[]) {
             let why = "no answer over a reused connection".to_owned();
+            watch.interrupted().await;
             return Err(SendFailure::Lost(why));
         }
         let mut failed = find_dead_among_silent(relay, &selection.engines, wait).await;
+        if !failed.is_empty() {
+            watch.suspected().await;
+        }
         if !failed.is_empty() && repair::may_repair(relay, call, selection.repairs, 0) {
             let path = selection.path.as_ref();
             let events = last.unwrap_or(0);
@@ -333,8 +342,7 @@
             };
         }
         if !failed.is_empty() && can_reroute(relay, call, attempts, &failed) {
-            let names = engine_names(relay, &failed);
-            relay.log_without_evidence(call, &names, NoEvidence::BeforeHead);
+            watch.settle();
             return Err(abandon_silent(attempts, failed));
         }
         wait = FIRST_EVENT_MARGIN;
--- a/reachtally-relay/src/targets/presence.rs
+++ b/reachtally-relay/src/targets/presence.rs
@@ -225,7 +225,7 @@
     }
 
     /// Probes a target.
-    pub(super) async fn probe(&self, address: SocketAddr) -> Probe {
+    pub(crate) async fn probe(&self, address: SocketAddr) -> Probe {
         self.count(|tally| tally.targets_probed += 1);
         target::probe(address).await
     }
--- a/reachtally-relay/src/whole.rs
+++ b/reachtally-relay/src/whole.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::Response;
+use reachtally_core::Instant;
 use reachtally_core::forward::admission::Offer;
 use reachtally_core::forward::fleet::{Engine, EngineKey};
 use reachtally_core::forward::select::{self, ConnectionLimit, Instance, Limits, SelectionContext};
@@ -14,8 +15,9 @@
 use crate::attempts::{Attempts, SendRecord};
 use crate::exchange::{self, Recipient, SendFailure};
 use crate::handoff;
+use crate::interruptions::{AnswerProgress, AssignedRuns, SendWatch, UnconfirmedAnswer};
 use crate::occupied::RequestGuard;
-use crate::quarantine::{Completion, Progress};
+use crate::quarantine::Completion;
 use crate::receive::{ReceiveError, receive};
 use crate::relay::Relay;
 use crate::retries::{RetryCause, SendProgress};
@@ -197,39 +199,44 @@
         last_event: None,
     };
     let on_write = || progress.written(relay, call);
+    let watch = SendWatch::new(relay, call, &[key]);
     let sending = target::send(to.address, exchange::request(relay, call, &add), on_write);
-    let answer = match relay.run_until(call.due, sending).await {
+    let answer = match relay.run_until(call.due, watch.during(sending)).await {
         None => return Err(SendFailure::Late),
         Some(Err(SendError::NotConnected(why))) => {
+            watch.settle();
             return Err(exchange::connect_failed(relay, key, &why));
         }
         Some(Err(SendError::Broken(why) | SendError::Stale(why))) => {
-            return Err(target_disconnected(relay, call, &to, why).await);
+            watch.interrupted().await;
+            return Err(failed(relay, key, why));
         }
         Some(Ok(answer)) => answer,
     };
     let head = exchange::decode_head(relay, call, &to, &answer.response, progress);
     if exchange::proves_not_run(call, &head) {
+        watch.settle();
         let why = format!("status {}", answer.response.status());
         return Err(SendFailure::NotRun(NeverStarted::TargetSaidSo, why));
     }
     if let Some(why) = exchange::rejection_reason(call, &head, &answer.response) {
+        watch.settle();
         return Err(failed(relay, key, why.to_owned()));
     }
     let began = relay.now();
     let (parts, body, is_unframed) = exchange::split(relay, &to, answer.response);
     let keep = (answer.connection, occupied);
-    let (body, is_complete) = match receive(relay, call.due, body, keep).await {
+    let (body, is_complete) = match watch.during(receive(relay, call.due, body, keep)).await {
         Ok(received) => received,
         Err(ReceiveError::Late) => return Err(SendFailure::Late),
         Err(ReceiveError::Broken(why)) => {
-            return Err(target_disconnected(relay, call, &to, why).await);
+            watch.interrupted().await;
+            return Err(failed(relay, key, why));
         }
     };
+    let mut runs = watch.settle();
     if is_complete && parts.status.is_success() {
-        let by = Completion::of(is_unframed);
-        relay.record_completion(call, by);
-        relay.record_proof(call, began, by);
+        complete(relay, call, &mut runs, began, is_unframed);
     }
     Ok(Response::from_parts(parts, body))
 }
@@ -277,15 +284,23 @@
     }
 }
 
-/// Handles a connection that the target closed: it has failed, and the request may have crashed it.
-async fn target_disconnected(
+/// Records a complete answer that began at `began`.
+fn complete(
     relay: &Relay,
     call: &Call,
-    to: &Recipient,
-    why: String,
-) -> SendFailure {
-    relay.target_disconnected(call, to, Progress::Unknown).await;
-    failed(relay, to.key, why)
+    runs: &mut AssignedRuns,
+    began: Instant,
+    is_unframed: bool,
+) {
+    if is_unframed {
+        let answer = UnconfirmedAnswer {
+            began,
+            proves_parts: true,
+        };
+        return relay.completed_unframed(call, runs, AnswerProgress::NONE, answer);
+    }
+    relay.record_completion(call, Completion::Whole);
+    relay.record_proof(call, began, Completion::Whole);
 }
 
 /// Records the failure of a target that may have run the request.
