fix(relay): weak evidence waits for a shared check, and a silence that a request is moved away from stays pending

Each stream that breaks with a target probed it and three others at once; those whose crash would be weak evidence now share the checks of pending interruptions, and one check that reaches another target counts for all interruptions before it. A send that is abandoned because its engines are silent counted as settled, so that an engine that ended silently behind an address that answers left no evidence; it stays pending as well.

reachtally-bench suspects has paths of several engines (--path), any of which crashes.

--- a/reachtally-bench/src/suspects.rs
+++ b/reachtally-bench/src/suspects.rs
@@ -30,6 +30,9 @@
     /// Fraction of the datagrams that are lost
     #[bpaf(argument("PART"), fallback(0.02))]
     loss: f64,
+    /// Engines of a path, any of which crashes; the requests on them have begun on all
+    #[bpaf(argument("N"), fallback(1))]
+    path: u32,
 }
 
 /// Runs the experiment.
@@ -37,6 +40,9 @@
     if !(0.0..1.0).contains(&options.loss) {
         return Err("the fraction of lost datagrams must be at least 0 and below 1".to_owned());
     }
+    if options.path == 0 {
+        return Err("a path must have at least 1 engine".to_owned());
+    }
     let mut report = Report::default();
     for boxes in BOX_COUNTS {
         let mut merged = Results::default();
@@ -44,6 +50,7 @@
             let parameters = Parameters {
                 boxes,
                 loss: options.loss,
+                path: options.path,
                 seed,
             };
             merged.add(&Simulation::new(parameters).run());
--- a/reachtally-bench/src/suspects/play.rs
+++ b/reachtally-bench/src/suspects/play.rs
@@ -56,6 +56,8 @@
     pub boxes: usize,
     /// Fraction of the datagrams that are lost.
     pub loss: f64,
+    /// Number of engines of a path.
+    pub path: u32,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -263,7 +265,8 @@
             self.third_crash_us = Some(self.timeline.now_us());
         }
         let run = self.crash_engine(u32::MAX);
-        self.record_crash_of(box_index, CULPRIT, run);
+        let weight = self.draw_weight();
+        self.record_crash_of(box_index, CULPRIT, run, weight);
         self.send_culprit(box_index, sends);
     }
 
@@ -272,27 +275,44 @@
     fn crash_engine(&mut self, shared_of: u32) -> RunDigest {
         self.next_run += 1;
         let run = RunDigest(self.next_run);
-        for _ in 0..self.rng.random_range(0..=MAX_JUST_STARTED) {
+        for _ in 0..self
+            .rng
+            .random_range(0..=MAX_JUST_STARTED * self.parameters.path)
+        {
             let box_index = self.random_box();
             self.results.innocents += INNOCENTS_PER_CRASH;
             self.next_innocent += 1;
             let mut bytes = [3; 16];
             bytes[..8].copy_from_slice(&self.next_innocent.to_be_bytes());
-            self.record_crash_of(box_index, Fingerprint(bytes), run);
-            if self.rng.random_bool(REPEAT_CRASH_FRACTION) {
+            let innocent = Fingerprint(bytes);
+            let weight = self.draw_weight();
+            self.record_crash_of(box_index, innocent, run, weight);
+            let repeat_fraction = REPEAT_CRASH_FRACTION * f64::from(self.parameters.path);
+            while !self.is_quarantined(box_index, innocent)
+                && self.rng.random_bool(repeat_fraction.min(1.0))
+            {
                 self.next_run += 1;
-                self.record_crash_of(box_index, Fingerprint(bytes), RunDigest(self.next_run));
-                self.results.innocents_refused +=
-                    u64::from(self.is_quarantined(box_index, Fingerprint(bytes)));
+                let weight = self.draw_weight();
+                self.record_crash_of(box_index, innocent, RunDigest(self.next_run), weight);
             }
+            self.results.innocents_refused += u64::from(self.is_quarantined(box_index, innocent));
         }
         if self.rng.random_range(0..shared_of) == 0 {
             let box_index = self.random_box();
-            self.record_crash_of(box_index, SHARED, run);
+            let weight = self.draw_weight();
+            self.record_crash_of(box_index, SHARED, run, weight);
         }
         run
     }
 
+    /// Draws which engine of a path crashes, and returns the weight of that.
+    fn draw_weight(&mut self) -> Weight {
+        match self.rng.random_range(0..self.parameters.path) {
+            0 => Weight::Strong,
+            _ => Weight::Moderate,
+        }
+    }
+
     fn send_shared(&mut self) {
         let (box_index, now) = (self.random_box(), self.timeline.clock());
         self.results.innocents += 1;
@@ -305,11 +325,17 @@
         }
     }
 
-    fn record_crash_of(&mut self, box_index: usize, request: Fingerprint, run: RunDigest) {
+    fn record_crash_of(
+        &mut self,
+        box_index: usize,
+        request: Fingerprint,
+        run: RunDigest,
+        weight: Weight,
+    ) {
         let now = self.timeline.clock();
         let end = CrashRecord {
             run,
-            weight: Weight::Strong,
+            weight,
             is_acquitted: false,
         };
         if self.tables[box_index]
--- a/reachtally-relay/src/interruptions.rs
+++ b/reachtally-relay/src/interruptions.rs
@@ -207,6 +207,8 @@
 #[derive(Debug)]
 struct Interruption {
     suspect: Suspect,
+    /// Ids of the targets, for the log.
+    targets: String,
     at: Instant,
     candidates: Vec<Candidate>,
     /// Number of [`PROBE_DELAYS`] that are over.
@@ -216,9 +218,10 @@
 }
 
 impl Interruption {
-    fn names(&self) -> String {
-        let names = self.candidates.iter().map(|one| &*one.run.run.id);
-        names.collect::<Vec<&str>>().join(",")
+    /// Whether few crashes like this one quarantine the request.
+    fn is_urgent(&self) -> bool {
+        let mut weights = self.candidates.iter().map(|one| one.weights.request);
+        weights.any(|weight| weight > Some(Weight::Weak))
     }
 
     fn is_probe_due(&self, now: Instant) -> bool {
@@ -232,6 +235,8 @@
 pub(crate) struct Interruptions {
     pending: RefCell<Vec<Interruption>>,
     registered: Notify,
+    /// When a check began that last reached a target besides one that refuses connections.
+    reached_at: Cell<Option<Instant>>,
 }
 
 impl Interruptions {
@@ -349,15 +354,20 @@
         let Some(first) = interruption.candidates.first() else {
             return;
         };
-        // Streams over one target break together; each asks for the first target of its path, and they share the checks of the others.
-        let first = (first.run.key, self.probe(first.run.address));
-        let others: Vec<EngineKey> = interruption.candidates[1..]
-            .iter()
-            .map(|candidate| candidate.run.key)
-            .collect();
-        let (first_probe, _) = tokio::join!(first.1, self.find_dead(&others));
-        if first_probe == Probe::Refused {
-            self.target_dead(first.0, Evidence::Refused);
+        // Many streams break with each target. Evidence that is weak can wait for a check that they share.
+        if !interruption.is_urgent() {
+            return self.keep_pending(interruption);
+        }
+        if self.end_of(&first.run, interruption.at).is_none() {
+            let others: Vec<EngineKey> = interruption.candidates[1..]
+                .iter()
+                .map(|candidate| candidate.run.key)
+                .collect();
+            let probe = self.probe(first.run.address);
+            let (probe, _) = tokio::join!(probe, self.find_dead(&others));
+            if probe == Probe::Refused {
+                self.target_dead(first.run.key, Evidence::Refused);
+            }
         }
         if let Some(interruption) = self.resolve(interruption).await {
             self.keep_pending(interruption);
@@ -422,6 +432,7 @@
         }
         Some(Interruption {
             suspect,
+            targets: runs.names(),
             at,
             candidates,
             probes: 0,
@@ -436,7 +447,7 @@
             let forgotten = pending.remove(complete.unwrap_or(0));
             self.log_without_evidence(
                 &forgotten.suspect,
-                &forgotten.names(),
+                &forgotten.targets,
                 NoEvidence::Forgotten,
             );
         }
@@ -475,6 +486,20 @@
             || fleet.has_announced_leave(&run.run)
     }
 
+    /// Whether this box has reached no target besides `key` since the interruption at `at`.
+    async fn reaches_no_other(&self, key: EngineKey, at: Instant) -> bool {
+        let reached_at = &self.interruptions.reached_at;
+        if reached_at.get().is_some_and(|reached_at| reached_at >= at) {
+            return false;
+        }
+        let now = self.now();
+        let is_cut_off = self.is_cut_off_besides(key).await;
+        if !is_cut_off {
+            reached_at.set(Some(now));
+        }
+        is_cut_off
+    }
+
     /// Records the crash of the first run of an interruption that is known to have ended. Returns the interruption if it stays
     /// pending.
     async fn resolve(&self, mut interruption: Interruption) -> Option<Interruption> {
@@ -487,7 +512,7 @@
                 continue;
             };
             // A box without links can't tell a crash from its own cut.
-            if by == EndedBy::Refused && self.is_cut_off_besides(candidate.run.key).await {
+            if by == EndedBy::Refused && self.reaches_no_other(candidate.run.key, at).await {
                 continue;
             }
             let age = self.now().since(at);
@@ -502,7 +527,7 @@
         };
         match interruption.answer {
             Some(answer) => self.confirm_answer(&interruption.suspect, answer),
-            None => self.log_without_evidence(&interruption.suspect, &interruption.names(), why),
+            None => self.log_without_evidence(&interruption.suspect, &interruption.targets, why),
         }
         None
     }
@@ -536,11 +561,12 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         relay.probe_pending().await;
         let pending = relay.interruptions.pending.take();
-        let resolved = pending.into_iter().map(|one| relay.resolve(one));
-        let left = futures::future::join_all(resolved).await;
+        let mut left = Vec::new();
+        for interruption in pending {
+            left.extend(relay.resolve(interruption).await);
+        }
         let mut pending = relay.interruptions.pending.borrow_mut();
         // Those that were registered meanwhile come last.
-        let left = left.into_iter().flatten();
         pending.splice(0..0, left);
     }
 }
--- a/reachtally-relay/src/stream/send.rs
+++ b/reachtally-relay/src/stream/send.rs
@@ -283,7 +283,6 @@
                     }
                     Some(Outcome::Retry(again)) => repair = Some(again),
                     Some(Outcome::Failed(dead)) if can_reroute(relay, call, attempts, &dead) => {
-                        watch.settle();
                         return Err(abandon_silent(attempts, dead));
                     }
                     Some(Outcome::Failed(_)) | None => {}
@@ -342,7 +341,6 @@
             };
         }
         if !failed.is_empty() && can_reroute(relay, call, attempts, &failed) {
-            watch.settle();
             return Err(abandon_silent(attempts, failed));
         }
         wait = FIRST_EVENT_MARGIN;
