refactor(relay): interruptions in rooms of their own; the report of another box counts for interruptions around it alone

Once a run was recorded as crashed, any interruption by it in ten minutes would have counted as its crash, also where the record was wrong. A box that is cut off asks for other targets once in 200 ms in place of once for each pending interruption.

--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -303,10 +303,11 @@
         is_changed | (is_refuted && self.clear_suspicion(report.fingerprint, now))
     }
 
-    /// Whether any box saw `run` crash under a request.
-    pub fn has_crashed(&self, run: RunDigest) -> bool {
+    /// Whether a box saw `run` crash under a request with crashes of which this box learned since
+    /// `from`.
+    pub fn has_run_crashed_since(&self, run: RunDigest, from: Instant) -> bool {
         let mut suspects = self.suspects.values();
-        suspects.any(|suspect| suspect.has_record_of(run))
+        suspects.any(|suspect| suspect.crashed_at >= from && suspect.has_record_of(run))
     }
 
     /// Whether this box saw a crash under a feature.
--- a/reachtally-core/tests/core/forward/quarantine.rs
+++ b/reachtally-core/tests/core/forward/quarantine.rs
@@ -6,8 +6,9 @@
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{RunMark, TargetRun};
 use reachtally_core::forward::quarantine::{
-    AccountDigest, ChangeOrigin, CrashRecord, MAX_CRASHES, MAX_SUSPECTS, MAX_SUSPECTS_PER_ACCOUNT,
-    Quarantine, RunDigest, SUSPECT_TTL, SUSPECTS_PER_MESSAGE, SuspectReport, Verdict, Weight,
+    AccountDigest, ChangeOrigin, CrashRecord, Features, LATE_START_TIME, MAX_CRASHES, MAX_SUSPECTS,
+    MAX_SUSPECTS_PER_ACCOUNT, Quarantine, RunDigest, RunProgress, START_EVENTS, START_TIME,
+    SUSPECT_TTL, SUSPECTS_PER_MESSAGE, SuspectReport, Verdict, Weight,
 };
 
 const ACCOUNT: AccountDigest = AccountDigest(7);
@@ -66,6 +67,90 @@
     );
 }
 
+fn weak(run: u32) -> CrashRecord {
+    CrashRecord {
+        weight: Weight::Weak,
+        ..begun(run)
+    }
+}
+
+#[test]
+fn five_weak_crashes_or_as_much_evidence_in_sum_quarantine() {
+    let runs = |range: std::ops::Range<u32>| range.map(weak).collect::<Vec<CrashRecord>>();
+    assert_eq!(table_with(&runs(0..4)).verdict(REQUEST), Verdict::Suspected);
+    assert_eq!(
+        table_with(&runs(0..5)).verdict(REQUEST),
+        Verdict::Quarantined
+    );
+    let mixed = [begun(1), unknown(2), weak(3)];
+    assert_eq!(table_with(&mixed[..2]).verdict(REQUEST), Verdict::Suspected);
+    assert_eq!(table_with(&mixed).verdict(REQUEST), Verdict::Quarantined);
+}
+
+#[test]
+fn evidence_weighs_less_the_further_a_run_was() {
+    let weights = |is_first, begun_for, events| {
+        let progress = RunProgress {
+            is_first,
+            begun_for,
+            events,
+        };
+        (progress.request_weight(), progress.part_weight())
+    };
+    let (strong, moderate, weak) = (Weight::Strong, Weight::Moderate, Weight::Weak);
+    let just = Some(START_TIME / 2);
+    let late = Some(START_TIME);
+    assert_eq!(weights(true, just, 0), (Some(strong), Some(strong)));
+    assert_eq!(
+        weights(true, Some(LATE_START_TIME), 0),
+        (Some(strong), Some(strong))
+    );
+    assert_eq!(weights(false, just, 0), (Some(moderate), Some(weak)));
+    assert_eq!(weights(true, None, 0), (Some(moderate), Some(weak)));
+    assert_eq!(weights(true, just, 1), (Some(moderate), Some(moderate)));
+    assert_eq!(
+        weights(true, just, START_EVENTS + 1),
+        (Some(moderate), Some(weak))
+    );
+    assert_eq!(weights(false, just, 1), (Some(moderate), Some(weak)));
+    assert_eq!(weights(true, late, 1), (Some(weak), None));
+    assert_eq!(weights(true, Some(LATE_START_TIME), 1), (None, None));
+}
+
+#[test]
+fn a_suspect_with_less_evidence_does_not_explain_the_crashes_of_another() {
+    let bystander = request(1);
+    let mut table = table_with(&[begun(1), begun(2), begun(3)]);
+    for run in 1..=3 {
+        table.record_crash(bystander, ACCOUNT, unknown(run), at(0));
+    }
+    let culprit_of = |request| {
+        let parts = &[];
+        table.culprit(&Features { request, parts })
+    };
+    assert_eq!(culprit_of(REQUEST), Some(REQUEST));
+    assert_eq!(culprit_of(bystander), None);
+}
+
+#[test]
+fn the_least_evidence_is_evicted_first() {
+    let mut table = table_with(&[unknown(1), unknown(2)]);
+    for number in 0..2 * MAX_SUSPECTS_PER_ACCOUNT {
+        table.record_crash(request(number), ACCOUNT, unknown(3), at(1));
+    }
+    assert_eq!(table.verdict(REQUEST), Verdict::Suspected);
+    assert!(table.evictions() > 0);
+}
+
+#[test]
+fn a_run_counts_as_crashed_for_interruptions_around_the_report_alone() {
+    let mut table = Quarantine::default();
+    table.record_crash(REQUEST, ACCOUNT, begun(1), at(10));
+    assert!(table.has_run_crashed_since(RunDigest(1), at(9)));
+    assert!(!table.has_run_crashed_since(RunDigest(1), at(11)));
+    assert!(!table.has_run_crashed_since(RunDigest(2), at(9)));
+}
+
 #[test]
 fn two_crashed_runs_that_had_begun_the_request_quarantine_it() {
     let table = table_with(&[begun(1), begun(2)]);
--- a/reachtally-relay/src/interruptions.rs
+++ b/reachtally-relay/src/interruptions/mod.rs
@@ -4,23 +4,28 @@
 //! at the address, and the target that crashed may be any of the path. So an interruption stays pending against each run that had
 //! the request. The first of them that is found to have ended becomes evidence against the request; runs that show life are dropped.
 
+mod runs;
+mod send_watch;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{AbsenceReason, EngineKey, Evidence};
-use reachtally_core::forward::quarantine::{AccountDigest, RunDigest, RunProgress, Weight};
+use reachtally_core::forward::quarantine::{AccountDigest, RunDigest, Weight};
 use tokio::sync::Notify;
 
-use crate::exchange::{self, Recipient};
+use crate::exchange::Recipient;
 use crate::quarantine::Completion;
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target::Probe;
+use runs::Candidate;
+pub(crate) use runs::{AnswerProgress, AssignedRuns, Weights};
+pub(crate) use send_watch::SendWatch;
 
 /// Interval of the checks of pending interruptions.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -33,13 +38,14 @@
     Duration::from_millis(900),
     Duration::from_millis(1500),
 ];
-/// Time from an interruption within which refused connections show that the target crashed under the request.
+/// Time from an interruption within which refused connections show that the target crashed under the request, and time by which the
+/// report of another box may precede it.
 const LATE_LISTENER_TIME: Duration = Duration::from_secs(2);
 /// An entry that is read later than this after an interruption was written by a live run: entries are read within a second, and within
 /// twice that by a busy box.
 const LIFE_DELAY: Duration = Duration::from_millis(2600);
-/// Interval at which a target is probed that has sent nothing.
-const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of the checks of whether this box reaches other targets while it does not.
+const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long an interruption stays pending. Longer than the three heartbeats of about 1.2 s each after which the entry of a crashed
 /// target is dropped, and the time until the drop is read.
 const PENDING_TTL: Duration = Duration::from_secs(6);
@@ -84,7 +90,7 @@
 }
 
 impl Suspect {
-    fn new(call: &Call) -> Self {
+    pub(super) fn new(call: &Call) -> Self {
         Suspect {
             id: call.head.id.clone(),
             request: call.fingerprint(),
@@ -100,100 +106,6 @@
     }
 }
 
-/// The weights of a crash against a request and the parts of its prompt.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Weights {
-    pub request: Option<Weight>,
-    pub parts: Option<Weight>,
-}
-
-impl Weights {
-    fn of(progress: RunProgress) -> Option<Self> {
-        let weights = Weights {
-            request: progress.request_weight(),
-            parts: progress.part_weight(),
-        };
-        (weights.request.is_some() || weights.parts.is_some()).then_some(weights)
-    }
-}
-
-/// How far the answer to a request was when it was interrupted.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct AnswerProgress {
-    /// When the head arrived, if it did.
-    pub head_at: Option<Instant>,
-    /// Number of whole events.
-    pub events: u64,
-}
-
-impl AnswerProgress {
-    /// Nothing has arrived.
-    pub const NONE: AnswerProgress = AnswerProgress {
-        head_at: None,
-        events: 0,
-    };
-}
-
-/// The runs that have a request, in the order of their path.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct AssignedRuns {
-    /// Each with the time since which it has the request.
-    runs: Vec<(Recipient, Instant)>,
-    /// Whether an interruption by these runs is registered.
-    is_registered: bool,
-}
-
-impl AssignedRuns {
-    /// Returns the runs in these rows.
-    pub fn new(relay: &Relay, engines: &[EngineKey]) -> Self {
-        let mut assigned = AssignedRuns::default();
-        assigned.move_to(relay, engines);
-        assigned
-    }
-
-    /// Moves the request to the runs in these rows. Those that had it before have had it since then.
-    pub fn move_to(&mut self, relay: &Relay, engines: &[EngineKey]) {
-        let now = relay.now();
-        let since = |key: EngineKey| {
-            let mut before = self.runs.iter();
-            let before = before.find(|(run, _)| run.key == key);
-            before.map_or(now, |(_, since)| *since)
-        };
-        let run = |key: &EngineKey| Some((exchange::recipient(relay, *key).ok()?, since(*key)));
-        self.runs = engines.iter().filter_map(run).collect();
-        self.is_registered = false;
-    }
-
-    /// Returns those runs whose crash would be evidence, with its weights.
-    fn candidates(&self, progress: AnswerProgress, now: Instant) -> Vec<Candidate> {
-        let candidate = |(at, (run, since)): (usize, &(Recipient, Instant))| {
-            let begun_at = progress.head_at.map(|head_at| head_at.max(*since));
-            let weights = Weights::of(RunProgress {
-                is_first: at == 0,
-                begun_for: begun_at.map(|at| now.since(at)),
-                events: progress.events,
-            });
-            Some(Candidate {
-                run: run.clone(),
-                weights: weights?,
-            })
-        };
-        self.runs.iter().enumerate().filter_map(candidate).collect()
-    }
-
-    fn names(&self) -> String {
-        let names = self.runs.iter().map(|(run, _)| &*run.run.id);
-        names.collect::<Vec<&str>>().join(",")
-    }
-}
-
-/// A run that may have ended under a request.
-#[derive(Debug)]
-struct Candidate {
-    run: Recipient,
-    weights: Weights,
-}
-
 /// What is known once the runs of an interruption turn out to live.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UnconfirmedAnswer {
@@ -235,8 +147,8 @@
 pub(crate) struct Interruptions {
     pending: RefCell<Vec<Interruption>>,
     registered: Notify,
-    /// When a check began that last reached a target besides one that refuses connections.
-    reached_at: Cell<Option<Instant>>,
+    /// When the last check began of whether this box reaches other targets than one that refuses connections, and whether it does not.
+    cut_check: Cell<Option<(Instant, bool)>>,
 }
 
 impl Interruptions {
@@ -257,88 +169,6 @@
     }
 }
 
-/// Registers an interruption unless the send is settled before it is dropped: the caller may leave, or the time run out, while a
-/// target that crashed is silent.
-pub(crate) struct SendWatch<'a> {
-    relay: &'a Relay,
-    call: &'a Call,
-    runs: RefCell<AssignedRuns>,
-    is_settled: Cell<bool>,
-}
-
-impl<'a> SendWatch<'a> {
-    /// Watches a send to the runs in these rows.
-    pub fn new(relay: &'a Relay, call: &'a Call, engines: &[EngineKey]) -> Self {
-        SendWatch {
-            relay,
-            call,
-            runs: RefCell::new(AssignedRuns::new(relay, engines)),
-            is_settled: Cell::new(false),
-        }
-    }
-
-    /// Moves the request to the runs in these rows.
-    pub fn move_to(&self, engines: &[EngineKey]) {
-        self.runs.borrow_mut().move_to(self.relay, engines);
-    }
-
-    /// Records that the send has an outcome, and returns the runs.
-    pub fn settle(&self) -> AssignedRuns {
-        self.is_settled.set(true);
-        self.runs.borrow().clone()
-    }
-
-    /// Runs `work`, and checks the first run meanwhile: its connection may stay open after a crash. What it may still send is awaited
-    /// all the same.
-    pub async fn during<T>(&self, work: impl Future<Output = T>) -> T {
-        tokio::select! {
-            biased;
-            done = work => done,
-            never = self.check_first_run() => match never {},
-        }
-    }
-
-    async fn check_first_run(&self) -> Infallible {
-        loop {
-            tokio::time::sleep(LIVENESS_CHECK_INTERVAL).await;
-            let first = self.runs.borrow().runs.first().map(|(run, _)| run.clone());
-            let Some(first) = first else {
-                continue;
-            };
-            if self.relay.probe(first.address).await == Probe::Refused {
-                self.relay.target_dead(first.key, Evidence::Refused);
-                let progress = AnswerProgress::NONE;
-                self.relay
-                    .register_interruption(self.call, &self.runs, progress);
-            }
-        }
-    }
-
-    /// Registers that targets interrupted the send, after a check of its runs.
-    pub async fn interrupted(&self) {
-        self.is_settled.set(true);
-        self.suspected().await;
-    }
-
-    /// Registers that targets seem to have interrupted the send, which goes on.
-    pub async fn suspected(&self) {
-        let progress = AnswerProgress::NONE;
-        self.relay
-            .interrupted(self.call, &self.runs, progress)
-            .await;
-    }
-}
-
-impl Drop for SendWatch<'_> {
-    fn drop(&mut self) {
-        if !self.is_settled.get() {
-            let progress = AnswerProgress::NONE;
-            self.relay
-                .register_interruption(self.call, &self.runs, progress);
-        }
-    }
-}
-
 impl Relay {
     /// Handles an interruption of a request by targets: checks its runs, and keeps it pending if none is known to have ended.
     pub(crate) async fn interrupted(
@@ -470,10 +300,11 @@
             }
             _ => {}
         }
+        // The report may be faster than the end of the connection.
+        let from = at.before(LATE_LISTENER_TIME);
         let table = &self.suspicion;
-        table
-            .has_crashed(RunDigest::from(&run.run))
-            .then_some(EndedBy::Reported)
+        let has_crashed = table.has_crashed_since(RunDigest::from(&run.run), from);
+        has_crashed.then_some(EndedBy::Reported)
     }
 
     /// Whether a run has shown life since the interruption at `at`, or left in order.
@@ -488,15 +319,14 @@
 
     /// Whether this box has reached no target besides `key` since the interruption at `at`.
     async fn reaches_no_other(&self, key: EngineKey, at: Instant) -> bool {
-        let reached_at = &self.interruptions.reached_at;
-        if reached_at.get().is_some_and(|reached_at| reached_at >= at) {
-            return false;
-        }
         let now = self.now();
-        let is_cut_off = self.is_cut_off_besides(key).await;
-        if !is_cut_off {
-            reached_at.set(Some(now));
+        match self.interruptions.cut_check.get() {
+            Some((checked_at, false)) if checked_at >= at => return false,
+            Some((checked_at, true)) if now < checked_at + CUT_CHECK_INTERVAL => return true,
+            _ => {}
         }
+        let is_cut_off = self.is_cut_off_besides(key).await;
+        self.interruptions.cut_check.set(Some((now, is_cut_off)));
         is_cut_off
     }
 
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -48,9 +48,9 @@
 }
 
 impl QuarantineState {
-    /// Whether any box saw `run` crash under a request.
-    pub fn has_crashed(&self, run: RunDigest) -> bool {
-        self.table.borrow().has_crashed(run)
+    /// Whether a box saw `run` crash under a request, of which this one learned since `from`.
+    pub fn has_crashed_since(&self, run: RunDigest, from: Instant) -> bool {
+        self.table.borrow().has_run_crashed_since(run, from)
     }
 
     /// Creates the state of the box with this address.
