--- a/reachtally-relay/src/interruptions/mod.rs
+++ b/reachtally-relay/src/interruptions/mod.rs
@@ -320,10 +320,11 @@
     /// Whether this box has reached no target besides `key` since the interruption at `at`.
     async fn reaches_no_other(&self, key: EngineKey, at: Instant) -> bool {
         let now = self.now();
-        match self.interruptions.cut_check.get() {
-            Some((checked_at, false)) if checked_at >= at => return false,
-            Some((checked_at, true)) if now < checked_at + CUT_CHECK_INTERVAL => return true,
-            _ => {}
+        if let Some((checked_at, was_cut_off)) = self.interruptions.cut_check.get() {
+            let is_current = !was_cut_off || now < checked_at + CUT_CHECK_INTERVAL;
+            if checked_at >= at && is_current {
+                return was_cut_off;
+            }
         }
         let is_cut_off = self.is_cut_off_besides(key).await;
         self.interruptions.cut_check.set(Some((now, is_cut_off)));
