--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -453,15 +453,16 @@
                 find_dead_among_silent(relay, self.engines(), self.gaps.silence_timeout()).await
             }
         };
+        if !dead.is_empty() {
+            // A quarantined request is not repaired.
+            self.check_interruption(relay, call).await;
+        }
         if !dead.is_empty() && self.start_repair(relay, call, attempts, &dead) {
             return Ok(());
         }
         if !dead.is_empty() && send::can_reroute(relay, call, attempts, &dead) {
             return Err(StopReason::Dead(dead));
         }
-        if !dead.is_empty() {
-            self.register_interruption(relay, call);
-        }
         let now = relay.now();
         self.check_at = match now < overdue_at {
             true => overdue_at,
