--- a/reachtally-relay/src/interruptions/mod.rs
+++ b/reachtally-relay/src/interruptions/mod.rs
@@ -243,17 +243,19 @@
         }
     }
 
-    /// Returns the interruption of a request by `runs`, if it may become evidence and is not registered yet.
+    /// Returns the interruption of a request by `runs`, if it may become evidence and none is registered that covers it.
     fn interruption(
         &self,
         call: &Call,
         runs: &mut AssignedRuns,
         progress: AnswerProgress,
     ) -> Option<Interruption> {
-        if std::mem::replace(&mut runs.is_registered, true) {
+        let at = self.now();
+        let is_covered = |registered_at| at < registered_at + LATE_LISTENER_TIME;
+        if runs.registered_at.is_some_and(is_covered) {
             return None;
         }
-        let at = self.now();
+        runs.registered_at = Some(at);
         let candidates = runs.candidates(progress, at);
         let suspect = Suspect::new(call);
         if candidates.is_empty() {
--- a/reachtally-relay/src/interruptions/runs.rs
+++ b/reachtally-relay/src/interruptions/runs.rs
@@ -46,8 +46,8 @@
 pub(crate) struct AssignedRuns {
     /// Each with the time since which it has the request.
     runs: Vec<(Recipient, Instant)>,
-    /// Whether an interruption by these runs is registered.
-    pub(super) is_registered: bool,
+    /// When an interruption by these runs was last registered.
+    pub(super) registered_at: Option<Instant>,
 }
 
 impl AssignedRuns {
@@ -68,7 +68,7 @@
         };
         let run = |key: &EngineKey| Some((exchange::recipient(relay, *key).ok()?, since(*key)));
         self.runs = engines.iter().filter_map(run).collect();
-        self.is_registered = false;
+        self.registered_at = None;
     }
 
     /// Returns those runs whose crash would be evidence, with its weights.
