fix(core): a suspect with more crashes explains the stronger evidence against its bystanders

Now suspects rank by the number of their crashes, then by evidence, and only bystanders, with no crash of their own and a lower rank, explain nothing.

--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -178,8 +178,8 @@
     }
 
     /// Whether a feature is quarantined, and its crashes are not explained by other quarantined
-    /// features that requests with `features` lack and against which there is as much evidence: by one
-    /// that was present at all of them or, if they are few, by several together.
+    /// features that requests with `features` lack: by one that was present at all of them or, if they
+    /// are few, by several together.
     fn is_blamed(&self, feature: Fingerprint, features: &Features<'_>) -> bool {
         let Some(suspect) = self.suspects.get(&feature) else {
             return false;
@@ -187,10 +187,13 @@
         if suspect.verdict() < Verdict::Quarantined {
             return false;
         }
-        let evidence = suspect.evidence();
+        // One with no crashes of its own is a bystander of the feature, unless it ranks as high.
+        let is_no_bystander = |by: &SuspectRequest| {
+            by.rank() >= suspect.rank() || !by.crashed_runs().all(|run| suspect.crashed(run))
+        };
         let others = self.suspects.iter().filter(|(other, by)| {
-            let is_explanation = by.verdict() == Verdict::Quarantined && by.evidence() >= evidence;
-            is_explanation && !features.contains(**other)
+            let is_quarantined = by.verdict() == Verdict::Quarantined;
+            is_quarantined && !features.contains(**other) && is_no_bystander(by)
         });
         let others: Vec<&SuspectRequest> = others.map(|(_, by)| by).collect();
         let explains_all = |by: &&SuspectRequest| suspect.crashed_runs().all(|run| by.crashed(run));
--- a/reachtally-core/src/forward/quarantine/suspect.rs
+++ b/reachtally-core/src/forward/quarantine/suspect.rs
@@ -142,6 +142,11 @@
         self.uncleared().map(|end| end.weight.points()).sum()
     }
 
+    /// Orders suspects by how many crashes they are present at, then by their evidence.
+    pub fn rank(&self) -> (usize, u32) {
+        (self.uncleared().count(), self.evidence())
+    }
+
     /// Whether `run` crashed under the request, cleared or not.
     pub fn has_record_of(&self, run: RunDigest) -> bool {
         self.ends.iter().any(|end| end.run == run)
--- a/reachtally-core/tests/core/forward/quarantine.rs
+++ b/reachtally-core/tests/core/forward/quarantine.rs
@@ -132,6 +132,22 @@
     assert_eq!(culprit_of(bystander), None);
 }
 
+/// A culprit that crashes targets before the head of their answer leaves weaker evidence than its bystanders.
+#[test]
+fn a_suspect_with_more_crashes_explains_those_of_another_with_stronger_evidence() {
+    let bystander = request(1);
+    let mut table = table_with(&(1..=5).map(weak).collect::<Vec<CrashRecord>>());
+    for run in 1..=3 {
+        table.record_crash(bystander, ACCOUNT, begun(run), at(0));
+    }
+    let culprit_of = |request| {
+        let parts = &[];
+        table.culprit(&Features { request, parts })
+    };
+    assert_eq!(culprit_of(bystander), None);
+    assert_eq!(culprit_of(REQUEST), Some(REQUEST));
+}
+
 #[test]
 fn the_least_evidence_is_evicted_first() {
     let mut table = table_with(&[unknown(1), unknown(2)]);
