refactor(core, relay): interruptions reuse what the project has

Three places probed a target and marked it dead; the row and notice of a run were looked up in a copy of rate_limit_of; the features of a request were listed beside Features::all; a second type was called EndedBy; repairs registered their interruption in two places, and the names of parts were joined and split again.

--- a/reachtally-core/src/forward/fleet.rs
+++ b/reachtally-core/src/forward/fleet.rs
@@ -79,10 +79,11 @@
     fn update(&mut self, key: EngineKey, entry: Entry, source: EntrySource, now: Instant) -> bool {
         let engine = &mut self.engines[key];
         engine.entry_read_at = now;
-        if source == EntrySource::Written {
+        let is_written = source == EntrySource::Written;
+        if is_written {
             engine.entry_written_at = Some(now);
         }
-        let is_back = source == EntrySource::Written && engine.health.entry_written(now);
+        let is_back = is_written && engine.health.entry_written(now);
         let entry = Entry {
             draining: engine.entry.draining || entry.draining,
             born: entry.born.or(engine.entry.born),
@@ -279,13 +280,20 @@
 
     /// Whether a run announced that it is leaving, with or without a row.
     pub fn has_announced_leave(&self, run: &TargetRun) -> bool {
-        let row = self.find_run(run).and_then(|key| self.engines.get(key));
-        match row {
-            Some(engine) => engine.is_leaving(),
-            None => self
-                .notices
-                .get(run)
-                .is_some_and(|notice| notice.is_leaving()),
+        let is_announced = |notice: Notice| notice.is_leaving();
+        self.row_of(run).is_some_and(Engine::is_leaving)
+            || self.notice_of(run).is_some_and(is_announced)
+    }
+
+    fn row_of(&self, run: &TargetRun) -> Option<&Engine> {
+        self.engines.get(self.find_run(run)?)
+    }
+
+    /// Returns the notice of a run, with or without a row.
+    fn notice_of(&self, run: &TargetRun) -> Option<Notice> {
+        match self.row_of(run) {
+            Some(engine) => Some(engine.notice),
+            None => self.notices.get(run),
         }
     }
 
@@ -306,12 +314,7 @@
 
     /// Returns the rate limit that a run states, with or without a row.
     pub fn rate_limit_of(&self, run: &TargetRun) -> Option<RateLimit> {
-        let row = self.find_run(run).and_then(|key| self.engines.get(key));
-        let notice = match row {
-            Some(engine) => Some(engine.notice),
-            None => self.notices.get(run),
-        };
-        notice?.limit()
+        self.notice_of(run)?.limit()
     }
 
     /// Iterates over the targets that stated a rate limit or its end, with the time of the last
--- a/reachtally-core/src/forward/quarantine/mod.rs
+++ b/reachtally-core/src/forward/quarantine/mod.rs
@@ -93,7 +93,8 @@
 }
 
 impl Features<'_> {
-    fn all(&self) -> impl Iterator<Item = Fingerprint> {
+    /// Iterates over the request and its parts.
+    pub fn all(&self) -> impl Iterator<Item = Fingerprint> {
         std::iter::once(self.request).chain(self.parts.iter().copied())
     }
 
--- a/reachtally-relay/src/interruptions/mod.rs
+++ b/reachtally-relay/src/interruptions/mod.rs
@@ -9,13 +9,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::{AbsenceReason, EngineKey, Evidence};
-use reachtally_core::forward::quarantine::{AccountDigest, RunDigest, Weight};
+use reachtally_core::forward::prompt::PartId;
+use reachtally_core::forward::quarantine::{AccountDigest, Features, RunDigest, Weight};
 use tokio::sync::Notify;
 
 use crate::exchange::Recipient;
@@ -65,9 +67,9 @@
     Forgotten,
 }
 
-/// What showed that a run ended.
+/// What showed that a run crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum EndedBy {
+pub(crate) enum CrashSign {
     /// Its address refuses connections.
     Refused,
     /// Another run has its id or address, or its entry was dropped.
@@ -83,8 +85,8 @@
     pub id: String,
     pub request: Fingerprint,
     pub parts: Vec<Fingerprint>,
-    /// Names of the parts, for the log.
-    pub part_names: String,
+    /// Ids of the parts, for the log. Those of a plain service have no fingerprints.
+    pub part_ids: Vec<PartId>,
     /// Client account.
     pub account: Option<Rc<str>>,
 }
@@ -95,11 +97,19 @@
             id: call.head.id.clone(),
             request: call.fingerprint(),
             parts: call.part_fingerprints().to_vec(),
-            part_names: call.head.shared_part_names(),
+            part_ids: call.head.shared_parts().to_vec(),
             account: call.account.as_deref().map(Rc::from),
         }
     }
 
+    /// Returns what the request has in common with others.
+    pub fn features(&self) -> Features<'_> {
+        Features {
+            request: self.request,
+            parts: &self.parts,
+        }
+    }
+
     /// Returns the digest of the client account.
     pub fn account_digest(&self) -> AccountDigest {
         AccountDigest::from(self.account.as_deref())
@@ -193,11 +203,10 @@
                 .iter()
                 .map(|candidate| candidate.run.key)
                 .collect();
-            let probe = self.probe(first.run.address);
-            let (probe, _) = tokio::join!(probe, self.find_dead(&others));
-            if probe == Probe::Refused {
-                self.target_dead(first.run.key, Evidence::Refused);
-            }
+            tokio::join!(
+                self.probe_for_end(first.run.key, first.run.address),
+                self.find_dead(&others)
+            );
         }
         if let Some(interruption) = self.resolve(interruption).await {
             self.keep_pending(interruption);
@@ -239,7 +248,8 @@
         let by = Completion::Unframed;
         self.clear_request(&suspect.id, suspect.request, by);
         if answer.proves_parts {
-            self.clear_parts(&suspect.id, &suspect.parts, answer.began, by);
+            let parts = suspect.parts.iter().zip(&suspect.part_ids);
+            self.clear_parts(&suspect.id, parts, answer.began, by);
         }
     }
 
@@ -288,17 +298,17 @@
     }
 
     /// Returns what shows that a run has ended since the interruption at `at`, if anything does.
-    fn end_of(&self, run: &Recipient, at: Instant) -> Option<EndedBy> {
+    fn end_of(&self, run: &Recipient, at: Instant) -> Option<CrashSign> {
         let fleet = self.fleet.borrow();
         let Some(engine) = fleet.get(run.key) else {
-            return Some(EndedBy::Replaced);
+            return Some(CrashSign::Replaced);
         };
         let absence = engine.absence();
         let is_timely = |since: Instant| since < at + LATE_LISTENER_TIME;
         match absence.map(|absence| (absence.reason, absence.since)) {
-            Some((AbsenceReason::Superseded, _)) => return Some(EndedBy::Replaced),
+            Some((AbsenceReason::Superseded, _)) => return Some(CrashSign::Replaced),
             Some((AbsenceReason::Refused, Some(since))) if is_timely(since) => {
-                return Some(EndedBy::Refused);
+                return Some(CrashSign::Refused);
             }
             _ => {}
         }
@@ -306,7 +316,7 @@
         let from = at.before(LATE_LISTENER_TIME);
         let table = &self.suspicion;
         let has_crashed = table.has_crashed_since(RunDigest::from(&run.run), from);
-        has_crashed.then_some(EndedBy::Reported)
+        has_crashed.then_some(CrashSign::Reported)
     }
 
     /// Whether a run has shown life since the interruption at `at`, or left in order.
@@ -345,7 +355,7 @@
                 continue;
             };
             // A box without links can't tell a crash from its own cut.
-            if by == EndedBy::Refused && self.reaches_no_other(candidate.run.key, at).await {
+            if by == CrashSign::Refused && self.reaches_no_other(candidate.run.key, at).await {
                 continue;
             }
             let age = self.now().since(at);
@@ -376,13 +386,20 @@
                 due.extend(candidates.map(|one| (one.run.key, one.run.address)));
             }
         }
-        let probes = due.into_iter().map(|(key, address)| async move {
-            if self.probe(address).await == Probe::Refused {
-                self.target_dead(key, Evidence::Refused);
-            }
-        });
+        let probes = due
+            .into_iter()
+            .map(|(key, address)| self.probe_for_end(key, address));
         futures::future::join_all(probes).await;
     }
+
+    /// Probes a target, and marks it as dead if its address refuses connections. Returns whether it does.
+    async fn probe_for_end(&self, key: EngineKey, address: SocketAddr) -> bool {
+        let is_refused = self.probe(address).await == Probe::Refused;
+        if is_refused {
+            self.target_dead(key, Evidence::Refused);
+        }
+        is_refused
+    }
 }
 
 /// Resolves pending interruptions until the process exits.
--- a/reachtally-relay/src/interruptions/send_watch.rs
+++ b/reachtally-relay/src/interruptions/send_watch.rs
@@ -4,12 +4,11 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use reachtally_core::forward::fleet::{EngineKey, Evidence};
+use reachtally_core::forward::fleet::EngineKey;
 
 use super::{AnswerProgress, AssignedRuns};
 use crate::relay::Relay;
 use crate::serve::Call;
-use crate::target::Probe;
 
 /// Interval at which a target is probed that has sent nothing.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,8 +61,7 @@
             let Some(first) = first else {
                 continue;
             };
-            if self.relay.probe(first.address).await == Probe::Refused {
-                self.relay.target_dead(first.key, Evidence::Refused);
+            if self.relay.probe_for_end(first.key, first.address).await {
                 let progress = AnswerProgress::NONE;
                 self.relay
                     .register_interruption(self.call, &self.runs, progress);
--- a/reachtally-relay/src/quarantine.rs
+++ b/reachtally-relay/src/quarantine.rs
@@ -9,15 +9,17 @@
 use reachtally_core::Instant;
 use reachtally_core::forward::fingerprint::Fingerprint;
 use reachtally_core::forward::fleet::TargetRun;
+use reachtally_core::forward::prompt::PartId;
 use reachtally_core::forward::quarantine::{
-    ChangeOrigin, CrashRecord, Features, Quarantine, RunDigest, SuspectReport, Verdict, Weight,
+    ChangeOrigin, CrashRecord, Quarantine, RunDigest, SuspectReport, Verdict, Weight,
 };
 use tokio::sync::{Notify, watch};
 
-use crate::interruptions::{EndedBy, NoEvidence, Suspect, Weights};
+use crate::interruptions::{CrashSign, NoEvidence, Suspect, Weights};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::store::SuspectChange;
+use crate::wire::part_names;
 
 /// How a target completed a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,9 +99,8 @@
             return String::new();
         }
         let now = self.now();
-        let parts = call.part_fingerprints().iter().copied();
-        let features = std::iter::once(call.fingerprint()).chain(parts);
-        let known = features.filter_map(|feature| {
+        let features = call.features();
+        let known = features.all().filter_map(|feature| {
             let known = table.knowledge(feature, now)?;
             Some(format!("{feature}: {known}"))
         });
@@ -159,7 +160,7 @@
         suspect: &Suspect,
         run: &TargetRun,
         weights: Weights,
-        by: EndedBy,
+        by: CrashSign,
         age: Duration,
     ) {
         let Some(verdict) = self.record_crash(suspect, run, weights) else {
@@ -167,7 +168,7 @@
         };
         self.count(|tally| tally.ends_under_requests += 1);
         self.notify_quarantined(verdict);
-        log::info!(event = "ended-under", id = &*suspect.id, fingerprint:% = suspect.request, account = suspect.account.as_deref().unwrap_or_default(), target = &*run.id, weight:? = weights.request, part_weight:? = weights.parts, by:? = by, known_after_ms = age.as_millis() as u64, verdict:? = verdict, parts = &*suspect.part_names, blamed = &*self.blamed(suspect); "target crashed while running a request");
+        log::info!(event = "ended-under", id = &*suspect.id, fingerprint:% = suspect.request, account = suspect.account.as_deref().unwrap_or_default(), target = &*run.id, weight:? = weights.request, part_weight:? = weights.parts, by:? = by, known_after_ms = age.as_millis() as u64, verdict:? = verdict, parts = &*part_names(&suspect.part_ids), blamed = &*self.blamed(suspect); "target crashed while running a request");
         self.suspicion.evidence_changed.notify_one();
     }
 
@@ -207,11 +208,7 @@
 
     /// Returns which part of a request's prompt is blamed for crashes, or `request`; empty if none is. For the log.
     fn blamed(&self, suspect: &Suspect) -> String {
-        let features = Features {
-            request: suspect.request,
-            parts: &suspect.parts,
-        };
-        let culprit = self.suspicion.table.borrow().culprit(&features);
+        let culprit = self.suspicion.table.borrow().culprit(&suspect.features());
         let part_at = |culprit| {
             let mut parts = suspect.parts.iter();
             parts.position(|part| *part == culprit)
@@ -219,10 +216,7 @@
         match culprit.map(part_at) {
             None => String::new(),
             Some(None) => "request".to_owned(),
-            Some(Some(at)) => {
-                let mut names = suspect.part_names.split(',');
-                names.nth(at).unwrap_or("part").to_owned()
-            }
+            Some(Some(at)) => suspect.part_ids[at].as_str().to_owned(),
         }
     }
 
@@ -248,24 +242,30 @@
 
     /// Clears the parts of a request's prompt, since the targets whose answer began at `began` have written on them for a while.
     pub(crate) fn record_proof(&self, call: &Call, began: Instant, by: Completion) {
-        self.clear_parts(&call.head.id, call.part_fingerprints(), began, by);
+        let parts = call.part_fingerprints().iter();
+        self.clear_parts(
+            &call.head.id,
+            parts.zip(call.head.shared_parts()),
+            began,
+            by,
+        );
     }
 
     /// Clears parts of prompts, since the targets whose answer to attempt `id` began at `began` have written on them for a while.
-    pub(crate) fn clear_parts(
+    pub(crate) fn clear_parts<'a>(
         &self,
         id: &str,
-        parts: &[Fingerprint],
+        parts: impl Iterator<Item = (&'a Fingerprint, &'a PartId)>,
         began: Instant,
         by: Completion,
     ) {
         let now = self.now();
         let mut table = self.suspicion.table.borrow_mut();
-        for part in parts {
+        for (part, name) in parts {
             let was_quarantined = table.verdict(*part) == Verdict::Quarantined;
             if table.record_proof(*part, began, now) {
                 self.cleared(*part, was_quarantined);
-                log::info!(event = "acquitted", id = id, part:% = part, by:? = by; "cleared a suspect part of a prompt on which a target wrote for a while");
+                log::info!(event = "acquitted", id = id, part = name.as_str(), fingerprint:% = part, by:? = by; "cleared a suspect part of a prompt on which a target wrote for a while");
             }
         }
     }
--- a/reachtally-relay/src/stream/chain.rs
+++ b/reachtally-relay/src/stream/chain.rs
@@ -358,10 +358,11 @@
         {
             return Ok(());
         }
-        if lost.is_empty() || self.start_repair(relay, call, attempts, &lost) {
+        if lost.is_empty() {
             return Ok(());
         }
-        if send::can_reroute(relay, call, attempts, &lost) {
+        let is_repairing = self.start_repair(relay, call, attempts, &lost);
+        if !is_repairing && send::can_reroute(relay, call, attempts, &lost) {
             return Err(StopReason::Dead(lost));
         }
         self.register_interruption(relay, call);
@@ -383,9 +384,6 @@
                 Repair::start(relay, call, attempts, &self.first, path, events, dead)
             });
             self.repairs += u32::from(self.repair.is_some());
-            if self.repair.is_some() {
-                self.register_interruption(relay, call);
-            }
         }
         if self.repair.is_some() {
             self.check_at = relay.now() + repair::MAX_DURATION;
@@ -456,12 +454,12 @@
         if !dead.is_empty() {
             // A quarantined request is not repaired.
             self.check_interruption(relay, call).await;
-        }
-        if !dead.is_empty() && self.start_repair(relay, call, attempts, &dead) {
-            return Ok(());
-        }
-        if !dead.is_empty() && send::can_reroute(relay, call, attempts, &dead) {
-            return Err(StopReason::Dead(dead));
+            if self.start_repair(relay, call, attempts, &dead) {
+                return Ok(());
+            }
+            if send::can_reroute(relay, call, attempts, &dead) {
+                return Err(StopReason::Dead(dead));
+            }
         }
         let now = relay.now();
         self.check_at = match now < overdue_at {
--- a/reachtally-relay/src/wire.rs
+++ b/reachtally-relay/src/wire.rs
@@ -43,11 +43,16 @@
 
     /// Returns the parts of the prompt that other requests may share, for the log.
     pub(crate) fn shared_part_names(&self) -> String {
-        let names = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
-        names.map(PartId::as_str).collect::<Vec<&str>>().join(",")
+        part_names(self.shared_parts())
     }
 }
 
+/// Returns the ids of parts of a prompt, for the log.
+pub(crate) fn part_names(parts: &[PartId]) -> String {
+    let names = parts.iter().take(MAX_LOGGED_PARTS);
+    names.map(PartId::as_str).collect::<Vec<&str>>().join(",")
+}
+
 /// Header values that the relay adds to a request for a target.
 #[derive(Debug, Clone, Copy)]
 pub struct AddedFields<'a> {
