fix(core, relay): request bodies share one account of memory, and incomplete ones give way

Callers saw: a box ended for want of memory while clients sent many legal bodies, whole or stopping short, with lengths or in chunks, or bodies over the limit.

Cause: each body was collected for itself up to MaxBodyBytes, without a limit before a configuration had one; nothing counted what all of them held, neither while they arrived nor while their requests waited, ran or were sent again.

Change: forward/bodies decides which body may allocate how much, and which gives way; relay/bodies holds the buffers. The charge of a body ends with the last copy of its bytes. Open connections, data read ahead and bodies share three quarters of the memory; bodies have at least an eighth and at most a quarter. Refused bodies are answered 503, not run. The destination service is looked up before the body is read. Counters bodies_evicted, bodies_refused, bodies_overdue, gauges of the account, body-refused lines, which losses counts.

The proof in reachtally-core that bodies stay within their memory and that one of them can always complete is a property test.

--- a/reachtally-core/src/forward/mod.rs
+++ b/reachtally-core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! and which layers an engine should hold. They are independent of any wire format.
 
 pub mod admission;
+pub mod bodies;
 pub mod budget;
 pub mod changes;
 pub mod cost;
--- a/reachtally-core/src/forward/overload.rs
+++ b/reachtally-core/src/forward/overload.rs
@@ -30,13 +30,6 @@
 /// Number of open connections that are taken whatever the memory is, so that a box with very little serves somebody.
 pub const MIN_CONNECTIONS: usize = 16;
 
-/// Returns the number of open connections for which `memory` bytes suffice beside the tables of the box, a quarter of it; at least
-/// [`MIN_CONNECTIONS`].
-pub fn max_connections(memory: u64) -> usize {
-    let connections = memory / 4 * 3 / CONNECTION_BYTES;
-    usize::try_from(connections).map_or(usize::MAX, |count| count.max(MIN_CONNECTIONS))
-}
-
 /// Returns the number of descriptors up to which connections of callers are taken, of `limit`. The rest is for connections to targets,
 /// to the store and between boxes.
 pub fn max_caller_descriptors(limit: u32) -> u32 {
--- a/reachtally-core/src/forward/tally.rs
+++ b/reachtally-core/src/forward/tally.rs
@@ -9,6 +9,8 @@
         connections_accepted,
         /// Connections of callers closed unread, since the box had more work than it could carry.
         connections_turned_away,
+        /// Waiting connections closed to make room for new ones.
+        connections_evicted,
         /// Connections that could not be accepted, most often for want of descriptors.
         accepts_failed,
         /// Requests received.
@@ -17,6 +19,12 @@
         requests_denied,
         /// Requests refused that did not run.
         requests_refused,
+        /// Incomplete bodies dropped since others needed their memory.
+        bodies_evicted,
+        /// Requests refused since there was no memory for their bodies, including evicted ones.
+        bodies_refused,
+        /// Requests whose bodies were not complete in time.
+        bodies_overdue,
         /// Requests of which an unknown part ran.
         requests_unknown,
         /// Requests whose whole answer was passed on.
--- a/reachtally-core/src/life.rs
+++ b/reachtally-core/src/life.rs
@@ -59,6 +59,8 @@
     Quarantined,
     /// The service had no capacity in time for a request of this rank.
     Shed,
+    /// The box had no memory for the body of the request.
+    NoMemory,
 }
 
 /// Proof that no target ran any part of the request.
--- a/reachtally-core/tests/core/forward/mod.rs
+++ b/reachtally-core/tests/core/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of forwarded requests: tables, selection and placement.
 
 mod admission;
+mod bodies;
 mod budget;
 mod changes;
 mod choice_properties;
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -233,6 +233,11 @@
             "shed",
             "there is no room for requests of this rank",
         ),
+        Refusal::NoMemory => (
+            Status::ServiceUnavailable,
+            "no-memory",
+            "there is no memory for the body",
+        ),
         Refusal::Quarantined => (
             Status::UnprocessableEntity,
             "quarantined",
--- a/reachtally-journal/src/losses.rs
+++ b/reachtally-journal/src/losses.rs
@@ -86,7 +86,7 @@
 fn outcome(line: &Line) -> Option<String> {
     let why = line.text("why");
     match line.text("event") {
-        "refused" => Some(format!("refused ({why})")),
+        "refused" | "body-refused" => Some(format!("refused ({why})")),
         "unknown" => Some(format!("failed ({why})")),
         "cut" => Some(format!("cut ({why})")),
         "slow-reader" => Some(format!("cut off as a slow reader ({why})")),
--- a/reachtally-relay/src/answer.rs
+++ b/reachtally-relay/src/answer.rs
@@ -84,7 +84,11 @@
 
 /// Returns a plain-text response that closes the connection, since the data that follows on it can't be trusted.
 pub fn closing(status: StatusCode, text: &str) -> Response<Body> {
-    let mut response = plain(status, text);
+    close(plain(status, text))
+}
+
+/// Makes a response close its connection.
+pub fn close(mut response: Response<Body>) -> Response<Body> {
     response
         .headers_mut()
         .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::SplitSink;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::Response;
 use reachtally_core::life;
 use reachtally_protocol::handoff::{self, Data, Head, Message, Refusal};
@@ -175,11 +175,11 @@
     }
 }
 
-fn http_request(request: handoff::Request) -> Result<hyper::Request<Full<Bytes>>, String> {
+fn http_request(request: handoff::Request) -> Result<hyper::Request<Bytes>, String> {
     let mut req = hyper::Request::builder()
         .method(request.method.as_str())
         .uri(request.target)
-        .body(Full::new(request.body))
+        .body(request.body)
         .map_err(|err| err.to_string())?;
     *req.headers_mut() = decode_headers(request.headers)?;
     Ok(req)
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod admission;
 pub mod answer;
 mod attempts;
+mod bodies;
 pub mod configuration;
 mod connections;
 pub mod eras;
@@ -52,6 +53,7 @@
 pub mod target;
 pub mod targets;
 mod unread;
+mod upload;
 mod whole;
 pub mod wire;
 
--- a/reachtally-relay/src/metrics.rs
+++ b/reachtally-relay/src/metrics.rs
@@ -263,6 +263,32 @@
         "Open connections of callers",
         relay.lifecycle.open(),
     );
+    let (bodies, limits) = (relay.bodies.usage(), relay.body_limits());
+    let figures = [
+        (
+            "body_bytes",
+            "Memory that bodies of requests take",
+            bodies.bytes,
+        ),
+        (
+            "body_bytes_limit",
+            "Memory that they may take",
+            limits.small,
+        ),
+        (
+            "bodies",
+            "Bodies of requests that are held",
+            bodies.count as u64,
+        ),
+        (
+            "bodies_incomplete",
+            "Bodies of requests that are being received",
+            bodies.incomplete as u64,
+        ),
+    ];
+    for (name, meaning, value) in figures {
+        gauge(registry, name, meaning, value);
+    }
     gauge(
         registry,
         "read_ahead_bytes",
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -26,6 +26,7 @@
 
 use crate::admission::Admission;
 use crate::answer::EndedBy;
+use crate::bodies::BodyPool;
 use crate::configuration::Configuration;
 use crate::connections::Connections;
 use crate::handoff::HandoffState;
@@ -44,6 +45,7 @@
 use crate::startup::{Milestone, Startup};
 use crate::stream::ReadAheadPool;
 use crate::targets::DomainChecks;
+use crate::upload;
 use crate::wire::Wire;
 
 /// Identity and limits of this box.
@@ -126,6 +128,8 @@
     pub(crate) shares: ShareState,
     /// Memory pool for stream data that is read ahead of callers.
     pub(crate) read_ahead: Arc<ReadAheadPool>,
+    /// Bodies of requests, and the memory that they take.
+    pub(crate) bodies: Arc<BodyPool>,
     /// Requests handed over to other boxes, and taken over from them.
     pub(crate) handoffs: HandoffState,
     news: watch::Sender<()>,
@@ -214,6 +218,7 @@
             admission: Admission::default(),
             shares: ShareState::default(),
             read_ahead: Arc::default(),
+            bodies: Arc::default(),
             handoffs: HandoffState::default(),
             news: watch::Sender::new(()),
             runs_ended: watch::Sender::default(),
@@ -292,9 +297,11 @@
         packed: impl FnOnce() -> std::io::Result<Bytes>,
     ) -> Result<(), String> {
         let table = self.wire.config(raw)?;
+        let limits = table.limits;
         if self.configuration.replace(table, packed)? {
             self.count(|tally| tally.configurations_applied += 1);
             self.reach(Milestone::Configuration);
+            upload::check_limits(self, limits);
             self.notify_changed();
         }
         Ok(())
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_core::forward::bodies;
 use reachtally_core::forward::overload::{self, RunQueue};
 use tokio::runtime::Handle;
 use tokio::time::{MissedTickBehavior, interval_at};
@@ -66,6 +67,8 @@
     is_probing: Cell<bool>,
     /// When the last measurement began.
     probed_at: Cell<Option<Instant>>,
+    /// Requests refused for their bodies in the current sampling interval.
+    refused_bodies: Cell<u32>,
 }
 
 impl Relay {
@@ -105,8 +108,9 @@
         let limit = settings
             .max_descriptors
             .map(overload::max_caller_descriptors);
-        self.lifecycle.open() >= overload::max_connections(settings.memory)
-            || limit.is_some_and(|limit| descriptors >= limit)
+        let max_connections =
+            bodies::max_connections(settings.memory, self.bodies.bytes(), self.read_ahead());
+        self.lifecycle.open() >= max_connections || limit.is_some_and(|limit| descriptors >= limit)
     }
 
     /// Returns whether the box has more work than it can carry.
@@ -137,6 +141,13 @@
         self.last_descriptor.set(descriptor);
     }
 
+    /// Counts a request that was refused for its body. Returns their number in the current sampling interval.
+    pub(crate) fn count_refused_body(&self) -> u32 {
+        let count = self.refused_bodies.get().saturating_add(1);
+        self.refused_bodies.set(count);
+        count
+    }
+
     /// Records data sent to a caller.
     pub(crate) fn record_sent(&self, bytes: usize) {
         self.sent_bytes.set(self.sent_bytes.get() + bytes as u64);
@@ -203,6 +214,7 @@
     let mut tally = relay.tally.get();
     loop {
         ticks.tick().await;
+        relay.resources.refused_bodies.set(0);
         let next = Totals::now(&relay);
         let usage = next.usage_since(&totals, &relay);
         relay.resources.usage.set(usage);
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -6,9 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as HttpBody, Incoming};
+use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -17,7 +16,7 @@
 use reachtally_core::forward::freshness::Confirmation;
 use reachtally_core::forward::quarantine::Features;
 use reachtally_core::forward::routes::{
-    Account, CallerLimits, Denied, ResponseShape, Route, Service, Table, Urgency,
+    Account, Denied, ResponseShape, Route, Service, Table, Urgency,
 };
 use reachtally_core::life::{GivenUp, Life, Received, Refusal, Unknown};
 
@@ -26,9 +25,9 @@
 use crate::lifecycle::Stage;
 use crate::relay::Relay;
 use crate::wire::CallHead;
-use crate::{stream, whole};
+use crate::{stream, upload, whole};
 
-/// Deadline of requests that name none, and idle timeout of bodies without configured limits.
+/// Deadline of requests that name none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Number of a request on its connection, from 1. It is attached to the request for the log.
@@ -128,6 +127,14 @@
     }
 }
 
+/// Body of a request that is not authorized yet.
+enum RequestBody {
+    /// The caller sends it.
+    Incoming(Incoming),
+    /// Another box has sent it.
+    Whole(Bytes),
+}
+
 /// What is left of the limits of a request that another box handed over.
 pub(crate) struct HandoffTerms {
     /// Time until the caller stops waiting.
@@ -143,10 +150,11 @@
 /// Handles a request that another box handed over. That box has counted it.
 pub(crate) async fn handle_handoff(
     relay: &Rc<Relay>,
-    req: Request<Full<Bytes>>,
+    req: Request<Bytes>,
     terms: HandoffTerms,
 ) -> Response<Body> {
-    match accept(relay, req, Some(terms)).await {
+    let (parts, body) = req.into_parts();
+    match accept(relay, parts, RequestBody::Whole(body), Some(terms)).await {
         Ok(call) => {
             relay.count_demand(&call.service_name);
             send(relay, call).await
@@ -157,7 +165,8 @@
 
 /// Handles a request and returns the response.
 pub async fn handle(relay: Rc<Relay>, req: Request<Incoming>) -> Response<Body> {
-    let mut response = match accept(&relay, req, None).await {
+    let (parts, body) = req.into_parts();
+    let mut response = match accept(&relay, parts, RequestBody::Incoming(body), None).await {
         Ok(call) => {
             let pending = Pending::of(&call);
             let mut response = tokio::select! {
@@ -235,14 +244,14 @@
 /// Returns the final response if the request is rejected.
 async fn accept(
     relay: &Rc<Relay>,
-    req: Request<impl HttpBody<Data = Bytes> + Unpin>,
+    parts: Parts,
+    body: RequestBody,
     handoff: Option<HandoffTerms>,
 ) -> Result<Call, Response<Body>> {
     let arrived = relay.now();
     if handoff.is_none() {
         relay.count(|tally| tally.requests_received += 1);
     }
-    let (parts, body) = req.into_parts();
     let mut head = relay
         .wire
         .call(&parts.headers)
@@ -277,22 +286,28 @@
         relay.count(|tally| tally.requests_denied += 1);
         denial_response(denied)
     })?;
-    let body = read_body(body, table.limits).await?;
     let service_name = route.service(draw).cloned();
     let service_name = service_name.ok_or_else(|| refuse(Refusal::UnknownService))?;
     let Some(service) = table.services.get(&service_name).cloned() else {
         return Err(refuse(Refusal::UnknownService));
     };
     let deadline = arrived + timeout;
-    let account_priority = account.as_ref().and_then(|account| account.priority);
-    let urgency = Urgency::new(account_priority, route.priority);
     let max_time = handoff
         .as_ref()
         .map_or(route.timeout, |terms| terms.due.min(route.timeout));
+    let due = deadline.min(arrived + max_time);
+    let body = match body {
+        RequestBody::Whole(body) => body,
+        RequestBody::Incoming(body) => upload::receive(relay, &head.id, body, table.limits)
+            .await
+            .map_err(|err| err.response(|| refuse(Refusal::NoMemory)))?,
+    };
+    let account_priority = account.as_ref().and_then(|account| account.priority);
+    let urgency = Urgency::new(account_priority, route.priority);
     Ok(Call {
         urgency,
         priority: table.priority(&service_name, urgency),
-        due: deadline.min(arrived + max_time),
+        due,
         is_handoff: handoff.is_some(),
         possible_runs: handoff.map(|terms| terms.possible_runs).unwrap_or_default(),
         account: account.map(|account| account.name),
@@ -362,37 +377,3 @@
 fn bad_request(reason: &str) -> Response<Body> {
     answer::closing(StatusCode::BAD_REQUEST, reason)
 }
-
-async fn read_body(
-    mut body: impl HttpBody<Data = Bytes> + Unpin,
-    limits: Option<CallerLimits>,
-) -> Result<Bytes, Response<Body>> {
-    let max_bytes = limits.map_or(usize::MAX, |limits| limits.body_bytes);
-    let too_large = || answer::closing(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large());
-    }
-    let idle_timeout = limits.map_or(DEFAULT_TIMEOUT, |limits| limits.idle_timeout);
-    let mut buffered = BytesMut::new();
-    loop {
-        let frame = match tokio::time::timeout(idle_timeout, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(bad_request("the body is malformed")),
-            Ok(None) => return Ok(buffered.freeze()),
-            Err(_) => {
-                return Err(answer::closing(
-                    StatusCode::REQUEST_TIMEOUT,
-                    "the body stopped",
-                ));
-            }
-        };
-        // Skip trailers.
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if buffered.len() + data.len() > max_bytes {
-            return Err(too_large());
-        }
-        buffered.extend_from_slice(&data);
-    }
-}
--- /dev/null
+++ b/reachtally-relay/src/upload.rs
@@ -0,0 +1,148 @@
+//! Receives the body of a request from its caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Incoming};
+use hyper::{Response, StatusCode};
+use reachtally_core::forward::bodies::max_body;
+use reachtally_core::forward::routes::CallerLimits;
+
+use crate::answer::{self, Body};
+use crate::bodies::{NoMemory, Receiving};
+use crate::relay::Relay;
+
+/// Time without data after which a body has stopped, if the configuration sets none.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Maximum size of a body in bytes if the configuration sets none.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum number of refused bodies that are logged in each sampling interval; the counters tell of the others.
+const MAX_LOGGED: u32 = 20;
+
+/// Why a body was not received.
+#[derive(Debug)]
+pub(crate) enum UploadError {
+    /// The body is longer than the configuration allows.
+    TooLong(usize),
+    /// The body is malformed, or its connection ended.
+    Malformed,
+    /// No data arrived for this long.
+    Stopped(Duration),
+    /// The box has no memory for the body.
+    NoMemory,
+}
+
+impl From<NoMemory> for UploadError {
+    fn from(_: NoMemory) -> Self {
+        UploadError::NoMemory
+    }
+}
+
+impl UploadError {
+    /// Returns the response; `refuse` makes that to a request which another box may serve.
+    pub fn response(&self, refuse: impl FnOnce() -> Response<Body>) -> Response<Body> {
+        let closing = |status, text: &str| answer::closing(status, text);
+        match self {
+            UploadError::TooLong(max) => closing(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                &format!("the body is longer than {max} bytes"),
+            ),
+            UploadError::Malformed => closing(StatusCode::BAD_REQUEST, "the body is malformed"),
+            UploadError::Stopped(idle) => closing(
+                StatusCode::REQUEST_TIMEOUT,
+                &format!("no data of the body arrived for {} ms", idle.as_millis()),
+            ),
+            UploadError::NoMemory => answer::close(refuse()),
+        }
+    }
+}
+
+/// Receives a body.
+///
+/// # Errors
+/// See [`UploadError`]; the request has not run then.
+pub(crate) async fn receive(
+    relay: &Relay,
+    id: &str,
+    mut body: Incoming,
+    limits: Option<CallerLimits>,
+) -> Result<Bytes, UploadError> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let max = limits.map_or(BODY_BYTES, |limits| limits.body_bytes);
+    let announced = body.size_hint().lower();
+    if announced > max as u64 {
+        return Err(UploadError::TooLong(max));
+    }
+    let is_known = body.size_hint().exact().is_some();
+    let expected = if is_known { announced as usize } else { max };
+    let mut receiving = Receiving::begin(relay, expected);
+    let err = match collect(relay, &mut body, &mut receiving, limits, max).await {
+        Ok(()) => return Ok(receiving.complete()?),
+        Err(err) => err,
+    };
+    note_failure(relay, id, &err, receiving.len());
+    Err(err)
+}
+
+/// Receives a body to its end.
+async fn collect(
+    relay: &Relay,
+    body: &mut Incoming,
+    receiving: &mut Receiving,
+    limits: Option<CallerLimits>,
+    max: usize,
+) -> Result<(), UploadError> {
+    let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = receiving.evicted() => return Err(UploadError::NoMemory),
+            frame = tokio::time::timeout(idle, body.frame()) => frame,
+        };
+        let frame = match frame.map_err(|_| UploadError::Stopped(idle))? {
+            Some(frame) => frame.map_err(|_| UploadError::Malformed)?,
+            None => return Ok(()),
+        };
+        // Skip trailers.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if receiving.len() + data.len() > max {
+            return Err(UploadError::TooLong(max));
+        }
+        receiving.push(relay, &data)?;
+    }
+}
+
+/// Counts and logs a body that took part in a shortage of memory or was not complete in time.
+fn note_failure(relay: &Relay, id: &str, err: &UploadError, received: usize) {
+    let why = match err {
+        UploadError::NoMemory => {
+            relay.count(|tally| tally.bodies_refused += 1);
+            "no memory for the body"
+        }
+        UploadError::Stopped(_) => {
+            relay.count(|tally| tally.bodies_overdue += 1);
+            "the body was not complete in time"
+        }
+        UploadError::TooLong(_) | UploadError::Malformed => return,
+    };
+    if relay.resources.count_refused_body() > MAX_LOGGED {
+        return;
+    }
+    let (usage, limits) = (relay.bodies.usage(), relay.body_limits());
+    log::info!(event = "body-refused", id = id, why = why, received = received, held = usage.bytes, bodies = usage.count, incomplete = usage.incomplete, limit = limits.large, limit_small = limits.small; "refused a request whose body was not complete");
+}
+
+/// Logs that the configuration allows bodies which the box can't hold, if so.
+pub(crate) fn check_limits(relay: &Relay, limits: Option<CallerLimits>) {
+    let memory = relay.settings.borrow().memory;
+    let max = max_body(memory);
+    let allowed = limits.map_or(BODY_BYTES, |limits| limits.body_bytes);
+    if allowed as u64 > max {
+        log::warn!(event = "bodies-exceed-memory", body_bytes = allowed, max_bytes = max, memory = memory; "the configuration allows bodies for which this box may have no memory; it refuses them then");
+    }
+}
