fix(relay): a body that is not complete when its response is due is refused then

Callers saw: a request whose body trickled was held far beyond its deadline and its route's time-out, and its memory with it.

Cause: the wait for each piece began anew, and nothing bounded all of them together.

Change: the body is received until the response is due, then answered 408, which promises that the request has not run. Counted in bodies_overdue.

Evidence: a_body_that_trickles_is_refused_when_its_response_is_due gets no answer in time without the change.

--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -298,7 +298,7 @@
     let due = deadline.min(arrived + max_time);
     let body = match body {
         RequestBody::Whole(body) => body,
-        RequestBody::Incoming(body) => upload::receive(relay, &head.id, body, table.limits)
+        RequestBody::Incoming(body) => upload::receive(relay, &head.id, body, table.limits, due)
             .await
             .map_err(|err| err.response(|| refuse(Refusal::NoMemory)))?,
     };
--- a/reachtally-relay/src/upload.rs
+++ b/reachtally-relay/src/upload.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Incoming};
 use hyper::{Response, StatusCode};
+use reachtally_core::Instant;
 use reachtally_core::forward::bodies::max_body;
 use reachtally_core::forward::routes::CallerLimits;
 
@@ -29,6 +30,8 @@
     Malformed,
     /// No data arrived for this long.
     Stopped(Duration),
+    /// The body was not complete when the response was due.
+    Overdue,
     /// The box has no memory for the body.
     NoMemory,
 }
@@ -53,12 +56,16 @@
                 StatusCode::REQUEST_TIMEOUT,
                 &format!("no data of the body arrived for {} ms", idle.as_millis()),
             ),
+            UploadError::Overdue => closing(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body was not complete when its response was due",
+            ),
             UploadError::NoMemory => answer::close(refuse()),
         }
     }
 }
 
-/// Receives a body.
+/// Receives a body that is to be complete by `due`.
 ///
 /// # Errors
 /// See [`UploadError`]; the request has not run then.
@@ -67,6 +74,7 @@
     id: &str,
     mut body: Incoming,
     limits: Option<CallerLimits>,
+    due: Instant,
 ) -> Result<Bytes, UploadError> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
@@ -79,12 +87,17 @@
     let is_known = body.size_hint().exact().is_some();
     let expected = if is_known { announced as usize } else { max };
     let mut receiving = Receiving::begin(relay, expected);
-    let err = match collect(relay, &mut body, &mut receiving, limits, max).await {
+    let collecting = collect(relay, &mut body, &mut receiving, limits, max);
+    let received = match relay.run_until(due, collecting).await {
+        Some(collected) => collected,
+        None => Err(UploadError::Overdue),
+    };
+    let received = match received {
         Ok(()) => return Ok(receiving.complete()?),
         Err(err) => err,
     };
-    note_failure(relay, id, &err, receiving.len());
-    Err(err)
+    note_failure(relay, id, &received, receiving.len());
+    Err(received)
 }
 
 /// Receives a body to its end.
@@ -124,7 +137,7 @@
             relay.count(|tally| tally.bodies_refused += 1);
             "no memory for the body"
         }
-        UploadError::Stopped(_) => {
+        UploadError::Overdue | UploadError::Stopped(_) => {
             relay.count(|tally| tally.bodies_overdue += 1);
             "the body was not complete in time"
         }
