fix(relay, protocol): frames between boxes are limited, and handoffs count in the account of bodies

Seen: peers that announced frames and stopped just short, or handed over many large bodies, took 139 to 258 MiB on a box of 64.

Cause: a frame of up to 32 MiB was received on each connection, whatever came before it; the requests that a box had taken over were not counted, nor were the copies of the one that handed them over.

Change: an offer names the size of the request. The box reserves it in the account of bodies before it accepts, for which incomplete bodies give way, refuses the offer as unavailable otherwise, and receives no longer frame. Offers and requests for updates are limited to 4 KiB. The box that hands over reserves its own copies and keeps the request if there is no memory for them. A box of an earlier version does not name the size; the longest body that is allowed is reserved.

--- a/reachtally-protocol/src/handoff.rs
+++ b/reachtally-protocol/src/handoff.rs
@@ -30,6 +30,8 @@
     pub service: String,
     /// Version of the configuration that allowed the request.
     pub config_version: u64,
+    /// Upper bound on the length of the frame with the request, in bytes. `None` from boxes that do not state it.
+    pub request_bytes: Option<u64>,
 }
 
 /// A header of a request or a response.
@@ -104,6 +106,7 @@
             Message::Offer(offer) => Kind::Offer(pb::HandoffOffer {
                 service: offer.service,
                 config_version: offer.config_version,
+                request_bytes: offer.request_bytes,
             }),
             Message::Reply(reply) => Kind::Reply(pb::HandoffReply {
                 refusal: refusal_to_wire(reply.err()),
@@ -147,6 +150,7 @@
             Kind::Offer(offer) => Message::Offer(Offer {
                 service: offer.service,
                 config_version: offer.config_version,
+                request_bytes: offer.request_bytes,
             }),
             Kind::Reply(reply) => Message::Reply(refusal_from_wire(reply.refusal)),
             Kind::Request(request) => Message::Request(Request {
--- a/reachtally-protocol/src/news.rs
+++ b/reachtally-protocol/src/news.rs
@@ -3,13 +3,14 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use prost::Message as _;
 use reachtally_core::forward::changes::Cursor;
 use reachtally_core::forward::era::{Era, Generation, Position};
 use reachtally_core::forward::fleet::{Entry, StartTime};
 use reachtally_core::forward::peers::Member;
 use reachtally_core::ids::Incarnation;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use crate::FRAME_MAX;
 use crate::codec::Error;
@@ -106,11 +107,51 @@
     }
 }
 
-/// Returns the codec of the frames of these messages: a length of four bytes, then the `prost` encoding.
-pub fn frames() -> tokio_util::codec::LengthDelimitedCodec {
-    let mut builder = tokio_util::codec::LengthDelimitedCodec::builder();
-    builder.max_frame_length(FRAME_MAX);
-    builder.new_codec()
+/// Codec of the frames of these messages: a length of four bytes, then the `prost` encoding.
+///
+/// The buffer of a frame is allocated as soon as its length is known. A peer may announce more than it sends, so whoever knows what
+/// comes next limits it.
+#[derive(Debug)]
+pub struct Frames {
+    received: LengthDelimitedCodec,
+    sent: LengthDelimitedCodec,
+}
+
+/// Returns a codec for frames of up to [`FRAME_MAX`] bytes.
+pub fn frames() -> Frames {
+    let codec = || {
+        let mut builder = LengthDelimitedCodec::builder();
+        builder.max_frame_length(FRAME_MAX);
+        builder.new_codec()
+    };
+    Frames {
+        received: codec(),
+        sent: codec(),
+    }
+}
+
+impl Frames {
+    /// Limits the frames that are received from now on to `bytes`.
+    pub fn set_max_received(&mut self, bytes: usize) {
+        self.received.set_max_frame_length(bytes);
+    }
+}
+
+impl Decoder for Frames {
+    type Item = BytesMut;
+    type Error = std::io::Error;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<BytesMut>, std::io::Error> {
+        self.received.decode(buf)
+    }
+}
+
+impl Encoder<Bytes> for Frames {
+    type Error = std::io::Error;
+
+    fn encode(&mut self, frame: Bytes, buf: &mut BytesMut) -> Result<(), std::io::Error> {
+        self.sent.encode(frame, buf)
+    }
 }
 
 impl UpdateRequest {
--- a/reachtally-protocol/tests/protocol/handoff.rs
+++ b/reachtally-protocol/tests/protocol/handoff.rs
@@ -36,6 +36,7 @@
     let offer = Offer {
         service: "pool".to_owned(),
         config_version: 7,
+        request_bytes: Some(1 << 20),
     };
     let messages = [
         Message::Offer(offer),
--- a/reachtally-relay/src/bodies.rs
+++ b/reachtally-relay/src/bodies.rs
@@ -200,6 +200,19 @@
 }
 
 impl Charge {
+    /// Reserves memory for a body that another box holds complete. Incomplete bodies give way.
+    ///
+    /// # Errors
+    /// [`NoMemory`] if there is none.
+    pub fn reserve(relay: &Relay, bytes: u64) -> Result<Self, NoMemory> {
+        let charge = Charge {
+            pool: relay.bodies.clone(),
+            id: relay.bodies.lock().bodies.begin_complete(relay.now()),
+        };
+        relay.grow_body(charge.id, bytes)?;
+        Ok(charge)
+    }
+
     /// Returns these bytes, which count until their last copy is dropped.
     pub fn hold(self, data: impl AsRef<[u8]> + Send + 'static) -> Bytes {
         Bytes::from_owner(Held {
--- a/reachtally-relay/src/handoff/mod.rs
+++ b/reachtally-relay/src/handoff/mod.rs
@@ -18,17 +18,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use rand::seq::SliceRandom;
 use reachtally_core::forward::handoff::{Candidate, HandoffPeers};
 use reachtally_core::forward::reach::service_reach;
 use reachtally_protocol::handoff::{Header, Message};
-use reachtally_protocol::news::frames;
+use reachtally_protocol::news::{Frames, frames};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
 use crate::relay::Relay;
 use crate::serve::Call;
@@ -41,7 +41,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A connection between two boxes that carries one request.
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
+type Link = Framed<TcpStream, Frames>;
 
 fn link(stream: TcpStream) -> Link {
     Framed::new(stream, frames())
@@ -137,20 +137,29 @@
 }
 
 async fn receive(link: &mut Link) -> Result<Message, String> {
-    let frame = link.next().await.ok_or("connection closed")?;
-    let frame = frame.map_err(|err| err.to_string())?;
-    Message::decode(frame.freeze()).map_err(|err| err.to_string())
+    receive_within(link, None).await
 }
 
 /// Receives the next message; fails after `limit` without one.
 async fn receive_within(link: &mut Link, limit: Option<Duration>) -> Result<Message, String> {
-    match limit {
-        None => receive(link).await,
-        Some(limit) => {
-            let received = timeout(limit, receive(link)).await;
-            received.unwrap_or_else(|_| Err(format!("no message within {limit:?}")))
-        }
-    }
+    receive_held(link, limit, BytesMut::freeze).await
+}
+
+/// Receives the next message like [`receive_within`]. Its fields share the bytes that `hold` makes of the frame.
+async fn receive_held(
+    link: &mut Link,
+    limit: Option<Duration>,
+    hold: impl FnOnce(BytesMut) -> Bytes,
+) -> Result<Message, String> {
+    let next = match limit {
+        None => link.next().await,
+        Some(limit) => timeout(limit, link.next())
+            .await
+            .map_err(|_| format!("no message within {limit:?}"))?,
+    };
+    let frame = next.ok_or("connection closed")?;
+    let frame = frame.map_err(|err| err.to_string())?;
+    Message::decode(hold(frame)).map_err(|err| err.to_string())
 }
 
 fn encode_headers(headers: &HeaderMap) -> Vec<Header> {
--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -8,7 +8,7 @@
 
 use http_body_util::StreamBody;
 use hyper::body::Frame;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use reachtally_core::forward::handoff::HandoffPeers;
 use reachtally_core::life::NeverStarted;
@@ -17,12 +17,17 @@
 
 use crate::answer::{Body, BodyTruncated, EndedBy};
 use crate::attempts::Attempts;
+use crate::bodies::Charge;
 use crate::exchange::SendFailure;
 use crate::handoff::{Link, decode_headers, encode_headers, link, receive, receive_within, send};
 use crate::relay::Relay;
 use crate::serve::Call;
 use crate::target;
 
+/// Upper bound on the bytes of a frame beside its body, target and headers.
+const FRAME_OVERHEAD: usize = 256;
+/// Upper bound on the bytes that encoding adds to a header.
+const HEADER_OVERHEAD: usize = 16;
 /// Maximum number of boxes that are asked to take over one request.
 const MAX_ASKED: usize = 4;
 /// Time within which a box must accept a connection and answer an offer.
@@ -75,10 +80,13 @@
     last: Option<u64>,
 ) -> Option<Handoff> {
     let mut asked = Vec::new();
+    let bytes = max_frame_bytes(call);
+    // The frame and the buffer that it is written from are copies of the body.
+    let _copies = Charge::reserve(relay, 2 * bytes).ok()?;
     while asked.len() < MAX_ASKED && relay.needs_other_box(call) && attempts.may_run(call) {
         let ip = relay.choose_peer(&call.service_name, &asked)?;
         asked.push(ip);
-        let Some(link) = offer(relay, &call.service_name, ip).await else {
+        let Some(link) = offer(relay, &call.service_name, bytes, ip).await else {
             continue;
         };
         if !attempts.may_hand_over(relay, call) {
@@ -103,12 +111,17 @@
     None
 }
 
-/// Offers requests for `service` to a box and records its answer. Returns the connection if it accepts.
-pub(super) async fn offer(relay: &Relay, service: &Arc<str>, ip: IpAddr) -> Option<Link> {
+/// Offers a request for `service` with a frame of `bytes` to a box and records its answer. Returns the connection if it accepts.
+pub(super) async fn offer(
+    relay: &Relay,
+    service: &Arc<str>,
+    bytes: u64,
+    ip: IpAddr,
+) -> Option<Link> {
     let port = relay.settings.borrow().handoff_port?;
     let answer = timeout(
         OFFER_TIMEOUT,
-        request_reply(relay, service, SocketAddr::new(ip, port)),
+        request_reply(relay, service, bytes, SocketAddr::new(ip, port)),
     );
     let answer = answer.await.unwrap_or_else(|_| Err("timed out".to_owned()));
     let now = relay.now();
@@ -148,6 +161,7 @@
 async fn request_reply(
     relay: &Relay,
     service: &str,
+    bytes: u64,
     address: SocketAddr,
 ) -> Result<(Link, Result<(), Refusal>), String> {
     let stream = target::dial(address, OFFER_TIMEOUT).await;
@@ -157,6 +171,7 @@
     let offer = Offer {
         service: service.to_owned(),
         config_version: relay.configuration.version(),
+        request_bytes: Some(bytes),
     };
     send(&mut link, Message::Offer(offer)).await?;
     match receive(&mut link).await? {
@@ -219,6 +234,17 @@
     })
 }
 
+/// Returns an upper bound on the length of the frame with a request, in bytes.
+fn max_frame_bytes(call: &Call) -> u64 {
+    let target = call.parts.uri.path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + HEADER_OVERHEAD
+    };
+    let headers: usize = call.parts.headers.iter().map(header).sum();
+    (call.body.len() + target + headers + FRAME_OVERHEAD) as u64
+}
+
 fn request(relay: &Relay, call: &Call, attempts: &Attempts, last: Option<u64>) -> Request {
     let target = call.parts.uri.path_and_query();
     Request {
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -11,14 +11,17 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use reachtally_core::life;
+use reachtally_protocol::FRAME_MAX;
 use reachtally_protocol::handoff::{self, Data, Head, Message, Refusal};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::accept;
 use crate::answer::Body;
+use crate::bodies::{Charge, NoMemory};
 use crate::handoff::{
-    HEARTBEAT_INTERVAL, Link, decode_headers, encode_headers, link, receive_within, send,
+    HEARTBEAT_INTERVAL, Link, decode_headers, encode_headers, link, receive_held, receive_within,
+    send,
 };
 use crate::relay::Relay;
 use crate::serve::{self, HandoffTerms};
@@ -30,6 +33,8 @@
 const END_MARGIN: Duration = Duration::from_secs(1);
 /// Maximum number of requests that a box runs for others. Each takes a connection to a box and one to a target.
 const MAX_TAKEN: u32 = 500;
+/// Maximum length of an offer in bytes.
+const MAX_OFFER_BYTES: usize = 4 * 1024;
 /// Maximum number of bytes of a response in one frame.
 const MAX_DATA_BYTES: usize = 64 * 1024;
 
@@ -49,19 +54,30 @@
 async fn serve_connection(relay: &Rc<Relay>, stream: TcpStream) -> Result<(), String> {
     target::set_nodelay(&stream);
     let mut link = link(stream);
+    link.codec_mut().set_max_received(MAX_OFFER_BYTES);
     let offer = match receive_within(&mut link, Some(REQUEST_TIMEOUT)).await? {
         Message::Offer(offer) => offer,
         other => return Err(format!("expected an offer, received {other:?}")),
     };
-    let refusal = refusal(relay, &offer);
-    send(&mut link, Message::Reply(refusal.map_or(Ok(()), Err))).await?;
-    if refusal.is_some() {
+    let bytes = offered_bytes(relay, &offer);
+    let reserved = match refusal(relay, &offer) {
+        None => Charge::reserve(relay, bytes).map_err(|NoMemory| Refusal::Unavailable),
+        Some(refusal) => Err(refusal),
+    };
+    let reply = reserved.as_ref().map(|_| ()).map_err(|refusal| *refusal);
+    send(&mut link, Message::Reply(reply)).await?;
+    let Ok(charge) = reserved else {
         return Ok(());
-    }
-    let request = match receive_within(&mut link, Some(REQUEST_TIMEOUT)).await? {
+    };
+    let max_frame = usize::try_from(bytes).unwrap_or(FRAME_MAX).min(FRAME_MAX);
+    link.codec_mut().set_max_received(max_frame);
+    let hold = |frame| charge.hold(frame);
+    let request = match receive_held(&mut link, Some(REQUEST_TIMEOUT), hold).await? {
         Message::Request(request) => request,
         other => return Err(format!("expected a request, received {other:?}")),
     };
+    // The other box sends nothing more.
+    link.codec_mut().set_max_received(MAX_OFFER_BYTES);
     // Keeps the process running until the response is sent.
     let _open = relay.connection();
     let _taken = TakenGuard::new(relay);
@@ -76,6 +92,13 @@
     }
 }
 
+/// Returns the size of the frame with the request, in bytes. Boxes of earlier versions don't state it.
+fn offered_bytes(relay: &Relay, offer: &handoff::Offer) -> u64 {
+    let limits = relay.configuration.table().and_then(|table| table.limits);
+    let largest = || limits.map_or(FRAME_MAX, |limits| limits.body_bytes + limits.header_bytes);
+    offer.request_bytes.unwrap_or_else(|| largest() as u64)
+}
+
 /// Returns why this box does not take over requests like the offered one, if so.
 fn refusal(relay: &Relay, offer: &handoff::Offer) -> Option<Refusal> {
     let can_take = !relay.is_overloaded() && relay.handoffs.taken.get() < MAX_TAKEN;
--- a/reachtally-relay/src/handoff/watch.rs
+++ b/reachtally-relay/src/handoff/watch.rs
@@ -42,6 +42,6 @@
         candidates
     };
     let offers = unknown.iter().take(MAX_ASKED);
-    let offers = offers.map(|candidate| offer(relay, service, candidate.ip));
+    let offers = offers.map(|candidate| offer(relay, service, 0, candidate.ip));
     futures::future::join_all(offers).await;
 }
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -21,6 +21,8 @@
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum length of a request for updates, in bytes; it names a few versions and an address.
+const MAX_REQUEST_BYTES: usize = 4 * 1024;
 /// Interval at which a waiting request checks whether the state of this box is fresh enough to be sent.
 const FRESHNESS_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -43,6 +45,7 @@
     run: Incarnation,
 ) -> Result<(), String> {
     let mut link = Framed::new(stream, frames());
+    link.codec_mut().set_max_received(MAX_REQUEST_BYTES);
     loop {
         let frame = timeout(IDLE_TIMEOUT, link.next())
             .await
--- a/reachtally-relay/src/share/mod.rs
+++ b/reachtally-relay/src/share/mod.rs
@@ -18,8 +18,9 @@
 use std::time::Duration;
 
 use reachtally_core::Instant;
+use reachtally_protocol::news::Frames;
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
 use crate::relay::Relay;
 
@@ -34,7 +35,7 @@
 /// Time allowed for an answer in addition to that wait. The latency between boxes is about a millisecond.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
 /// A connection for update requests.
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
+type Link = Framed<TcpStream, Frames>;
 
 /// Whether a read at `read` is at most `bound` old.
 fn is_at_most(read: Option<Instant>, now: Instant, bound: Duration) -> bool {
