--- a/reachtally-core/src/forward/overload.rs
+++ b/reachtally-core/src/forward/overload.rs
@@ -29,6 +29,8 @@
 pub const CONNECTION_BYTES: u64 = 96 * 1024;
 /// Number of open connections that are taken whatever the memory is, so that a box with very little serves somebody.
 pub const MIN_CONNECTIONS: usize = 16;
+/// Number of connections of other boxes that each port between boxes takes whatever the number of descriptors is.
+const MIN_PEER_CONNECTIONS: u32 = 16;
 
 /// Returns the number of descriptors up to which connections of callers are taken, of `limit`. The rest is for connections to targets,
 /// to the store and between boxes.
@@ -36,6 +38,11 @@
     limit / 4 * 3
 }
 
+/// Returns the number of connections of other boxes that each port between boxes may have, of `limit` descriptors.
+pub fn max_peer_connections(limit: u32) -> usize {
+    (limit / 8).max(MIN_PEER_CONNECTIONS) as usize
+}
+
 /// State of the run queue, as far as the delays recorded so far show.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RunQueue {
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::accept;
+use crate::accept::{self, PeerConnections};
 use crate::answer::Body;
 use crate::bodies::{Charge, NoMemory};
 use crate::handoff::{
@@ -40,9 +40,12 @@
 
 /// Takes over requests of other boxes for the lifetime of the process.
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener) {
+    let open = PeerConnections::default();
     let serve = |stream, from| {
         let relay = relay.clone();
+        let open = open.take(&relay)?;
         Some(async move {
+            let _open = open;
             if let Err(why) = serve_connection(&relay, stream).await {
                 log::debug!(event = "handoff-connection", from:% = from, why = &*why; "handoff connection failed");
             }
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod listen;
 pub mod metrics;
 pub mod occupied;
+mod open;
 pub mod pace;
 mod page;
 mod quarantine;
