fix(relay): connections that wait for a request give way at a full box

Callers saw: at a box whose connections were all held by clients that sent nothing, each new caller was turned away unread until the others timed out, and the clients came again.

Cause: a full box closed the newest connection, whoever held the others.

Change: the connection gives way that has waited longest for the rest of a head, then the one that has waited longest for its next request, one second at least, and not while a response to it is still being written. A box that can make room this way stays ready. Counted in connections_evicted.

--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -25,6 +25,7 @@
 use crate::interruptions;
 use crate::lifecycle::Stage;
 use crate::occupied::ConnectionGuard;
+use crate::open::{OpenConnection, Wait};
 use crate::relay::Relay;
 use crate::serve::{self, RequestNumber};
 use crate::target;
@@ -68,6 +69,8 @@
 /// State of a connection.
 #[derive(Debug)]
 struct ConnectionState {
+    /// Entry among the open connections, which decides whether this one gives way to others.
+    open: OpenConnection,
     /// Current phase and its start time.
     phase: Cell<(Phase, Instant)>,
     /// Request whose response was started last.
@@ -92,6 +95,11 @@
 impl ConnectionState {
     fn enter(&self, phase: Phase) {
         self.phase.set((phase, Instant::now()));
+        self.open.set_wait(match phase {
+            Phase::Idle => Some(Wait::Next),
+            Phase::Head => Some(Wait::Head),
+            Phase::Busy => None,
+        });
     }
 }
 
@@ -106,6 +114,7 @@
     let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| limits.header_timeout);
     let idle_timeout = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_SLACK;
     let state = Rc::new(ConnectionState {
+        open: relay.callers.add(),
         phase: Cell::new((Phase::Head, Instant::now())),
         answer_to: RefCell::default(),
         is_reset: Cell::default(),
@@ -161,6 +170,10 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = state.open.evicted() => {
+                relay.count(|tally| tally.connections_evicted += 1);
+                return;
+            }
             changed = stage.wait_for(|stage| *stage >= Stage::Closing), if !closing => {
                 drop(changed);
                 closing = true;
@@ -301,7 +314,14 @@
         if let Poll::Ready(Ok(count)) = written {
             self.relay.resources.record_sent(count);
         }
-        let Some(waited) = self.blocked_write.record(cx, &written) else {
+        let waited = self.blocked_write.record(cx, &written);
+        if written.is_pending() {
+            // The rest of a response must not be lost.
+            self.state.open.set_wait(None);
+        } else if self.state.phase.get().0 == Phase::Idle {
+            self.state.open.set_wait(Some(Wait::Next));
+        }
+        let Some(waited) = waited else {
             return written;
         };
         // The kernel wakes a writer only once a third of its buffer is free. A caller that has read less than
--- a/reachtally-relay/src/open.rs
+++ b/reachtally-relay/src/open.rs
@@ -54,6 +54,11 @@
         self.rows.borrow().len()
     }
 
+    /// Returns whether some connection has waited for at least `min_wait`.
+    pub fn can_evict(&self, min_wait: Duration) -> bool {
+        self.longest_waiting(min_wait).is_some()
+    }
+
     /// Makes the connection give way that has waited longest, and for at least `min_wait`. Returns whether there is one.
     pub fn evict(&self, min_wait: Duration) -> bool {
         let found = self.longest_waiting(min_wait);
--- a/reachtally-relay/src/ready.rs
+++ b/reachtally-relay/src/ready.rs
@@ -15,7 +15,7 @@
 /// Returns whether the box should receive new connections. It should not while other boxes serve a service whose targets it does not
 /// reach, nor while it takes none.
 pub fn is_ready(relay: &Relay) -> bool {
-    let can_serve = !relay.is_full() && !relay.is_cut_off() && relay.can_serve();
+    let can_serve = relay.has_room() && !relay.is_cut_off() && relay.can_serve();
     !relay.lifecycle.is_leaving() && relay.is_fresh() && can_serve
 }
 
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -35,6 +35,7 @@
 use crate::limits::LimitState;
 use crate::metrics::Times;
 use crate::occupied::ConnectionGuard;
+use crate::open::OpenConnections;
 use crate::quarantine::QuarantineState;
 use crate::resources::Resources;
 use crate::rhythm::ReadIntervals;
@@ -94,6 +95,8 @@
     pub configuration: Configuration,
     /// Shutdown stage and open connections.
     pub lifecycle: Lifecycle,
+    /// Open connections of callers.
+    pub(crate) callers: Rc<OpenConnections>,
     /// Use of the limits of this box.
     pub resources: Resources,
     /// All known targets.
@@ -200,6 +203,7 @@
             wire,
             configuration: Configuration::default(),
             lifecycle: Lifecycle::default(),
+            callers: Rc::default(),
             resources: Resources::default(),
             fleet: RefCell::default(),
             connections: Connections::default(),
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -28,6 +28,8 @@
 const PROBE_TURNS: u32 = 4;
 /// Minimum time between the starts of two measurements, each of which makes the runtime poll for I/O a few times.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which a connection waits for a request until it may give way to a new one. A caller sends its first request at once.
+const MIN_WAIT: Duration = Duration::from_secs(1);
 /// Bits per byte.
 const BITS: f64 = 8.0;
 /// Bits per second of 1 Mbit/s.
@@ -118,9 +120,14 @@
         self.resources.queue.get().is_standing(self.now())
     }
 
-    /// Counts a new connection of a caller as open, unless the box should not take it.
+    /// Returns whether the box has room for a new connection, or can make some.
+    pub(crate) fn has_room(&self) -> bool {
+        !self.is_full() || self.callers.can_evict(MIN_WAIT)
+    }
+
+    /// Counts a new connection of a caller as open, unless the box should not take it. If the box is full, another one gives way.
     pub(crate) fn take_connection(self: &Rc<Self>) -> Option<ConnectionGuard> {
-        if self.is_full() {
+        if self.is_full() && !self.callers.evict(MIN_WAIT) {
             return None;
         }
         let mut queue = self.resources.queue.get();
