fix(relay): a caller whose body is refused can read why while it still sends

Callers saw: a reset in place of the answer, if the answer came before the end of their body: 413, 401, 404, 503.

Cause: the connection was closed with unread data, which the system answers with a reset.

--- a/reachtally-relay/src/answer.rs
+++ b/reachtally-relay/src/answer.rs
@@ -59,6 +59,10 @@
 #[derive(Debug, Clone)]
 pub struct AnswerTo(pub Arc<str>);
 
+/// Marks the response to a request whose body was not read to the end.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyUnread;
+
 /// Body of a response.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyTruncated>>>;
 
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod interruptions;
 pub mod lifecycle;
 mod limits;
+mod linger;
 pub mod listen;
 pub mod metrics;
 pub mod occupied;
--- a/reachtally-relay/src/listen.rs
+++ b/reachtally-relay/src/listen.rs
@@ -21,9 +21,10 @@
 use tokio::time::Instant;
 
 use crate::accept;
-use crate::answer::{AnswerTo, Body, BodyTruncated, EndedBy};
+use crate::answer::{AnswerTo, Body, BodyTruncated, BodyUnread, EndedBy};
 use crate::interruptions;
 use crate::lifecycle::Stage;
+use crate::linger::Linger;
 use crate::occupied::ConnectionGuard;
 use crate::open::{OpenConnection, Wait};
 use crate::relay::Relay;
@@ -77,6 +78,8 @@
     answer_to: RefCell<Option<AnswerTo>>,
     /// Whether to close the connection with a reset.
     is_reset: Cell<bool>,
+    /// Whether a request was answered before its body was read to the end.
+    is_body_unread: Cell<bool>,
     /// Number of requests received so far.
     requests: Cell<u32>,
     /// Set while a response is in progress.
@@ -118,6 +121,7 @@
         phase: Cell::new((Phase::Head, Instant::now())),
         answer_to: RefCell::default(),
         is_reset: Cell::default(),
+        is_body_unread: Cell::default(),
         requests: Cell::default(),
         progress: Cell::default(),
     });
@@ -126,6 +130,7 @@
         state: state.clone(),
         relay: relay.clone(),
         blocked_write: BlockedWrite::default(),
+        linger: Linger::default(),
     });
     let service = service_fn({
         let relay = relay.clone();
@@ -219,6 +224,9 @@
     req.extensions_mut().insert(RequestNumber(number));
     let ends_with_connection = req.version() < Version::HTTP_11;
     let mut response = serve::handle(relay.clone(), req).await;
+    if response.extensions_mut().remove::<BodyUnread>().is_some() {
+        state.is_body_unread.set(true);
+    }
     let answer_to = response.extensions_mut().remove::<AnswerTo>();
     state.answer_to.replace(answer_to);
     state.progress.set(Some(ResponseProgress {
@@ -301,6 +309,7 @@
     state: Rc<ConnectionState>,
     relay: Rc<Relay>,
     blocked_write: BlockedWrite,
+    linger: Linger,
 }
 
 impl MonitoredStream {
@@ -401,6 +410,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let shut = Pin::new(&mut self.stream).poll_shutdown(cx);
+        if !self.state.is_body_unread.get() || self.relay.is_full() {
+            return shut;
+        }
+        std::task::ready!(shut)?;
+        let this = &mut *self;
+        this.linger.poll(cx, &mut this.stream).map(Ok)
     }
 }
--- a/reachtally-relay/src/serve.rs
+++ b/reachtally-relay/src/serve.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -20,7 +20,7 @@
 };
 use reachtally_core::life::{GivenUp, Life, Received, Refusal, Unknown};
 
-use crate::answer::{self, AnswerTo, Body};
+use crate::answer::{self, AnswerTo, Body, BodyUnread};
 use crate::configuration::confirmed_by;
 use crate::lifecycle::Stage;
 use crate::relay::Relay;
@@ -166,6 +166,7 @@
 /// Handles a request and returns the response.
 pub async fn handle(relay: Rc<Relay>, req: Request<Incoming>) -> Response<Body> {
     let (parts, body) = req.into_parts();
+    let has_body = !body.is_end_stream();
     let mut response = match accept(&relay, parts, RequestBody::Incoming(body), None).await {
         Ok(call) => {
             let pending = Pending::of(&call);
@@ -177,7 +178,12 @@
             response.extensions_mut().insert(AnswerTo(pending.id));
             response
         }
-        Err(response) => response,
+        Err(mut response) => {
+            if has_body {
+                response.extensions_mut().insert(BodyUnread);
+            }
+            response
+        }
     };
     // Callers return over new connections, of which an overloaded box takes as many as it can carry.
     if relay.lifecycle.is_leaving() || relay.must_close_connections() {
