fix(daemon, config): bodies of callers of reachtallyd share an account of memory

Seen by reading, then with a test: reachtallyd collected each body for itself up to body_bytes; a caller that stopped short held its megabyte without end, and nothing bounded all of them.

Change: the same decisions as on the platform (core forward/bodies) with limits.body_memory_mib, 64 by default. A body that finds no memory is answered 503 no-memory, one that is not complete within patience_s 408 body-late; both say not-run. A log line for each body without memory.

Still open there, in the design note: the number of connections, the time of a head, and frames of other daemons.

--- a/reachtally-config/src/settings.rs
+++ b/reachtally-config/src/settings.rs
@@ -68,6 +68,8 @@
     pub operator_keys: Vec<Operator>,
     /// Maximum size of a caller's request body, in bytes.
     pub body_bytes: u64,
+    /// Memory for the bodies of all callers' requests, in bytes.
+    pub body_memory_bytes: u64,
     /// Maximum duration of a caller's request.
     pub request_timeout: Duration,
     /// How long the daemon reports `false` for readiness before it refuses new work on shutdown, so that the
@@ -90,8 +92,9 @@
     "limits",
 ];
 
-const LIMIT_FIELDS: [&str; 14] = [
+const LIMIT_FIELDS: [&str; 15] = [
     "body_bytes",
+    "body_memory_mib",
     "patience_s",
     "stop_notice_ms",
     "replay_mib",
@@ -113,6 +116,8 @@
 pub const OPERATORS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7071);
 /// Default of `limits.body_bytes`.
 pub const BODY_BYTES: u64 = 1 << 20;
+/// Default of `limits.body_memory_mib`, in bytes.
+pub const BODY_MEMORY_BYTES: u64 = 64 << 20;
 /// Default of `limits.patience_s`.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(120);
 /// Default of `limits.stop_notice_ms`.
@@ -165,6 +170,7 @@
         statsd,
         operator_keys,
         body_bytes: bounds.body_bytes,
+        body_memory_bytes: bounds.body_memory_bytes,
         request_timeout: bounds.request_timeout,
         stop_notice: bounds.stop_notice,
         limits: bounds.limits,
@@ -174,6 +180,7 @@
 /// The values of the field `limits`.
 struct Bounds {
     body_bytes: u64,
+    body_memory_bytes: u64,
     request_timeout: Duration,
     stop_notice: Duration,
     limits: Limits,
@@ -242,6 +249,7 @@
 fn read_bounds(reader: &mut Reader<'_>, root: &Node<'_, '_>) -> Bounds {
     let mut bounds = Bounds {
         body_bytes: BODY_BYTES,
+        body_memory_bytes: BODY_MEMORY_BYTES,
         request_timeout: REQUEST_TIMEOUT,
         stop_notice: STOP_NOTICE,
         limits: Limits::default(),
@@ -263,6 +271,9 @@
     if let Some(bytes) = number("body_bytes", 1, 64 << 20) {
         bounds.body_bytes = bytes;
     }
+    if let Some(mib) = number("body_memory_mib", 1, 1 << 16) {
+        bounds.body_memory_bytes = mib << 20;
+    }
     if let Some(seconds) = number("patience_s", 1, 3600) {
         bounds.request_timeout = Duration::from_secs(seconds);
     }
--- a/reachtally-core/src/forward/bodies.rs
+++ b/reachtally-core/src/forward/bodies.rs
@@ -65,10 +65,14 @@
         let guaranteed = guaranteed(memory);
         let left = caller_memory(memory).saturating_sub(other.bytes());
         let max = (memory / MAX_DIVISOR).max(guaranteed);
-        let small = left.clamp(guaranteed, max);
+        BodyLimits::of_total(left.clamp(guaranteed, max))
+    }
+
+    /// Returns the bounds for `bytes` of memory for bodies alone.
+    pub fn of_total(bytes: u64) -> Self {
         BodyLimits {
-            small,
-            large: small - small / SMALL_DIVISOR,
+            small: bytes,
+            large: bytes - bytes / SMALL_DIVISOR,
         }
     }
 
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -118,6 +118,20 @@
         Failure::not_run(Status::PayloadTooLarge, "body-too-long", message)
     }
 
+    /// The body was not complete in time.
+    pub fn body_late(time: Duration) -> Self {
+        let message = format!("the body was not complete within {} s", time.as_secs());
+        Failure::not_run(Status::RequestTimeout, "body-late", message)
+    }
+
+    /// There is no memory for the body.
+    pub fn no_memory() -> Self {
+        let message = "there is no memory for the body";
+        let mut failure = Failure::not_run(Status::ServiceUnavailable, "no-memory", message);
+        failure.retry_after = Some(Duration::from_secs(1));
+        failure
+    }
+
     /// The body could not be read to its end.
     pub fn body_truncated() -> Self {
         let message = "the body could not be read to its end";
--- a/reachtally-daemon/src/caller/body.rs
+++ b/reachtally-daemon/src/caller/body.rs
@@ -1,10 +1,15 @@
 //! Reading and validation of completion request bodies. All findings are collected with their location.
 
+use log::info;
 use reachtally_core::request::Completion;
 use rocket::data::{Data, ToByteUnit};
 use serde_json::{Map, Value};
+use tokio::io::AsyncReadExt;
+use tokio::time::timeout;
 
+use crate::caller::Shared;
 use crate::caller::answer::{BodyFinding, Failure};
+use crate::caller::memory::{HeldBody, NoMemory};
 
 /// Default of `max_tokens`.
 const DEFAULT_MAX_TOKENS: u64 = 16;
@@ -29,17 +34,47 @@
     Chat,
 }
 
-/// Reads a body of at most `max_bytes` bytes.
+/// Size of one read, in bytes.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Reads the body of a request.
 ///
 /// # Errors
-/// A failure if the body is longer or cannot be read to its end.
-pub async fn read(data: Data<'_>, max_bytes: u64) -> Result<Vec<u8>, Failure> {
-    let capped = data.open(max_bytes.bytes()).into_bytes().await;
-    let capped = capped.map_err(|_| Failure::body_truncated())?;
-    if !capped.is_complete() {
-        return Err(Failure::body_too_long(max_bytes));
+/// A failure if the body is too long, cannot be read to its end within the time-out of a request, or if there is no memory for it.
+pub async fn read(data: Data<'_>, shared: &Shared) -> Result<HeldBody, Failure> {
+    match timeout(shared.request_timeout, receive(data, shared)).await {
+        Ok(received) => received,
+        Err(_) => Err(Failure::body_late(shared.request_timeout)),
+    }
+}
+
+async fn receive(data: Data<'_>, shared: &Shared) -> Result<HeldBody, Failure> {
+    let max = shared.body_bytes;
+    // One more byte shows that the body is too long.
+    let mut data = data.open((max + 1).bytes());
+    let mut body = shared.memory.begin(max);
+    let mut buf = vec![0; READ_BYTES];
+    loop {
+        let count = tokio::select! {
+            biased;
+            () = body.evicted() => return Err(no_memory(shared, &body)),
+            read = data.read(&mut buf) => read.map_err(|_| Failure::body_truncated())?,
+        };
+        if count == 0 {
+            return body.complete().map_err(|NoMemory| Failure::no_memory());
+        }
+        if (body.bytes().len() + count) as u64 > max {
+            return Err(Failure::body_too_long(max));
+        }
+        if let Err(NoMemory) = body.push(&buf[..count]) {
+            return Err(no_memory(shared, &body));
+        }
     }
-    Ok(capped.into_inner())
+}
+
+fn no_memory(shared: &Shared, body: &HeldBody) -> Failure {
+    info!(event = "body-refused", received = body.bytes().len(), held = shared.memory.bytes(); "no memory for the body of a request");
+    Failure::no_memory()
 }
 
 /// Validates and decodes the body of a completion request.
--- a/reachtally-daemon/src/caller/mod.rs
+++ b/reachtally-daemon/src/caller/mod.rs
@@ -4,6 +4,7 @@
 pub mod auth;
 pub mod body;
 pub mod completions;
+pub mod memory;
 pub mod services;
 pub mod stream;
 
@@ -18,6 +19,7 @@
 use crate::actor::Handle;
 use crate::caller::answer::{Failure, OUTCOME_HEADER, Outcome};
 use crate::caller::auth::Caller;
+use crate::caller::memory::BodyMemory;
 use crate::view::{Readiness, View};
 use std::time::Duration;
 
@@ -29,6 +31,8 @@
     pub view: watch::Receiver<View>,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: u64,
+    /// Memory for the bodies of all requests.
+    pub memory: BodyMemory,
     /// Timeout of a request.
     pub request_timeout: Duration,
     /// Responses that have not been fully passed to their connection yet.
--- a/reachtally-daemon/src/run.rs
+++ b/reachtally-daemon/src/run.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::actor::{Actor, Answer, Handle, Message, Published, Query};
+use crate::caller::memory::BodyMemory;
 use crate::caller::{self, OpenStreams};
 use crate::perform::Performer;
 use crate::view::{Readiness, View};
@@ -180,6 +181,7 @@
         handle: handle.clone(),
         view: view.clone(),
         body_bytes: settings.body_bytes,
+        memory: BodyMemory::new(settings.body_memory_bytes),
         request_timeout: settings.request_timeout,
         open: open.clone(),
     };
--- a/reachtally-daemon/src/standalone.rs
+++ b/reachtally-daemon/src/standalone.rs
@@ -5,7 +5,9 @@
 
 use error_stack::{Report, ResultExt};
 use reachtally_config::keys;
-use reachtally_config::settings::{BODY_BYTES, Operator, REQUEST_TIMEOUT, Role, Settings};
+use reachtally_config::settings::{
+    BODY_BYTES, BODY_MEMORY_BYTES, Operator, REQUEST_TIMEOUT, Role, Settings,
+};
 use reachtally_core::Limits;
 use reachtally_core::declare::{self, Layers, Object};
 use reachtally_core::fold::{Config, Operation};
@@ -47,6 +49,8 @@
     pub step_time: StepTime,
     /// Limits of the daemon.
     pub limits: Limits,
+    /// Memory for the bodies of callers' requests, in bytes.
+    pub body_memory_bytes: u64,
     /// Identity of the daemon.
     pub identity: Identity,
 }
@@ -62,6 +66,7 @@
                 per_layer: Duration::from_micros(50),
             },
             limits: Limits::default(),
+            body_memory_bytes: BODY_MEMORY_BYTES,
             identity: Identity::random(),
         }
     }
@@ -249,6 +254,7 @@
             hash: keys::hash(OPERATOR_KEY),
         }],
         body_bytes: BODY_BYTES,
+        body_memory_bytes: options.body_memory_bytes,
         request_timeout: REQUEST_TIMEOUT,
         stop_notice: Duration::ZERO,
         limits: options.limits.clone(),
