refactor(body, relay, daemon): one holder of bodies and one table of open connections

reachtallyd wrote the holder of bodies again that the relay had: lock, table, growth, eviction. It is a crate of its own now, reachtally-body, for both; the decisions stay in the core. The holder of the daemon frees the memory of a body that gives way at once, as that of the relay did. The evicted body counts itself.

The longest body that is allowed was worked out twice; the bounds of the largest body and of all bodies repeated of_total.

--- a/reachtally-core/src/forward/bodies.rs
+++ b/reachtally-core/src/forward/bodies.rs
@@ -2,8 +2,7 @@
 //!
 //! A client may stop short of the end of its body, or send it slowly, and keep its connection open. What it has sent takes memory
 //! meanwhile. When another body needs that memory, the incomplete body that would hold the most for the longest gives way. It has
-//! reached no target, so its client can be told that the request has not run. A complete body is never taken back: it may have
-//! been sent.
+//! reached no target, so its request has not run. A complete body is never taken back: it may have been sent.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -64,8 +63,7 @@
     pub fn new(memory: u64, other: OtherUse) -> Self {
         let guaranteed = guaranteed(memory);
         let left = caller_memory(memory).saturating_sub(other.bytes());
-        let max = (memory / MAX_DIVISOR).max(guaranteed);
-        BodyLimits::of_total(left.clamp(guaranteed, max))
+        BodyLimits::of_total(left.clamp(guaranteed, memory / MAX_DIVISOR))
     }
 
     /// Returns the bounds for `bytes` of memory for bodies alone.
@@ -87,8 +85,7 @@
 
 /// Returns the size in bytes of the largest body that a box with `memory` bytes can hold whatever its connections use.
 pub fn max_body(memory: u64) -> u64 {
-    let guaranteed = guaranteed(memory);
-    guaranteed - guaranteed / SMALL_DIVISOR
+    BodyLimits::of_total(guaranteed(memory)).large
 }
 
 fn guaranteed(memory: u64) -> u64 {
--- a/reachtally-core/src/life.rs
+++ b/reachtally-core/src/life.rs
@@ -73,7 +73,9 @@
 impl NotRun {
     fn new(refusal: Refusal) -> Self {
         let retry_after = match refusal {
-            Refusal::AccountLimit | Refusal::Busy => Some(Duration::from_secs(1)),
+            Refusal::AccountLimit | Refusal::Busy | Refusal::NoMemory => {
+                Some(Duration::from_secs(1))
+            }
             Refusal::NoTarget | Refusal::NeverStarted => Some(Duration::from_secs(2)),
             Refusal::Stopping | Refusal::Paused | Refusal::Deadline => Some(Duration::from_secs(1)),
             Refusal::ClaimUnconfirmed => Some(Duration::from_secs(5)),
--- a/reachtally-daemon/src/caller/answer.rs
+++ b/reachtally-daemon/src/caller/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reachtally_core::life::{NotRun, Refusal, Unknown};
+use reachtally_core::life::{Life, NotRun, Received, Refusal, Unknown};
 use reachtally_core::request::Answer;
 use rocket::http::{ContentType, Header, Status};
 use rocket::request::Request;
@@ -126,10 +126,8 @@
 
     /// There is no memory for the body.
     pub fn no_memory() -> Self {
-        let message = "there is no memory for the body";
-        let mut failure = Failure::not_run(Status::ServiceUnavailable, "no-memory", message);
-        failure.retry_after = Some(Duration::from_secs(1));
-        failure
+        let refused = Life::<Received>::default().refuse_not_run(Refusal::NoMemory);
+        Failure::of_not_run(&refused)
     }
 
     /// The body could not be read to its end.
--- a/reachtally-daemon/src/caller/body.rs
+++ b/reachtally-daemon/src/caller/body.rs
@@ -1,6 +1,9 @@
 //! Reading and validation of completion request bodies. All findings are collected with their location.
 
+use bytes::Bytes;
 use log::info;
+use reachtally_body::{NoMemory, Receiving};
+use reachtally_core::Instant;
 use reachtally_core::request::Completion;
 use rocket::data::{Data, ToByteUnit};
 use serde_json::{Map, Value};
@@ -9,7 +12,6 @@
 
 use crate::caller::Shared;
 use crate::caller::answer::{BodyFinding, Failure};
-use crate::caller::memory::{HeldBody, NoMemory};
 
 /// Default of `max_tokens`.
 const DEFAULT_MAX_TOKENS: u64 = 16;
@@ -37,22 +39,23 @@
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
-/// Reads the body of a request.
+/// Reads the body of a request. Its memory counts until the last copy of the bytes is dropped.
 ///
 /// # Errors
 /// A failure if the body is too long, cannot be read to its end within the time-out of a request, or if there is no memory for it.
-pub async fn read(data: Data<'_>, shared: &Shared) -> Result<HeldBody, Failure> {
+pub async fn read(data: Data<'_>, shared: &Shared) -> Result<Bytes, Failure> {
     match timeout(shared.request_timeout, receive(data, shared)).await {
         Ok(received) => received,
         Err(_) => Err(Failure::body_late(shared.request_timeout)),
     }
 }
 
-async fn receive(data: Data<'_>, shared: &Shared) -> Result<HeldBody, Failure> {
+async fn receive(data: Data<'_>, shared: &Shared) -> Result<Bytes, Failure> {
     let max = shared.body_bytes;
     // One more byte shows that the body is too long.
     let mut data = data.open((max + 1).bytes());
-    let mut body = shared.memory.begin(max);
+    let now = || Instant::from_elapsed(shared.started.elapsed());
+    let mut body = Receiving::begin(&shared.bodies, max, now());
     let mut buf = vec![0; READ_BYTES];
     loop {
         let count = tokio::select! {
@@ -63,17 +66,17 @@
         if count == 0 {
             return body.complete().map_err(|NoMemory| Failure::no_memory());
         }
-        if (body.bytes().len() + count) as u64 > max {
+        if (body.received() + count) as u64 > max {
             return Err(Failure::body_too_long(max));
         }
-        if let Err(NoMemory) = body.push(&buf[..count]) {
+        if let Err(NoMemory) = body.push(&buf[..count], shared.body_limits, now()) {
             return Err(no_memory(shared, &body));
         }
     }
 }
 
-fn no_memory(shared: &Shared, body: &HeldBody) -> Failure {
-    info!(event = "body-refused", received = body.bytes().len(), held = shared.memory.bytes(); "no memory for the body of a request");
+fn no_memory(shared: &Shared, body: &Receiving) -> Failure {
+    info!(event = "body-refused", received = body.received(), held = shared.bodies.bytes(); "no memory for the body of a request");
     Failure::no_memory()
 }
 
--- a/reachtally-daemon/src/caller/completions.rs
+++ b/reachtally-daemon/src/caller/completions.rs
@@ -84,8 +84,8 @@
     data: Data<'_>,
     shared: &Shared,
 ) -> Result<CompletionAnswer, Failure> {
-    let held = body::read(data, shared).await?;
-    let body = body::validate(held.bytes(), endpoint).map_err(Failure::bad_body)?;
+    let bytes = body::read(data, shared).await?;
+    let body = body::validate(&bytes, endpoint).map_err(Failure::bad_body)?;
     let request = NewRequest {
         account: caller.account.name,
         work: Work::Completion(body.completion.clone()),
--- a/reachtally-daemon/src/caller/mod.rs
+++ b/reachtally-daemon/src/caller/mod.rs
@@ -4,10 +4,11 @@
 pub mod auth;
 pub mod body;
 pub mod completions;
-pub mod memory;
 pub mod services;
 pub mod stream;
 
+use reachtally_body::BodyPool;
+use reachtally_core::forward::bodies::BodyLimits;
 use rocket::fairing::AdHoc;
 use rocket::http::{ContentType, Header, StatusClass};
 use rocket::response::Response;
@@ -19,8 +20,8 @@
 use crate::actor::Handle;
 use crate::caller::answer::{Failure, OUTCOME_HEADER, Outcome};
 use crate::caller::auth::Caller;
-use crate::caller::memory::BodyMemory;
 use crate::view::{Readiness, View};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// State shared by the routes.
@@ -31,8 +32,12 @@
     pub view: watch::Receiver<View>,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: u64,
-    /// Memory for the bodies of all requests.
-    pub memory: BodyMemory,
+    /// The bodies of all requests, and the memory that they take.
+    pub bodies: Arc<BodyPool>,
+    /// Bounds of that memory.
+    pub body_limits: BodyLimits,
+    /// Start of the time that decisions about bodies work with.
+    pub started: tokio::time::Instant,
     /// Timeout of a request.
     pub request_timeout: Duration,
     /// Responses that have not been fully passed to their connection yet.
--- a/reachtally-daemon/src/caller/services.rs
+++ b/reachtally-daemon/src/caller/services.rs
@@ -56,13 +56,12 @@
     let shared = req.rocket().state::<Shared>();
     let shared = shared.ok_or_else(|| Failure::not_ready("the daemon is starting"))?;
     let (service, path) = split(req);
-    let mut held = body::read(data, shared).await?;
     let call = ServiceCall {
         service,
         method: req.method().as_str().to_owned(),
         path,
         content_type: req.content_type().map(ToString::to_string),
-        body: held.take().into(),
+        body: body::read(data, shared).await?,
     };
     let request = NewRequest {
         account: caller.account.name,
--- a/reachtally-daemon/src/run.rs
+++ b/reachtally-daemon/src/run.rs
@@ -1,12 +1,14 @@
 //! Startup and graceful shutdown of a daemon.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
 use log::info;
 use reachtally_clock::{Clock, boot_clock};
 use reachtally_config::Settings;
 use reachtally_core::counters::Counters;
+use reachtally_core::forward::bodies::BodyLimits;
 use reachtally_core::member::MemberState;
 use reachtally_core::{Event, Incarnation, Instant, World};
 use reachtally_listen::{Listener, Options as Listen};
@@ -18,7 +20,6 @@
 use tokio::time::sleep;
 
 use crate::actor::{Actor, Answer, Handle, Message, Published, Query};
-use crate::caller::memory::BodyMemory;
 use crate::caller::{self, OpenStreams};
 use crate::perform::Performer;
 use crate::view::{Readiness, View};
@@ -181,7 +182,9 @@
         handle: handle.clone(),
         view: view.clone(),
         body_bytes: settings.body_bytes,
-        memory: BodyMemory::new(settings.body_memory_bytes),
+        bodies: Arc::default(),
+        body_limits: BodyLimits::of_total(settings.body_memory_bytes),
+        started: tokio::time::Instant::now(),
         request_timeout: settings.request_timeout,
         open: open.clone(),
     };
--- a/reachtally-relay/src/accept.rs
+++ b/reachtally-relay/src/accept.rs
@@ -1,45 +1,24 @@
 //! Accepts connections on a listener.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
-
 use reachtally_core::forward::overload::max_peer_connections;
+use tokio::net::{TcpListener, TcpStream};
 
+use crate::open::{OpenConnection, OpenConnections};
 use crate::relay::Relay;
 
 /// Pause after a failed accept, which is most often caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Counts the connections of a port between boxes. Each port may take a part of the descriptors.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct PeerConnections(Rc<Cell<usize>>);
-
-/// Counts a connection until it is dropped.
-#[derive(Debug)]
-pub(crate) struct PeerConnection(Rc<Cell<usize>>);
-
-impl PeerConnections {
-    /// Counts a new connection as open, unless there are as many as the port may have.
-    pub fn take(&self, relay: &Relay) -> Option<PeerConnection> {
-        let limit = relay.settings.borrow().max_descriptors;
-        let max = limit.map_or(usize::MAX, max_peer_connections);
-        let count = self.0.get();
-        (count < max).then(|| {
-            self.0.set(count + 1);
-            PeerConnection(self.0.clone())
-        })
-    }
-}
-
-impl Drop for PeerConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+/// Adds a connection to those of a port between boxes, unless there are as many as the port may have.
+pub(crate) fn take_peer(relay: &Relay, open: &Rc<OpenConnections>) -> Option<OpenConnection> {
+    let limit = relay.settings.borrow().max_descriptors;
+    let max = limit.map_or(usize::MAX, max_peer_connections);
+    (open.len() < max).then(|| open.add())
 }
 
 /// Serves each connection in its own task until the process exits; `name` identifies the listener in the log. Where `serve` returns
--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -17,7 +17,6 @@
 
 use crate::answer::{Body, BodyTruncated, EndedBy};
 use crate::attempts::Attempts;
-use crate::bodies::Charge;
 use crate::exchange::SendFailure;
 use crate::handoff::{Link, decode_headers, encode_headers, link, receive, receive_within, send};
 use crate::relay::Relay;
@@ -82,7 +81,7 @@
     let mut asked = Vec::new();
     let bytes = max_frame_bytes(call);
     // The frame and the buffer that it is written from are copies of the body.
-    let _copies = Charge::reserve(relay, 2 * bytes).ok()?;
+    let _copies = relay.reserve_body(2 * bytes).ok()?;
     while asked.len() < MAX_ASKED && relay.needs_other_box(call) && attempts.may_run(call) {
         let ip = relay.choose_peer(&call.service_name, &asked)?;
         asked.push(ip);
--- a/reachtally-relay/src/handoff/serve.rs
+++ b/reachtally-relay/src/handoff/serve.rs
@@ -10,15 +10,15 @@
 use futures::stream::SplitSink;
 use http_body_util::BodyExt;
 use hyper::Response;
+use reachtally_body::NoMemory;
 use reachtally_core::life;
 use reachtally_protocol::FRAME_MAX;
 use reachtally_protocol::handoff::{self, Data, Head, Message, Refusal};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::accept::{self, PeerConnections};
+use crate::accept;
 use crate::answer::Body;
-use crate::bodies::{Charge, NoMemory};
 use crate::handoff::{
     HEARTBEAT_INTERVAL, Link, decode_headers, encode_headers, link, receive_held, receive_within,
     send,
@@ -40,10 +40,10 @@
 
 /// Takes over requests of other boxes for the lifetime of the process.
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener) {
-    let open = PeerConnections::default();
+    let open = Rc::default();
     let serve = |stream, from| {
         let relay = relay.clone();
-        let open = open.take(&relay)?;
+        let open = accept::take_peer(&relay, &open)?;
         Some(async move {
             let _open = open;
             if let Err(why) = serve_connection(&relay, stream).await {
@@ -64,7 +64,9 @@
     };
     let bytes = offered_bytes(relay, &offer);
     let reserved = match refusal(relay, &offer) {
-        None => Charge::reserve(relay, bytes).map_err(|NoMemory| Refusal::Unavailable),
+        None => relay
+            .reserve_body(bytes)
+            .map_err(|NoMemory| Refusal::Unavailable),
         Some(refusal) => Err(refusal),
     };
     let reply = reserved.as_ref().map(|_| ()).map_err(|refusal| *refusal);
@@ -74,8 +76,8 @@
     };
     let max_frame = usize::try_from(bytes).unwrap_or(FRAME_MAX).min(FRAME_MAX);
     link.codec_mut().set_max_received(max_frame);
-    let hold = |frame| charge.hold(frame);
-    let request = match receive_held(&mut link, Some(REQUEST_TIMEOUT), hold).await? {
+    let received = receive_held(&mut link, Some(REQUEST_TIMEOUT), |frame| charge.hold(frame));
+    let request = match received.await? {
         Message::Request(request) => request,
         other => return Err(format!("expected a request, received {other:?}")),
     };
--- a/reachtally-relay/src/lib.rs
+++ b/reachtally-relay/src/lib.rs
@@ -15,7 +15,6 @@
 mod admission;
 pub mod answer;
 mod attempts;
-mod bodies;
 pub mod configuration;
 mod connections;
 pub mod eras;
--- a/reachtally-relay/src/relay.rs
+++ b/reachtally-relay/src/relay.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use reachtally_body::BodyPool;
 use reachtally_clock::Clock;
 use reachtally_core::Instant;
 use reachtally_core::forward::budget::BudgetBounds;
@@ -26,7 +27,6 @@
 
 use crate::admission::Admission;
 use crate::answer::EndedBy;
-use crate::bodies::BodyPool;
 use crate::configuration::Configuration;
 use crate::connections::Connections;
 use crate::handoff::HandoffState;
--- a/reachtally-relay/src/resources.rs
+++ b/reachtally-relay/src/resources.rs
@@ -8,8 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use reachtally_body::{Charge, NoMemory};
 use reachtally_core::Instant;
-use reachtally_core::forward::bodies;
+use reachtally_core::forward::bodies::{self, BodyLimits, OtherUse};
 use reachtally_core::forward::overload::{self, RunQueue};
 use tokio::runtime::Handle;
 use tokio::time::{MissedTickBehavior, interval_at};
@@ -115,6 +116,23 @@
         self.lifecycle.open() >= max_connections || limit.is_some_and(|limit| descriptors >= limit)
     }
 
+    /// Returns the bounds of the memory for bodies.
+    pub(crate) fn body_limits(&self) -> BodyLimits {
+        let other = OtherUse {
+            connections: self.lifecycle.open(),
+            read_ahead: self.read_ahead(),
+        };
+        BodyLimits::new(self.settings.borrow().memory, other)
+    }
+
+    /// Reserves memory for a body of `bytes` that is complete.
+    ///
+    /// # Errors
+    /// [`NoMemory`] if there is none.
+    pub(crate) fn reserve_body(&self, bytes: u64) -> Result<Charge, NoMemory> {
+        Charge::reserve(&self.bodies, bytes, self.body_limits(), self.now())
+    }
+
     /// Returns whether the box has more work than it can carry.
     pub(crate) fn is_overloaded(&self) -> bool {
         self.resources.queue.get().is_standing(self.now())
--- a/reachtally-relay/src/share/answer.rs
+++ b/reachtally-relay/src/share/answer.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
-use crate::accept::{self, PeerConnections};
+use crate::accept;
 use crate::relay::Relay;
 use crate::share::{LONG_POLL_TIMEOUT, is_fresh};
 
@@ -28,10 +28,10 @@
 
 /// Answers update requests of other boxes for the lifetime of the process.
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener, run: Incarnation) {
-    let open = PeerConnections::default();
+    let open = Rc::default();
     let serve = |stream, from| {
         let relay = relay.clone();
-        let open = open.take(&relay)?;
+        let open = accept::take_peer(&relay, &open)?;
         Some(async move {
             let _open = open;
             if let Err(why) = serve_connection(&relay, stream, run).await {
--- a/reachtally-relay/src/upload.rs
+++ b/reachtally-relay/src/upload.rs
@@ -6,12 +6,12 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Incoming};
 use hyper::{Response, StatusCode};
+use reachtally_body::{NoMemory, Receiving};
 use reachtally_core::Instant;
 use reachtally_core::forward::bodies::max_body;
 use reachtally_core::forward::routes::CallerLimits;
 
 use crate::answer::{self, Body};
-use crate::bodies::{NoMemory, Receiving};
 use crate::relay::Relay;
 
 /// Time without data after which a body has stopped, if the configuration sets none.
@@ -65,6 +65,11 @@
     }
 }
 
+/// Returns the size in bytes of the longest body that is allowed.
+fn max_allowed(limits: Option<CallerLimits>) -> usize {
+    limits.map_or(BODY_BYTES, |limits| limits.body_bytes)
+}
+
 /// Receives a body that is to be complete by `due`.
 ///
 /// # Errors
@@ -79,25 +84,22 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let max = limits.map_or(BODY_BYTES, |limits| limits.body_bytes);
-    let announced = body.size_hint().lower();
-    if announced > max as u64 {
+    let max = max_allowed(limits);
+    let announced = body.size_hint().exact();
+    if announced.is_some_and(|bytes| bytes > max as u64) {
         return Err(UploadError::TooLong(max));
     }
-    let is_known = body.size_hint().exact().is_some();
-    let expected = if is_known { announced as usize } else { max };
-    let mut receiving = Receiving::begin(relay, expected);
-    let collecting = collect(relay, &mut body, &mut receiving, limits, max);
-    let received = match relay.run_until(due, collecting).await {
-        Some(collected) => collected,
-        None => Err(UploadError::Overdue),
-    };
-    let received = match received {
-        Ok(()) => return Ok(receiving.complete()?),
-        Err(err) => err,
-    };
-    note_failure(relay, id, &received, receiving.len());
-    Err(received)
+    let expected = announced.unwrap_or(max as u64);
+    let mut receiving = Receiving::begin(&relay.bodies, expected, relay.now());
+    let collecting = collect(relay, &mut body, &mut receiving, limits);
+    let collected = relay.run_until(due, collecting).await;
+    match collected.unwrap_or(Err(UploadError::Overdue)) {
+        Ok(()) => Ok(receiving.complete()?),
+        Err(err) => {
+            note_failure(relay, id, &err, receiving.received());
+            Err(err)
+        }
+    }
 }
 
 /// Receives a body to its end.
@@ -106,13 +108,16 @@
     body: &mut Incoming,
     receiving: &mut Receiving,
     limits: Option<CallerLimits>,
-    max: usize,
 ) -> Result<(), UploadError> {
+    let max = max_allowed(limits);
     let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout);
     loop {
         let frame = tokio::select! {
             biased;
-            () = receiving.evicted() => return Err(UploadError::NoMemory),
+            () = receiving.evicted() => {
+                relay.count(|tally| tally.bodies_evicted += 1);
+                return Err(UploadError::NoMemory);
+            }
             frame = tokio::time::timeout(idle, body.frame()) => frame,
         };
         let frame = match frame.map_err(|_| UploadError::Stopped(idle))? {
@@ -123,10 +128,10 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if receiving.len() + data.len() > max {
+        if receiving.received() + data.len() > max {
             return Err(UploadError::TooLong(max));
         }
-        receiving.push(relay, &data)?;
+        receiving.push(&data, relay.body_limits(), relay.now())?;
     }
 }
 
@@ -154,7 +159,7 @@
 pub(crate) fn check_limits(relay: &Relay, limits: Option<CallerLimits>) {
     let memory = relay.settings.borrow().memory;
     let max = max_body(memory);
-    let allowed = limits.map_or(BODY_BYTES, |limits| limits.body_bytes);
+    let allowed = max_allowed(limits);
     if allowed as u64 > max {
         log::warn!(event = "bodies-exceed-memory", body_bytes = allowed, max_bytes = max, memory = memory; "the configuration allows bodies for which this box may have no memory; it refuses them then");
     }
