fix(relay): memory for a handoff is reserved only where another box is asked

Callers saw: 503 for requests whose bodies were still arriving, beside any request that could not be served, on a box short of memory for bodies.

Cause: the copies of a body for its handoff were reserved for each request that found no target, before it was known whether another box is needed. Incomplete bodies gave way for them.

Change: reserved once a box has been chosen to be asked.

Evidence: a_request_that_no_other_box_has_to_run_takes_no_memory_for_a_handoff saw two bodies give way without the change.

--- a/reachtally-relay/src/handoff/send.rs
+++ b/reachtally-relay/src/handoff/send.rs
@@ -79,12 +79,15 @@
     last: Option<u64>,
 ) -> Option<Handoff> {
     let mut asked = Vec::new();
-    let bytes = max_frame_bytes(call);
-    // The frame and the buffer that it is written from are copies of the body.
-    let _copies = relay.reserve_body(2 * bytes).ok()?;
+    let mut copies = None;
     while asked.len() < MAX_ASKED && relay.needs_other_box(call) && attempts.may_run(call) {
         let ip = relay.choose_peer(&call.service_name, &asked)?;
         asked.push(ip);
+        let bytes = max_frame_bytes(call);
+        if copies.is_none() {
+            // The frame and the buffer that it is written from are copies of the body.
+            copies = Some(relay.reserve_body(2 * bytes).ok()?);
+        }
         let Some(link) = offer(relay, &call.service_name, bytes, ip).await else {
             continue;
         };
