--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,22 @@
+//! Stand-ins and scripts of the second review's cases.
+
+mod http;
+mod revoked;
+mod rig;
+mod store;
+
+use std::path::PathBuf;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, name, case, root] = &arguments[..] else {
+        rig::cannot_run("usage: standins-2 NAME CASE-FOLDER ROOT");
+    };
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let (case, root) = (PathBuf::from(case), PathBuf::from(root));
+    let is_broken = match name.as_str() {
+        "revoked" => revoked::run(&case, &root, is_troubled),
+        _ => rig::cannot_run("no such case"),
+    };
+    std::process::exit(i32::from(is_broken));
+}
