review: case 5, a box forgets the Retry-After of an engine that has just started again

What an engine asks for before its new entry is read is kept under its earlier run, and dropped with that run's row. The box then sends to the engine again, over three seconds before it may.

Nothing is fixed.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and scripts of the second review's cases.
 
+mod forgotten;
 mod http;
 mod revoked;
 mod rig;
@@ -15,6 +16,7 @@
     let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
     let (case, root) = (PathBuf::from(case), PathBuf::from(root));
     let is_broken = match name.as_str() {
+        "forgotten" => forgotten::run(&case, &root, is_troubled),
         "revoked" => revoked::run(&case, &root, is_troubled),
         _ => rig::cannot_run("no such case"),
     };
