--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod forgotten;
 mod http;
+mod leaving;
 mod revoked;
 mod rig;
 mod store;
@@ -17,6 +18,7 @@
     let (case, root) = (PathBuf::from(case), PathBuf::from(root));
     let is_broken = match name.as_str() {
         "forgotten" => forgotten::run(&case, &root, is_troubled),
+        "leaving" => leaving::run(&case, &root, is_troubled),
         "revoked" => revoked::run(&case, &root, is_troubled),
         _ => rig::cannot_run("no such case"),
     };
