review: case 4, a part of a chunked answer is passed on as the whole one

A faulty engine names a length beside chunks. The box passes the length on, so clients get the first bytes as a complete success and the rest where their next answer is due.

Nothing is fixed.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 mod forgotten;
 mod http;
 mod leaving;
+mod lengths;
 mod rig;
 mod store;
 
@@ -18,6 +19,7 @@
     let is_broken = match name.as_str() {
         "forgotten" => forgotten::run(&case, &root, is_troubled),
         "leaving" => leaving::run(&case, &root, is_troubled),
+        "lengths" => lengths::run(&case, &root, is_troubled),
         _ => rig::cannot_run("no such case"),
     };
     std::process::exit(i32::from(is_broken));
