review: case 5, two culprits after a pause stop every sound request of a route

After 12 s without traffic no part of a prompt counts as sound any more. One request and one part that crash engines then quarantine the first part, which all prompts share, at five crashes. No box lets a sound request through, so nothing can prove the part.

Nothing is fixed.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and scripts of the second review's cases.
 
+mod blamed;
 mod forgotten;
 mod http;
 mod leaving;
@@ -17,6 +18,7 @@
     let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
     let (case, root) = (PathBuf::from(case), PathBuf::from(root));
     let is_broken = match name.as_str() {
+        "blamed" => blamed::run(&case, &root, is_troubled),
         "forgotten" => forgotten::run(&case, &root, is_troubled),
         "leaving" => leaving::run(&case, &root, is_troubled),
         "lengths" => lengths::run(&case, &root, is_troubled),
