review: case 6, a box takes back an engine that it had seen go

A box that starts while the store is back from a copy takes an entry of the copy for an engine that is ready. A box behind it in its zone follows it and takes the engine over, although it had seen it go and leaves it out of its own lists.

Nothing is fixed.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod leaving;
 mod lengths;
+mod returned;
 mod rig;
 mod store;
 
@@ -22,6 +23,7 @@
         "forgotten" => forgotten::run(&case, &root, is_troubled),
         "leaving" => leaving::run(&case, &root, is_troubled),
         "lengths" => lengths::run(&case, &root, is_troubled),
+        "returned" => returned::run(&case, &root, is_troubled),
         _ => rig::cannot_run("no such case"),
     };
     std::process::exit(i32::from(is_broken));
